--- /dev/null
+++ b/cmake/package.cmake
@@ -0,0 +1,37 @@
+# Options that every target of this workspace shares, and the two helpers that packages use.
+
+option(SASSAFRASFERRY_SANITIZE "address,undefined or thread; empty for none" "")
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+if(NOT CMAKE_BUILD_TYPE)
+    set(CMAKE_BUILD_TYPE RelWithDebInfo)
+endif()
+
+add_library(project_options INTERFACE)
+target_compile_features(project_options INTERFACE cxx_std_20)
+# boost/asio/awaitable.hpp 1.74 uses std::exchange without including <utility>.
+target_compile_options(project_options INTERFACE -include utility -fcoroutines -Wall -Wextra
+    -Werror -Wno-maybe-uninitialized)
+target_compile_definitions(project_options INTERFACE BOOST_ASIO_NO_DEPRECATED
+    BOOST_BEAST_USE_STD_STRING_VIEW SASSAFRASFERRY_VERSION="${PROJECT_VERSION}")
+if(SASSAFRASFERRY_SANITIZE)
+    add_compile_options(-fsanitize=${SASSAFRASFERRY_SANITIZE} -fno-omit-frame-pointer)
+    add_link_options(-fsanitize=${SASSAFRASFERRY_SANITIZE})
+endif()
+
+# add_package(NAME SOURCES ... USES ...): one static library sassafrasferry_NAME.
+function(add_package name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;USES" ${ARGN})
+    add_library(sassafrasferry_${name} STATIC ${ARG_SOURCES})
+    target_include_directories(sassafrasferry_${name} PUBLIC include PRIVATE src)
+    target_link_libraries(sassafrasferry_${name} PUBLIC project_options ${ARG_USES})
+endfunction()
+
+# add_package_tests(NAME SOURCES ... USES ...): one Catch2 program, one ctest entry.
+function(add_package_tests name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;USES" ${ARGN})
+    add_executable(${name}_test ${ARG_SOURCES})
+    target_include_directories(${name}_test PRIVATE src)
+    target_link_libraries(${name}_test PRIVATE project_options catch_main ${ARG_USES})
+    add_test(NAME ${name} COMMAND ${name}_test)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 600)
+endfunction()
