Policy package: shares, membership, queues, health, loans, dispatcher, claims

Cause: routing decisions must be testable without sockets or clocks, so they come before any I/O. Change: a dispatcher of values in and decisions out, with baselines (random, round robin, least outstanding, assigned) behind the same call; decisions on claims as tables. Conclusion: base for the entry VM.

--- a/packages/model/include/sassafrasferry/model/vocabulary.h
+++ b/packages/model/include/sassafrasferry/model/vocabulary.h
@@ -32,8 +32,10 @@
 
 /// How an entry VM chooses a worker. All but `Shares` are baselines for measurement.
 enum class RoutingPolicy {
-    Shares, ///< Slots of a worker divided among the live entry VMs; idle slots found by trial.
-    FixedShares, ///< The same division, without trials beyond the share.
+    Shares, ///< Slots divided among the live entry VMs, with loans and trials beyond the share.
+    Loans, ///< The same division, with loans only.
+    Trials, ///< The same division, with trials only.
+    FixedShares, ///< The same division, and nothing beyond the share.
     LeastOutstanding, ///< Fewest requests outstanding from this entry VM.
     RoundRobin, ///< In turn.
     Random, ///< Uniformly at random.
@@ -43,6 +45,8 @@
 constexpr auto enumNames(RoutingPolicy)
 {
     return std::array{EnumName{RoutingPolicy::Shares, "shares"},
+                      EnumName{RoutingPolicy::Loans, "loans"},
+                      EnumName{RoutingPolicy::Trials, "trials"},
                       EnumName{RoutingPolicy::FixedShares, "fixed-shares"},
                       EnumName{RoutingPolicy::LeastOutstanding, "least-outstanding"},
                       EnumName{RoutingPolicy::RoundRobin, "round-robin"},
--- /dev/null
+++ b/packages/policy/include/sassafrasferry/policy/dispatcher.h
@@ -0,0 +1,246 @@
+// The dispatcher of one entry VM: admits requests, queues them, gives them to workers, and learns
+// from what became of them. It has no clock, no thread and no I/O; callers serialise access.
+#pragma once
+
+#include <sassafrasferry/model/settings.h>
+#include <sassafrasferry/policy/hopeless_jobs.h>
+#include <sassafrasferry/policy/loans.h>
+#include <sassafrasferry/policy/request_queue.h>
+#include <sassafrasferry/policy/retry_budget.h>
+#include <sassafrasferry/policy/routing_table.h>
+#include <sassafrasferry/policy/run_times.h>
+#include <sassafrasferry/policy/worker_choice.h>
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sassafrasferry::policy {
+
+/// A request has a slot of a worker; `Dispatcher::finish` gives it back.
+struct Grant
+{
+    RequestId id{};
+    Index worker = noIndex; ///< valid until `finish`
+    std::string workerName;
+    std::string rack;
+    model::Endpoint address;
+    RouteReason reason = RouteReason::FreeShare;
+    bool overflowed = false; ///< it runs on the service's spare pool
+};
+
+/// Why a request was refused; none of these was given to a worker.
+enum class RefusalReason {
+    UnknownService,
+    NoWorkers, ///< no worker of its pools is in service
+    DeadlineUnreachable, ///< the predicted wait passes its deadline
+    QueueFull,
+    HopelessJob, ///< it failed on several workers that serve others well
+    RetryBudget, ///< it failed, and the service's retries are used up
+    TooManyRefusals, ///< several workers in turn were full
+    Stopping, ///< this entry VM is stopping
+};
+
+constexpr auto enumNames(RefusalReason)
+{
+    using model::EnumName;
+    return std::array{EnumName{RefusalReason::UnknownService, "unknown-service"},
+                      EnumName{RefusalReason::NoWorkers, "no-workers"},
+                      EnumName{RefusalReason::DeadlineUnreachable, "deadline-unreachable"},
+                      EnumName{RefusalReason::QueueFull, "queue-full"},
+                      EnumName{RefusalReason::HopelessJob, "hopeless-job"},
+                      EnumName{RefusalReason::RetryBudget, "retry-budget"},
+                      EnumName{RefusalReason::TooManyRefusals, "too-many-refusals"},
+                      EnumName{RefusalReason::Stopping, "stopping"}};
+}
+
+/// A request that will not be given to a worker, and when a new try makes sense.
+struct Refusal
+{
+    RequestId id{};
+    RefusalReason reason = RefusalReason::NoWorkers;
+    Duration retryAfter{}; ///< zero: a new try makes no sense
+};
+
+/// The request waits; a later `Changes` grants or refuses it.
+struct Queued
+{
+    std::size_t ahead = 0;
+    Duration predictedWait{};
+};
+
+using Admission = std::variant<Grant, Queued, Refusal>;
+
+/// What an event changed for waiting requests.
+struct Changes
+{
+    std::vector<Grant> grants;
+    std::vector<Refusal> refusals;
+};
+
+/// What became of a granted request.
+enum class RunResult {
+    Succeeded,
+    Failed, ///< the worker answered that it failed, broke off, or timed out
+    Refused, ///< the worker had no slot free; not run
+    Leaving, ///< the worker refused since it is leaving; not run
+    Unreachable, ///< no connection could be opened; not run
+    Cancelled, ///< given up by the caller; says nothing about the worker
+};
+
+constexpr auto enumNames(RunResult)
+{
+    using model::EnumName;
+    return std::array{EnumName{RunResult::Succeeded, "succeeded"},
+                      EnumName{RunResult::Failed, "failed"},
+                      EnumName{RunResult::Refused, "refused"},
+                      EnumName{RunResult::Leaving, "leaving"},
+                      EnumName{RunResult::Unreachable, "unreachable"},
+                      EnumName{RunResult::Cancelled, "cancelled"}};
+}
+
+/// The report that ends a grant.
+struct RunReport
+{
+    Index worker = noIndex;
+    std::string service;
+    RunResult result = RunResult::Succeeded;
+    RouteReason reason = RouteReason::FreeShare;
+    Duration runTime{};
+    JobFingerprint job = 0;
+};
+
+/// One pool, for status pages.
+struct PoolStatus
+{
+    std::string name;
+    std::size_t waiting = 0;
+    std::uint32_t inUse = 0;
+    std::uint32_t allowed = 0; ///< slots this entry VM may fill
+    std::uint32_t slots = 0; ///< slots in all
+};
+
+/// One worker, for status pages.
+struct WorkerStatus
+{
+    std::string name;
+    std::string pool;
+    std::uint32_t inUse = 0;
+    std::uint32_t allowed = 0;
+    WorkerHealth::State health = WorkerHealth::State::Fit;
+    LeavingSignal leaving = LeavingSignal::None;
+};
+
+/// A pool whose queue wants slots of other entry VMs.
+struct LoanWish
+{
+    std::string pool;
+    std::uint32_t slots = 0;
+};
+
+/// The dispatcher.
+class Dispatcher
+{
+public:
+    Dispatcher(model::RoutingSettings settings, std::string entry, std::uint64_t seed);
+
+    /// Takes a newer routing table. Requests of services that are gone are refused.
+    Changes adopt(const RoutingTable &table, Instant now);
+    /// Takes a new view of the live entry VMs.
+    Changes setLive(const std::vector<std::string> &liveEntries, Instant now);
+
+    /// A request arrives, or returns after a failure.
+    Admission submit(Submission request, Instant now);
+    /// A granted request ended; its slot is free.
+    Changes finish(const RunReport &report, Instant now);
+    /// The caller of a waiting request gave up. True if it was waiting.
+    bool cancel(RequestId id);
+    /// Refuses what can no longer be in time, and gives out slots that time has freed.
+    Changes tick(Instant now);
+
+    /// A job failed on a worker. True if it is hopeless from now on.
+    bool jobFailed(JobFingerprint job, Index worker, Instant now);
+    /// Takes one retry of the service's budget, if there is one left.
+    bool takeRetry(const std::string &service);
+    /// When a new try of a refused request makes sense, with jitter.
+    Duration retryAfter(const std::string &service);
+
+    /// A signal that a worker is leaving (or, `None`, that it is not). True if that is news.
+    bool setLeaving(const std::string &worker, LeavingSignal signal, Instant now);
+
+    /// Pools that wait for slots.
+    std::vector<LoanWish> loanWishes() const;
+    /// Lends idle slots of a pool to another entry VM. An empty loan lends nothing.
+    Loan lend(const LoanWish &wish, Instant now);
+    /// Takes slots that another entry VM has lent.
+    Changes borrow(const Loan &loan, Instant now);
+
+    std::vector<PoolStatus> poolStatus(Instant now) const;
+    std::vector<WorkerStatus> workerStatus(Instant now) const;
+    std::size_t waiting() const;
+
+private:
+    struct PoolState
+    {
+        std::string name;
+        std::vector<Index> workers;
+        std::vector<Index> services; // those that run or overflow here
+        ClassTurns turns;
+    };
+    struct ServiceState
+    {
+        ServiceSpec spec;
+        bool present = true;
+        RequestQueue queue;
+        RunTimes runTimes{Duration{}};
+        RetryBudget retries{0};
+        std::uint32_t running = 0;
+    };
+    struct GiveUp
+    {
+        Instant at{};
+        RequestId id{};
+        Index service = noIndex;
+        auto operator<=>(const GiveUp &) const = default;
+    };
+
+    ServiceState *findService(const std::string &name);
+    void adoptWorkers(const RoutingTable &table);
+    void adoptServices(const RoutingTable &table);
+    void recomputeShares();
+    std::optional<Grant> tryGrant(Index service, const Submission &request, Instant now);
+    std::optional<Grant> grantOn(Index pool, Index service, const Submission &request,
+                                 Instant now);
+    void serve(Index pool, Changes &changes, Instant now);
+    void serveAll(Changes &changes, Instant now);
+    Index nextService(const PoolState &pool, model::RequestClass requestClass);
+    std::array<bool, model::requestClassCount> waitingClasses(const PoolState &pool) const;
+    std::uint32_t capacityOf(Index pool, Instant now) const;
+    double capacityFor(const ServiceState &service, Instant now) const;
+    Duration predictedWait(const ServiceState &service, model::RequestClass requestClass,
+                           double capacity) const;
+    bool mayEject(const WorkerState &worker, Instant now) const;
+    void noteResult(WorkerState &worker, ServiceState *service, const RunReport &report,
+                    Instant now);
+    Duration jittered(Duration duration);
+    Refusal refuse(RequestId id, RefusalReason reason, Duration retryAfter);
+
+    model::RoutingSettings settings;
+    std::string entry;
+    std::vector<std::string> live;
+    std::minstd_rand random;
+    WorkerChoice choice;
+    HopelessJobs hopeless;
+    std::vector<WorkerState> workers; // grows only; indices in grants stay valid
+    std::vector<PoolState> pools; // as in the newest table
+    std::vector<ServiceState> services; // grows only
+    std::unordered_map<std::string, Index> workerIndex;
+    std::unordered_map<std::string, Index> serviceIndex;
+    std::set<GiveUp> giveUps; // one for each waiting request; stale ones are dropped when due
+};
+
+} // namespace sassafrasferry::policy
--- /dev/null
+++ b/packages/policy/include/sassafrasferry/policy/loans.h
@@ -0,0 +1,45 @@
+// Slots lent and borrowed between entry VMs for a short term. A loan ends by itself, so the death
+// of either side leaves nothing to settle.
+#pragma once
+
+#include <sassafrasferry/policy/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sassafrasferry::policy {
+
+/// Slots of one worker that move from the lender to the borrower.
+struct LoanItem
+{
+    std::string worker;
+    std::uint32_t slots = 0;
+};
+
+/// A loan as it is sent to the borrower.
+struct Loan
+{
+    std::string pool;
+    std::vector<LoanItem> items;
+    std::chrono::milliseconds term{};
+};
+
+/// What one entry VM has lent or borrowed of one worker.
+class LoanBook
+{
+public:
+    void add(std::uint32_t slots, Instant until, Instant now);
+    /// Slots whose loan has not ended.
+    std::uint32_t slots(Instant now) const;
+
+private:
+    struct Entry
+    {
+        std::uint32_t slots = 0;
+        Instant until{};
+    };
+    std::vector<Entry> entries; // those that ended are dropped by the next add
+};
+
+} // namespace sassafrasferry::policy
--- /dev/null
+++ b/packages/policy/include/sassafrasferry/policy/membership.h
@@ -0,0 +1,73 @@
+// Which entry VMs are live, from their heartbeats.
+#pragma once
+
+#include <sassafrasferry/policy/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sassafrasferry::policy {
+
+/// What a heartbeat tells.
+struct PeerState
+{
+    std::string name;
+    std::uint64_t incarnation = 0; ///< grows with each start of the process
+    std::int64_t revision = 0;
+    bool leaving = false;
+};
+
+/// The view of one entry VM on the others. Single-threaded.
+///
+/// An entry VM that loses half of the others or more at once cannot tell their death from being
+/// cut off itself. If it took their slots while they live, every worker would be overcommitted
+/// for as long as the cut lasts. So it keeps the view it had until it hears from somebody again.
+class Membership
+{
+public:
+    /// Counts every configured peer as live until `timeout` has passed, so that an entry VM that
+    /// has just started does not take all slots.
+    Membership(std::string self, const std::vector<std::string> &peers, Duration timeout,
+               Instant now);
+
+    /// A heartbeat arrived. An older incarnation than one already heard is ignored.
+    void heard(const PeerState &state, Instant now);
+
+    /// This entry VM is leaving: it takes no share from now on.
+    void setLeaving(bool isLeaving);
+
+    /// Names of the live entry VMs, this one included unless it leaves, sorted.
+    const std::vector<std::string> &live(Instant now);
+
+    /// True if so many peers fell silent at once that this entry VM counts as cut off.
+    bool cutOff(Instant now) const;
+
+    /// True if the named entry VM, in that incarnation, may still be running.
+    bool mayRun(const std::string &name, std::uint64_t incarnation, Instant now) const;
+
+    /// The last state heard of a peer.
+    std::optional<PeerState> peer(const std::string &name) const;
+
+    /// The highest revision heard from any peer.
+    std::int64_t highestRevision() const;
+
+private:
+    struct Peer
+    {
+        PeerState state;
+        Instant lastHeard;
+    };
+
+    bool silent(const Peer &peer, Instant now) const;
+    std::size_t silentAtOnce(Instant now) const;
+
+    std::string self;
+    std::vector<Peer> peers;
+    Duration timeout;
+    bool leaving = false;
+    std::vector<std::string> view; // sorted; what `live` last returned
+};
+
+} // namespace sassafrasferry::policy
--- /dev/null
+++ b/packages/policy/src/membership.cpp
@@ -0,0 +1,104 @@
+// Membership by silence.
+#include <sassafrasferry/policy/membership.h>
+
+#include <algorithm>
+
+namespace sassafrasferry::policy {
+
+Membership::Membership(std::string self, const std::vector<std::string> &peers, Duration timeout,
+                       Instant now)
+    : self(std::move(self)), timeout(timeout)
+{
+    for (const auto &name : peers)
+        this->peers.push_back({{name, 0, 0, false}, now});
+    this->view = peers;
+    this->view.push_back(this->self);
+    std::sort(this->view.begin(), this->view.end());
+}
+
+void Membership::heard(const PeerState &state, Instant now)
+{
+    for (auto &peer : this->peers) {
+        if (peer.state.name != state.name || state.incarnation < peer.state.incarnation)
+            continue;
+        // Frames of one incarnation can overtake each other on reconnection; a revision that has
+        // been announced stays announced.
+        const auto revision = state.incarnation == peer.state.incarnation
+                ? std::max(state.revision, peer.state.revision)
+                : state.revision;
+        peer.state = state;
+        peer.state.revision = revision;
+        peer.lastHeard = now;
+    }
+}
+
+void Membership::setLeaving(bool isLeaving)
+{
+    this->leaving = isLeaving;
+}
+
+bool Membership::silent(const Peer &peer, Instant now) const
+{
+    return now - peer.lastHeard > this->timeout;
+}
+
+std::size_t Membership::silentAtOnce(Instant now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->peers.begin(), this->peers.end(), [&](const Peer &peer) {
+                return !peer.state.leaving && this->silent(peer, now)
+                        && std::binary_search(this->view.begin(), this->view.end(),
+                                              peer.state.name);
+            }));
+}
+
+bool Membership::cutOff(Instant now) const
+{
+    const auto others = this->view.size() - (this->leaving ? 0 : 1);
+    return others >= 2 && 2 * this->silentAtOnce(now) > others;
+}
+
+const std::vector<std::string> &Membership::live(Instant now)
+{
+    if (this->cutOff(now))
+        return this->view;
+    this->view.clear();
+    for (const auto &peer : this->peers) {
+        if (!peer.state.leaving && !this->silent(peer, now))
+            this->view.push_back(peer.state.name);
+    }
+    if (!this->leaving)
+        this->view.push_back(this->self);
+    std::sort(this->view.begin(), this->view.end());
+    return this->view;
+}
+
+bool Membership::mayRun(const std::string &name, std::uint64_t incarnation, Instant now) const
+{
+    if (name == this->self)
+        return true;
+    for (const auto &peer : this->peers) {
+        if (peer.state.name == name)
+            return peer.state.incarnation <= incarnation && !this->silent(peer, now);
+    }
+    return false;
+}
+
+std::optional<PeerState> Membership::peer(const std::string &name) const
+{
+    for (const auto &peer : this->peers) {
+        if (peer.state.name == name)
+            return peer.state;
+    }
+    return std::nullopt;
+}
+
+std::int64_t Membership::highestRevision() const
+{
+    std::int64_t highest = 0;
+    for (const auto &peer : this->peers)
+        highest = std::max(highest, peer.state.revision);
+    return highest;
+}
+
+} // namespace sassafrasferry::policy
--- /dev/null
+++ b/packages/policy/src/membership_test.cpp
@@ -0,0 +1,74 @@
+// Membership when entry VMs die, return, leave, or when this one is cut off.
+#include <sassafrasferry/policy/membership.h>
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasferry::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start{};
+const std::vector<std::string> peers{"b", "c", "d", "e", "f", "g"};
+
+struct Case
+{
+    std::string title;
+    std::vector<std::string> silent;
+    std::size_t live;
+    bool cutOff;
+};
+
+} // namespace
+
+TEST_CASE("who is live after some fell silent")
+{
+    // The caller sees refusals by workers if two entry VMs count on the same slots. Peers fall
+    // silent one after the other or all at once; only the second looks the same as a cut.
+    const auto row = GENERATE(values<Case>({
+            {"none", {}, 7, false},
+            {"one", {"b"}, 6, false},
+            {"half", {"b", "c", "d"}, 4, false},
+            {"most", {"b", "c", "d", "e"}, 7, true},
+            {"all", peers, 7, true},
+    }));
+    INFO(row.title);
+    Membership membership("a", peers, 1500ms, start);
+    for (auto at = start; at <= start + 3s; at += 250ms) {
+        for (const auto &name : peers) {
+            const bool isSilent =
+                    std::find(row.silent.begin(), row.silent.end(), name) != row.silent.end();
+            if (at == start || !isSilent)
+                membership.heard({name, 1, 1, false}, at);
+        }
+        membership.live(at);
+    }
+    CHECK(membership.live(start + 3s).size() == row.live);
+    CHECK(membership.cutOff(start + 3s) == row.cutOff);
+}
+
+TEST_CASE("a peer that says it leaves is out at once")
+{
+    Membership membership("a", peers, 1500ms, start);
+    membership.heard({"b", 1, 1, true}, start + 1ms);
+    CHECK(membership.live(start + 1ms).size() == 6);
+}
+
+TEST_CASE("an entry VM that has just started counts its peers as live")
+{
+    Membership membership("a", peers, 1500ms, start);
+    CHECK(membership.live(start).size() == 7);
+}
+
+TEST_CASE("a heartbeat of an older incarnation is ignored")
+{
+    // A frozen process wakes after its replacement started: its queued heartbeats must not make
+    // claims of the old incarnation look live.
+    Membership membership("a", peers, 1500ms, start);
+    membership.heard({"b", 5, 9, false}, start);
+    membership.heard({"b", 4, 12, false}, start + 1s);
+    CHECK(membership.peer("b")->revision == 9);
+    CHECK_FALSE(membership.mayRun("b", 4, start));
+    CHECK(membership.mayRun("b", 5, start));
+    CHECK_FALSE(membership.mayRun("b", 5, start + 2s));
+}
--- /dev/null
+++ b/packages/policy/src/worker_choice.cpp
@@ -0,0 +1,156 @@
+// The choice of a worker, and the baselines it is measured against.
+#include <sassafrasferry/policy/worker_choice.h>
+
+#include <algorithm>
+
+namespace sassafrasferry::policy {
+
+namespace {
+
+using model::RoutingPolicy;
+
+bool isAvoided(const Submission &request, const WorkerState &worker)
+{
+    return std::find(request.avoid.begin(), request.avoid.end(), worker.spec.name)
+            != request.avoid.end();
+}
+
+bool mayTake(const WorkerState &worker, const Submission &request, Instant now)
+{
+    return !worker.isLeaving(now) && worker.health.accepts(now) && !isAvoided(request, worker);
+}
+
+RouteReason reasonOf(const WorkerState &worker, Instant now)
+{
+    if (worker.health.state(now) == WorkerHealth::State::Probing)
+        return RouteReason::Probe;
+    return worker.inUse < worker.share.slots ? RouteReason::FreeShare : RouteReason::Borrowed;
+}
+
+// Larger is better: free slots first, then a rack other than that of the last failure.
+std::uint32_t rankOf(const WorkerState &worker, const Submission &request, std::uint32_t free)
+{
+    const bool otherRack = request.avoidRack.empty() || worker.spec.rack != request.avoidRack;
+    constexpr std::uint32_t rackWeight = 1U << 16;
+    return free + (otherRack ? rackWeight : 0);
+}
+
+} // namespace
+
+bool WorkerState::isLeaving(Instant now) const
+{
+    switch (this->leaving) {
+    case LeavingSignal::None:
+        return false;
+    case LeavingSignal::List:
+    case LeavingSignal::Draining:
+        return true;
+    case LeavingSignal::Refusal:
+    case LeavingSignal::Closed:
+        return now < this->leavingUntil;
+    }
+    return false;
+}
+
+std::uint32_t WorkerState::allowed(Instant now) const
+{
+    const auto sum = this->share.slots + this->borrowed.slots(now);
+    const auto lentSlots = this->lent.slots(now);
+    return std::min(this->spec.slots, sum > lentSlots ? sum - lentSlots : 0);
+}
+
+WorkerChoice::WorkerChoice(RoutingPolicy policy, std::uint64_t seed)
+    : policy(policy), random(static_cast<std::minstd_rand::result_type>(seed))
+{
+}
+
+Choice WorkerChoice::choose(const std::vector<WorkerState> &workers,
+                            const std::vector<Index> &candidates, const Submission &request,
+                            bool mayRefuse, Instant now)
+{
+    if (candidates.empty())
+        return {};
+    ++this->turn;
+    switch (this->policy) {
+    case RoutingPolicy::Shares:
+    case RoutingPolicy::Trials: {
+        const auto choice = this->chooseShare(workers, candidates, request, now);
+        if (choice.worker != noIndex || !mayRefuse)
+            return choice;
+        return this->chooseTrial(workers, candidates, request, now);
+    }
+    case RoutingPolicy::Loans:
+    case RoutingPolicy::FixedShares:
+        return this->chooseShare(workers, candidates, request, now);
+    case RoutingPolicy::LeastOutstanding:
+    case RoutingPolicy::RoundRobin:
+    case RoutingPolicy::Random:
+    case RoutingPolicy::Assigned:
+        return this->chooseBaseline(workers, candidates, request, now);
+    }
+    return {};
+}
+
+Choice WorkerChoice::chooseShare(const std::vector<WorkerState> &workers,
+                                 const std::vector<Index> &candidates, const Submission &request,
+                                 Instant now)
+{
+    Choice best;
+    std::uint32_t bestRank = 0;
+    const auto count = candidates.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto index = candidates[(i + this->turn) % count];
+        const auto &worker = workers[index];
+        const auto allowed = worker.allowed(now);
+        if (worker.inUse >= allowed || !mayTake(worker, request, now))
+            continue;
+        const auto rank = rankOf(worker, request, allowed - worker.inUse);
+        if (best.worker == noIndex || rank > bestRank) {
+            best = {index, reasonOf(worker, now)};
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+Choice WorkerChoice::chooseTrial(const std::vector<WorkerState> &workers,
+                                 const std::vector<Index> &candidates, const Submission &request,
+                                 Instant now)
+{
+    const auto count = candidates.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto index = candidates[(i + this->turn) % count];
+        const auto &worker = workers[index];
+        const bool hasRoom = worker.inUse < worker.spec.slots && now >= worker.trialNotBefore;
+        const bool isFit = worker.health.state(now) == WorkerHealth::State::Fit;
+        if (hasRoom && isFit && worker.share.connections > worker.inUse
+            && mayTake(worker, request, now))
+            return {index, RouteReason::Trial};
+    }
+    return {};
+}
+
+Choice WorkerChoice::chooseBaseline(const std::vector<WorkerState> &workers,
+                                    const std::vector<Index> &candidates,
+                                    const Submission &request, Instant now)
+{
+    std::vector<Index> fit;
+    for (const auto index : candidates) {
+        const auto &worker = workers[index];
+        const bool isOurs = this->policy != RoutingPolicy::Assigned || worker.assigned;
+        if (isOurs && worker.inUse < worker.spec.slots && mayTake(worker, request, now))
+            fit.push_back(index);
+    }
+    if (fit.empty())
+        return {};
+    if (this->policy == RoutingPolicy::Random)
+        return {fit[this->random() % fit.size()], RouteReason::Baseline};
+    if (this->policy == RoutingPolicy::RoundRobin)
+        return {fit[this->turn % fit.size()], RouteReason::Baseline};
+    const auto least = std::min_element(fit.begin(), fit.end(), [&](Index a, Index b) {
+        return workers[a].inUse < workers[b].inUse;
+    });
+    return {*least, RouteReason::Baseline};
+}
+
+} // namespace sassafrasferry::policy
