--- /dev/null
+++ b/packages/fakes/src/memory_tables.cpp
@@ -0,0 +1,98 @@
+// The table service in memory.
+#include <sassafrasferry/fakes/memory_tables.h>
+
+#include <absl/status/status.h>
+
+namespace sassafrasferry::fakes {
+
+using platform::Commit;
+using platform::CommitState;
+using platform::Row;
+using platform::RowKey;
+using platform::Transaction;
+
+namespace {
+
+bool use(std::size_t &count)
+{
+    if (count == 0)
+        return false;
+    --count;
+    return true;
+}
+
+} // namespace
+
+Commit MemoryTables::commitNow(const Transaction &transaction)
+{
+    Commit commit{CommitState::Conflict, platform::absent, {}};
+    for (std::size_t i = 0; i < transaction.conditions.size(); ++i) {
+        const auto &condition = transaction.conditions[i];
+        const auto at = this->rows.find(condition.key);
+        const auto version = at == this->rows.end() ? platform::absent : at->second.version;
+        if (version != condition.version)
+            commit.failed.push_back(i);
+    }
+    if (!commit.failed.empty())
+        return commit;
+    ++this->lastVersion;
+    for (const auto &put : transaction.puts)
+        this->rows[put.key] = {put.key, this->lastVersion, put.value};
+    for (const auto &key : transaction.deletes)
+        this->rows.erase(key);
+    return {CommitState::Committed, this->lastVersion, {}};
+}
+
+std::vector<Row> MemoryTables::readNow(const std::vector<RowKey> &keys) const
+{
+    std::vector<Row> found;
+    for (const auto &key : keys) {
+        const auto at = this->rows.find(key);
+        if (at != this->rows.end())
+            found.push_back(at->second);
+    }
+    return found;
+}
+
+std::vector<Row> MemoryTables::scanNow(const std::string &table, const std::string &after) const
+{
+    std::vector<Row> found;
+    for (auto at = this->rows.upper_bound({table, after}); at != this->rows.end(); ++at) {
+        if (at->first.table != table)
+            break;
+        found.push_back(at->second);
+    }
+    return found;
+}
+
+Awaitable<Commit> MemoryTables::commit(Transaction transaction)
+{
+    ++this->commits;
+    if (this->faults.down)
+        co_return Commit{CommitState::NotApplied, platform::absent, {}};
+    if (use(this->faults.lostCalls))
+        co_return Commit{CommitState::Unknown, platform::absent, {}};
+    auto commit = this->commitNow(transaction);
+    if (use(this->faults.lostAnswers))
+        co_return Commit{CommitState::Unknown, platform::absent, {}};
+    co_return commit;
+}
+
+Awaitable<absl::StatusOr<std::vector<Row>>> MemoryTables::read(std::vector<RowKey> keys)
+{
+    ++this->reads;
+    if (this->faults.down || use(this->faults.failedReads))
+        co_return absl::UnavailableError("down");
+    co_return this->readNow(keys);
+}
+
+Awaitable<absl::StatusOr<std::vector<Row>>> MemoryTables::scan(std::string table,
+                                                               std::string after)
+{
+    ++this->reads;
+    if (this->faults.down || use(this->faults.failedReads))
+        co_return absl::UnavailableError("down");
+    co_return this->scanNow(table, after);
+}
+
+} // namespace sassafrasferry::fakes
