--- /dev/null
+++ b/packages/cli/src/fleet_commands.cpp
@@ -0,0 +1,81 @@
+// Commands that look at the fleet.
+#include "fleet_commands.h"
+
+#include "exit_code.h"
+
+#include <iomanip>
+#include <iostream>
+
+namespace sassafrasferry::cli {
+
+namespace {
+
+constexpr unsigned okStatus = 200;
+constexpr int nameWidth = 20;
+
+int report(const absl::Status &status)
+{
+    std::cerr << status.message() << "\n";
+    return exit_code::unavailable;
+}
+
+} // namespace
+
+int status(AdminClient &client)
+{
+    const auto answer = client.get("/v1/status");
+    if (!answer.ok())
+        return report(answer.status());
+    const auto &body = answer->body;
+    std::cout << "entry " << body.value("entry", "") << " in " << body.value("dataCentre", "")
+              << ", revision " << body.value("revision", 0) << ", "
+              << (body.value("healthy", false) ? "healthy" : "not healthy") << " ("
+              << body.value("health", "") << "), store "
+              << (body.value("storeReachable", false) ? "reachable" : "not reachable")
+              << (body.value("holdsLease", false) ? ", holds the control lease" : "")
+              << (body.value("cutOff", false) ? ", cut off from its peers" : "") << "\n";
+    for (const auto &peer : body["peers"]) {
+        const std::vector<std::string> live = body["live"];
+        const auto name = peer.value("name", "");
+        const bool isLive = std::find(live.begin(), live.end(), name) != live.end();
+        std::cout << "peer " << std::left << std::setw(nameWidth) << name << " revision "
+                  << peer.value("revision", 0) << (isLive ? "" : " not live") << "\n";
+    }
+    for (const auto &pool : body["pools"])
+        std::cout << "pool " << std::left << std::setw(nameWidth) << pool.value("name", "")
+                  << " waiting " << pool.value("waiting", 0) << ", slots in use "
+                  << pool.value("inUse", 0) << " of " << pool.value("allowed", 0)
+                  << " here and " << pool.value("slots", 0) << " in all\n";
+    return exit_code::ok;
+}
+
+int upstreams(AdminClient &client)
+{
+    const auto answer = client.get("/v1/upstreams");
+    if (!answer.ok())
+        return report(answer.status());
+    for (const auto &worker : answer->body["workers"])
+        std::cout << std::left << std::setw(nameWidth) << worker.value("name", "") << " pool "
+                  << std::setw(nameWidth) << worker.value("pool", "") << " in use "
+                  << worker.value("inUse", 0) << " of " << worker.value("allowed", 0) << ", "
+                  << worker.value("health", "") << ", leaving: " << worker.value("leaving", "")
+                  << "\n";
+    return exit_code::ok;
+}
+
+int explain(AdminClient &client, const std::string &requestId)
+{
+    const auto answer = client.find("/v1/requests/" + requestId);
+    if (!answer.ok())
+        return report(answer.status());
+    if (answer->status != okStatus) {
+        std::cerr << "no entry VM remembers request " << requestId << "\n";
+        return exit_code::refused;
+    }
+    std::cout << "entry " << answer->body.value("entry", "") << "\n";
+    for (const auto &line : answer->body["lines"])
+        std::cout << "  " << line.get<std::string>() << "\n";
+    return exit_code::ok;
+}
+
+} // namespace sassafrasferry::cli
--- /dev/null
+++ b/packages/cli/src/main.cpp
@@ -0,0 +1,107 @@
+// sassafrasferry: the operator's command line.
+#include "document_commands.h"
+#include "exit_code.h"
+#include "fleet_commands.h"
+
+#include <docopt/docopt.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+constexpr const char *usage = R"(sassafrasferry: the operator's command line.
+
+Usage:
+  sassafrasferry check FILE
+  sassafrasferry show [SECTION] [--admin LIST]
+  sassafrasferry get SECTION [--admin LIST]
+  sassafrasferry diff SECTION FILE [--admin LIST]
+  sassafrasferry apply SECTION FILE [--wait] [--admin LIST]
+  sassafrasferry history [--after REVISION] [--admin LIST]
+  sassafrasferry watch [--revision REVISION] [--admin LIST]
+  sassafrasferry status [--admin LIST]
+  sassafrasferry upstreams [--admin LIST]
+  sassafrasferry explain REQUEST [--admin LIST]
+  sassafrasferry (-h | --help)
+  sassafrasferry --version
+
+Options:
+  --admin LIST         Administration addresses of entry VMs, with commas between; the first that
+                       answers serves. Otherwise from SASSAFRASFERRY_ADMIN.
+  --wait               Return when the change is in force on every entry VM.
+  --after REVISION     Print what came after this revision [default: 0].
+  --revision REVISION  Return when this revision is in force everywhere [default: 0].
+  -h --help            Print this.
+  --version            Print the version.
+
+The team's token is taken from SASSAFRASFERRY_TOKEN.
+
+Exit codes: 0 done; 1 refused, with the reason; 2 faulty command line or file; 3 nobody answered,
+and nothing was changed; 4 it is not known whether the change was accepted.
+)";
+
+using namespace sassafrasferry;
+
+std::string fromEnvironment(const char *name)
+{
+    const char *value = std::getenv(name);
+    return value ? value : "";
+}
+
+int run(std::map<std::string, docopt::value> &arguments)
+{
+    const auto is = [&](const char *name) { return arguments[name].asBool(); };
+    const auto text = [&](const char *name) {
+        return arguments[name] ? arguments[name].asString() : std::string();
+    };
+    if (is("check"))
+        return cli::checkFile(text("FILE"));
+    const auto list =
+            arguments["--admin"] ? text("--admin") : fromEnvironment("SASSAFRASFERRY_ADMIN");
+    const auto endpoints = cli::parseEndpoints(list);
+    if (endpoints.empty()) {
+        std::cerr << "--admin or SASSAFRASFERRY_ADMIN must name addresses, as in "
+                     "127.0.0.1:8002,127.0.0.2:8002\n";
+        return cli::exit_code::usage;
+    }
+    cli::AdminClient client(endpoints);
+    if (is("show"))
+        return cli::show(client, text("SECTION"));
+    if (is("get"))
+        return cli::get(client, text("SECTION"));
+    if (is("diff"))
+        return cli::diff(client, text("SECTION"), text("FILE"));
+    if (is("apply"))
+        return cli::apply(client, {text("SECTION"), text("FILE"),
+                                   fromEnvironment("SASSAFRASFERRY_TOKEN"), is("--wait")});
+    if (is("history"))
+        return cli::history(client, arguments["--after"].asLong());
+    if (is("watch"))
+        return cli::watch(client, arguments["--revision"].asLong());
+    if (is("status"))
+        return cli::status(client);
+    if (is("upstreams"))
+        return cli::upstreams(client);
+    return cli::explain(client, text("REQUEST"));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
+        return run(arguments);
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << usage;
+        return cli::exit_code::ok;
+    } catch (const docopt::DocoptExitVersion &) {
+        std::cout << "sassafrasferry " << SASSAFRASFERRY_VERSION << "\n";
+        return cli::exit_code::ok;
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << "\n" << usage;
+        return cli::exit_code::usage;
+    }
+}
--- /dev/null
+++ b/packages/entry/src/connection/upstream_pool.cpp
@@ -0,0 +1,32 @@
+// Connections to workers.
+#include "upstream_pool.h"
+
+namespace sassafrasferry::entry {
+
+UpstreamPool::UpstreamPool(http::asio::any_io_executor executor, std::size_t idleConnections)
+    : executor(std::move(executor)), idleConnections(idleConnections)
+{
+}
+
+http::Client &UpstreamPool::client(const model::Endpoint &endpoint)
+{
+    constexpr std::chrono::milliseconds connectTimeout{500};
+    auto &client = this->clients[model::toString(endpoint)];
+    if (!client) {
+        http::Client::Options options;
+        options.connectTimeout = connectTimeout;
+        options.idleConnections = this->idleConnections;
+        client = std::make_unique<http::Client>(this->executor, endpoint, options);
+    }
+    return *client;
+}
+
+std::size_t UpstreamPool::idleCount() const
+{
+    std::size_t sum = 0;
+    for (const auto &[address, client] : this->clients)
+        sum += client->idleCount();
+    return sum;
+}
+
+} // namespace sassafrasferry::entry
--- /dev/null
+++ b/packages/entry/src/process/control.cpp
@@ -0,0 +1,444 @@
+// The loops of the control thread.
+#include "control.h"
+
+#include <glog/logging.h>
+
+namespace sassafrasferry::entry {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto dispatchPeriod = std::chrono::milliseconds(20);
+constexpr auto wishPeriod = std::chrono::milliseconds(100);
+constexpr auto leasePeriod = std::chrono::milliseconds(500);
+constexpr std::size_t peersAskedAtOnce = 2;
+
+policy::Instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+Awaitable<void> sleepFor(asio::steady_timer &timer, std::chrono::milliseconds duration)
+{
+    boost::system::error_code ignored;
+    timer.expires_after(duration);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace
+
+Control::Control(asio::io_context &context, const model::Settings &settings, ProcessParts &parts,
+                 VersionHolder &versions)
+    : context(context)
+    , settings(settings)
+    , parts(parts)
+    , versions(versions)
+    , peers(context, settings.name, settings.peers,
+            [this](const messages::Envelope &envelope) { this->receive(envelope); })
+    , documents(parts.store.tables())
+    , list(context.get_executor(), settings.platform, settings.control.storeTimeout)
+    , lease(parts.store.tables(), parts.incarnationName, {})
+    , documentTimer(context)
+{
+}
+
+void Control::spawn(Awaitable<void> (Control::*loop)())
+{
+    asio::co_spawn(
+            this->context, [this, loop] { return (this->*loop)(); }, asio::detached);
+}
+
+absl::Status Control::start()
+{
+    const auto status = this->peers.open(this->settings.peer);
+    if (!status.ok())
+        return status;
+    this->parts.dispatcher.onNews([this](const policy::LeavingNews &news) {
+        asio::post(this->context, [this, news] { this->tellPeers(news); });
+    });
+    this->spawn(&Control::heartbeatLoop);
+    this->spawn(&Control::documentLoop);
+    this->spawn(&Control::listLoop);
+    this->spawn(&Control::dispatchLoop);
+    this->spawn(&Control::leaseLoop);
+    return absl::OkStatus();
+}
+
+void Control::beginStop()
+{
+    this->stopping = true;
+}
+
+Awaitable<void> Control::endStop()
+{
+    this->gone = true;
+    this->sendHeartbeat();
+    co_await this->lease.release();
+}
+
+Health Control::health() const
+{
+    if (this->stopping)
+        return {false, "stopping"};
+    if (this->versions.current()->texts.revision == 0)
+        return {false, "no document yet"};
+    if (now() - this->confirmed > this->settings.control.stale)
+        return {false, "neither the store nor a peer confirms the document's revision"};
+    return {true, "ok"};
+}
+
+const peer::PeerLink &Control::link() const
+{
+    return this->peers;
+}
+
+policy::Instant Control::confirmedAt() const
+{
+    return this->confirmed;
+}
+
+bool Control::storeReachable() const
+{
+    return this->storeIsUp;
+}
+
+bool Control::holdsLease() const
+{
+    return this->lease.holds(now());
+}
+
+std::int64_t Control::leaseEpoch() const
+{
+    return this->lease.currentEpoch();
+}
+
+void Control::sendHeartbeat()
+{
+    messages::Envelope envelope;
+    auto &heartbeat = *envelope.mutable_heartbeat();
+    heartbeat.set_incarnation(this->parts.incarnation);
+    heartbeat.set_revision(this->versions.current()->texts.revision);
+    heartbeat.set_leaving(this->gone);
+    this->peers.broadcast(envelope);
+}
+
+Awaitable<void> Control::heartbeatLoop()
+{
+    asio::steady_timer timer(this->context);
+    std::vector<std::string> known;
+    for (;;) {
+        this->sendHeartbeat();
+        const auto live = this->parts.membership.locked(
+                [](policy::Membership &membership) { return membership.live(now()); });
+        if (live != known) {
+            std::string names;
+            for (const auto &name : live)
+                names += (names.empty() ? "" : ",") + name;
+            this->parts.log.write({"membership", "", {{"live", names}}});
+            known = live;
+        }
+        this->parts.dispatcher.change([&](policy::Dispatcher &dispatcher) {
+            return dispatcher.setLive(live, now());
+        });
+        co_await sleepFor(timer, this->settings.control.heartbeat);
+    }
+}
+
+Awaitable<void> Control::documentLoop()
+{
+    for (;;) {
+        co_await this->refreshDocument();
+        co_await sleepFor(this->documentTimer, this->settings.control.poll);
+    }
+}
+
+Awaitable<void> Control::refreshDocument()
+{
+    const auto head = co_await this->documents.head();
+    this->storeIsUp = head.ok();
+    const auto current = this->versions.current();
+    if (head.ok()) {
+        if (*head <= current->texts.revision) {
+            this->confirmed = now();
+            co_return;
+        }
+        const auto texts = co_await this->documents.load(current->texts);
+        if (texts.ok()) {
+            auto version = makeVersion(*texts);
+            if (version.ok()) {
+                this->adopt(std::move(*version), "store");
+                this->confirmed = now();
+            } else {
+                LOG(ERROR) << "event=document-unsound revision=" << texts->revision << " "
+                           << version.status();
+            }
+            co_return;
+        }
+        LOG(WARNING) << "event=document-load-failed " << texts.status();
+    }
+    // The store cannot be read: a peer that is ahead has what is missing.
+    messages::Envelope envelope;
+    envelope.mutable_document_request()->set_have_revision(current->texts.revision);
+    for (const auto &peer : this->settings.peers) {
+        const auto state = this->parts.membership.locked(
+                [&](policy::Membership &membership) { return membership.peer(peer.name); });
+        if (state && state->revision > current->texts.revision
+            && this->peers.send(peer.name, envelope))
+            break;
+    }
+}
+
+void Control::adopt(VersionPointer version, const char *source)
+{
+    if (!this->versions.advance(version))
+        return;
+    this->parts.log.write({"revision",
+                           "",
+                           {{"revision", std::to_string(version->texts.revision)},
+                            {"source", source},
+                            {"vms", std::to_string(version->table.workers.size())},
+                            {"services", std::to_string(version->table.services.size())}}});
+    this->parts.dispatcher.change([&](policy::Dispatcher &dispatcher) {
+        auto changes = dispatcher.adopt(version->table, now());
+        for (const auto &name : this->listed)
+            dispatcher.setLeaving(name, policy::LeavingSignal::List, now());
+        return changes;
+    });
+    this->sendHeartbeat(); // the peers learn the new revision at once
+}
+
+Awaitable<void> Control::listLoop()
+{
+    asio::steady_timer timer(this->context);
+    for (;;) {
+        const auto leaving = co_await this->list.leaving();
+        if (leaving.ok())
+            this->take(*leaving);
+        co_await sleepFor(timer, this->settings.control.listPoll);
+    }
+}
+
+void Control::take(const std::vector<std::string> &leaving)
+{
+    const std::set<std::string> next(leaving.begin(), leaving.end());
+    std::vector<policy::LeavingNews> news;
+    for (const auto &name : next) {
+        if (!this->listed.contains(name))
+            news.push_back({name, policy::LeavingSignal::List});
+    }
+    for (const auto &name : this->listed) {
+        if (!next.contains(name))
+            news.push_back({name, policy::LeavingSignal::None});
+    }
+    this->listed = next;
+    for (const auto &item : news) {
+        const bool isNew = this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
+            return dispatcher.setLeaving(item.worker, item.signal, now());
+        });
+        if (isNew)
+            this->tellPeers(item);
+    }
+}
+
+void Control::tellPeers(const policy::LeavingNews &news)
+{
+    this->parts.log.write({"worker-signal",
+                           "",
+                           {{"worker", news.worker},
+                            {"signal", std::string(model::nameOf(news.signal))},
+                            {"from", "self"}}});
+    messages::Envelope envelope;
+    auto &signal = *envelope.mutable_worker_signal();
+    signal.set_worker(news.worker);
+    signal.set_signal(static_cast<std::uint32_t>(news.signal));
+    this->peers.broadcast(envelope);
+}
+
+Awaitable<void> Control::dispatchLoop()
+{
+    asio::steady_timer timer(this->context);
+    for (;;) {
+        this->parts.dispatcher.change(
+                [](policy::Dispatcher &dispatcher) { return dispatcher.tick(now()); });
+        this->askForLoans();
+        co_await sleepFor(timer, dispatchPeriod);
+    }
+}
+
+void Control::askForLoans()
+{
+    if (now() < this->nextWish || this->settings.peers.empty())
+        return;
+    const auto wishes = this->parts.dispatcher.locked(
+            [](policy::Dispatcher &dispatcher) { return dispatcher.loanWishes(); });
+    if (wishes.empty())
+        return;
+    this->nextWish = now() + wishPeriod;
+    for (std::size_t i = 0; i < peersAskedAtOnce; ++i) {
+        const auto &peer = this->settings.peers[this->wishTurn++ % this->settings.peers.size()];
+        for (const auto &wish : wishes) {
+            messages::Envelope envelope;
+            envelope.mutable_loan_wish()->set_pool(wish.pool);
+            envelope.mutable_loan_wish()->set_slots(wish.slots);
+            this->peers.send(peer.name, envelope);
+        }
+    }
+}
+
+Awaitable<void> Control::leaseLoop()
+{
+    asio::steady_timer timer(this->context);
+    bool held = false;
+    while (!this->stopping) {
+        co_await this->lease.step(now);
+        if (this->holdsLease() != held) {
+            held = !held;
+            this->parts.log.write({"lease",
+                                   "",
+                                   {{"held", held ? "yes" : "no"},
+                                    {"epoch", std::to_string(this->leaseEpoch())}}});
+        }
+        co_await sleepFor(timer, leasePeriod);
+    }
+}
+
+void Control::receive(const messages::Envelope &envelope)
+{
+    switch (envelope.body_case()) {
+    case messages::Envelope::kHeartbeat:
+        this->receiveHeartbeat(envelope.sender(), envelope.heartbeat());
+        break;
+    case messages::Envelope::kWorkerSignal:
+        this->receiveSignal(envelope.sender(), envelope.worker_signal());
+        break;
+    case messages::Envelope::kLoanWish:
+        this->receiveWish(envelope.sender(), envelope.loan_wish());
+        break;
+    case messages::Envelope::kLoan:
+        this->receiveLoan(envelope.loan());
+        break;
+    case messages::Envelope::kDocumentRequest:
+        this->receiveDocumentRequest(envelope.sender(),
+                                     envelope.document_request().have_revision());
+        break;
+    case messages::Envelope::kDocumentReply:
+        this->receiveDocument(envelope.document_reply());
+        break;
+    case messages::Envelope::BODY_NOT_SET:
+        break;
+    }
+}
+
+void Control::receiveHeartbeat(const std::string &sender, const messages::Heartbeat &heartbeat)
+{
+    const policy::PeerState state{sender, heartbeat.incarnation(), heartbeat.revision(),
+                                  heartbeat.leaving()};
+    this->parts.membership.locked(
+            [&](policy::Membership &membership) { membership.heard(state, now()); });
+    const auto own = this->versions.current()->texts.revision;
+    if (heartbeat.revision() > own)
+        this->documentTimer.cancel(); // fetch it now
+    else if (own > 0)
+        this->confirmed = now();
+}
+
+void Control::receiveSignal(const std::string &sender, const messages::WorkerSignal &message)
+{
+    const auto signal = static_cast<policy::LeavingSignal>(message.signal());
+    if (model::nameOf(signal) == "?")
+        return; // from a newer version
+    this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
+        return dispatcher.setLeaving(message.worker(), signal, now());
+    });
+    this->parts.log.write({"worker-signal",
+                           "",
+                           {{"worker", message.worker()},
+                            {"signal", std::string(model::nameOf(signal))},
+                            {"from", sender}}});
+}
+
+void Control::receiveWish(const std::string &sender, const messages::LoanWish &wish)
+{
+    const auto loan = this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
+        return dispatcher.lend({wish.pool(), wish.slots()}, now());
+    });
+    if (loan.items.empty())
+        return;
+    messages::Envelope envelope;
+    auto &message = *envelope.mutable_loan();
+    message.set_pool(loan.pool);
+    message.set_term_milliseconds(static_cast<std::uint32_t>(loan.term.count()));
+    for (const auto &item : loan.items) {
+        message.add_workers(item.worker);
+        message.add_slots(item.slots);
+    }
+    this->peers.send(sender, envelope);
+}
+
+void Control::receiveLoan(const messages::Loan &message)
+{
+    policy::Loan loan{message.pool(), {}, std::chrono::milliseconds(message.term_milliseconds())};
+    for (int i = 0; i < message.workers_size() && i < message.slots_size(); ++i)
+        loan.items.push_back({message.workers(i), message.slots(i)});
+    this->parts.dispatcher.change(
+            [&](policy::Dispatcher &dispatcher) { return dispatcher.borrow(loan, now()); });
+}
+
+void Control::receiveDocumentRequest(const std::string &sender, std::int64_t haveRevision)
+{
+    const auto version = this->versions.current();
+    if (version->texts.revision <= haveRevision)
+        return;
+    messages::Envelope envelope;
+    auto &reply = *envelope.mutable_document_reply();
+    reply.set_revision(version->texts.revision);
+    for (const auto &section : version->texts.sections) {
+        reply.add_names(section.name);
+        if (section.revision <= haveRevision)
+            continue;
+        auto &changed = *reply.add_sections();
+        changed.set_name(section.name);
+        changed.set_text(section.text);
+        changed.set_revision(section.revision);
+    }
+    this->peers.send(sender, envelope);
+}
+
+void Control::receiveDocument(const messages::DocumentReply &reply)
+{
+    auto texts = this->versions.current()->texts;
+    if (reply.revision() <= texts.revision)
+        return;
+    texts.revision = reply.revision();
+    const std::set<std::string> names(reply.names().begin(), reply.names().end());
+    std::erase_if(texts.sections, [&](const model::SectionText &section) {
+        return !names.contains(section.name);
+    });
+    for (const auto &section : reply.sections())
+        texts.set({section.name(), section.text(), section.revision()});
+    auto version = makeVersion(std::move(texts));
+    if (version.ok())
+        this->adopt(std::move(*version), "peer");
+}
+
+Awaitable<platform::ChangeResult> Control::apply(platform::SectionChange change)
+{
+    auto result = co_await this->documents.apply(std::move(change), this->versions.current()->texts);
+    if (result.state == platform::ChangeState::Accepted)
+        this->documentTimer.cancel();
+    co_return result;
+}
+
+Awaitable<absl::StatusOr<std::int64_t>> Control::operation(std::string operationId)
+{
+    return this->documents.operation(std::move(operationId));
+}
+
+Awaitable<absl::StatusOr<std::vector<platform::HistoryEntry>>>
+Control::history(std::int64_t after)
+{
+    return this->documents.history(after);
+}
+
+} // namespace sassafrasferry::entry
--- /dev/null
+++ b/packages/entry/src/process/control.h
@@ -0,0 +1,95 @@
+// The control thread of an entry VM: heartbeats, the document, the platform's list, loans.
+#pragma once
+
+#include "../connection/traffic_environment.h"
+#include "../version/version.h"
+
+#include <sassafrasferry/peer/peer_link.h>
+#include <sassafrasferry/platform/document_store.h>
+#include <sassafrasferry/platform/lease_keeper.h>
+#include <sassafrasferry/platform/vm_list_client.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <optional>
+#include <set>
+
+namespace sassafrasferry::entry {
+
+/// Whether the balancer should send requests here, and if not, why.
+struct Health
+{
+    bool isHealthy = false;
+    std::string reason;
+};
+
+/// Runs on the control thread only, but for what is said to be thread-safe.
+class Control
+{
+public:
+    Control(boost::asio::io_context &context, const model::Settings &settings, ProcessParts &parts,
+            VersionHolder &versions);
+
+    /// Opens the peer port and starts the loops.
+    absl::Status start();
+    /// Health fails from now on; traffic goes on.
+    void beginStop();
+    /// Tells the peers that this entry VM is gone, and gives up the control lease.
+    Awaitable<void> endStop();
+
+    Health health() const;
+    /// Applies a change of one section through the store.
+    Awaitable<platform::ChangeResult> apply(platform::SectionChange change);
+    Awaitable<absl::StatusOr<std::int64_t>> operation(std::string operationId);
+    Awaitable<absl::StatusOr<std::vector<platform::HistoryEntry>>> history(std::int64_t after);
+
+    const peer::PeerLink &link() const;
+    /// When the revision in force was last known to be the newest.
+    policy::Instant confirmedAt() const;
+    bool storeReachable() const;
+    bool holdsLease() const;
+    std::int64_t leaseEpoch() const;
+
+private:
+    using Timer = boost::asio::steady_timer;
+
+    Awaitable<void> heartbeatLoop();
+    Awaitable<void> documentLoop();
+    Awaitable<void> listLoop();
+    Awaitable<void> dispatchLoop();
+    Awaitable<void> leaseLoop();
+    Awaitable<void> refreshDocument();
+    void spawn(Awaitable<void> (Control::*loop)());
+    void sendHeartbeat();
+    void adopt(VersionPointer version, const char *source);
+    void take(const std::vector<std::string> &leaving);
+    void tellPeers(const policy::LeavingNews &news);
+    void askForLoans();
+    void receive(const messages::Envelope &envelope);
+    void receiveHeartbeat(const std::string &sender, const messages::Heartbeat &heartbeat);
+    void receiveSignal(const std::string &sender, const messages::WorkerSignal &signal);
+    void receiveWish(const std::string &sender, const messages::LoanWish &wish);
+    void receiveLoan(const messages::Loan &loan);
+    void receiveDocumentRequest(const std::string &sender, std::int64_t haveRevision);
+    void receiveDocument(const messages::DocumentReply &reply);
+
+    boost::asio::io_context &context;
+    const model::Settings &settings;
+    ProcessParts &parts;
+    VersionHolder &versions;
+    peer::PeerLink peers;
+    platform::DocumentStore<platform::TableClient> documents;
+    platform::VmListClient list;
+    platform::LeaseKeeper<platform::TableClient> lease;
+    Timer documentTimer; // cancelled to read the document at once
+    bool stopping = false;
+    bool gone = false; // said to the peers
+    bool storeIsUp = false;
+    policy::Instant confirmed{};
+    std::set<std::string> listed; // VMs that the platform's list says are leaving
+    policy::Instant nextWish{};
+    std::size_t wishTurn = 0; // which peers are asked next
+};
+
+} // namespace sassafrasferry::entry
--- /dev/null
+++ b/packages/entry/src/process/daemon.cpp
@@ -0,0 +1,180 @@
+// Start and graceful stop of an entry VM.
+#include "daemon.h"
+
+#include "../request/caller_handler.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+#include <glog/logging.h>
+
+namespace sassafrasferry::entry {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Milliseconds since 1970 grow from start to start of the same entry VM.
+std::uint64_t newIncarnation()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
+std::vector<std::string> namesOf(const std::vector<model::PeerSettings> &peers)
+{
+    std::vector<std::string> names;
+    for (const auto &peer : peers)
+        names.push_back(peer.name);
+    return names;
+}
+
+} // namespace
+
+struct Daemon::TrafficThread
+{
+    TrafficThread(ProcessParts &parts, std::size_t idleConnections)
+        : environment(context.get_executor(), parts, idleConnections)
+    {
+    }
+
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
+    TrafficEnvironment environment;
+    std::thread thread;
+};
+
+Daemon::Daemon(model::Settings newSettings)
+    : settings(std::move(newSettings))
+    , controlContext(1)
+    , incarnation(newIncarnation())
+    , incarnationName(this->settings.name + "." + std::to_string(this->incarnation))
+    , dispatcher(this->settings.routing, this->settings.name, this->incarnation)
+    , membership(this->settings.name, this->incarnation, namesOf(this->settings.peers),
+                 this->settings.control.peerTimeout)
+    , store(this->controlContext.get_executor(), this->settings, this->incarnationName)
+    , parts{this->settings.name, this->incarnation, this->incarnationName, this->dispatcher,
+            this->membership, this->store, this->log, this->metrics}
+{
+}
+
+Daemon::~Daemon() = default;
+
+absl::Status Daemon::start()
+{
+    this->control = std::make_unique<Control>(this->controlContext, this->settings, this->parts,
+                                              this->versions);
+    this->admin = std::make_unique<AdminApi>(this->settings, this->parts, this->versions,
+                                             *this->control);
+    this->adminServer = std::make_shared<http::Server>(
+            std::vector<asio::any_io_executor>{this->controlContext.get_executor()},
+            this->settings.limits,
+            [this](http::Request request, std::shared_ptr<http::Disconnect>) {
+                return this->admin->handle(std::move(request));
+            });
+    std::vector<asio::any_io_executor> executors;
+    constexpr std::size_t idleConnections = 2; // for each worker and thread
+    for (std::int64_t i = 0; i < this->settings.trafficThreads; ++i) {
+        this->traffic.push_back(std::make_unique<TrafficThread>(this->parts, idleConnections));
+        executors.push_back(this->traffic.back()->context.get_executor());
+    }
+    this->callerServer = std::make_shared<http::Server>(
+            executors, this->settings.limits,
+            [this](http::Request request,
+                   std::shared_ptr<http::Disconnect> disconnect) -> Awaitable<http::Response> {
+                const auto executor = co_await asio::this_coro::executor;
+                for (const auto &thread : this->traffic) {
+                    if (executor == thread->context.get_executor()) {
+                        auto response = co_await handleCaller(thread->environment, this->versions,
+                                                              std::move(request), disconnect);
+                        co_return response;
+                    }
+                }
+                throw std::logic_error("a caller's session runs on no traffic thread");
+            });
+    auto status = this->control->start();
+    if (status.ok())
+        status = this->adminServer->listen(this->settings.admin);
+    if (status.ok())
+        status = this->callerServer->listen(this->settings.callers);
+    return status;
+}
+
+int Daemon::run()
+{
+    const auto status = this->start();
+    if (!status.ok()) {
+        LOG(ERROR) << "event=start-failed " << status;
+        return exit_code::failed;
+    }
+    for (const auto &thread : this->traffic)
+        thread->thread = std::thread([&thread] { thread->context.run(); });
+    LOG(INFO) << "event=start entry=" << this->settings.name
+              << " incarnation=" << this->incarnation
+              << " callers=" << model::toString(this->settings.callers)
+              << " admin=" << model::toString(this->settings.admin)
+              << " version=" << SASSAFRASFERRY_VERSION;
+    asio::co_spawn(
+            this->controlContext, [this] { return this->waitForSignals(); }, asio::detached);
+    this->controlContext.run();
+    for (const auto &thread : this->traffic) {
+        thread->context.stop();
+        thread->thread.join();
+    }
+    LOG(INFO) << "event=stopped entry=" << this->settings.name << " code=" << this->exitCode;
+    return this->exitCode;
+}
+
+Awaitable<void> Daemon::waitForSignals()
+{
+    asio::signal_set signals(this->controlContext, SIGTERM, SIGINT);
+    co_await signals.async_wait(asio::use_awaitable);
+    asio::co_spawn(
+            this->controlContext, [this] { return this->stop(); }, asio::detached);
+    // A second signal ends the wait for what is in flight.
+    co_await signals.async_wait(asio::use_awaitable);
+    LOG(WARNING) << "event=cut busy=" << this->callerServer->busySessions()
+                 << " claims=" << this->parts.leftOvers << " why=signal";
+    this->exitCode = this->isDone() ? exit_code::ok : exit_code::cut;
+    this->controlContext.stop();
+}
+
+bool Daemon::isDone() const
+{
+    return this->callerServer->sessionCount() == 0 && this->parts.leftOvers == 0;
+}
+
+Awaitable<void> Daemon::stop()
+{
+    const auto &times = this->settings.control;
+    LOG(INFO) << "event=stop entry=" << this->settings.name
+              << " busy=" << this->callerServer->busySessions();
+    const auto deadline = std::chrono::steady_clock::now() + times.stopDeadline;
+    asio::steady_timer timer(this->controlContext);
+    // Health fails first; requests that the balancer still sends meanwhile are served.
+    this->control->beginStop();
+    timer.expires_after(times.balancerLag);
+    co_await timer.async_wait(asio::use_awaitable);
+    this->callerServer->stopAccepting();
+    this->callerServer->closeSessions();
+    constexpr auto period = std::chrono::milliseconds(20);
+    while (!this->isDone() && std::chrono::steady_clock::now() < deadline) {
+        timer.expires_after(period);
+        co_await timer.async_wait(asio::use_awaitable);
+        this->callerServer->closeSessions(); // those taken in after the first call
+    }
+    if (!this->isDone()) {
+        LOG(WARNING) << "event=cut busy=" << this->callerServer->busySessions()
+                     << " claims=" << this->parts.leftOvers << " why=deadline";
+        this->exitCode = exit_code::cut;
+    }
+    co_await this->control->endStop();
+    // The last heartbeat is in ZeroMQ's hands; its thread needs a moment to send it.
+    timer.expires_after(period);
+    co_await timer.async_wait(asio::use_awaitable);
+    this->controlContext.stop();
+}
+
+} // namespace sassafrasferry::entry
--- /dev/null
+++ b/packages/entry/src/process/decision_log.cpp
@@ -0,0 +1,63 @@
+// Decision lines.
+#include "decision_log.h"
+
+#include <glog/logging.h>
+
+namespace sassafrasferry::entry {
+
+namespace {
+
+// Callers choose some of the values; a line feed in one must not forge a line of its own.
+std::string quoted(const std::string &value)
+{
+    if (!value.empty() && value.find_first_of(" \"\n\r\t\\=") == std::string::npos)
+        return value;
+    std::string result = "\"";
+    for (const char letter : value) {
+        if (letter == '\n') {
+            result += "\\n";
+            continue;
+        }
+        if (letter == '"' || letter == '\\')
+            result += '\\';
+        result += static_cast<unsigned char>(letter) < ' ' ? ' ' : letter;
+    }
+    return result + '"';
+}
+
+} // namespace
+
+std::string toString(const DecisionLine &line)
+{
+    std::string text = "event=" + line.event;
+    if (!line.requestId.empty())
+        text += " request=" + quoted(line.requestId);
+    for (const auto &field : line.fields)
+        text += ' ' + field.key + '=' + quoted(field.value);
+    return text;
+}
+
+void DecisionLog::write(const DecisionLine &line)
+{
+    auto text = toString(line);
+    LOG(INFO) << text;
+    if (line.requestId.empty())
+        return;
+    const std::lock_guard lock(this->mutex);
+    if (this->remembered.size() >= mostRemembered)
+        this->remembered.pop_front();
+    this->remembered.push_back({line.requestId, std::move(text)});
+}
+
+std::vector<std::string> DecisionLog::linesOf(const std::string &requestId)
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::string> lines;
+    for (const auto &item : this->remembered) {
+        if (item.requestId == requestId)
+            lines.push_back(item.line);
+    }
+    return lines;
+}
+
+} // namespace sassafrasferry::entry
--- /dev/null
+++ b/packages/entry/src/process/metrics.h
@@ -0,0 +1,57 @@
+// Counters and latencies of this entry VM, and their exposition.
+#pragma once
+
+#include "../request/request_types.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace sassafrasferry::entry {
+
+/// A gauge or counter that is read when metrics are asked for.
+struct Reading
+{
+    std::string name;
+    std::string help;
+    std::string labelName; ///< empty: no label
+    std::string labelValue;
+    double value = 0;
+    bool isCounter = false;
+};
+
+/// Thread-safe metrics.
+class Metrics
+{
+public:
+    Metrics();
+
+    void answered(model::RequestClass requestClass, const CallerAnswer &answer,
+                  policy::Duration latency);
+    void routed(policy::RouteReason reason);
+    void sent(policy::RunResult result);
+
+    /// All metrics in the Prometheus text format.
+    std::string exposition(const std::vector<Reading> &readings);
+
+private:
+    using Latency = boost::accumulators::accumulator_set<
+            double,
+            boost::accumulators::stats<boost::accumulators::tag::count,
+                                       boost::accumulators::tag::sum,
+                                       boost::accumulators::tag::extended_p_square>>;
+
+    std::mutex mutex;
+    std::vector<Latency> latencies; // of completed requests, in seconds; one for each class
+    std::map<model::Outcome, std::uint64_t> outcomes;
+    std::map<policy::RefusalReason, std::uint64_t> refusals;
+    std::map<policy::RouteReason, std::uint64_t> routes;
+    std::map<policy::RunResult, std::uint64_t> runs;
+};
+
+} // namespace sassafrasferry::entry
--- /dev/null
+++ b/packages/entry/src/process/shared_dispatcher.cpp
@@ -0,0 +1,86 @@
+// Waiting for the dispatcher.
+#include "shared_dispatcher.h"
+
+namespace sassafrasferry::entry {
+
+using policy::Grant;
+using policy::Queued;
+using policy::Refusal;
+using policy::RequestId;
+
+SharedDispatcher::SharedDispatcher(const model::RoutingSettings &settings,
+                                   const std::string &entry, std::uint64_t seed)
+    : dispatcher(settings, entry, seed)
+{
+}
+
+void SharedDispatcher::onNews(News newNews)
+{
+    this->news = std::move(newNews);
+}
+
+Awaitable<SlotResult> SharedDispatcher::slot(policy::Submission submission,
+                                             Cancellation &cancellation)
+{
+    if (cancellation.requested())
+        co_return SlotCancelled{};
+    std::unique_lock lock(this->mutex);
+    const auto id = RequestId{++this->lastId};
+    submission.id = id;
+    auto admission = this->dispatcher.submit(std::move(submission),
+                                             std::chrono::steady_clock::now());
+    if (auto *grant = std::get_if<Grant>(&admission))
+        co_return std::move(*grant);
+    if (auto *refusal = std::get_if<Refusal>(&admission))
+        co_return std::move(*refusal);
+    // The waiter is known before the lock is let go, so no grant can miss it.
+    auto result = co_await http::awaitCallback<SlotResult>(
+            [this, id, &cancellation, &lock](Done done) {
+                this->waiters.emplace(id, std::move(done));
+                lock.unlock();
+                cancellation.whenRequested([this, id] { this->cancel(id); });
+            });
+    cancellation.whenRequested(nullptr);
+    co_return result;
+}
+
+void SharedDispatcher::cancel(RequestId id)
+{
+    std::unique_lock lock(this->mutex);
+    if (!this->dispatcher.cancel(id))
+        return; // granted or refused meanwhile; the result is on its way
+    const auto at = this->waiters.find(id);
+    auto done = std::move(at->second);
+    this->waiters.erase(at);
+    lock.unlock();
+    done(SlotCancelled{});
+}
+
+std::vector<SharedDispatcher::WakeUp> SharedDispatcher::takeWakeUps(policy::Changes &changes)
+{
+    std::vector<WakeUp> wakeUps;
+    const auto take = [&](RequestId id, SlotResult result) {
+        const auto at = this->waiters.find(id);
+        wakeUps.push_back({std::move(at->second), std::move(result)});
+        this->waiters.erase(at);
+    };
+    for (auto &grant : changes.grants) {
+        const auto id = grant.id;
+        take(id, std::move(grant));
+    }
+    for (const auto &refusal : changes.refusals)
+        take(refusal.id, refusal);
+    return wakeUps;
+}
+
+void SharedDispatcher::deliver(std::vector<WakeUp> &wakeUps, const policy::Changes &changes)
+{
+    for (auto &wakeUp : wakeUps)
+        wakeUp.done(std::move(wakeUp.result));
+    for (const auto &item : changes.news) {
+        if (this->news)
+            this->news(item);
+    }
+}
+
+} // namespace sassafrasferry::entry
--- /dev/null
+++ b/packages/entry/src/request/fault_matrix_test.cpp
@@ -0,0 +1,1 @@
+// placeholder
--- /dev/null
+++ b/packages/entry/src/version/version.cpp
@@ -0,0 +1,37 @@
+// Versions and their succession.
+#include "version.h"
+
+namespace sassafrasferry::entry {
+
+absl::StatusOr<VersionPointer> makeVersion(platform::DocumentTexts texts)
+{
+    model::Findings findings;
+    auto document = model::parseDocument(texts.sections, texts.revision, findings);
+    if (!findings.empty())
+        return absl::InvalidArgumentError(model::toString(findings));
+    auto version = std::make_shared<Version>();
+    version->table = policy::compileRoutingTable(document);
+    version->document = std::move(document);
+    version->texts = std::move(texts);
+    return VersionPointer(std::move(version));
+}
+
+VersionHolder::VersionHolder()
+    : version(std::make_shared<const Version>())
+{
+}
+
+VersionPointer VersionHolder::current() const
+{
+    return this->version.load();
+}
+
+bool VersionHolder::advance(VersionPointer next)
+{
+    if (next->texts.revision <= this->current()->texts.revision)
+        return false;
+    this->version.store(std::move(next));
+    return true;
+}
+
+} // namespace sassafrasferry::entry
--- /dev/null
+++ b/packages/entry/src/version/version.h
@@ -0,0 +1,43 @@
+// One revision of the document as the entry VM uses it. Immutable: a request keeps the version it
+// began with, however many come after.
+#pragma once
+
+#include <sassafrasferry/platform/documents.h>
+#include <sassafrasferry/policy/routing_table.h>
+
+#include <absl/status/statusor.h>
+
+#include <atomic>
+#include <memory>
+
+namespace sassafrasferry::entry {
+
+/// A document revision, parsed and compiled.
+struct Version
+{
+    platform::DocumentTexts texts;
+    model::Document document;
+    policy::RoutingTable table;
+};
+
+using VersionPointer = std::shared_ptr<const Version>;
+
+/// Parses and compiles texts; an error with all findings if they are not sound.
+absl::StatusOr<VersionPointer> makeVersion(platform::DocumentTexts texts);
+
+/// The version in force. The control thread sets it, traffic threads take it.
+class VersionHolder
+{
+public:
+    VersionHolder();
+
+    VersionPointer current() const;
+    /// Takes a newer version. False, and nothing changes, if it is not newer: a revision never
+    /// goes down, whatever order news arrives in.
+    bool advance(VersionPointer version);
+
+private:
+    std::atomic<VersionPointer> version;
+};
+
+} // namespace sassafrasferry::entry
--- a/packages/fakes/src/memory_tables.cpp
+++ b/packages/fakes/src/memory_tables.cpp
@@ -86,8 +86,7 @@
     co_return this->readNow(keys);
 }
 
-Awaitable<absl::StatusOr<std::vector<Row>>> MemoryTables::scan(std::string table,
-                                                               std::string after)
+Awaitable<absl::StatusOr<std::vector<Row>>> MemoryTables::scan(std::string table, std::string after)
 {
     ++this->reads;
     if (this->faults.down || use(this->faults.failedReads))
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -27,8 +27,8 @@
 bool isQuiet(beast::tcp_stream &stream)
 {
     char byte = 0;
-    const auto received = ::recv(stream.socket().native_handle(), &byte, 1,
-                                 MSG_PEEK | MSG_DONTWAIT);
+    const auto received =
+        ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -47,9 +47,10 @@
 }
 
 Client::Client(asio::any_io_executor executor, model::Endpoint endpoint, Options options)
-    : executor(std::move(executor)), address(std::move(endpoint)), options(options)
-{
-}
+    : executor(std::move(executor))
+    , address(std::move(endpoint))
+    , options(options)
+{}
 
 const model::Endpoint &Client::endpoint() const
 {
@@ -89,7 +90,9 @@
             co_return result;
         }
         // Not the stream's own cancel: the socket must be closed, so that no answer comes late.
-        abort->close = [raw = stream.get()] { raw->close(); };
+        abort->close = [raw = stream.get()] {
+            raw->close();
+        };
     }
     if (isFresh) {
         beast::error_code ignored;
--- a/packages/http/src/client_test.cpp
+++ b/packages/http/src/client_test.cpp
@@ -61,15 +61,14 @@
     // The caller must get the whole answer or an error. The upstream dies at some point of its
     // answer; without a length, a broken answer looks like a whole one.
     const auto row = GENERATE(values<Case>({
-            {"whole", whole, ExchangeState::Answered},
-            {"nothing", "", ExchangeState::Broken},
-            {"half a header", "HTTP/1.1 200 OK\r\nConte", ExchangeState::Broken},
-            {"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
-             ExchangeState::Broken},
-            {"no length", "HTTP/1.1 200 OK\r\n\r\nok", ExchangeState::Broken},
-            {"half a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
-             ExchangeState::Broken},
-            {"not HTTP", "hello\r\n\r\n", ExchangeState::Broken},
+        {"whole", whole, ExchangeState::Answered},
+        {"nothing", "", ExchangeState::Broken},
+        {"half a header", "HTTP/1.1 200 OK\r\nConte", ExchangeState::Broken},
+        {"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", ExchangeState::Broken},
+        {"no length", "HTTP/1.1 200 OK\r\n\r\nok", ExchangeState::Broken},
+        {"half a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+         ExchangeState::Broken},
+        {"not HTTP", "hello\r\n\r\n", ExchangeState::Broken},
     }));
     INFO(row.title);
     Upstream upstream;
@@ -77,12 +76,12 @@
     Client client(upstream.context.get_executor(), upstream.endpoint(), {});
     auto exchange = std::make_shared<Exchange>();
     asio::co_spawn(
-            upstream.context,
-            [&]() -> Awaitable<void> {
-                *exchange = co_await client.exchange(get(), 10s);
-                upstream.context.stop();
-            },
-            asio::detached);
+        upstream.context,
+        [&]() -> Awaitable<void> {
+            *exchange = co_await client.exchange(get(), 10s);
+            upstream.context.stop();
+        },
+        asio::detached);
     upstream.context.run();
     CHECK(exchange->state == row.expected);
 }
@@ -95,9 +94,9 @@
     Client client(upstream.context.get_executor(), endpoint, {});
     Exchange exchange;
     asio::co_spawn(
-            upstream.context,
-            [&]() -> Awaitable<void> { exchange = co_await client.exchange(get(), 10s); },
-            asio::detached);
+        upstream.context,
+        [&]() -> Awaitable<void> { exchange = co_await client.exchange(get(), 10s); },
+        asio::detached);
     upstream.context.run();
     CHECK(exchange.state == ExchangeState::NotSent);
 }
@@ -111,15 +110,15 @@
     Client client(upstream.context.get_executor(), upstream.endpoint(), {});
     std::size_t answered = 0;
     asio::co_spawn(
-            upstream.context,
-            [&]() -> Awaitable<void> {
-                for (int i = 0; i < 3; ++i) {
-                    const auto exchange = co_await client.exchange(get(), 10s);
-                    answered += exchange.state == ExchangeState::Answered ? 1 : 0;
-                }
-                upstream.context.stop();
-            },
-            asio::detached);
+        upstream.context,
+        [&]() -> Awaitable<void> {
+            for (int i = 0; i < 3; ++i) {
+                const auto exchange = co_await client.exchange(get(), 10s);
+                answered += exchange.state == ExchangeState::Answered ? 1 : 0;
+            }
+            upstream.context.stop();
+        },
+        asio::detached);
     upstream.context.run();
     CHECK(answered == 3);
     CHECK(upstream.accepted == 3);
@@ -131,13 +130,13 @@
     asio::co_spawn(upstream.context, upstream.serve(whole, true), asio::detached);
     Client client(upstream.context.get_executor(), upstream.endpoint(), {});
     asio::co_spawn(
-            upstream.context,
-            [&]() -> Awaitable<void> {
-                for (int i = 0; i < 3; ++i)
-                    co_await client.exchange(get(), 10s);
-                upstream.context.stop();
-            },
-            asio::detached);
+        upstream.context,
+        [&]() -> Awaitable<void> {
+            for (int i = 0; i < 3; ++i)
+                co_await client.exchange(get(), 10s);
+            upstream.context.stop();
+        },
+        asio::detached);
     upstream.context.run();
     CHECK(upstream.accepted == 1);
     CHECK(client.idleCount() == 1);
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -43,8 +43,8 @@
 bool isSilentEnd(const beast::error_code &error)
 {
     return error == beast::http::error::end_of_stream || error == asio::error::operation_aborted
-            || error == asio::error::connection_reset || error == asio::error::eof
-            || error == asio::error::bad_descriptor;
+           || error == asio::error::connection_reset || error == asio::error::eof
+           || error == asio::error::bad_descriptor;
 }
 
 } // namespace
@@ -72,8 +72,7 @@
 {
     explicit Session(Tcp::socket socket)
         : stream(std::move(socket))
-    {
-    }
+    {}
 
     beast::tcp_stream stream;
     std::atomic<bool> busy{false}; // a request has been read and its answer not yet written
@@ -94,8 +93,7 @@
     , handler(std::move(handler))
     , acceptor(this->executors.front())
     , registry(std::make_shared<Registry>())
-{
-}
+{}
 
 absl::Status Server::listen(const model::Endpoint &endpoint)
 {
@@ -114,8 +112,8 @@
     if (error)
         return absl::UnavailableError(model::toString(endpoint) + ": " + error.message());
     asio::co_spawn(
-            this->executors.front(),
-            [self = this->shared_from_this()] { return self->acceptLoop(); }, asio::detached);
+        this->executors.front(), [self = this->shared_from_this()] { return self->acceptLoop(); },
+        asio::detached);
     return absl::OkStatus();
 }
 
@@ -142,7 +140,7 @@
         auto &executor = this->executors[this->nextExecutor++ % this->executors.size()];
         beast::error_code error;
         auto socket = co_await this->acceptor.async_accept(
-                executor, asio::redirect_error(asio::use_awaitable, error));
+            executor, asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted || !this->acceptor.is_open())
             co_return;
         if (!error)
@@ -164,16 +162,16 @@
     }
     auto self = this->shared_from_this();
     asio::co_spawn(
-            session->stream.get_executor(),
-            [self, session, isOverLimit]() -> Awaitable<void> {
-                if (isOverLimit)
-                    co_await self->refuse(session);
-                else
-                    co_await self->serve(session);
-                const std::lock_guard lock(self->registry->mutex);
-                self->registry->sessions.erase(session->place);
-            },
-            asio::detached);
+        session->stream.get_executor(),
+        [self, session, isOverLimit]() -> Awaitable<void> {
+            if (isOverLimit)
+                co_await self->refuse(session);
+            else
+                co_await self->serve(session);
+            const std::lock_guard lock(self->registry->mutex);
+            self->registry->sessions.erase(session->place);
+        },
+        asio::detached);
 }
 
 Awaitable<void> Server::refuse(std::shared_ptr<Session> session)
@@ -225,13 +223,13 @@
             auto isWatching = std::make_shared<bool>(true);
             // Readable with nothing to read means that the caller has closed its connection.
             stream.socket().async_wait(
-                    Tcp::socket::wait_read,
-                    [session, disconnect, isWatching](const beast::error_code &waitError) {
-                        beast::error_code ignored;
-                        if (!waitError && *isWatching
-                            && session->stream.socket().available(ignored) == 0)
-                            disconnect->fire();
-                    });
+                Tcp::socket::wait_read,
+                [session, disconnect, isWatching](const beast::error_code &waitError) {
+                    beast::error_code ignored;
+                    if (!waitError && *isWatching
+                        && session->stream.socket().available(ignored) == 0)
+                        disconnect->fire();
+                });
             response = co_await this->handler(std::move(request), disconnect);
             *isWatching = false;
             disconnect->onDisconnect(nullptr);
--- a/packages/http/src/server_test.cpp
+++ b/packages/http/src/server_test.cpp
@@ -38,32 +38,32 @@
 TEST_CASE("what cannot be read as a request gets a clear answer, and was not run")
 {
     const auto row = GENERATE(values<Case>({
-            {"sound", "POST / HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
-             "HTTP/1.1 200"},
-            {"body too large", "POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n", "HTTP/1.1 413"},
-            {"header too large", "GET / HTTP/1.1\r\nX: " + std::string(600, 'a') + "\r\n\r\n",
-             "HTTP/1.1 431"},
-            {"nonsense", "hello there\r\n\r\n", "HTTP/1.1 400"},
+        {"sound", "POST / HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
+         "HTTP/1.1 200"},
+        {"body too large", "POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n", "HTTP/1.1 413"},
+        {"header too large", "GET / HTTP/1.1\r\nX: " + std::string(600, 'a') + "\r\n\r\n",
+         "HTTP/1.1 431"},
+        {"nonsense", "hello there\r\n\r\n", "HTTP/1.1 400"},
     }));
     INFO(row.title);
     asio::io_context context;
     auto server = std::make_shared<Server>(
-            std::vector<asio::any_io_executor>{context.get_executor()}, smallLimits(), echo);
+        std::vector<asio::any_io_executor>{context.get_executor()}, smallLimits(), echo);
     const auto endpoint = listenOnLoopback(*server);
     std::string answer;
     asio::co_spawn(
-            context,
-            [&]() -> Awaitable<void> {
-                Tcp::socket socket(context);
-                const Tcp::endpoint target(asio::ip::make_address(endpoint.host), endpoint.port);
-                co_await socket.async_connect(target, asio::use_awaitable);
-                co_await asio::async_write(socket, asio::buffer(row.bytes), asio::use_awaitable);
-                beast::error_code error;
-                co_await asio::async_read(socket, asio::dynamic_buffer(answer),
-                                          asio::redirect_error(asio::use_awaitable, error));
-                context.stop();
-            },
-            asio::detached);
+        context,
+        [&]() -> Awaitable<void> {
+            Tcp::socket socket(context);
+            const Tcp::endpoint target(asio::ip::make_address(endpoint.host), endpoint.port);
+            co_await socket.async_connect(target, asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(row.bytes), asio::use_awaitable);
+            beast::error_code error;
+            co_await asio::async_read(socket, asio::dynamic_buffer(answer),
+                                      asio::redirect_error(asio::use_awaitable, error));
+            context.stop();
+        },
+        asio::detached);
     context.run();
     CHECK_THAT(answer, Catch::StartsWith(row.statusLine));
     if (row.title != "sound")
@@ -86,15 +86,15 @@
         co_return textResponse(Status::ok, "");
     };
     auto server = std::make_shared<Server>(
-            std::vector<asio::any_io_executor>{context.get_executor()}, smallLimits(), handler);
+        std::vector<asio::any_io_executor>{context.get_executor()}, smallLimits(), handler);
     const auto endpoint = listenOnLoopback(*server);
     Client client(context.get_executor(), endpoint, {});
     asio::co_spawn(
-            context,
-            [&]() -> Awaitable<void> {
-                co_await client.exchange(Request{Verb::get, "/", 11}, 100ms);
-            },
-            asio::detached);
+        context,
+        [&]() -> Awaitable<void> {
+            co_await client.exchange(Request{Verb::get, "/", 11}, 100ms);
+        },
+        asio::detached);
     context.run();
     CHECK(noticed);
 }
@@ -117,14 +117,14 @@
     Client client(context.get_executor(), endpoint, {});
     Exchange exchange;
     asio::co_spawn(
-            context,
-            [&]() -> Awaitable<void> {
-                Request request{Verb::post, "/", 11};
-                request.body() = "whole";
-                request.prepare_payload();
-                exchange = co_await client.exchange(request, 10s);
-            },
-            asio::detached);
+        context,
+        [&]() -> Awaitable<void> {
+            Request request{Verb::post, "/", 11};
+            request.body() = "whole";
+            request.prepare_payload();
+            exchange = co_await client.exchange(request, 10s);
+        },
+        asio::detached);
     context.run(); // ends by itself: nothing is left to accept or to read
     CHECK(exchange.state == ExchangeState::Answered);
     CHECK(exchange.response.body() == "whole");
--- a/packages/model/include/sassafrasferry/model/names.h
+++ b/packages/model/include/sassafrasferry/model/names.h
@@ -18,7 +18,10 @@
 
 /// Specialised for each enum class by a function `enumNames(Enum)` found by argument lookup.
 template<typename Enum>
-concept NamedEnum = requires(Enum value) { enumNames(value).size(); };
+concept NamedEnum = requires(Enum value)
+{
+    enumNames(value).size();
+};
 
 /// The name of a value; "?" for a value that is not in its table.
 template<NamedEnum Enum>
--- a/packages/model/src/document.cpp
+++ b/packages/model/src/document.cpp
@@ -103,7 +103,7 @@
         parse.pools.push_back({reader.findingAt("pool", "no such pool"), service.pool, false});
     if (!service.overflow.empty())
         parse.pools.push_back(
-                {reader.findingAt("overflow", "no such spare pool"), service.overflow, true});
+            {reader.findingAt("overflow", "no such spare pool"), service.overflow, true});
     parse.document.services.push_back(std::move(service));
 }
 
--- a/packages/model/src/document_test.cpp
+++ b/packages/model/src/document_test.cpp
@@ -11,7 +11,7 @@
 
 const std::string fleet = "[sections.fleet]\nteam = \"ops\"\n[sections.fleet.teams.ops]\n"
                           "tokenHash = \""
-        + hash + "\"\n";
+                          + hash + "\"\n";
 
 const std::string billing = R"([sections.billing]
 team = "ops"
@@ -39,7 +39,8 @@
 TEST_CASE("a sound document has no findings")
 {
     Findings findings;
-    const auto document = parseDocument({{"fleet", fleet, 1}, {"billing", billing, 2}}, 2, findings);
+    const auto document =
+        parseDocument({{"fleet", fleet, 1}, {"billing", billing, 2}}, 2, findings);
     CHECK(toString(findings).empty());
     REQUIRE(document.services.size() == 1);
     CHECK_FALSE(document.services[0].idempotent);
@@ -50,27 +51,26 @@
 TEST_CASE("each fault of a document is a finding")
 {
     const auto fault = GENERATE(values<Case>({
-            {"VM in two pools",
-             "[[sections.billing.pools.other.vms]]\nname = \"w1\"\naddress = \"127.0.0.1:9002\"\n"
-             "dataCentre = \"a\"\nrack = \"r1\"\n",
-             "sections.billing.pools.other.vms[0].name",
-             "VM \"w1\" is already in pool \"invoicing\""},
-            {"address twice",
-             "[[sections.billing.pools.other.vms]]\nname = \"w2\"\naddress = \"127.0.0.1:9001\"\n"
-             "dataCentre = \"a\"\nrack = \"r1\"\n",
-             "sections.billing.pools.other.vms[0].address", "is already the address of VM \"w1\""},
-            {"unknown pool", "[sections.billing.services.x]\npool = \"none\"\n",
-             "sections.billing.services.x.pool", "no such pool"},
-            {"overflow into a pool that is not spare",
-             "[sections.billing.services.x]\npool = \"invoicing\"\noverflow = \"invoicing\"\n",
-             "sections.billing.services.x.overflow", "no such spare pool"},
-            {"unknown pool of a wave", "[sections.billing.waves.w]\npools = [\"none\"]\n",
-             "sections.billing.waves.w.pools", "no such pool"},
-            {"out of range",
-             "[sections.billing.services.x]\npool = \"invoicing\"\navailability = 1.5\n",
-             "sections.billing.services.x.availability", "must lie between"},
-            {"foreign section", "[sections.other]\nteam = \"ops\"\n", "sections.other",
-             "does not belong into section \"billing\""},
+        {"VM in two pools",
+         "[[sections.billing.pools.other.vms]]\nname = \"w1\"\naddress = \"127.0.0.1:9002\"\n"
+         "dataCentre = \"a\"\nrack = \"r1\"\n",
+         "sections.billing.pools.other.vms[0].name", "VM \"w1\" is already in pool \"invoicing\""},
+        {"address twice",
+         "[[sections.billing.pools.other.vms]]\nname = \"w2\"\naddress = \"127.0.0.1:9001\"\n"
+         "dataCentre = \"a\"\nrack = \"r1\"\n",
+         "sections.billing.pools.other.vms[0].address", "is already the address of VM \"w1\""},
+        {"unknown pool", "[sections.billing.services.x]\npool = \"none\"\n",
+         "sections.billing.services.x.pool", "no such pool"},
+        {"overflow into a pool that is not spare",
+         "[sections.billing.services.x]\npool = \"invoicing\"\noverflow = \"invoicing\"\n",
+         "sections.billing.services.x.overflow", "no such spare pool"},
+        {"unknown pool of a wave", "[sections.billing.waves.w]\npools = [\"none\"]\n",
+         "sections.billing.waves.w.pools", "no such pool"},
+        {"out of range",
+         "[sections.billing.services.x]\npool = \"invoicing\"\navailability = 1.5\n",
+         "sections.billing.services.x.availability", "must lie between"},
+        {"foreign section", "[sections.other]\nteam = \"ops\"\n", "sections.other",
+         "does not belong into section \"billing\""},
     }));
     INFO(fault.title);
     Findings findings;
--- a/packages/model/src/settings_test.cpp
+++ b/packages/model/src/settings_test.cpp
@@ -38,19 +38,18 @@
 TEST_CASE("each fault of a settings file is a finding with its place")
 {
     const auto fault = GENERATE(values<Case>({
-            {"unknown key", "colour = 1\n", "colour", "is not a known key", 7},
-            {"wrong type", "trafficThreads = \"two\"\n", "trafficThreads", "must be an integer", 7},
-            {"out of range", "trafficThreads = 0\n", "trafficThreads",
-             "must lie between 1 and 64", 7},
-            {"unknown name", "[routing]\npolicy = \"best\"\n", "routing.policy",
-             "must be one of shares", 8},
-            {"inner unknown key", "[limits]\nbody = 3\n", "limits.body", "is not a known key", 8},
-            {"peer twice", "[[peers]]\nname = \"e1\"\naddress = \"127.0.0.1:1\"\n",
-             "peers[0].name", "names an entry VM twice", 8},
-            {"host name", "[[peers]]\nname = \"e2\"\naddress = \"localhost:1\"\n",
-             "peers[0].address", "must be an IP number and a port", 9},
-            {"timeout too short", "[control]\nheartbeatMs = 100\npeerTimeoutMs = 150\n",
-             "control.peerTimeoutMs", "must be at least twice heartbeatMs", 9},
+        {"unknown key", "colour = 1\n", "colour", "is not a known key", 7},
+        {"wrong type", "trafficThreads = \"two\"\n", "trafficThreads", "must be an integer", 7},
+        {"out of range", "trafficThreads = 0\n", "trafficThreads", "must lie between 1 and 64", 7},
+        {"unknown name", "[routing]\npolicy = \"best\"\n", "routing.policy",
+         "must be one of shares", 8},
+        {"inner unknown key", "[limits]\nbody = 3\n", "limits.body", "is not a known key", 8},
+        {"peer twice", "[[peers]]\nname = \"e1\"\naddress = \"127.0.0.1:1\"\n", "peers[0].name",
+         "names an entry VM twice", 8},
+        {"host name", "[[peers]]\nname = \"e2\"\naddress = \"localhost:1\"\n", "peers[0].address",
+         "must be an IP number and a port", 9},
+        {"timeout too short", "[control]\nheartbeatMs = 100\npeerTimeoutMs = 150\n",
+         "control.peerTimeoutMs", "must be at least twice heartbeatMs", 9},
     }));
     INFO(fault.title);
     Findings findings;
--- a/packages/model/src/toml_reader.cpp
+++ b/packages/model/src/toml_reader.cpp
@@ -21,9 +21,11 @@
 
 TomlReader::TomlReader(const toml::table &table, std::string file, std::string path,
                        Findings &findings)
-    : source(table), file(std::move(file)), path(std::move(path)), findings(findings)
-{
-}
+    : source(table)
+    , file(std::move(file))
+    , path(std::move(path))
+    , findings(findings)
+{}
 
 const toml::node *TomlReader::node(std::string_view key)
 {
@@ -155,7 +157,7 @@
         const auto *inner = element.as_table();
         if (!inner) {
             this->findings.push_back(
-                    {placeOf(element.source(), this->file), elementPath, "must be a table"});
+                {placeOf(element.source(), this->file), elementPath, "must be a table"});
             continue;
         }
         TomlReader reader(*inner, this->file, elementPath, this->findings);
@@ -180,7 +182,7 @@
         const auto *inner = element.as_table();
         if (!inner) {
             this->findings.push_back(
-                    {placeOf(element.source(), this->file), elementPath, "must be a table"});
+                {placeOf(element.source(), this->file), elementPath, "must be a table"});
             continue;
         }
         TomlReader reader(*inner, this->file, elementPath, this->findings);
@@ -218,8 +220,7 @@
     try {
         return std::make_unique<toml::table>(toml::parse(text, file));
     } catch (const toml::parse_error &error) {
-        findings.push_back(
-                {placeOf(error.source(), file), "", std::string(error.description())});
+        findings.push_back({placeOf(error.source(), file), "", std::string(error.description())});
         return nullptr;
     }
 }
--- a/packages/platform/include/sassafrasferry/platform/document_store.h
+++ b/packages/platform/include/sassafrasferry/platform/document_store.h
@@ -19,8 +19,7 @@
 public:
     explicit DocumentStore(Tables &tables)
         : tables(tables)
-    {
-    }
+    {}
 
     /// The revision in force; 0 while there is no document.
     Awaitable<absl::StatusOr<std::int64_t>> head()
@@ -201,13 +200,15 @@
         const auto *current = texts->section(change.section);
         const auto currentRevision = current ? current->revision : 0;
         if (currentRevision != change.baseRevision)
-            co_return final({ChangeState::Conflict, currentRevision, {},
+            co_return final({ChangeState::Conflict,
+                             currentRevision,
+                             {},
                              current ? current->text : std::string()});
         auto approval = approve(*texts, change);
         if (!approval.isApproved)
             co_return final(std::move(approval.result));
         const auto commit =
-                co_await this->tables.commit(transactionOf(change, approval, head, section));
+            co_await this->tables.commit(transactionOf(change, approval, head, section));
         co_return Attempt{commit.state == CommitState::Committed, commit.state,
                           std::move(approval.result)};
     }
@@ -243,19 +244,18 @@
     {
         const auto revision = approval.result.revision;
         Transaction transaction;
-        transaction.conditions = {
-                {headKey(), head ? head->version : absent},
-                {sectionKey(change.section), section ? section->version : absent},
-                {operationKey(change.operationId), absent}};
+        transaction.conditions = {{headKey(), head ? head->version : absent},
+                                  {sectionKey(change.section), section ? section->version : absent},
+                                  {operationKey(change.operationId), absent}};
         transaction.puts = {
-                {headKey(), {{"revision", revision}}},
-                {sectionKey(change.section), {{"text", change.text}, {"revision", revision}}},
-                {revisionKey(revision),
-                 {{"revision", revision},
-                  {"section", change.section},
-                  {"team", approval.team},
-                  {"operationId", change.operationId}}},
-                {operationKey(change.operationId), {{"revision", revision}}}};
+            {headKey(), {{"revision", revision}}},
+            {sectionKey(change.section), {{"text", change.text}, {"revision", revision}}},
+            {revisionKey(revision),
+             {{"revision", revision},
+              {"section", change.section},
+              {"team", approval.team},
+              {"operationId", change.operationId}}},
+            {operationKey(change.operationId), {{"revision", revision}}}};
         return transaction;
     }
 
--- a/packages/platform/include/sassafrasferry/platform/lease_keeper.h
+++ b/packages/platform/include/sassafrasferry/platform/lease_keeper.h
@@ -28,9 +28,10 @@
 {
 public:
     LeaseKeeper(Tables &tables, std::string holder, LeaseTimes times)
-        : tables(tables), holder(std::move(holder)), times(times)
-    {
-    }
+        : tables(tables)
+        , holder(std::move(holder))
+        , times(times)
+    {}
 
     static RowKey leaseKey()
     {
--- a/packages/platform/include/sassafrasferry/platform/row_batcher.h
+++ b/packages/platform/include/sassafrasferry/platform/row_batcher.h
@@ -64,29 +64,30 @@
     using Executor = http::asio::any_io_executor;
 
     RowBatcher(Executor executor, Tables &tables, BatcherTimes times)
-        : executor(std::move(executor)), tables(tables), times(times)
-    {
-    }
+        : executor(std::move(executor))
+        , tables(tables)
+        , times(times)
+    {}
 
     /// Writes one row; several waiting writes share a transaction.
     Awaitable<WriteResult> write(RowWrite write)
     {
         write.value["writeId"] = write.writeId;
         return http::awaitCallback<WriteResult>(
-                [this, write = std::move(write)](std::function<void(WriteResult)> done) mutable {
-                    this->writes.push_back({std::move(write), std::move(done)});
-                    this->startWriting();
-                });
+            [this, write = std::move(write)](std::function<void(WriteResult)> done) mutable {
+                this->writes.push_back({std::move(write), std::move(done)});
+                this->startWriting();
+            });
     }
 
     /// Reads one row; several waiting reads share a call.
     Awaitable<ReadResult> read(RowKey key)
     {
         return http::awaitCallback<ReadResult>(
-                [this, key = std::move(key)](std::function<void(ReadResult)> done) mutable {
-                    this->reads.push_back({std::move(key), std::move(done)});
-                    this->startReading();
-                });
+            [this, key = std::move(key)](std::function<void(ReadResult)> done) mutable {
+                this->reads.push_back({std::move(key), std::move(done)});
+                this->startReading();
+            });
     }
 
     /// Transactions sent so far.
@@ -115,7 +116,7 @@
         if (std::exchange(this->isWriting, true))
             return;
         http::asio::co_spawn(
-                this->executor, [this] { return this->writeLoop(); }, http::asio::detached);
+            this->executor, [this] { return this->writeLoop(); }, http::asio::detached);
     }
 
     void startReading()
@@ -123,7 +124,7 @@
         if (std::exchange(this->isReading, true))
             return;
         http::asio::co_spawn(
-                this->executor, [this] { return this->readLoop(); }, http::asio::detached);
+            this->executor, [this] { return this->readLoop(); }, http::asio::detached);
     }
 
     Awaitable<void> pauseUntil(Clock::time_point at)
--- a/packages/platform/include/sassafrasferry/platform/rows.h
+++ b/packages/platform/include/sassafrasferry/platform/rows.h
@@ -77,12 +77,19 @@
 /// A client of the table service.
 template<typename T>
 concept TableService = requires(T &tables, Transaction transaction, std::vector<RowKey> keys,
-                                std::string text) {
-    { tables.commit(transaction) } -> std::same_as<Awaitable<Commit>>;
+                                std::string text)
+{
+    {
+        tables.commit(transaction)
+        } -> std::same_as<Awaitable<Commit>>;
     // The rows that exist, read at one moment.
-    { tables.read(keys) } -> std::same_as<Awaitable<absl::StatusOr<std::vector<Row>>>>;
+    {
+        tables.read(keys)
+        } -> std::same_as<Awaitable<absl::StatusOr<std::vector<Row>>>>;
     // Rows of a table with keys greater than a given one, in order.
-    { tables.scan(text, text) } -> std::same_as<Awaitable<absl::StatusOr<std::vector<Row>>>>;
+    {
+        tables.scan(text, text)
+        } -> std::same_as<Awaitable<absl::StatusOr<std::vector<Row>>>>;
 };
 
 /// The row with that key, or nullptr.
--- a/packages/platform/src/document_store_test.cpp
+++ b/packages/platform/src/document_store_test.cpp
@@ -16,8 +16,8 @@
 std::string fleetText()
 {
     return "[sections.fleet]\nteam = \"ops\"\n[sections.fleet.teams.ops]\ntokenHash = \""
-            + sha256("ops-token") + "\"\n[sections.fleet.teams.bill]\ntokenHash = \""
-            + sha256("bill-token") + "\"\n";
+           + sha256("ops-token") + "\"\n[sections.fleet.teams.bill]\ntokenHash = \""
+           + sha256("bill-token") + "\"\n";
 }
 
 std::string billingText(const std::string &comment)
@@ -81,13 +81,14 @@
 TEST_CASE("what is not accepted changes nothing, and says why")
 {
     const auto row = GENERATE(values<RefusalCase>({
-            {"wrong token", {"billing", billingText("x"), 0, "o", "ops-token"},
-             ChangeState::Forbidden},
-            {"section of another team", {"fleet", fleetText(), 1, "o", "bill-token"},
-             ChangeState::Forbidden},
-            {"faulty text", {"billing", billingText("x") + "odd = 1\n", 0, "o", "bill-token"},
-             ChangeState::Refused},
-            {"stale base", {"fleet", fleetText(), 0, "o", "ops-token"}, ChangeState::Conflict},
+        {"wrong token", {"billing", billingText("x"), 0, "o", "ops-token"}, ChangeState::Forbidden},
+        {"section of another team",
+         {"fleet", fleetText(), 1, "o", "bill-token"},
+         ChangeState::Forbidden},
+        {"faulty text",
+         {"billing", billingText("x") + "odd = 1\n", 0, "o", "bill-token"},
+         ChangeState::Refused},
+        {"stale base", {"fleet", fleetText(), 0, "o", "ops-token"}, ChangeState::Conflict},
     }));
     INFO(row.title);
     Fixture fixture;
@@ -115,12 +116,12 @@
     // The operator must not be told "refused" of a change that is in force. The answer to the
     // commit is lost; the next try finds the operation's row.
     const auto row = GENERATE(values<FaultCase>({
-            {"none", {}, ChangeState::Accepted, 2},
-            {"down", {true, 0, 0, 0}, ChangeState::Unavailable, 1},
-            {"read fails", {false, 0, 0, 1}, ChangeState::Unavailable, 1},
-            {"answer lost", {false, 1, 0, 0}, ChangeState::Accepted, 2},
-            {"call lost", {false, 0, 1, 0}, ChangeState::Accepted, 2},
-            {"calls lost for good", {false, 0, 100, 0}, ChangeState::Unknown, 1},
+        {"none", {}, ChangeState::Accepted, 2},
+        {"down", {true, 0, 0, 0}, ChangeState::Unavailable, 1},
+        {"read fails", {false, 0, 0, 1}, ChangeState::Unavailable, 1},
+        {"answer lost", {false, 1, 0, 0}, ChangeState::Accepted, 2},
+        {"call lost", {false, 0, 1, 0}, ChangeState::Accepted, 2},
+        {"calls lost for good", {false, 0, 100, 0}, ChangeState::Unknown, 1},
     }));
     INFO(row.title);
     Fixture fixture;
--- a/packages/platform/src/documents.cpp
+++ b/packages/platform/src/documents.cpp
@@ -34,10 +34,9 @@
                   [&](const model::SectionText &other) { return other.name == section.name; });
     if (section.text.empty())
         return;
-    const auto at = std::lower_bound(this->sections.begin(), this->sections.end(), section.name,
-                                     [](const model::SectionText &other, const std::string &name) {
-                                         return other.name < name;
-                                     });
+    const auto at = std::lower_bound(
+        this->sections.begin(), this->sections.end(), section.name,
+        [](const model::SectionText &other, const std::string &name) { return other.name < name; });
     this->sections.insert(at, std::move(section));
 }
 
@@ -69,7 +68,7 @@
     // The first section of an empty document creates the teams that own what follows.
     if (current.sections.empty())
         return changed.section(change.section)
-                && isTokenOf(changed, changed.section(change.section)->team, change.token);
+               && isTokenOf(changed, changed.section(change.section)->team, change.token);
     if (const auto *section = current.section(change.section))
         return isTokenOf(current, section->team, change.token);
     // A new section belongs to the team it names, which the document in force must know.
--- a/packages/platform/src/object_client.cpp
+++ b/packages/platform/src/object_client.cpp
@@ -19,9 +19,9 @@
 
 ObjectClient::ObjectClient(http::asio::any_io_executor executor, const model::Endpoint &endpoint,
                            std::chrono::milliseconds timeout)
-    : client(std::move(executor), endpoint, {}), timeout(timeout)
-{
-}
+    : client(std::move(executor), endpoint, {})
+    , timeout(timeout)
+{}
 
 http::Awaitable<absl::Status> ObjectClient::put(std::string name, std::string body)
 {
--- a/packages/platform/src/row_batcher_test.cpp
+++ b/packages/platform/src/row_batcher_test.cpp
@@ -35,11 +35,11 @@
     // A caller that is told "not run" after a lost answer would send again, and the first write
     // may stand in the store. Only what is known may be said.
     const auto row = GENERATE(values<Case>({
-            {"none", {}, WriteState::Written, true},
-            {"down", {true, 0, 0, 0}, WriteState::NotApplied, false},
-            {"answer lost once", {false, 1, 0, 0}, WriteState::Written, true},
-            {"call lost once", {false, 0, 1, 0}, WriteState::Written, true},
-            {"answer lost, then read fails", {false, 1, 0, 1}, WriteState::Unknown, true},
+        {"none", {}, WriteState::Written, true},
+        {"down", {true, 0, 0, 0}, WriteState::NotApplied, false},
+        {"answer lost once", {false, 1, 0, 0}, WriteState::Written, true},
+        {"call lost once", {false, 0, 1, 0}, WriteState::Written, true},
+        {"answer lost, then read fails", {false, 1, 0, 1}, WriteState::Unknown, true},
     }));
     INFO(row.title);
     http::asio::io_context context;
@@ -73,14 +73,14 @@
     std::size_t conflicts = 0;
     for (int i = 0; i < 100; ++i) {
         http::asio::co_spawn(
-                context,
-                [&, i]() -> Awaitable<void> {
-                    const auto key = "k" + std::to_string(i);
-                    const auto result = co_await batcher.write(writeOf(key, absent, key));
-                    written += result.state == WriteState::Written ? 1 : 0;
-                    conflicts += result.state == WriteState::Conflict ? 1 : 0;
-                },
-                http::asio::detached);
+            context,
+            [&, i]() -> Awaitable<void> {
+                const auto key = "k" + std::to_string(i);
+                const auto result = co_await batcher.write(writeOf(key, absent, key));
+                written += result.state == WriteState::Written ? 1 : 0;
+                conflicts += result.state == WriteState::Conflict ? 1 : 0;
+            },
+            http::asio::detached);
     }
     context.run();
     CHECK(written == 99);
@@ -96,11 +96,11 @@
     std::vector<WriteState> states;
     for (const auto *id : {"w1", "w2"}) {
         http::asio::co_spawn(
-                context,
-                [&, id]() -> Awaitable<void> {
-                    states.push_back((co_await batcher.write(writeOf("a", absent, id))).state);
-                },
-                http::asio::detached);
+            context,
+            [&, id]() -> Awaitable<void> {
+                states.push_back((co_await batcher.write(writeOf("a", absent, id))).state);
+            },
+            http::asio::detached);
     }
     context.run();
     CHECK(states == std::vector<WriteState>{WriteState::Written, WriteState::Conflict});
--- a/packages/platform/src/rows.cpp
+++ b/packages/platform/src/rows.cpp
@@ -62,7 +62,7 @@
     Transaction transaction;
     for (const auto &condition : json.at("conditions"))
         transaction.conditions.push_back(
-                {rowKeyFrom(condition), condition.at("version").get<std::int64_t>()});
+            {rowKeyFrom(condition), condition.at("version").get<std::int64_t>()});
     for (const auto &put : json.at("puts"))
         transaction.puts.push_back({rowKeyFrom(put), put.at("value")});
     for (const auto &key : json.at("deletes"))
--- a/packages/platform/src/table_client.cpp
+++ b/packages/platform/src/table_client.cpp
@@ -46,9 +46,9 @@
 
 TableClient::TableClient(http::asio::any_io_executor executor, const model::Endpoint &endpoint,
                          std::chrono::milliseconds timeout)
-    : client(std::move(executor), endpoint, {}), timeout(timeout)
-{
-}
+    : client(std::move(executor), endpoint, {})
+    , timeout(timeout)
+{}
 
 Awaitable<Commit> TableClient::commit(Transaction transaction)
 {
--- a/packages/platform/src/vm_list_client.cpp
+++ b/packages/platform/src/vm_list_client.cpp
@@ -8,9 +8,9 @@
 
 VmListClient::VmListClient(http::asio::any_io_executor executor, const model::Endpoint &endpoint,
                            std::chrono::milliseconds timeout)
-    : client(std::move(executor), endpoint, {}), timeout(timeout)
-{
-}
+    : client(std::move(executor), endpoint, {})
+    , timeout(timeout)
+{}
 
 http::Awaitable<absl::StatusOr<std::vector<std::string>>> VmListClient::leaving()
 {
--- a/packages/policy/include/sassafrasferry/policy/claim.h
+++ b/packages/policy/include/sassafrasferry/policy/claim.h
@@ -64,11 +64,10 @@
 constexpr auto enumNames(ExistingClaim)
 {
     using model::EnumName;
-    return std::array{EnumName{ExistingClaim::Replay, "replay"},
-                      EnumName{ExistingClaim::Mismatch, "mismatch"},
-                      EnumName{ExistingClaim::InProgress, "in-progress"},
-                      EnumName{ExistingClaim::Settle, "settle"},
-                      EnumName{ExistingClaim::Reclaim, "reclaim"}};
+    return std::array{
+        EnumName{ExistingClaim::Replay, "replay"}, EnumName{ExistingClaim::Mismatch, "mismatch"},
+        EnumName{ExistingClaim::InProgress, "in-progress"},
+        EnumName{ExistingClaim::Settle, "settle"}, EnumName{ExistingClaim::Reclaim, "reclaim"}};
 }
 
 /// Decides on an existing claim. `ownerActive`: the entry VM that claimed it may still be at it.
--- a/packages/policy/include/sassafrasferry/policy/dispatcher.h
+++ b/packages/policy/include/sassafrasferry/policy/dispatcher.h
@@ -75,11 +75,19 @@
 
 using Admission = std::variant<Grant, Queued, Refusal>;
 
-/// What an event changed for waiting requests.
+/// News about a worker that other entry VMs should hear.
+struct LeavingNews
+{
+    std::string worker;
+    LeavingSignal signal = LeavingSignal::None;
+};
+
+/// What an event changed for waiting requests, and what it taught about workers.
 struct Changes
 {
     std::vector<Grant> grants;
     std::vector<Refusal> refusals;
+    std::vector<LeavingNews> news;
 };
 
 /// What became of a granted request.
@@ -171,6 +179,8 @@
 
     /// A signal that a worker is leaving (or, `None`, that it is not). True if that is news.
     bool setLeaving(const std::string &worker, LeavingSignal signal, Instant now);
+    /// Workers that are marked by this signal.
+    std::vector<std::string> leavingBy(LeavingSignal signal) const;
 
     /// Pools that wait for slots.
     std::vector<LoanWish> loanWishes() const;
@@ -213,8 +223,7 @@
     void adoptServices(const RoutingTable &table);
     void recomputeShares();
     std::optional<Grant> tryGrant(Index service, const Submission &request, Instant now);
-    std::optional<Grant> grantOn(Index pool, Index service, const Submission &request,
-                                 Instant now);
+    std::optional<Grant> grantOn(Index pool, Index service, const Submission &request, Instant now);
     void serve(Index pool, Changes &changes, Instant now);
     void serveAll(Changes &changes, Instant now);
     Index nextService(const PoolState &pool, model::RequestClass requestClass);
--- a/packages/policy/include/sassafrasferry/policy/worker_choice.h
+++ b/packages/policy/include/sassafrasferry/policy/worker_choice.h
@@ -44,10 +44,10 @@
 constexpr auto enumNames(LeavingSignal)
 {
     using model::EnumName;
-    return std::array{
-            EnumName{LeavingSignal::None, "none"}, EnumName{LeavingSignal::List, "list"},
-            EnumName{LeavingSignal::Draining, "draining"},
-            EnumName{LeavingSignal::Refusal, "refusal"}, EnumName{LeavingSignal::Closed, "closed"}};
+    return std::array{EnumName{LeavingSignal::None, "none"}, EnumName{LeavingSignal::List, "list"},
+                      EnumName{LeavingSignal::Draining, "draining"},
+                      EnumName{LeavingSignal::Refusal, "refusal"},
+                      EnumName{LeavingSignal::Closed, "closed"}};
 }
 
 /// A worker as this entry VM uses it. Lives for the process, across document revisions.
@@ -60,7 +60,7 @@
     bool assigned = false; ///< belongs to this entry VM alone, under the `assigned` baseline
     std::uint32_t inUse = 0; ///< requests given to it and not finished
     std::uint32_t trials = 0; ///< of those, the ones beyond the share
-    Instant trialNotBefore{}; ///< after a refusal, when the next trial may go out
+    Instant fullUntil{}; ///< after a refusal, when it may have a slot free again
     LoanBook lent;
     LoanBook borrowed;
     WorkerHealth health;
--- a/packages/policy/src/claim_test.cpp
+++ b/packages/policy/src/claim_test.cpp
@@ -31,12 +31,12 @@
 TEST_CASE("what is done with a key that has a claim")
 {
     const auto row = GENERATE(values<ExistingCase>({
-            {"completed", ClaimState::Completed, "f", false, ExistingClaim::Replay},
-            {"completed, other body", ClaimState::Completed, "g", false, ExistingClaim::Mismatch},
-            {"claimed, other body", ClaimState::Claimed, "g", true, ExistingClaim::Mismatch},
-            {"owner at it", ClaimState::Claimed, "f", true, ExistingClaim::InProgress},
-            {"owner gone", ClaimState::Claimed, "f", false, ExistingClaim::Settle},
-            {"settled not run", ClaimState::NotRun, "f", false, ExistingClaim::Reclaim},
+        {"completed", ClaimState::Completed, "f", false, ExistingClaim::Replay},
+        {"completed, other body", ClaimState::Completed, "g", false, ExistingClaim::Mismatch},
+        {"claimed, other body", ClaimState::Claimed, "g", true, ExistingClaim::Mismatch},
+        {"owner at it", ClaimState::Claimed, "f", true, ExistingClaim::InProgress},
+        {"owner gone", ClaimState::Claimed, "f", false, ExistingClaim::Settle},
+        {"settled not run", ClaimState::NotRun, "f", false, ExistingClaim::Reclaim},
     }));
     INFO(row.title);
     Claim claim;
@@ -50,16 +50,16 @@
     // The claim was written at 10000 with the start deadline 12000. A frozen entry VM may wake
     // and send until the worker's clock passes 12000; a worker started after 10000 has forgotten.
     const auto row = GENERATE(values<SettlementCase>({
-            {"done", RunState::Done, 1, 11000, true, Settlement::Complete},
-            {"done, and no start refusal", RunState::Done, 1, 11000, false, Settlement::Complete},
-            {"running", RunState::Running, 1, 13000, true, Settlement::Open},
-            {"unreachable", RunState::Unreachable, 0, 0, true, Settlement::Open},
-            {"never seen, may still come", RunState::NeverSeen, 1, 12000, true, Settlement::Open},
-            {"never seen, too late now", RunState::NeverSeen, 1, 12001, true, Settlement::NotRun},
-            {"worker restarted", RunState::NeverSeen, 10001, 13000, true, Settlement::Open},
-            {"restarted within clock tolerance", RunState::NeverSeen, 9600, 13000, true,
-             Settlement::Open},
-            {"no start refusal", RunState::NeverSeen, 1, 13000, false, Settlement::Open},
+        {"done", RunState::Done, 1, 11000, true, Settlement::Complete},
+        {"done, and no start refusal", RunState::Done, 1, 11000, false, Settlement::Complete},
+        {"running", RunState::Running, 1, 13000, true, Settlement::Open},
+        {"unreachable", RunState::Unreachable, 0, 0, true, Settlement::Open},
+        {"never seen, may still come", RunState::NeverSeen, 1, 12000, true, Settlement::Open},
+        {"never seen, too late now", RunState::NeverSeen, 1, 12001, true, Settlement::NotRun},
+        {"worker restarted", RunState::NeverSeen, 10001, 13000, true, Settlement::Open},
+        {"restarted within clock tolerance", RunState::NeverSeen, 9600, 13000, true,
+         Settlement::Open},
+        {"no start refusal", RunState::NeverSeen, 1, 13000, false, Settlement::Open},
     }));
     INFO(row.title);
     Claim claim;
--- a/packages/policy/src/dispatcher.cpp
+++ b/packages/policy/src/dispatcher.cpp
@@ -19,6 +19,15 @@
 constexpr Duration leastLoan = std::chrono::milliseconds(500);
 constexpr std::uint32_t mostWished = 16;
 
+LeavingSignal signalOf(RunResult result)
+{
+    if (result == RunResult::Leaving)
+        return LeavingSignal::Refusal;
+    if (result == RunResult::Unreachable)
+        return LeavingSignal::Closed;
+    return LeavingSignal::None;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(model::RoutingSettings settings, std::string entry, std::uint64_t seed)
@@ -27,8 +36,7 @@
     , live{this->entry}
     , random(static_cast<std::minstd_rand::result_type>(seed))
     , choice(settings.policy, seed)
-{
-}
+{}
 
 Dispatcher::ServiceState *Dispatcher::findService(const std::string &name)
 {
@@ -48,8 +56,8 @@
         PoolState pool{poolSpec.name, {}, {}, {}};
         for (const auto specIndex : poolSpec.workers) {
             const auto &spec = table.workers[specIndex];
-            const auto [at, isNew] = this->workerIndex.emplace(
-                    spec.name, static_cast<Index>(this->workers.size()));
+            const auto [at, isNew] =
+                this->workerIndex.emplace(spec.name, static_cast<Index>(this->workers.size()));
             if (isNew)
                 this->workers.emplace_back();
             auto &worker = this->workers[at->second];
@@ -67,8 +75,8 @@
     for (auto &service : this->services)
         service.present = false;
     for (const auto &spec : table.services) {
-        const auto [at, isNew] = this->serviceIndex.emplace(
-                spec.name, static_cast<Index>(this->services.size()));
+        const auto [at, isNew] =
+            this->serviceIndex.emplace(spec.name, static_cast<Index>(this->services.size()));
         if (isNew) {
             this->services.emplace_back();
             this->services.back().runTimes = RunTimes(spec.runTime);
@@ -94,7 +102,7 @@
             continue;
         for (const auto &request : service.queue.clear())
             changes.refusals.push_back(
-                    this->refuse(request.id, RefusalReason::UnknownService, Duration{}));
+                this->refuse(request.id, RefusalReason::UnknownService, Duration{}));
     }
     this->serveAll(changes, now);
     return changes;
@@ -160,7 +168,7 @@
             ahead += other.queue.sizeUpTo(requestClass);
     }
     const double waitSeconds =
-            static_cast<double>(ahead + 1) * service.runTimes.meanSeconds() / capacity;
+        static_cast<double>(ahead + 1) * service.runTimes.meanSeconds() / capacity;
     return fromSeconds(waitSeconds);
 }
 
@@ -239,13 +247,12 @@
         ++worker.trials;
     if (chosen.reason == RouteReason::Probe)
         worker.health.probeSent();
-    return Grant{request.id,     chosen.worker,       worker.spec.name,
-                 worker.spec.rack, worker.spec.address, chosen.reason,
-                 false};
+    return Grant{
+        request.id,    chosen.worker, worker.spec.name, worker.spec.rack, worker.spec.address,
+        chosen.reason, false};
 }
 
-std::array<bool, model::requestClassCount>
-Dispatcher::waitingClasses(const PoolState &pool) const
+std::array<bool, model::requestClassCount> Dispatcher::waitingClasses(const PoolState &pool) const
 {
     std::array<bool, model::requestClassCount> waitingOnes{};
     for (const auto index : pool.services) {
@@ -335,7 +342,7 @@
         break;
     case RunResult::Refused:
         // A slot frees after about one run time divided by the slots.
-        worker.trialNotBefore = now + usual / std::max(1U, worker.spec.slots);
+        worker.fullUntil = now + usual / std::max(1U, worker.spec.slots);
         worker.health.probeEnded();
         break;
     case RunResult::Leaving:
@@ -358,11 +365,10 @@
     if (known != this->serviceIndex.end())
         --this->services[known->second].running;
     this->noteResult(worker, service, report, now);
-    if (report.result == RunResult::Leaving)
-        this->setLeaving(worker.spec.name, LeavingSignal::Refusal, now);
-    if (report.result == RunResult::Unreachable)
-        this->setLeaving(worker.spec.name, LeavingSignal::Closed, now);
     Changes changes;
+    const auto signal = signalOf(report.result);
+    if (signal != LeavingSignal::None && this->setLeaving(worker.spec.name, signal, now))
+        changes.news.push_back({worker.spec.name, signal});
     if (worker.pool != noIndex)
         this->serve(worker.pool, changes, now);
     return changes;
@@ -386,8 +392,8 @@
         this->giveUps.erase(this->giveUps.begin());
         auto &service = this->services[due.service];
         if (service.queue.erase(due.id))
-            changes.refusals.push_back(this->refuse(due.id, RefusalReason::DeadlineUnreachable,
-                                                    leastRetryAfter));
+            changes.refusals.push_back(
+                this->refuse(due.id, RefusalReason::DeadlineUnreachable, leastRetryAfter));
     }
     return changes;
 }
@@ -433,11 +439,21 @@
     return was != worker.isLeaving(now);
 }
 
+std::vector<std::string> Dispatcher::leavingBy(LeavingSignal signal) const
+{
+    std::vector<std::string> names;
+    for (const auto &worker : this->workers) {
+        if (worker.pool != noIndex && worker.leaving == signal)
+            names.push_back(worker.spec.name);
+    }
+    return names;
+}
+
 std::vector<LoanWish> Dispatcher::loanWishes() const
 {
     std::vector<LoanWish> wishes;
     const bool usesLoans = this->settings.policy == RoutingPolicy::Shares
-            || this->settings.policy == RoutingPolicy::Loans;
+                           || this->settings.policy == RoutingPolicy::Loans;
     if (!usesLoans)
         return wishes;
     for (const auto &pool : this->pools) {
@@ -445,8 +461,8 @@
         for (const auto index : pool.services)
             count += this->services[index].queue.size();
         if (count > 0)
-            wishes.push_back({pool.name, static_cast<std::uint32_t>(
-                                                 std::min<std::size_t>(count, mostWished))});
+            wishes.push_back(
+                {pool.name, static_cast<std::uint32_t>(std::min<std::size_t>(count, mostWished))});
     }
     return wishes;
 }
--- a/packages/policy/src/dispatcher_test.cpp
+++ b/packages/policy/src/dispatcher_test.cpp
@@ -58,7 +58,8 @@
 std::uint32_t fill(Dispatcher &dispatcher, Duration deadline = 10s)
 {
     std::uint32_t grants = 0;
-    while (std::holds_alternative<Grant>(dispatcher.submit(request(1000 + grants, deadline), start)))
+    while (
+        std::holds_alternative<Grant>(dispatcher.submit(request(1000 + grants, deadline), start)))
         ++grants;
     return grants;
 }
--- a/packages/policy/src/hopeless_jobs.cpp
+++ b/packages/policy/src/hopeless_jobs.cpp
@@ -25,7 +25,7 @@
     record.last = now;
     this->order.splice(this->order.end(), this->order, record.place);
     const bool isNew =
-            std::find(record.workers.begin(), record.workers.end(), worker) == record.workers.end();
+        std::find(record.workers.begin(), record.workers.end(), worker) == record.workers.end();
     if (isNew && record.workers.size() < failuresEnough)
         record.workers.push_back(worker);
     return record.workers.size() >= failuresEnough;
@@ -44,7 +44,7 @@
 {
     const auto at = this->records.find(job);
     return at != this->records.end() && at->second.workers.size() >= failuresEnough
-            && now - at->second.last <= remembered;
+           && now - at->second.last <= remembered;
 }
 
 } // namespace sassafrasferry::policy
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -7,7 +7,8 @@
 
 Membership::Membership(std::string self, const std::vector<std::string> &peers, Duration timeout,
                        Instant now)
-    : self(std::move(self)), timeout(timeout)
+    : self(std::move(self))
+    , timeout(timeout)
 {
     for (const auto &name : peers)
         this->peers.push_back({{name, 0, 0, false}, now});
@@ -24,8 +25,8 @@
         // Frames of one incarnation can overtake each other on reconnection; a revision that has
         // been announced stays announced.
         const auto revision = state.incarnation == peer.state.incarnation
-                ? std::max(state.revision, peer.state.revision)
-                : state.revision;
+                                  ? std::max(state.revision, peer.state.revision)
+                                  : state.revision;
         peer.state = state;
         peer.state.revision = revision;
         peer.lastHeard = now;
@@ -45,11 +46,10 @@
 std::size_t Membership::silentAtOnce(Instant now) const
 {
     return static_cast<std::size_t>(
-            std::count_if(this->peers.begin(), this->peers.end(), [&](const Peer &peer) {
-                return !peer.state.leaving && this->silent(peer, now)
-                        && std::binary_search(this->view.begin(), this->view.end(),
-                                              peer.state.name);
-            }));
+        std::count_if(this->peers.begin(), this->peers.end(), [&](const Peer &peer) {
+            return !peer.state.leaving && this->silent(peer, now)
+                   && std::binary_search(this->view.begin(), this->view.end(), peer.state.name);
+        }));
 }
 
 bool Membership::cutOff(Instant now) const
--- a/packages/policy/src/membership_test.cpp
+++ b/packages/policy/src/membership_test.cpp
@@ -26,18 +26,18 @@
     // The caller sees refusals by workers if two entry VMs count on the same slots. Peers fall
     // silent one after the other or all at once; only the second looks the same as a cut.
     const auto row = GENERATE(values<Case>({
-            {"none", {}, 7, false},
-            {"one", {"b"}, 6, false},
-            {"half", {"b", "c", "d"}, 4, false},
-            {"most", {"b", "c", "d", "e"}, 7, true},
-            {"all", peers, 7, true},
+        {"none", {}, 7, false},
+        {"one", {"b"}, 6, false},
+        {"half", {"b", "c", "d"}, 4, false},
+        {"most", {"b", "c", "d", "e"}, 7, true},
+        {"all", peers, 7, true},
     }));
     INFO(row.title);
     Membership membership("a", peers, 1500ms, start);
     for (auto at = start; at <= start + 3s; at += 250ms) {
         for (const auto &name : peers) {
             const bool isSilent =
-                    std::find(row.silent.begin(), row.silent.end(), name) != row.silent.end();
+                std::find(row.silent.begin(), row.silent.end(), name) != row.silent.end();
             if (at == start || !isSilent)
                 membership.heard({name, 1, 1, false}, at);
         }
--- a/packages/policy/src/retry_budget.cpp
+++ b/packages/policy/src/retry_budget.cpp
@@ -6,9 +6,9 @@
 namespace sassafrasferry::policy {
 
 RetryBudget::RetryBudget(double ratio)
-    : ratio(ratio), tokens(ratio > 0 ? capacity : 0)
-{
-}
+    : ratio(ratio)
+    , tokens(ratio > 0 ? capacity : 0)
+{}
 
 void RetryBudget::firstAttempt()
 {
--- a/packages/policy/src/run_times.cpp
+++ b/packages/policy/src/run_times.cpp
@@ -7,8 +7,7 @@
 
 RunTimes::RunTimes(Duration declared)
     : declared(declared)
-{
-}
+{}
 
 void RunTimes::add(Duration runTime)
 {
--- a/packages/policy/src/shares.cpp
+++ b/packages/policy/src/shares.cpp
@@ -40,9 +40,8 @@
         std::vector<Weighted> weighted;
         for (const auto &entry : liveEntries)
             weighted.push_back({weightOf(worker, entry), entry});
-        std::partial_sort(
-                weighted.begin(), weighted.begin() + mostSharers, weighted.end(),
-                [](const Weighted &a, const Weighted &b) { return a.weight > b.weight; });
+        std::partial_sort(weighted.begin(), weighted.begin() + mostSharers, weighted.end(),
+                          [](const Weighted &a, const Weighted &b) { return a.weight > b.weight; });
         for (std::size_t i = 0; i < mostSharers; ++i)
             sharers.push_back(std::move(weighted[i].entry));
     }
--- a/packages/policy/src/shares_test.cpp
+++ b/packages/policy/src/shares_test.cpp
@@ -42,7 +42,8 @@
     std::map<std::string, std::uint32_t> sums;
     for (std::size_t ordinal = 0; ordinal < 10; ++ordinal) {
         for (const auto &entry : live)
-            sums[entry] += shareOf({"w" + std::to_string(ordinal), ordinal, 8, 64}, entry, live).slots;
+            sums[entry] +=
+                shareOf({"w" + std::to_string(ordinal), ordinal, 8, 64}, entry, live).slots;
     }
     for (const auto &[entry, sum] : sums) {
         CHECK(sum >= 11);
--- a/packages/policy/src/worker_choice.cpp
+++ b/packages/policy/src/worker_choice.cpp
@@ -12,12 +12,13 @@
 bool isAvoided(const Submission &request, const WorkerState &worker)
 {
     return std::find(request.avoid.begin(), request.avoid.end(), worker.spec.name)
-            != request.avoid.end();
+           != request.avoid.end();
 }
 
 bool mayTake(const WorkerState &worker, const Submission &request, Instant now)
 {
-    return !worker.isLeaving(now) && worker.health.accepts(now) && !isAvoided(request, worker);
+    return now >= worker.fullUntil && !worker.isLeaving(now) && worker.health.accepts(now)
+           && !isAvoided(request, worker);
 }
 
 RouteReason reasonOf(const WorkerState &worker, Instant now)
@@ -60,9 +61,9 @@
 }
 
 WorkerChoice::WorkerChoice(RoutingPolicy policy, std::uint64_t seed)
-    : policy(policy), random(static_cast<std::minstd_rand::result_type>(seed))
-{
-}
+    : policy(policy)
+    , random(static_cast<std::minstd_rand::result_type>(seed))
+{}
 
 Choice WorkerChoice::choose(const std::vector<WorkerState> &workers,
                             const std::vector<Index> &candidates, const Submission &request,
@@ -121,7 +122,7 @@
     for (std::size_t i = 0; i < count; ++i) {
         const auto index = candidates[(i + this->turn) % count];
         const auto &worker = workers[index];
-        const bool hasRoom = worker.inUse < worker.spec.slots && now >= worker.trialNotBefore;
+        const bool hasRoom = worker.inUse < worker.spec.slots;
         const bool isFit = worker.health.state(now) == WorkerHealth::State::Fit;
         if (hasRoom && isFit && worker.share.connections > worker.inUse
             && mayTake(worker, request, now))
@@ -131,8 +132,8 @@
 }
 
 Choice WorkerChoice::chooseBaseline(const std::vector<WorkerState> &workers,
-                                    const std::vector<Index> &candidates,
-                                    const Submission &request, Instant now)
+                                    const std::vector<Index> &candidates, const Submission &request,
+                                    Instant now)
 {
     std::vector<Index> fit;
     for (const auto index : candidates) {
--- a/packages/policy/src/worker_health.cpp
+++ b/packages/policy/src/worker_health.cpp
@@ -96,7 +96,7 @@
 bool WorkerHealth::servesWell() const
 {
     return !this->ejected && this->failureRate() <= rateLimit
-            && this->windowCount > this->consecutive;
+           && this->windowCount > this->consecutive;
 }
 
 } // namespace sassafrasferry::policy
--- /dev/null
+++ b/packages/standins/src/platform_contract_test.cpp
@@ -0,0 +1,116 @@
+// The table service's contract, kept by the stand-in over HTTP and by the client that speaks to it.
+#include <sassafrasferry/standins/platform_standin.h>
+
+#include <sassafrasferry/fakes/run.h>
+#include <sassafrasferry/platform/object_client.h>
+#include <sassafrasferry/platform/table_client.h>
+#include <sassafrasferry/platform/vm_list_client.h>
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::standins;
+using namespace std::chrono_literals;
+using http::Awaitable;
+using platform::CommitState;
+using platform::Transaction;
+
+namespace {
+
+struct Fixture
+{
+    Fixture()
+    {
+        PlatformOptions options;
+        options.listLag = 0ms;
+        this->standin.emplace(this->context.get_executor(), options);
+        this->server = std::make_shared<http::Server>(
+                std::vector<http::asio::any_io_executor>{this->context.get_executor()},
+                model::CallerLimits{},
+                [this](http::Request request, std::shared_ptr<http::Disconnect>) {
+                    return this->standin->handle(std::move(request));
+                });
+        this->endpoint = http::listenOnLoopback(*this->server);
+        this->tables.emplace(this->context.get_executor(), this->endpoint, 10s);
+    }
+
+    platform::Commit commit(const Transaction &transaction)
+    {
+        return fakes::run(this->context, this->tables->commit(transaction));
+    }
+
+    void post(const std::string &target, const http::Json &body)
+    {
+        http::Client client(this->context.get_executor(), this->endpoint, {});
+        fakes::run(this->context,
+                   client.exchange(http::jsonRequest(http::Verb::post, target, body), 10s));
+    }
+
+    http::asio::io_context context;
+    std::optional<PlatformStandin> standin;
+    std::shared_ptr<http::Server> server;
+    model::Endpoint endpoint;
+    std::optional<platform::TableClient> tables;
+};
+
+Transaction put(std::int64_t version)
+{
+    return {{{{"t", "a"}, version}}, {{{"t", "a"}, http::Json{{"n", 1}}}}, {}};
+}
+
+struct FaultCase
+{
+    std::string title;
+    http::Json faults;
+    CommitState expected;
+    std::size_t rows;
+};
+
+} // namespace
+
+TEST_CASE("a transaction happens as a whole, on its conditions")
+{
+    Fixture fixture;
+    const auto first = fixture.commit(put(platform::absent));
+    CHECK(first.state == CommitState::Committed);
+    const auto second = fixture.commit(put(platform::absent));
+    CHECK(second.state == CommitState::Conflict);
+    CHECK(second.failed == std::vector<std::size_t>{0});
+    const auto third = fixture.commit(put(first.version));
+    CHECK(third.state == CommitState::Committed);
+    CHECK(third.version > first.version);
+    const auto rows = fakes::run(fixture.context, fixture.tables->scan("t", ""));
+    REQUIRE(rows->size() == 1);
+    CHECK((*rows)[0].version == third.version);
+    CHECK(fakes::run(fixture.context, fixture.tables->scan("t", "a"))->empty());
+}
+
+TEST_CASE("each fault of the table service has its own word")
+{
+    const auto row = GENERATE(values<FaultCase>({
+            {"down", {{"down", true}}, CommitState::NotApplied, 0},
+            {"answer lost", {{"lostAnswers", 1}}, CommitState::Unknown, 1},
+            {"call lost", {{"lostCalls", 1}}, CommitState::Unknown, 0},
+            {"slow", {{"delayMs", 20}}, CommitState::Committed, 1},
+    }));
+    INFO(row.title);
+    Fixture fixture;
+    fixture.post("/standin/faults", row.faults);
+    CHECK(fixture.commit(put(platform::absent)).state == row.expected);
+    fixture.post("/standin/faults", http::Json::object());
+    CHECK(fakes::run(fixture.context, fixture.tables->scan("t", ""))->size() == row.rows);
+}
+
+TEST_CASE("objects are kept whole, and the list names the VMs that leave")
+{
+    Fixture fixture;
+    platform::ObjectClient objects(fixture.context.get_executor(), fixture.endpoint, 10s);
+    const std::string body(100000, 'x');
+    CHECK(fakes::run(fixture.context, objects.put("o", body)).ok());
+    CHECK(*fakes::run(fixture.context, objects.get("o")) == body);
+    CHECK_FALSE(fakes::run(fixture.context, objects.get("none")).ok());
+    platform::VmListClient list(fixture.context.get_executor(), fixture.endpoint, 10s);
+    CHECK(fakes::run(fixture.context, list.leaving())->empty());
+    fixture.post("/standin/vms", {{"vm", "w1"}, {"leaving", true}});
+    CHECK(*fakes::run(fixture.context, list.leaving()) == std::vector<std::string>{"w1"});
+}
--- /dev/null
+++ b/packages/standins/src/platform_main.cpp
@@ -0,0 +1,57 @@
+// standin-platform: the platform stand-in as a process.
+#include <sassafrasferry/standins/platform_standin.h>
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+constexpr const char *usage = R"(standin-platform: a stand-in for the platform.
+
+Usage:
+  standin-platform --listen ENDPOINT [--writes-per-second N] [--reads-per-second N]
+                   [--list-lag-ms N]
+
+Options:
+  --listen ENDPOINT        IP number and port.
+  --writes-per-second N    Transactions it takes [default: 400].
+  --reads-per-second N     Reads it takes [default: 2000].
+  --list-lag-ms N          How late its list of VMs is [default: 2000].
+)";
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    using namespace sassafrasferry;
+    auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const auto endpoint = model::parseEndpoint(arguments["--listen"].asString());
+    if (!endpoint) {
+        std::cerr << usage;
+        return 2;
+    }
+    standins::PlatformOptions options;
+    options.writesPerSecond = std::stod(arguments["--writes-per-second"].asString());
+    options.readsPerSecond = std::stod(arguments["--reads-per-second"].asString());
+    options.listLag = std::chrono::milliseconds(arguments["--list-lag-ms"].asLong());
+    http::asio::io_context context(1);
+    standins::PlatformStandin standin(context.get_executor(), options);
+    model::CallerLimits limits;
+    limits.bodyBytes = 64LL * 1024 * 1024;
+    auto server = std::make_shared<http::Server>(
+            std::vector<http::asio::any_io_executor>{context.get_executor()}, limits,
+            [&](http::Request request, std::shared_ptr<http::Disconnect>) {
+                return standin.handle(std::move(request));
+            });
+    const auto status = server->listen(*endpoint);
+    if (!status.ok()) {
+        std::cerr << status << "\n";
+        return 4;
+    }
+    http::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](auto, auto) { context.stop(); });
+    context.run();
+    return 0;
+}
--- /dev/null
+++ b/packages/standins/src/platform_standin.cpp
@@ -0,0 +1,160 @@
+// The platform stand-in.
+#include <sassafrasferry/standins/platform_standin.h>
+
+namespace sassafrasferry::standins {
+
+namespace {
+
+namespace asio = boost::asio;
+using http::Json;
+using http::Status;
+using http::Verb;
+using platform::CommitState;
+
+const std::string objectsPath = "/v1/objects/";
+
+http::Response rowsResponse(const std::vector<platform::Row> &rows)
+{
+    auto list = Json::array();
+    for (const auto &row : rows)
+        list.push_back(platform::toJson(row));
+    return http::jsonResponse(Status::ok, {{"rows", std::move(list)}});
+}
+
+} // namespace
+
+PlatformStandin::PlatformStandin(asio::any_io_executor executor, PlatformOptions options)
+    : executor(std::move(executor)), options(options)
+{
+}
+
+Awaitable<void> PlatformStandin::waitUntil(Clock::time_point at)
+{
+    asio::steady_timer timer(this->executor, at);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+Awaitable<void> PlatformStandin::pace(Pace &pace, double perSecond)
+{
+    const auto step = std::chrono::duration_cast<Clock::duration>(
+            std::chrono::duration<double>(1.0 / perSecond));
+    const auto at = std::max(Clock::now(), pace.next);
+    pace.next = at + step;
+    if (at > Clock::now())
+        co_await this->waitUntil(at);
+    if (this->delay.count() > 0)
+        co_await this->waitUntil(Clock::now() + this->delay);
+}
+
+Awaitable<http::Response> PlatformStandin::handle(http::Request request)
+{
+    const std::string target(request.target());
+    if (target == "/standin/faults")
+        co_return this->setFaults(request);
+    if (target == "/standin/vms")
+        co_return this->setVm(request);
+    if (this->tables.faults.down)
+        co_return http::textResponse(Status::service_unavailable, "down\n");
+    try {
+        if (target == "/v1/transactions") {
+            co_await this->pace(this->writes, this->options.writesPerSecond);
+            auto response = co_await this->transact(std::move(request));
+            co_return response;
+        }
+        co_await this->pace(this->reads, this->options.readsPerSecond);
+        if (target == "/v1/reads")
+            co_return this->read(request);
+        if (target == "/v1/scans")
+            co_return this->scan(request);
+        if (target == "/v1/vms?state=leaving")
+            co_return this->list();
+        if (target.rfind(objectsPath, 0) == 0)
+            co_return this->objects(target.substr(objectsPath.size()), request);
+    } catch (const Json::exception &error) {
+        co_return http::textResponse(Status::bad_request, error.what());
+    }
+    co_return http::textResponse(Status::not_found, "no such page\n");
+}
+
+Awaitable<http::Response> PlatformStandin::transact(http::Request request)
+{
+    const auto commit = co_await this->tables.commit(
+            platform::transactionFrom(Json::parse(request.body())));
+    switch (commit.state) {
+    case CommitState::Committed:
+        co_return http::jsonResponse(Status::ok, {{"version", commit.version}});
+    case CommitState::Conflict:
+        co_return http::jsonResponse(Status::conflict, {{"failed", commit.failed}});
+    case CommitState::NotApplied:
+        co_return http::textResponse(Status::service_unavailable, "down\n");
+    case CommitState::Unknown:
+        break;
+    }
+    co_return http::textResponse(Status::gateway_timeout, "no answer\n");
+}
+
+http::Response PlatformStandin::read(const http::Request &request)
+{
+    std::vector<platform::RowKey> keys;
+    const auto body = Json::parse(request.body());
+    for (const auto &key : body.at("keys"))
+        keys.push_back(platform::rowKeyFrom(key));
+    return rowsResponse(this->tables.readNow(keys));
+}
+
+http::Response PlatformStandin::scan(const http::Request &request)
+{
+    const auto body = Json::parse(request.body());
+    return rowsResponse(this->tables.scanNow(body.at("table").get<std::string>(),
+                                             body.at("after").get<std::string>()));
+}
+
+http::Response PlatformStandin::objects(const std::string &name, const http::Request &request)
+{
+    if (request.method() == Verb::put) {
+        this->stored[name] = request.body();
+        return http::textResponse(Status::ok, "");
+    }
+    const auto at = this->stored.find(name);
+    if (at == this->stored.end())
+        return http::textResponse(Status::not_found, "");
+    return http::textResponse(Status::ok, at->second);
+}
+
+http::Response PlatformStandin::list()
+{
+    while (!this->listChanges.empty() && this->listChanges.front().visibleAt <= Clock::now()) {
+        const auto &change = this->listChanges.front();
+        if (change.isLeaving)
+            this->leaving.insert(change.vm);
+        else
+            this->leaving.erase(change.vm);
+        this->listChanges.pop_front();
+    }
+    return http::jsonResponse(Status::ok, {{"leaving", this->leaving}});
+}
+
+http::Response PlatformStandin::setFaults(const http::Request &request)
+{
+    const auto body = http::parseJson(request.body());
+    if (!body.is_object())
+        return http::textResponse(Status::bad_request, "not an object\n");
+    auto &faults = this->tables.faults;
+    faults.down = body.value("down", false);
+    faults.lostAnswers = body.value("lostAnswers", std::size_t{0});
+    faults.lostCalls = body.value("lostCalls", std::size_t{0});
+    this->delay = std::chrono::milliseconds(body.value("delayMs", 0));
+    return http::textResponse(Status::ok, "");
+}
+
+http::Response PlatformStandin::setVm(const http::Request &request)
+{
+    const auto body = http::parseJson(request.body());
+    if (!body.is_object() || !body.contains("vm"))
+        return http::textResponse(Status::bad_request, "needs vm\n");
+    this->listChanges.push_back({Clock::now() + this->options.listLag,
+                                 body["vm"].get<std::string>(), body.value("leaving", true)});
+    return http::textResponse(Status::ok, "");
+}
+
+} // namespace sassafrasferry::standins
--- /dev/null
+++ b/packages/standins/src/worker_standin.cpp
@@ -0,0 +1,272 @@
+// The worker stand-in.
+#include <sassafrasferry/standins/worker_standin.h>
+
+#include <sassafrasferry/http/json.h>
+
+namespace sassafrasferry::standins {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using http::Awaitable;
+using http::Json;
+using http::Request;
+using http::Response;
+using http::Status;
+using http::Tcp;
+
+const std::string runsPath = "/runs/";
+const std::string runTimeParameter = "run-ms=";
+
+std::int64_t unixNow()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+std::chrono::milliseconds runTimeOf(const Request &request, std::chrono::milliseconds usual)
+{
+    const std::string target(request.target());
+    const auto at = target.find(runTimeParameter);
+    if (at == std::string::npos)
+        return usual;
+    return std::chrono::milliseconds(
+            std::strtoll(target.c_str() + at + runTimeParameter.size(), nullptr, 10));
+}
+
+} // namespace
+
+struct WorkerStandin::Session
+{
+    explicit Session(Tcp::socket socket)
+        : socket(std::move(socket)), timer(this->socket.get_executor())
+    {
+    }
+
+    Tcp::socket socket;
+    asio::steady_timer timer; // of the run; cancelled if the caller goes
+    bool callerGone = false;
+    bool mustBreak = false; // send half of the answer and close
+    bool mustRepeat = false; // send the answer twice
+    bool mustSilence = false; // never answer
+};
+
+WorkerStandin::WorkerStandin(asio::io_context &context, WorkerOptions options)
+    : context(context), options(std::move(options)), acceptor(context), startedAt(unixNow())
+{
+}
+
+model::Endpoint WorkerStandin::listen(const model::Endpoint &endpoint)
+{
+    beast::error_code error;
+    const Tcp::endpoint local(asio::ip::make_address(endpoint.host), endpoint.port);
+    this->acceptor.open(local.protocol());
+    this->acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    this->acceptor.bind(local, error);
+    if (error)
+        return {endpoint.host, 0};
+    this->acceptor.listen();
+    asio::co_spawn(
+            this->context, [self = this->shared_from_this()] { return self->acceptLoop(); },
+            asio::detached);
+    return {endpoint.host, this->acceptor.local_endpoint().port()};
+}
+
+const std::map<std::string, RunRecord> &WorkerStandin::runs() const
+{
+    return this->records;
+}
+
+std::size_t WorkerStandin::busy() const
+{
+    return this->busySlots;
+}
+
+std::size_t WorkerStandin::mostBusy() const
+{
+    return this->busyHighest;
+}
+
+std::size_t WorkerStandin::refusals() const
+{
+    return this->refused;
+}
+
+Awaitable<void> WorkerStandin::acceptLoop()
+{
+    for (;;) {
+        beast::error_code error;
+        auto socket = co_await this->acceptor.async_accept(
+                asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return;
+        if (this->openSessions >= this->options.connections)
+            continue; // closes it
+        socket.set_option(Tcp::no_delay(true), error);
+        auto session = std::make_shared<Session>(std::move(socket));
+        asio::co_spawn(
+                this->context,
+                [self = this->shared_from_this(), session]() -> Awaitable<void> {
+                    ++self->openSessions;
+                    co_await self->serve(session);
+                    --self->openSessions;
+                },
+                asio::detached);
+    }
+}
+
+Awaitable<void> WorkerStandin::serve(std::shared_ptr<Session> session)
+{
+    beast::flat_buffer buffer;
+    beast::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    for (;;) {
+        Request request;
+        co_await beast::http::async_read(session->socket, buffer, request, token);
+        if (error)
+            co_return;
+        auto response = co_await this->handle(session, request);
+        if (session->callerGone || session->mustSilence)
+            co_return;
+        response.version(11);
+        response.prepare_payload();
+        if (session->mustBreak) {
+            std::ostringstream text;
+            text << response;
+            const auto whole = text.str();
+            co_await asio::async_write(session->socket,
+                                       asio::buffer(whole.data(), whole.size() - 1), token);
+            co_return;
+        }
+        const int times = session->mustRepeat ? 2 : 1;
+        for (int i = 0; i < times && !error; ++i)
+            co_await beast::http::async_write(session->socket, response, token);
+        if (error)
+            co_return;
+    }
+}
+
+Awaitable<Response> WorkerStandin::handle(std::shared_ptr<Session> session, const Request &request)
+{
+    const std::string target(request.target());
+    if (target == "/standin/faults")
+        co_return this->setFaults(request);
+    if (target == "/standin/runs")
+        co_return this->tellAll();
+    if (target.rfind(runsPath, 0) == 0)
+        co_return this->tellRun(target.substr(runsPath.size()));
+    auto response = co_await this->run(session, request);
+    this->addClock(response);
+    co_return response;
+}
+
+Response WorkerStandin::refusal(const char *why, bool isLeaving)
+{
+    ++this->refused;
+    auto response = http::textResponse(Status::service_unavailable, std::string(why) + "\n");
+    response.set(http::header::outcome, "not-run");
+    if (isLeaving)
+        response.set(http::header::leaving, "true");
+    return response;
+}
+
+Awaitable<Response> WorkerStandin::run(std::shared_ptr<Session> session, const Request &request)
+{
+    const auto operation = http::fieldOf(request, http::header::operationId);
+    const auto deadline = http::fieldOf(request, http::header::startDeadline);
+    if (this->faults.leaving)
+        co_return this->refusal("leaving", true);
+    if (this->faults.refuse || this->busySlots >= this->options.slots)
+        co_return this->refusal("full", false);
+    if (!deadline.empty() && unixNow() > std::strtoll(deadline.c_str(), nullptr, 10))
+        co_return this->refusal("too late to start", false);
+    auto &record = this->records[operation];
+    record.idempotencyKey = http::fieldOf(request, http::header::idempotencyKey);
+    ++this->busySlots;
+    this->busyHighest = std::max(this->busyHighest, this->busySlots);
+    if (!this->faults.fail) {
+        // A run without an idempotency key ends when its caller goes.
+        auto isWatching = std::make_shared<bool>(record.idempotencyKey.empty());
+        session->socket.async_wait(Tcp::socket::wait_read,
+                                   [session, isWatching](const beast::error_code &waitError) {
+                                       if (waitError || !*isWatching)
+                                           return;
+                                       session->callerGone = true;
+                                       session->timer.cancel();
+                                   });
+        beast::error_code ignored;
+        session->timer.expires_after(runTimeOf(request, this->options.runTime));
+        co_await session->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        *isWatching = false;
+        session->socket.cancel(ignored);
+    }
+    --this->busySlots;
+    record.isDone = true;
+    record.status = this->faults.fail ? 500 : 200;
+    const Json body{{"worker", this->options.name}, {"operation", operation},
+                    {"echo", request.body()}};
+    record.body = this->faults.fail ? "failed\n" : body.dump();
+    session->mustBreak = this->faults.half;
+    session->mustRepeat = this->faults.twice;
+    session->mustSilence = this->faults.silent;
+    auto response = http::textResponse(static_cast<Status>(record.status), record.body);
+    response.set(http::Field::content_type, "application/json");
+    co_return response;
+}
+
+void WorkerStandin::addClock(Response &response) const
+{
+    response.set(http::header::startedAt, std::to_string(this->startedAt));
+    response.set(http::header::clockNow, std::to_string(unixNow()));
+}
+
+Response WorkerStandin::tellRun(const std::string &operationId)
+{
+    const auto at = this->records.find(operationId);
+    Response response;
+    if (at == this->records.end()) {
+        response = http::textResponse(Status::not_found, "");
+        response.set("Run-State", "never-seen");
+    } else if (!at->second.isDone) {
+        response = http::textResponse(Status::accepted, "");
+        response.set("Run-State", "running");
+    } else {
+        response = http::textResponse(Status::ok, at->second.body);
+        response.set(http::Field::content_type, "application/json");
+        response.set("Run-State", "done");
+        response.set("Run-Status", std::to_string(at->second.status));
+    }
+    this->addClock(response);
+    return response;
+}
+
+Response WorkerStandin::tellAll()
+{
+    auto list = Json::array();
+    for (const auto &[operation, record] : this->records)
+        list.push_back({{"operation", operation},
+                        {"key", record.idempotencyKey},
+                        {"done", record.isDone}});
+    return http::jsonResponse(Status::ok, {{"worker", this->options.name},
+                                           {"busy", this->busySlots},
+                                           {"mostBusy", this->busyHighest},
+                                           {"refused", this->refused},
+                                           {"runs", list}});
+}
+
+Response WorkerStandin::setFaults(const Request &request)
+{
+    const auto body = http::parseJson(request.body());
+    if (!body.is_object())
+        return http::textResponse(Status::bad_request, "not an object\n");
+    this->faults.fail = body.value("fail", false);
+    this->faults.half = body.value("half", false);
+    this->faults.twice = body.value("twice", false);
+    this->faults.silent = body.value("silent", false);
+    this->faults.leaving = body.value("leaving", false);
+    this->faults.refuse = body.value("refuse", false);
+    return http::textResponse(Status::ok, "");
+}
+
+} // namespace sassafrasferry::standins
