--- a/packages/cli/src/admin_client.cpp
+++ b/packages/cli/src/admin_client.cpp
@@ -21,12 +21,12 @@
     http::Client client(context.get_executor(), endpoint, {});
     http::Exchange result;
     http::asio::co_spawn(
-            context,
-            [&]() -> http::Awaitable<void> {
-                result = co_await client.exchange(request, timeout);
-                context.stop();
-            },
-            http::asio::detached);
+        context,
+        [&]() -> http::Awaitable<void> {
+            result = co_await client.exchange(request, timeout);
+            context.stop();
+        },
+        http::asio::detached);
     context.run();
     return result;
 }
@@ -61,8 +61,7 @@
 
 AdminClient::AdminClient(std::vector<model::Endpoint> endpoints)
     : endpoints(std::move(endpoints))
-{
-}
+{}
 
 absl::StatusOr<AdminAnswer> AdminClient::get(const std::string &target)
 {
@@ -96,7 +95,7 @@
     std::string lastError;
     for (const auto &endpoint : this->endpoints) {
         const auto result =
-                exchangeOnce(endpoint, http::jsonRequest(http::Verb::post, target, body));
+            exchangeOnce(endpoint, http::jsonRequest(http::Verb::post, target, body));
         if (result.state == http::ExchangeState::Answered)
             return answerOf(result);
         if (result.state == http::ExchangeState::Broken)
--- a/packages/cli/src/document_commands.cpp
+++ b/packages/cli/src/document_commands.cpp
@@ -178,11 +178,11 @@
     if (!findings.empty())
         return exit_code::refused;
     const auto operationId = newOperationId();
-    const auto answer = client.post("/v1/sections/" + options.section,
-                                    {{"text", file.text},
-                                     {"baseRevision", file.baseRevision},
-                                     {"operationId", operationId},
-                                     {"token", options.token}});
+    const auto answer =
+        client.post("/v1/sections/" + options.section, {{"text", file.text},
+                                                        {"baseRevision", file.baseRevision},
+                                                        {"operationId", operationId},
+                                                        {"token", options.token}});
     if (!answer.ok() && !absl::IsUnknown(answer.status()))
         return report(answer.status());
     std::int64_t revision = 0;
@@ -223,7 +223,7 @@
             return report(answer.status());
         const auto &body = answer->body;
         std::map<std::string, std::int64_t> revisions{
-                {body.value("entry", ""), body.value("revision", std::int64_t{0})}};
+            {body.value("entry", ""), body.value("revision", std::int64_t{0})}};
         for (const auto &peer : body["peers"])
             revisions[peer.value("name", "")] = peer.value("revision", std::int64_t{0});
         const std::vector<std::string> live = body["live"];
--- a/packages/cli/src/fleet_commands.cpp
+++ b/packages/cli/src/fleet_commands.cpp
@@ -44,8 +44,8 @@
     for (const auto &pool : body["pools"])
         std::cout << "pool " << std::left << std::setw(nameWidth) << pool.value("name", "")
                   << " waiting " << pool.value("waiting", 0) << ", slots in use "
-                  << pool.value("inUse", 0) << " of " << pool.value("allowed", 0)
-                  << " here and " << pool.value("slots", 0) << " in all\n";
+                  << pool.value("inUse", 0) << " of " << pool.value("allowed", 0) << " here and "
+                  << pool.value("slots", 0) << " in all\n";
     return exit_code::ok;
 }
 
--- a/packages/cli/src/line_diff.cpp
+++ b/packages/cli/src/line_diff.cpp
@@ -28,8 +28,8 @@
     Table table(a.size() + 1, std::vector<std::size_t>(b.size() + 1, 0));
     for (std::size_t i = a.size(); i-- > 0;) {
         for (std::size_t j = b.size(); j-- > 0;)
-            table[i][j] = a[i] == b[j] ? table[i + 1][j + 1] + 1
-                                       : std::max(table[i + 1][j], table[i][j + 1]);
+            table[i][j] =
+                a[i] == b[j] ? table[i + 1][j + 1] + 1 : std::max(table[i + 1][j], table[i][j + 1]);
     }
     return table;
 }
--- a/packages/cli/src/line_diff_test.cpp
+++ b/packages/cli/src/line_diff_test.cpp
@@ -19,11 +19,11 @@
 TEST_CASE("the difference names what went and what came")
 {
     const auto row = GENERATE(values<Case>({
-            {"a\nb\n", "a\nb\n", ""},
-            {"a\nb\nc\n", "a\nc\n", "-b\n"},
-            {"a\nc\n", "a\nb\nc\n", "+b\n"},
-            {"a\nb\n", "a\nx\n", "-b\n+x\n"},
-            {"", "a\n", "+a\n"},
+        {"a\nb\n", "a\nb\n", ""},
+        {"a\nb\nc\n", "a\nc\n", "-b\n"},
+        {"a\nc\n", "a\nb\nc\n", "+b\n"},
+        {"a\nb\n", "a\nx\n", "-b\n+x\n"},
+        {"", "a\n", "+a\n"},
     }));
     CHECK(lineDiff(row.before, row.after) == row.diff);
 }
--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -51,14 +51,16 @@
 
 int run(std::map<std::string, docopt::value> &arguments)
 {
-    const auto is = [&](const char *name) { return arguments[name].asBool(); };
+    const auto is = [&](const char *name) {
+        return arguments[name].asBool();
+    };
     const auto text = [&](const char *name) {
         return arguments[name] ? arguments[name].asString() : std::string();
     };
     if (is("check"))
         return cli::checkFile(text("FILE"));
     const auto list =
-            arguments["--admin"] ? text("--admin") : fromEnvironment("SASSAFRASFERRY_ADMIN");
+        arguments["--admin"] ? text("--admin") : fromEnvironment("SASSAFRASFERRY_ADMIN");
     const auto endpoints = cli::parseEndpoints(list);
     if (endpoints.empty()) {
         std::cerr << "--admin or SASSAFRASFERRY_ADMIN must name addresses, as in "
--- a/packages/cli/src/section_file_test.cpp
+++ b/packages/cli/src/section_file_test.cpp
@@ -11,7 +11,7 @@
     const std::string text = "# ours\n[sections.billing]\nteam = \"bill\" # us\n";
     model::Findings findings;
     const auto file =
-            readSectionFile("billing", writeSectionFile("billing", {text, 7}), "f", findings);
+        readSectionFile("billing", writeSectionFile("billing", {text, 7}), "f", findings);
     CHECK(findings.empty());
     CHECK(file.baseRevision == 7);
     CHECK(file.text == text);
@@ -20,8 +20,8 @@
 TEST_CASE("of a whole document only the section's own part is taken")
 {
     model::Findings findings;
-    const auto file = readSectionFile("b", "[sections.a]\nteam = \"x\"\n[sections.b]\nteam = \"y\"\n",
-                                      "f", findings);
+    const auto file = readSectionFile(
+        "b", "[sections.a]\nteam = \"x\"\n[sections.b]\nteam = \"y\"\n", "f", findings);
     CHECK(findings.empty());
     CHECK(file.baseRevision == 0);
     CHECK(file.text == "[sections.b]\nteam = \"y\"\n");
--- a/packages/entry/src/connection/traffic_environment.cpp
+++ b/packages/entry/src/connection/traffic_environment.cpp
@@ -60,7 +60,7 @@
     }
     const auto &response = exchange.response;
     const bool isRefusal = response.result() == http::Status::service_unavailable
-            && http::fieldOf(response, http::header::outcome) == "not-run";
+                           && http::fieldOf(response, http::header::outcome) == "not-run";
     if (isRefusal) {
         const bool isLeaving = http::fieldOf(response, http::header::leaving) == "true";
         result.state = isLeaving ? SendState::Leaving : SendState::Refused;
@@ -85,13 +85,11 @@
     auto &response = exchange.response;
     word.workerStartedAt = millisecondsField(response, http::header::startedAt);
     word.workerNow = millisecondsField(response, http::header::clockNow);
-    const auto state =
-            model::valueOf<policy::RunState>(http::fieldOf(response, "Run-State"));
+    const auto state = model::valueOf<policy::RunState>(http::fieldOf(response, "Run-State"));
     word.state = state.value_or(policy::RunState::Unreachable);
     if (word.state == policy::RunState::Done) {
         word.answer = storedAnswer(response);
-        word.answer.status =
-                static_cast<int>(millisecondsField(response, "Run-Status"));
+        word.answer.status = static_cast<int>(millisecondsField(response, "Run-Status"));
     }
     return word;
 }
@@ -100,9 +98,10 @@
 
 TrafficEnvironment::TrafficEnvironment(asio::any_io_executor executor, ProcessParts &parts,
                                        std::size_t idleConnections)
-    : ownExecutor(executor), parts(parts), upstreams(executor, idleConnections)
-{
-}
+    : ownExecutor(executor)
+    , parts(parts)
+    , upstreams(executor, idleConnections)
+{}
 
 policy::Instant TrafficEnvironment::now() const
 {
@@ -150,9 +149,8 @@
 void TrafficEnvironment::finish(const policy::RunReport &report)
 {
     this->parts.metrics.sent(report.result);
-    this->parts.dispatcher.change([&](policy::Dispatcher &dispatcher) {
-        return dispatcher.finish(report, this->now());
-    });
+    this->parts.dispatcher.change(
+        [&](policy::Dispatcher &dispatcher) { return dispatcher.finish(report, this->now()); });
 }
 
 bool TrafficEnvironment::jobFailed(policy::JobFingerprint job, policy::Index worker)
@@ -165,13 +163,13 @@
 bool TrafficEnvironment::takeRetry(const std::string &service)
 {
     return this->parts.dispatcher.locked(
-            [&](policy::Dispatcher &dispatcher) { return dispatcher.takeRetry(service); });
+        [&](policy::Dispatcher &dispatcher) { return dispatcher.takeRetry(service); });
 }
 
 policy::Duration TrafficEnvironment::retryAfter(const std::string &service)
 {
     return this->parts.dispatcher.locked(
-            [&](policy::Dispatcher &dispatcher) { return dispatcher.retryAfter(service); });
+        [&](policy::Dispatcher &dispatcher) { return dispatcher.retryAfter(service); });
 }
 
 Awaitable<SendResult> TrafficEnvironment::send(const policy::Grant &grant,
@@ -192,7 +190,7 @@
     cancellation.whenRequested([abort] { abort->abort(); });
     auto message = upstreamRequest(request, options);
     auto exchange = co_await this->upstreams.client(grant.address)
-                            .exchange(std::move(message), options.timeout, abort);
+                        .exchange(std::move(message), options.timeout, abort);
     cancellation.whenRequested(nullptr);
     auto result = sendResult(exchange, abort->aborted());
     if (result.state != SendState::Answered)
@@ -212,7 +210,7 @@
         co_return policy::WorkerWord{};
     http::Request message{http::Verb::get, "/runs/" + operationId, 11};
     auto exchange =
-            co_await this->upstreams.client(*endpoint).exchange(std::move(message), askTimeout);
+        co_await this->upstreams.client(*endpoint).exchange(std::move(message), askTimeout);
     auto word = workerWord(exchange);
     this->parts.log.write({"ask-worker",
                            "",
@@ -260,18 +258,17 @@
     left.claim = std::move(claim);
     left.version = version;
     asio::co_spawn(
-            this->ownExecutor,
-            [this, left = std::move(left), leftOver]() -> Awaitable<void> {
-                const bool isDone =
-                        co_await finishLeftOver(*this, left, leftOver, leftOverRounds);
-                this->parts.log.write({"claim-left-over",
-                                       "",
-                                       {{"operation", left.claim.operationId},
-                                        {"worker", left.claim.worker},
-                                        {"settled", isDone ? "yes" : "no"}}});
-                --this->parts.leftOvers;
-            },
-            asio::detached);
+        this->ownExecutor,
+        [this, left = std::move(left), leftOver]() -> Awaitable<void> {
+            const bool isDone = co_await finishLeftOver(*this, left, leftOver, leftOverRounds);
+            this->parts.log.write({"claim-left-over",
+                                   "",
+                                   {{"operation", left.claim.operationId},
+                                    {"worker", left.claim.worker},
+                                    {"settled", isDone ? "yes" : "no"}}});
+            --this->parts.leftOvers;
+        },
+        asio::detached);
 }
 
 ProcessParts &TrafficEnvironment::process()
--- a/packages/entry/src/connection/upstream_pool.cpp
+++ b/packages/entry/src/connection/upstream_pool.cpp
@@ -4,9 +4,9 @@
 namespace sassafrasferry::entry {
 
 UpstreamPool::UpstreamPool(http::asio::any_io_executor executor, std::size_t idleConnections)
-    : executor(std::move(executor)), idleConnections(idleConnections)
-{
-}
+    : executor(std::move(executor))
+    , idleConnections(idleConnections)
+{}
 
 http::Client &UpstreamPool::client(const model::Endpoint &endpoint)
 {
--- a/packages/entry/src/process/admin_api.cpp
+++ b/packages/entry/src/process/admin_api.cpp
@@ -95,9 +95,11 @@
 
 AdminApi::AdminApi(const model::Settings &settings, ProcessParts &parts, VersionHolder &versions,
                    Control &control)
-    : settings(settings), parts(parts), versions(versions), control(control)
-{
-}
+    : settings(settings)
+    , parts(parts)
+    , versions(versions)
+    , control(control)
+{}
 
 Awaitable<http::Response> AdminApi::handle(http::Request request)
 {
@@ -150,28 +152,26 @@
         return Reading{name, help, "", "", value, true};
     };
     std::vector<Reading> readings{
-            gauge("sassafrasferry_revision", "Document revision in force.",
-                  static_cast<double>(this->versions.current()->texts.revision)),
-            gauge("sassafrasferry_resident_bytes", "Resident memory of the process.",
-                  residentBytes()),
-            counter("sassafrasferry_control_cpu_seconds_total",
-                    "Processor time of the control thread.",
-                    processorSeconds(CLOCK_THREAD_CPUTIME_ID)),
-            counter("sassafrasferry_cpu_seconds_total", "Processor time of the process.",
-                    processorSeconds(CLOCK_PROCESS_CPUTIME_ID)),
-            counter("sassafrasferry_peer_sent_bytes_total", "Bytes of messages sent to peers.",
-                    static_cast<double>(link.sent().bytes)),
-            counter("sassafrasferry_peer_sent_messages_total", "Messages sent to peers.",
-                    static_cast<double>(link.sent().messages)),
-            counter("sassafrasferry_peer_received_bytes_total",
-                    "Bytes of messages received from peers.",
-                    static_cast<double>(link.received().bytes)),
-            counter("sassafrasferry_claim_transactions_total",
-                    "Store transactions that carried claims.",
-                    static_cast<double>(this->parts.store.transactions())),
-            gauge("sassafrasferry_claims_left_over",
-                  "Claims being finished after their request was answered.",
-                  static_cast<double>(this->parts.leftOvers))};
+        gauge("sassafrasferry_revision", "Document revision in force.",
+              static_cast<double>(this->versions.current()->texts.revision)),
+        gauge("sassafrasferry_resident_bytes", "Resident memory of the process.", residentBytes()),
+        counter("sassafrasferry_control_cpu_seconds_total", "Processor time of the control thread.",
+                processorSeconds(CLOCK_THREAD_CPUTIME_ID)),
+        counter("sassafrasferry_cpu_seconds_total", "Processor time of the process.",
+                processorSeconds(CLOCK_PROCESS_CPUTIME_ID)),
+        counter("sassafrasferry_peer_sent_bytes_total", "Bytes of messages sent to peers.",
+                static_cast<double>(link.sent().bytes)),
+        counter("sassafrasferry_peer_sent_messages_total", "Messages sent to peers.",
+                static_cast<double>(link.sent().messages)),
+        counter("sassafrasferry_peer_received_bytes_total",
+                "Bytes of messages received from peers.",
+                static_cast<double>(link.received().bytes)),
+        counter("sassafrasferry_claim_transactions_total",
+                "Store transactions that carried claims.",
+                static_cast<double>(this->parts.store.transactions())),
+        gauge("sassafrasferry_claims_left_over",
+              "Claims being finished after their request was answered.",
+              static_cast<double>(this->parts.leftOvers))};
     const auto pools = this->parts.dispatcher.locked([](policy::Dispatcher &dispatcher) {
         return dispatcher.poolStatus(std::chrono::steady_clock::now());
     });
@@ -202,7 +202,7 @@
     });
     auto pools = Json::array();
     const auto poolStatus = this->parts.dispatcher.locked(
-            [&](policy::Dispatcher &dispatcher) { return dispatcher.poolStatus(now); });
+        [&](policy::Dispatcher &dispatcher) { return dispatcher.poolStatus(now); });
     for (const auto &pool : poolStatus)
         pools.push_back({{"name", pool.name},
                          {"waiting", pool.waiting},
@@ -210,21 +210,20 @@
                          {"allowed", pool.allowed},
                          {"slots", pool.slots}});
     const auto health = this->control.health();
-    return http::jsonResponse(Status::ok,
-                              {{"entry", this->settings.name},
-                               {"incarnation", this->parts.incarnation},
-                               {"version", SASSAFRASFERRY_VERSION},
-                               {"dataCentre", this->settings.dataCentre},
-                               {"revision", this->versions.current()->texts.revision},
-                               {"healthy", health.isHealthy},
-                               {"health", health.reason},
-                               {"storeReachable", this->control.storeReachable()},
-                               {"holdsLease", this->control.holdsLease()},
-                               {"leaseEpoch", this->control.leaseEpoch()},
-                               {"live", live},
-                               {"cutOff", isCutOff},
-                               {"peers", peers},
-                               {"pools", pools}});
+    return http::jsonResponse(Status::ok, {{"entry", this->settings.name},
+                                           {"incarnation", this->parts.incarnation},
+                                           {"version", SASSAFRASFERRY_VERSION},
+                                           {"dataCentre", this->settings.dataCentre},
+                                           {"revision", this->versions.current()->texts.revision},
+                                           {"healthy", health.isHealthy},
+                                           {"health", health.reason},
+                                           {"storeReachable", this->control.storeReachable()},
+                                           {"holdsLease", this->control.holdsLease()},
+                                           {"leaseEpoch", this->control.leaseEpoch()},
+                                           {"live", live},
+                                           {"cutOff", isCutOff},
+                                           {"peers", peers},
+                                           {"pools", pools}});
 }
 
 http::Response AdminApi::upstreams() const
@@ -270,8 +269,7 @@
     if (!section)
         return http::jsonResponse(Status::not_found, {{"name", name}, {"revision", 0}});
     return http::jsonResponse(
-            Status::ok,
-            {{"name", name}, {"revision", section->revision}, {"text", section->text}});
+        Status::ok, {{"name", name}, {"revision", section->revision}, {"text", section->text}});
 }
 
 Awaitable<http::Response> AdminApi::apply(std::string section, http::Request request)
--- a/packages/entry/src/process/control.cpp
+++ b/packages/entry/src/process/control.cpp
@@ -40,18 +40,17 @@
     , list(context.get_executor(), settings.platform, settings.control.storeTimeout)
     , lease(parts.store.tables(), parts.incarnationName, {})
     , documentTimer(context)
-{
-}
+{}
 
 void Control::spawn(Awaitable<void> (Control::*loop)())
 {
     asio::co_spawn(
-            this->context, [this, loop] { return (this->*loop)(); }, asio::detached);
+        this->context, [this, loop] { return (this->*loop)(); }, asio::detached);
 }
 
 absl::Status Control::start()
 {
-    const auto status = this->peers.open(this->settings.peer);
+    auto status = this->peers.open(this->settings.peer);
     if (!status.ok())
         return status;
     this->parts.dispatcher.onNews([this](const policy::LeavingNews &news) {
@@ -130,7 +129,7 @@
     for (;;) {
         this->sendHeartbeat();
         const auto live = this->parts.membership.locked(
-                [](policy::Membership &membership) { return membership.live(now()); });
+            [](policy::Membership &membership) { return membership.live(now()); });
         if (live != known) {
             std::string names;
             for (const auto &name : live)
@@ -138,9 +137,8 @@
             this->parts.log.write({"membership", "", {{"live", names}}});
             known = live;
         }
-        this->parts.dispatcher.change([&](policy::Dispatcher &dispatcher) {
-            return dispatcher.setLive(live, now());
-        });
+        this->parts.dispatcher.change(
+            [&](policy::Dispatcher &dispatcher) { return dispatcher.setLive(live, now()); });
         co_await sleepFor(timer, this->settings.control.heartbeat);
     }
 }
@@ -182,7 +180,7 @@
     envelope.mutable_document_request()->set_have_revision(current->texts.revision);
     for (const auto &peer : this->settings.peers) {
         const auto state = this->parts.membership.locked(
-                [&](policy::Membership &membership) { return membership.peer(peer.name); });
+            [&](policy::Membership &membership) { return membership.peer(peer.name); });
         if (state && state->revision > current->texts.revision
             && this->peers.send(peer.name, envelope))
             break;
@@ -260,7 +258,7 @@
     asio::steady_timer timer(this->context);
     for (;;) {
         this->parts.dispatcher.change(
-                [](policy::Dispatcher &dispatcher) { return dispatcher.tick(now()); });
+            [](policy::Dispatcher &dispatcher) { return dispatcher.tick(now()); });
         this->askForLoans();
         co_await sleepFor(timer, dispatchPeriod);
     }
@@ -271,7 +269,7 @@
     if (now() < this->nextWish || this->settings.peers.empty())
         return;
     const auto wishes = this->parts.dispatcher.locked(
-            [](policy::Dispatcher &dispatcher) { return dispatcher.loanWishes(); });
+        [](policy::Dispatcher &dispatcher) { return dispatcher.loanWishes(); });
     if (wishes.empty())
         return;
     this->nextWish = now() + wishPeriod;
@@ -294,10 +292,10 @@
         co_await this->lease.step(now);
         if (this->holdsLease() != held) {
             held = !held;
-            this->parts.log.write({"lease",
-                                   "",
-                                   {{"held", held ? "yes" : "no"},
-                                    {"epoch", std::to_string(this->leaseEpoch())}}});
+            this->parts.log.write(
+                {"lease",
+                 "",
+                 {{"held", held ? "yes" : "no"}, {"epoch", std::to_string(this->leaseEpoch())}}});
         }
         co_await sleepFor(timer, leasePeriod);
     }
@@ -335,7 +333,7 @@
     const policy::PeerState state{sender, heartbeat.incarnation(), heartbeat.revision(),
                                   heartbeat.leaving()};
     this->parts.membership.locked(
-            [&](policy::Membership &membership) { membership.heard(state, now()); });
+        [&](policy::Membership &membership) { membership.heard(state, now()); });
     const auto own = this->versions.current()->texts.revision;
     if (heartbeat.revision() > own)
         this->documentTimer.cancel(); // fetch it now
@@ -382,7 +380,7 @@
     for (int i = 0; i < message.workers_size() && i < message.slots_size(); ++i)
         loan.items.push_back({message.workers(i), message.slots(i)});
     this->parts.dispatcher.change(
-            [&](policy::Dispatcher &dispatcher) { return dispatcher.borrow(loan, now()); });
+        [&](policy::Dispatcher &dispatcher) { return dispatcher.borrow(loan, now()); });
 }
 
 void Control::receiveDocumentRequest(const std::string &sender, std::int64_t haveRevision)
@@ -412,9 +410,8 @@
         return;
     texts.revision = reply.revision();
     const std::set<std::string> names(reply.names().begin(), reply.names().end());
-    std::erase_if(texts.sections, [&](const model::SectionText &section) {
-        return !names.contains(section.name);
-    });
+    std::erase_if(texts.sections,
+                  [&](const model::SectionText &section) { return !names.contains(section.name); });
     for (const auto &section : reply.sections())
         texts.set({section.name(), section.text(), section.revision()});
     auto version = makeVersion(std::move(texts));
@@ -424,7 +421,8 @@
 
 Awaitable<platform::ChangeResult> Control::apply(platform::SectionChange change)
 {
-    auto result = co_await this->documents.apply(std::move(change), this->versions.current()->texts);
+    auto result =
+        co_await this->documents.apply(std::move(change), this->versions.current()->texts);
     if (result.state == platform::ChangeState::Accepted)
         this->documentTimer.cancel();
     co_return result;
@@ -435,8 +433,7 @@
     return this->documents.operation(std::move(operationId));
 }
 
-Awaitable<absl::StatusOr<std::vector<platform::HistoryEntry>>>
-Control::history(std::int64_t after)
+Awaitable<absl::StatusOr<std::vector<platform::HistoryEntry>>> Control::history(std::int64_t after)
 {
     return this->documents.history(after);
 }
--- a/packages/entry/src/process/control_store.cpp
+++ b/packages/entry/src/process/control_store.cpp
@@ -14,22 +14,21 @@
                std::chrono::milliseconds(50)})
     , objects(control, settings.platform, settings.control.storeTimeout)
     , incarnationName(std::move(incarnationName))
-{
-}
+{}
 
 template<typename T, typename Operation>
 Awaitable<T> ControlStore::onControl(Operation operation)
 {
     return http::awaitCallback<T>(
-            [this, operation = std::move(operation)](std::function<void(T)> done) {
-                asio::co_spawn(
-                        this->control,
-                        [operation, done = std::move(done)]() -> Awaitable<void> {
-                            auto result = co_await operation();
-                            done(std::move(result));
-                        },
-                        asio::detached);
-            });
+        [this, operation = std::move(operation)](std::function<void(T)> done) {
+            asio::co_spawn(
+                this->control,
+                [operation, done = std::move(done)]() -> Awaitable<void> {
+                    auto result = co_await operation();
+                    done(std::move(result));
+                },
+                asio::detached);
+        });
 }
 
 Awaitable<absl::StatusOr<platform::VersionedClaim>> ControlStore::readClaim(std::string key)
@@ -43,8 +42,7 @@
     });
 }
 
-Awaitable<platform::WriteResult> ControlStore::writeClaim(policy::Claim claim,
-                                                          std::int64_t version)
+Awaitable<platform::WriteResult> ControlStore::writeClaim(policy::Claim claim, std::int64_t version)
 {
     platform::RowWrite write;
     write.key = platform::claimKey(claim.key);
@@ -61,9 +59,9 @@
 {
     using Result = absl::Status;
     return this->onControl<Result>(
-            [this, name = std::move(name), body = std::move(body)]() -> Awaitable<Result> {
-                co_return co_await this->objects.put(name, body);
-            });
+        [this, name = std::move(name), body = std::move(body)]() -> Awaitable<Result> {
+            co_return co_await this->objects.put(name, body);
+        });
 }
 
 Awaitable<absl::StatusOr<std::string>> ControlStore::getObject(std::string name)
--- a/packages/entry/src/process/daemon.cpp
+++ b/packages/entry/src/process/daemon.cpp
@@ -20,7 +20,7 @@
 {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
     return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
 }
 
 std::vector<std::string> namesOf(const std::vector<model::PeerSettings> &peers)
@@ -37,8 +37,7 @@
 {
     TrafficThread(ProcessParts &parts, std::size_t idleConnections)
         : environment(context.get_executor(), parts, idleConnections)
-    {
-    }
+    {}
 
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
@@ -55,10 +54,10 @@
     , membership(this->settings.name, this->incarnation, namesOf(this->settings.peers),
                  this->settings.control.peerTimeout)
     , store(this->controlContext.get_executor(), this->settings, this->incarnationName)
-    , parts{this->settings.name, this->incarnation, this->incarnationName, this->dispatcher,
-            this->membership, this->store, this->log, this->metrics}
-{
-}
+    , parts{this->settings.name, this->incarnation, this->incarnationName,
+            this->dispatcher,    this->membership,  this->store,
+            this->log,           this->metrics}
+{}
 
 Daemon::~Daemon() = default;
 
@@ -66,14 +65,13 @@
 {
     this->control = std::make_unique<Control>(this->controlContext, this->settings, this->parts,
                                               this->versions);
-    this->admin = std::make_unique<AdminApi>(this->settings, this->parts, this->versions,
-                                             *this->control);
+    this->admin =
+        std::make_unique<AdminApi>(this->settings, this->parts, this->versions, *this->control);
     this->adminServer = std::make_shared<http::Server>(
-            std::vector<asio::any_io_executor>{this->controlContext.get_executor()},
-            this->settings.limits,
-            [this](http::Request request, std::shared_ptr<http::Disconnect>) {
-                return this->admin->handle(std::move(request));
-            });
+        std::vector<asio::any_io_executor>{this->controlContext.get_executor()},
+        this->settings.limits, [this](http::Request request, std::shared_ptr<http::Disconnect>) {
+            return this->admin->handle(std::move(request));
+        });
     std::vector<asio::any_io_executor> executors;
     constexpr std::size_t idleConnections = 2; // for each worker and thread
     for (std::int64_t i = 0; i < this->settings.trafficThreads; ++i) {
@@ -81,19 +79,19 @@
         executors.push_back(this->traffic.back()->context.get_executor());
     }
     this->callerServer = std::make_shared<http::Server>(
-            executors, this->settings.limits,
-            [this](http::Request request,
-                   std::shared_ptr<http::Disconnect> disconnect) -> Awaitable<http::Response> {
-                const auto executor = co_await asio::this_coro::executor;
-                for (const auto &thread : this->traffic) {
-                    if (executor == thread->context.get_executor()) {
-                        auto response = co_await handleCaller(thread->environment, this->versions,
-                                                              std::move(request), disconnect);
-                        co_return response;
-                    }
+        executors, this->settings.limits,
+        [this](http::Request request,
+               std::shared_ptr<http::Disconnect> disconnect) -> Awaitable<http::Response> {
+            const auto executor = co_await asio::this_coro::executor;
+            for (const auto &thread : this->traffic) {
+                if (executor == thread->context.get_executor()) {
+                    auto response = co_await handleCaller(thread->environment, this->versions,
+                                                          std::move(request), disconnect);
+                    co_return response;
                 }
-                throw std::logic_error("a caller's session runs on no traffic thread");
-            });
+            }
+            throw std::logic_error("a caller's session runs on no traffic thread");
+        });
     auto status = this->control->start();
     if (status.ok())
         status = this->adminServer->listen(this->settings.admin);
@@ -111,13 +109,12 @@
     }
     for (const auto &thread : this->traffic)
         thread->thread = std::thread([&thread] { thread->context.run(); });
-    LOG(INFO) << "event=start entry=" << this->settings.name
-              << " incarnation=" << this->incarnation
+    LOG(INFO) << "event=start entry=" << this->settings.name << " incarnation=" << this->incarnation
               << " callers=" << model::toString(this->settings.callers)
               << " admin=" << model::toString(this->settings.admin)
               << " version=" << SASSAFRASFERRY_VERSION;
     asio::co_spawn(
-            this->controlContext, [this] { return this->waitForSignals(); }, asio::detached);
+        this->controlContext, [this] { return this->waitForSignals(); }, asio::detached);
     this->controlContext.run();
     for (const auto &thread : this->traffic) {
         thread->context.stop();
@@ -132,7 +129,7 @@
     asio::signal_set signals(this->controlContext, SIGTERM, SIGINT);
     co_await signals.async_wait(asio::use_awaitable);
     asio::co_spawn(
-            this->controlContext, [this] { return this->stop(); }, asio::detached);
+        this->controlContext, [this] { return this->stop(); }, asio::detached);
     // A second signal ends the wait for what is in flight.
     co_await signals.async_wait(asio::use_awaitable);
     LOG(WARNING) << "event=cut busy=" << this->callerServer->busySessions()
--- a/packages/entry/src/process/metrics.cpp
+++ b/packages/entry/src/process/metrics.cpp
@@ -36,8 +36,8 @@
     prometheus::MetricFamily family;
     family.name = reading.name;
     family.help = reading.help;
-    family.type = reading.isCounter ? prometheus::MetricType::Counter
-                                    : prometheus::MetricType::Gauge;
+    family.type =
+        reading.isCounter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
     return family;
 }
 
@@ -109,9 +109,9 @@
             metric.label.push_back({"class", std::string(row.name)});
             metric.summary.sample_count = accumulators::count(source);
             metric.summary.sample_sum = accumulators::sum(source);
-            for (std::size_t i = 0; i < quantiles.size(); ++i)
-                metric.summary.quantile.push_back(
-                        {quantiles[i], accumulators::extended_p_square(source)[i]});
+            auto value = accumulators::extended_p_square(source).begin();
+            for (const double quantile : quantiles)
+                metric.summary.quantile.push_back({quantile, *value++});
             latency.metric.push_back(std::move(metric));
         }
         families.push_back(std::move(latency));
--- a/packages/entry/src/process/metrics.h
+++ b/packages/entry/src/process/metrics.h
@@ -41,10 +41,9 @@
 
 private:
     using Latency = boost::accumulators::accumulator_set<
-            double,
-            boost::accumulators::stats<boost::accumulators::tag::count,
-                                       boost::accumulators::tag::sum,
-                                       boost::accumulators::tag::extended_p_square>>;
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                   boost::accumulators::tag::extended_p_square>>;
 
     std::mutex mutex;
     std::vector<Latency> latencies; // of completed requests, in seconds; one for each class
--- a/packages/entry/src/process/shared_dispatcher.cpp
+++ b/packages/entry/src/process/shared_dispatcher.cpp
@@ -8,11 +8,10 @@
 using policy::Refusal;
 using policy::RequestId;
 
-SharedDispatcher::SharedDispatcher(const model::RoutingSettings &settings,
-                                   const std::string &entry, std::uint64_t seed)
+SharedDispatcher::SharedDispatcher(const model::RoutingSettings &settings, const std::string &entry,
+                                   std::uint64_t seed)
     : dispatcher(settings, entry, seed)
-{
-}
+{}
 
 void SharedDispatcher::onNews(News newNews)
 {
@@ -27,19 +26,19 @@
     std::unique_lock lock(this->mutex);
     const auto id = RequestId{++this->lastId};
     submission.id = id;
-    auto admission = this->dispatcher.submit(std::move(submission),
-                                             std::chrono::steady_clock::now());
+    auto admission =
+        this->dispatcher.submit(std::move(submission), std::chrono::steady_clock::now());
     if (auto *grant = std::get_if<Grant>(&admission))
         co_return std::move(*grant);
-    if (auto *refusal = std::get_if<Refusal>(&admission))
-        co_return std::move(*refusal);
+    if (const auto *refusal = std::get_if<Refusal>(&admission))
+        co_return *refusal;
     // The waiter is known before the lock is let go, so no grant can miss it.
-    auto result = co_await http::awaitCallback<SlotResult>(
-            [this, id, &cancellation, &lock](Done done) {
-                this->waiters.emplace(id, std::move(done));
-                lock.unlock();
-                cancellation.whenRequested([this, id] { this->cancel(id); });
-            });
+    auto result =
+        co_await http::awaitCallback<SlotResult>([this, id, &cancellation, &lock](Done done) {
+            this->waiters.emplace(id, std::move(done));
+            lock.unlock();
+            cancellation.whenRequested([this, id] { this->cancel(id); });
+        });
     cancellation.whenRequested(nullptr);
     co_return result;
 }
--- a/packages/entry/src/process/shared_membership.cpp
+++ b/packages/entry/src/process/shared_membership.cpp
@@ -4,13 +4,11 @@
 namespace sassafrasferry::entry {
 
 SharedMembership::SharedMembership(const std::string &self, std::uint64_t incarnation,
-                                   const std::vector<std::string> &peers,
-                                   policy::Duration timeout)
+                                   const std::vector<std::string> &peers, policy::Duration timeout)
     : self(self)
     , incarnation(incarnation)
     , membership(self, peers, timeout, std::chrono::steady_clock::now())
-{
-}
+{}
 
 void SharedMembership::setActive(const std::string &operationId, bool isActive)
 {
--- a/packages/entry/src/request/answers.cpp
+++ b/packages/entry/src/request/answers.cpp
@@ -15,12 +15,12 @@
 };
 
 constexpr ReasonStatus reasonStatuses[] = {
-        {AnswerReason::KeyMissing, 400},       {AnswerReason::CallerMissing, 400},
-        {AnswerReason::KeyMismatch, 422},      {AnswerReason::InProgress, 409},
-        {AnswerReason::StoreUnavailable, 503}, {AnswerReason::StoreUncertain, 503},
-        {AnswerReason::StartTooLate, 503},     {AnswerReason::WorkerSilent, 502},
-        {AnswerReason::NotSettled, 503},       {AnswerReason::CallerGone, 499},
-        {AnswerReason::DeadlinePassed, 504},
+    {AnswerReason::KeyMissing, 400},       {AnswerReason::CallerMissing, 400},
+    {AnswerReason::KeyMismatch, 422},      {AnswerReason::InProgress, 409},
+    {AnswerReason::StoreUnavailable, 503}, {AnswerReason::StoreUncertain, 503},
+    {AnswerReason::StartTooLate, 503},     {AnswerReason::WorkerSilent, 502},
+    {AnswerReason::NotSettled, 503},       {AnswerReason::CallerGone, 499},
+    {AnswerReason::DeadlinePassed, 504},
 };
 
 int statusOf(AnswerReason reason)
--- a/packages/entry/src/request/caller_handler.cpp
+++ b/packages/entry/src/request/caller_handler.cpp
@@ -41,14 +41,17 @@
 std::string serviceOf(const std::string &target)
 {
     const auto end = target.find_first_of("/?", 1);
-    return target.size() < 2 ? std::string() : target.substr(1, end == std::string::npos ? end : end - 1);
+    return target.size() < 2 ? std::string()
+                             : target.substr(1, end == std::string::npos ? end : end - 1);
 }
 
 bool isPlainId(const std::string &text)
 {
-    const auto isPlain = [](unsigned char letter) { return std::isgraph(letter) != 0; };
+    const auto isPlain = [](unsigned char letter) {
+        return std::isgraph(letter) != 0;
+    };
     return !text.empty() && text.size() <= longestId
-            && std::all_of(text.begin(), text.end(), isPlain);
+           && std::all_of(text.begin(), text.end(), isPlain);
 }
 
 Fault readDeadline(const http::Request &message, RequestContext &context, policy::Instant now)
@@ -104,7 +107,7 @@
     if (!fault.message.empty())
         return fault;
     request.fingerprint =
-            platform::sha256(request.method + "\n" + request.target + "\n" + request.body);
+        platform::sha256(request.method + "\n" + request.target + "\n" + request.body);
     request.job = std::strtoull(request.fingerprint.substr(0, fingerprintHexDigits).c_str(),
                                 nullptr, fingerprintHexDigits);
     return {};
@@ -156,21 +159,20 @@
         race->timer.expires_at(context->request.deadline);
         race->timer.async_wait([race](const boost::system::error_code &error) {
             if (!error && race->done)
-                std::exchange(race->done, nullptr)(ownAnswer(model::Outcome::Unknown,
-                                                             AnswerReason::DeadlinePassed,
-                                                             KeyedTimes{}.comeBack));
+                std::exchange(race->done, nullptr)(ownAnswer(
+                    model::Outcome::Unknown, AnswerReason::DeadlinePassed, KeyedTimes{}.comeBack));
         });
         asio::co_spawn(
-                environment.executor(),
-                [&environment, context, race]() -> Awaitable<void> {
-                    KeyedFlow<TrafficEnvironment> flow(environment, context->request,
-                                                       *context->service, context->cancellation);
-                    auto answer = co_await flow.run();
-                    race->timer.cancel();
-                    if (race->done)
-                        std::exchange(race->done, nullptr)(std::move(answer));
-                },
-                asio::detached);
+            environment.executor(),
+            [&environment, context, race]() -> Awaitable<void> {
+                KeyedFlow<TrafficEnvironment> flow(environment, context->request, *context->service,
+                                                   context->cancellation);
+                auto answer = co_await flow.run();
+                race->timer.cancel();
+                if (race->done)
+                    std::exchange(race->done, nullptr)(std::move(answer));
+            },
+            asio::detached);
     });
 }
 
@@ -194,17 +196,16 @@
                const CallerAnswer &answer, policy::Duration latency)
 {
     const auto milliseconds = policy::seconds(latency) * 1000;
-    environment.process().log.write(
-            {"answer",
-             context.request.id,
-             {{"service", context.request.service},
-              {"outcome", std::string(model::nameOf(answer.outcome))},
-              {"status", std::to_string(answer.status)},
-              {"reason", reasonText(answer)},
-              {"worker", answer.worker.empty() ? "-" : answer.worker},
-              {"replayed", answer.replayed ? "yes" : "no"},
-              {"revision", std::to_string(context.version->table.revision)},
-              {"ms", std::to_string(milliseconds)}}});
+    environment.process().log.write({"answer",
+                                     context.request.id,
+                                     {{"service", context.request.service},
+                                      {"outcome", std::string(model::nameOf(answer.outcome))},
+                                      {"status", std::to_string(answer.status)},
+                                      {"reason", reasonText(answer)},
+                                      {"worker", answer.worker.empty() ? "-" : answer.worker},
+                                      {"replayed", answer.replayed ? "yes" : "no"},
+                                      {"revision", std::to_string(context.version->table.revision)},
+                                      {"ms", std::to_string(milliseconds)}}});
 }
 
 } // namespace
--- a/packages/entry/src/request/idempotent_flow.h
+++ b/packages/entry/src/request/idempotent_flow.h
@@ -71,8 +71,7 @@
         , request(request)
         , cancellation(cancellation)
         , submission(submissionOf(request))
-    {
-    }
+    {}
 
     /// Runs to the answer.
     Awaitable<CallerAnswer> run()
@@ -91,8 +90,8 @@
             options.operationId = this->environment.newOperationId();
             options.timeout = timeLeft(this->environment, this->request);
             this->environment.reached(this->request, RequestStep::FirstByteSent);
-            const auto sent = co_await this->environment.send(grant, this->request, options,
-                                                              this->cancellation);
+            const auto sent =
+                co_await this->environment.send(grant, this->request, options, this->cancellation);
             finishRun(this->environment, this->request, grant, runResultOf(sent), begin);
             auto answer = this->decide(sent, grant);
             if (answer.isFinal)
--- a/packages/entry/src/request/keyed_flow.h
+++ b/packages/entry/src/request/keyed_flow.h
@@ -39,8 +39,7 @@
 public:
     explicit ClaimSettler(Environment &environment)
         : environment(environment)
-    {
-    }
+    {}
 
     /// What is known after asking once.
     struct Settled
@@ -109,8 +108,7 @@
         , service(service)
         , cancellation(cancellation)
         , submission(submissionOf(request))
-    {
-    }
+    {}
 
     /// Runs to the answer. Once a claim is written it goes on though the caller has gone.
     Awaitable<CallerAnswer> run()
@@ -153,7 +151,7 @@
         this->mustReadAgain = false;
         const bool isActive = this->environment.mayBeActive(existing.claim);
         const auto decision =
-                policy::decideExisting(existing.claim, this->request.fingerprint, isActive);
+            policy::decideExisting(existing.claim, this->request.fingerprint, isActive);
         MaybeAnswer answer;
         switch (decision) {
         case policy::ExistingClaim::Replay:
@@ -231,7 +229,7 @@
         if (word.state == policy::RunState::Running || word.state == policy::RunState::Done)
             return true;
         return word.state == policy::RunState::NeverSeen && existing.startRefusal
-                && word.workerStartedAt + policy::clockTolerance < existing.claimedAt;
+               && word.workerStartedAt + policy::clockTolerance < existing.claimedAt;
     }
 
     // Claims the key and sends; tries other workers while none has run it. No answer: another
@@ -241,8 +239,8 @@
         for (;;) {
             auto slot = co_await this->environment.slot(this->submission, this->cancellation);
             if (const auto *refusal = std::get_if<policy::Refusal>(&slot)) {
-                this->markNotRun();
-                co_return refusalAnswer(*refusal, false);
+                auto answer = co_await this->tellNotRun(refusalAnswer(*refusal, false));
+                co_return answer;
             }
             if (std::holds_alternative<SlotCancelled>(slot)) {
                 this->markNotRun();
@@ -294,9 +292,10 @@
         if (this->environment.unixNow() + margin > this->claim.startDeadline) {
             finishRun(this->environment, this->request, grant, policy::RunResult::Cancelled,
                       this->environment.now());
-            this->markNotRun();
-            co_return ownAnswer(model::Outcome::NotRun, AnswerReason::StartTooLate,
-                                this->environment.retryAfter(this->request.service));
+            auto late = ownAnswer(model::Outcome::NotRun, AnswerReason::StartTooLate,
+                                  this->environment.retryAfter(this->request.service));
+            auto answer = co_await this->tellNotRun(std::move(late));
+            co_return answer;
         }
         this->environment.reached(this->request, RequestStep::StartDeadlineChecked);
         const auto begin = this->environment.now();
@@ -306,8 +305,7 @@
         options.timeout = timeLeft(this->environment, this->request);
         this->environment.reached(this->request, RequestStep::FirstByteSent);
         Cancellation never; // the run goes on and keeps its answer though the caller is gone
-        const auto sent =
-                co_await this->environment.send(grant, this->request, options, never);
+        const auto sent = co_await this->environment.send(grant, this->request, options, never);
         finishRun(this->environment, this->request, grant, runResultOf(sent), begin);
         MaybeAnswer answer;
         switch (sent.state) {
@@ -317,7 +315,7 @@
         case SendState::Refused:
         case SendState::Leaving:
         case SendState::Unreachable:
-            answer = this->afterNotRun(grant, sent.state);
+            answer = co_await this->afterNotRun(grant, sent.state);
             break;
         case SendState::Broken:
         case SendState::Cancelled:
@@ -335,8 +333,10 @@
             this->mustReadAgain = true;
             return std::nullopt;
         case platform::WriteState::NotApplied:
+            // This request has not run, but while the store cannot be asked nobody knows whether
+            // a resend has, through another entry VM.
             this->markNotRun();
-            return ownAnswer(model::Outcome::NotRun, AnswerReason::StoreUnavailable,
+            return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUnavailable,
                              KeyedTimes{}.comeBack);
         case platform::WriteState::Unknown:
         case platform::WriteState::Written:
@@ -348,19 +348,52 @@
                          KeyedTimes{}.comeBack);
     }
 
-    MaybeAnswer afterNotRun(const policy::Grant &grant, SendState state)
+    Awaitable<MaybeAnswer> afterNotRun(policy::Grant grant, SendState state)
     {
         if (++this->notRunTries > mostNotRunTries) {
-            this->markNotRun();
             const policy::Refusal refusal{{},
                                           policy::RefusalReason::TooManyRefusals,
                                           this->environment.retryAfter(this->request.service)};
-            return refusalAnswer(refusal, false);
+            auto answer = co_await this->tellNotRun(refusalAnswer(refusal, false));
+            co_return answer;
         }
         this->submission.isRetry = true;
         if (state != SendState::Refused)
             this->submission.avoid.push_back(grant.workerName);
-        return std::nullopt;
+        co_return std::nullopt;
+    }
+
+    // The answer "not run", once the store confirms it. While this request waited, or its process
+    // was frozen, a resend may have taken the key over through another entry VM and have run: a
+    // caller told "not run" then would send the work again under a new key. No answer: read the
+    // claim again.
+    Awaitable<MaybeAnswer> tellNotRun(CallerAnswer answer)
+    {
+        if (!this->hasClaim) {
+            const auto current = co_await this->environment.readClaim(this->claim.key);
+            if (!current.ok())
+                co_return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUnavailable,
+                                    KeyedTimes{}.comeBack);
+            this->mustReadAgain = current->version != this->version;
+            if (this->mustReadAgain)
+                co_return std::nullopt;
+            co_return answer;
+        }
+        auto settled = this->claim;
+        settled.state = policy::ClaimState::NotRun;
+        const auto written = co_await this->environment.writeClaim(settled, this->version);
+        if (written.state == platform::WriteState::Written) {
+            this->hasClaim = false;
+            co_return answer;
+        }
+        if (written.state == platform::WriteState::Conflict) {
+            this->hasClaim = false;
+            this->mustReadAgain = true;
+            co_return std::nullopt;
+        }
+        this->markNotRun();
+        co_return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUncertain,
+                            KeyedTimes{}.comeBack);
     }
 
     // Our claim stands, and we know that no worker runs it: say so, so that a resend may run.
@@ -377,11 +410,10 @@
         this->claim.state = policy::ClaimState::Completed;
         this->claim.answer = std::move(stored);
         const auto body =
-                co_await ClaimSettler<Environment>::storeBody(this->environment, this->claim);
+            co_await ClaimSettler<Environment>::storeBody(this->environment, this->claim);
         if (body.ok()) {
             this->environment.reached(this->request, RequestStep::AnswerStored);
-            const auto written =
-                    co_await this->environment.writeClaim(this->claim, this->version);
+            const auto written = co_await this->environment.writeClaim(this->claim, this->version);
             // In a conflict another entry VM has settled the claim with the worker's own answer.
             if (written.state == platform::WriteState::Written
                 || written.state == platform::WriteState::Conflict) {
@@ -454,7 +486,7 @@
         } else {
             if (leftOver == LeftOver::StoreAnswer) {
                 const auto stored =
-                        co_await ClaimSettler<Environment>::storeBody(environment, left.claim);
+                    co_await ClaimSettler<Environment>::storeBody(environment, left.claim);
                 if (!stored.ok())
                     continue;
             } else {
@@ -471,8 +503,8 @@
         if (!current.ok())
             continue;
         const bool isOurs = current->version != platform::absent
-                && current->claim.operationId == left.claim.operationId
-                && current->claim.state == policy::ClaimState::Claimed;
+                            && current->claim.operationId == left.claim.operationId
+                            && current->claim.state == policy::ClaimState::Claimed;
         if (current->version != left.version && !isOurs)
             co_return true;
         left.version = current->version;
--- a/packages/entry/src/request/request_types.h
+++ b/packages/entry/src/request/request_types.h
@@ -78,8 +78,7 @@
 
 /// The caller gave up while its request waited.
 struct SlotCancelled
-{
-};
+{};
 
 /// What came of asking for a slot.
 using SlotResult = std::variant<policy::Grant, policy::Refusal, SlotCancelled>;
--- a/packages/entry/src/version/version.cpp
+++ b/packages/entry/src/version/version.cpp
@@ -18,8 +18,7 @@
 
 VersionHolder::VersionHolder()
     : version(std::make_shared<const Version>())
-{
-}
+{}
 
 VersionPointer VersionHolder::current() const
 {
--- /dev/null
+++ b/packages/entry/tests/fault_world.h
@@ -0,0 +1,369 @@
+// A small world for requests on a virtual clock: a store, an object store and workers with fault
+// switches, and entry VMs that a test can kill, freeze or cut off at any named step.
+#pragma once
+
+#include "../src/request/idempotent_flow.h"
+#include "../src/request/keyed_flow.h"
+
+#include <sassafrasferry/fakes/memory_tables.h>
+#include <sassafrasferry/fakes/run.h>
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace sassafrasferry::entry {
+
+/// Thrown where an entry VM dies: nothing after that point happens.
+struct Killed
+{
+};
+
+/// Safeguards that a test takes out, to see that the checks notice.
+enum class Sabotage {
+    None,
+    WorkersStartLate, ///< workers ignore the start deadline
+    ClaimsUnconditional, ///< the store ignores conditions
+    ClaimsSkipped, ///< no claim is written
+    BrokenMeansNotRun, ///< a broken answer is taken for "not sent"
+    RestartsHidden, ///< a worker that restarted passes for one that remembers
+    StaleReads, ///< a claim that was read once is not read again
+};
+
+constexpr auto enumNames(Sabotage)
+{
+    using model::EnumName;
+    return std::array{EnumName{Sabotage::None, "none"},
+                      EnumName{Sabotage::WorkersStartLate, "workers start late"},
+                      EnumName{Sabotage::ClaimsUnconditional, "claims unconditional"},
+                      EnumName{Sabotage::ClaimsSkipped, "claims skipped"},
+                      EnumName{Sabotage::BrokenMeansNotRun, "broken means not run"},
+                      EnumName{Sabotage::RestartsHidden, "restarts hidden"},
+                      EnumName{Sabotage::StaleReads, "stale reads"}};
+}
+
+/// A worker's run of one operation.
+struct FakeRun
+{
+    std::string key;
+    std::string body;
+    int status = 200;
+};
+
+/// A worker and its faults.
+struct FakeWorker
+{
+    std::map<std::string, FakeRun> remembered; // by operation; lost by a restart
+    policy::UnixMilliseconds startedAt = 0;
+    bool isDown = false;
+    bool breaksAnswers = false;
+    bool isSilent = false;
+    bool fails = false;
+    bool refuses = false;
+    bool isLeaving = false;
+};
+
+/// Everything outside the entry VMs.
+struct World
+{
+    fakes::MemoryTables tables;
+    std::map<std::string, std::string> objects;
+    bool objectsDown = false;
+    std::map<std::string, FakeWorker> workers{{"w1", {}}, {"w2", {}}, {"w3", {}}};
+    std::map<std::string, int> startsByKey; // ground truth: runs that any worker began
+    std::set<std::string> startedOperations;
+    policy::Instant now{};
+    policy::UnixMilliseconds unixNow = 1000000;
+    std::set<std::string> silentEntries; // seen as gone by the others
+    std::size_t answerBytes = 8;
+    Sabotage sabotage = Sabotage::None;
+    std::uint64_t lastId = 0;
+
+    void pass(policy::Duration duration)
+    {
+        this->now += duration;
+        this->unixNow +=
+                std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+};
+
+/// One entry VM in the world. Fulfils `RequestEnvironment`.
+class FakeEntry
+{
+public:
+    using Hook = std::function<void(RequestStep)>;
+
+    FakeEntry(World &world, std::string name)
+        : world(world), name(std::move(name))
+    {
+    }
+
+    Hook hook; ///< called at each step; may throw `Killed`
+    std::set<RequestStep> seen;
+    int slotsHeld = 0;
+    std::vector<platform::VersionedClaim> left; ///< claims to be finished later
+    std::vector<LeftOver> leftWhat;
+
+    policy::Instant now() const
+    {
+        return this->world.now;
+    }
+
+    policy::UnixMilliseconds unixNow() const
+    {
+        return this->world.unixNow;
+    }
+
+    Awaitable<void> pause(policy::Duration duration)
+    {
+        this->world.pass(duration);
+        co_return;
+    }
+
+    std::string entryName() const
+    {
+        return this->name;
+    }
+
+    std::uint64_t incarnation() const
+    {
+        return 1;
+    }
+
+    std::string newOperationId()
+    {
+        return this->name + "." + std::to_string(++this->world.lastId);
+    }
+
+    void reached(const CallerRequest &, RequestStep step)
+    {
+        this->seen.insert(step);
+        if (this->hook)
+            this->hook(step);
+    }
+
+    Awaitable<SlotResult> slot(policy::Submission submission, Cancellation &cancellation)
+    {
+        if (cancellation.requested())
+            co_return SlotCancelled{};
+        for (const auto &[worker, state] : this->world.workers) {
+            const auto &avoid = submission.avoid;
+            if (std::find(avoid.begin(), avoid.end(), worker) != avoid.end())
+                continue;
+            ++this->slotsHeld;
+            policy::Grant grant;
+            grant.worker = static_cast<policy::Index>(worker.back() - '1');
+            grant.workerName = worker;
+            grant.rack = worker;
+            grant.address = {"127.0.0.1", static_cast<std::uint16_t>(worker.back() - '0')};
+            co_return grant;
+        }
+        co_return policy::Refusal{{}, policy::RefusalReason::NoWorkers, std::chrono::seconds(1)};
+    }
+
+    void finish(const policy::RunReport &)
+    {
+        --this->slotsHeld;
+    }
+
+    bool jobFailed(policy::JobFingerprint, policy::Index)
+    {
+        return ++this->jobFailures >= 3;
+    }
+
+    bool takeRetry(const std::string &)
+    {
+        return true;
+    }
+
+    policy::Duration retryAfter(const std::string &)
+    {
+        return std::chrono::seconds(1);
+    }
+
+    Awaitable<SendResult> send(const policy::Grant &grant, const CallerRequest &request,
+                               SendOptions options, Cancellation &)
+    {
+        auto &worker = this->world.workers.at(grant.workerName);
+        SendResult result;
+        if (worker.isDown) {
+            result.state = SendState::Unreachable;
+            co_return result;
+        }
+        const bool isLate = options.startDeadline != 0
+                && this->world.unixNow > options.startDeadline
+                && this->world.sabotage != Sabotage::WorkersStartLate;
+        if (worker.isLeaving || worker.refuses || isLate) {
+            result.state = worker.isLeaving ? SendState::Leaving : SendState::Refused;
+            co_return result;
+        }
+        auto &run = worker.remembered[options.operationId];
+        run.key = scopedKey(request);
+        run.status = worker.fails ? 500 : 200;
+        run.body = options.operationId + std::string(this->world.answerBytes, '.');
+        ++this->world.startsByKey[run.key];
+        this->world.startedOperations.insert(options.operationId);
+        if (worker.breaksAnswers || worker.isSilent) {
+            if (worker.isSilent)
+                this->world.pass(options.timeout);
+            result.state = this->world.sabotage == Sabotage::BrokenMeansNotRun
+                    ? SendState::Unreachable
+                    : SendState::Broken;
+            co_return result;
+        }
+        result.state = SendState::Answered;
+        result.answer.status = run.status;
+        result.answer.body = run.body;
+        co_return result;
+    }
+
+    Awaitable<policy::WorkerWord> askWorker(std::string address, std::string operationId)
+    {
+        const auto &worker = this->world.workers.at("w" + address.substr(address.size() - 1));
+        policy::WorkerWord word;
+        if (worker.isDown)
+            co_return word;
+        if (this->world.sabotage != Sabotage::RestartsHidden)
+            word.workerStartedAt = worker.startedAt;
+        word.workerNow = this->world.unixNow;
+        const auto at = worker.remembered.find(operationId);
+        word.state = at == worker.remembered.end() ? policy::RunState::NeverSeen
+                                                   : policy::RunState::Done;
+        if (word.state == policy::RunState::Done) {
+            word.answer.status = at->second.status;
+            word.answer.body = at->second.body;
+        }
+        co_return word;
+    }
+
+    Awaitable<absl::StatusOr<platform::VersionedClaim>> readClaim(std::string key)
+    {
+        if (this->world.sabotage == Sabotage::StaleReads && this->firstRead)
+            co_return *this->firstRead;
+        const std::vector<platform::RowKey> keys{platform::claimKey(key)};
+        const auto rows = co_await this->world.tables.read(keys);
+        if (!rows.ok())
+            co_return rows.status();
+        platform::Row row;
+        row.key = keys.front();
+        if (const auto *found = platform::findRow(*rows, keys.front()))
+            row = *found;
+        this->firstRead = *platform::claimFrom(row);
+        co_return *this->firstRead;
+    }
+
+    Awaitable<platform::WriteResult> writeClaim(policy::Claim claim, std::int64_t version)
+    {
+        platform::WriteResult result;
+        if (this->world.sabotage == Sabotage::ClaimsSkipped) {
+            result.state = platform::WriteState::Written;
+            co_return result;
+        }
+        if (this->world.sabotage == Sabotage::ClaimsUnconditional)
+            version = this->versionOf(claim.key);
+        boost::asio::io_context context(1);
+        // Unanswered writes are pursued for a few milliseconds of real time; whether that was
+        // enough changes what is said, and nothing that is checked.
+        platform::RowBatcher<fakes::MemoryTables> batcher(
+                context.get_executor(), this->world.tables,
+                {std::chrono::milliseconds(0), std::chrono::milliseconds(3),
+                 std::chrono::milliseconds(1)});
+        platform::RowWrite write;
+        write.key = platform::claimKey(claim.key);
+        write.expectedVersion = version;
+        write.value = platform::toJson(claim);
+        write.writeId = this->newOperationId();
+        result = fakes::run(context, batcher.write(write));
+        co_return result;
+    }
+
+    Awaitable<absl::Status> putObject(std::string object, std::string body)
+    {
+        if (this->world.objectsDown)
+            co_return absl::UnavailableError("down");
+        this->world.objects[object] = std::move(body);
+        co_return absl::OkStatus();
+    }
+
+    Awaitable<absl::StatusOr<std::string>> getObject(std::string object)
+    {
+        if (this->world.objectsDown)
+            co_return absl::UnavailableError("down");
+        co_return this->world.objects.at(object);
+    }
+
+    void setActive(const std::string &operationId, bool isActive)
+    {
+        if (isActive)
+            this->active.insert(operationId);
+        else
+            this->active.erase(operationId);
+    }
+
+    bool mayBeActive(const policy::Claim &claim)
+    {
+        if (claim.entry == this->name)
+            return this->active.contains(claim.operationId);
+        return !this->world.silentEntries.contains(claim.entry);
+    }
+
+    void leaveOver(policy::Claim claim, std::int64_t version, LeftOver leftOver)
+    {
+        platform::VersionedClaim item;
+        item.claim = std::move(claim);
+        item.version = version;
+        this->left.push_back(std::move(item));
+        this->leftWhat.push_back(leftOver);
+    }
+
+private:
+    std::int64_t versionOf(const std::string &key) const
+    {
+        const auto rows = this->world.tables.readNow({platform::claimKey(key)});
+        return rows.empty() ? platform::absent : rows.front().version;
+    }
+
+    World &world;
+    std::string name;
+    std::set<std::string> active;
+    int jobFailures = 0;
+    std::optional<platform::VersionedClaim> firstRead;
+};
+
+static_assert(RequestEnvironment<FakeEntry>);
+
+/// A keyed request of the one caller and service of the world.
+inline CallerRequest keyedRequest(const World &world, policy::Duration timeout)
+{
+    CallerRequest request;
+    request.id = "r";
+    request.service = "invoice";
+    request.method = "POST";
+    request.target = "/invoice/new";
+    request.callerId = "gardener";
+    request.idempotencyKey = "k";
+    request.fingerprint = "f";
+    request.body = "one mowing";
+    request.deadline = world.now + timeout;
+    return request;
+}
+
+/// Runs a keyed request through an entry VM to its answer; none if the entry VM was killed.
+inline std::optional<CallerAnswer> serveKeyed(FakeEntry &entry, const CallerRequest &request,
+                                              Cancellation &cancellation)
+{
+    boost::asio::io_context context(1);
+    policy::ServiceSpec service;
+    service.name = "invoice";
+    service.idempotent = false;
+    KeyedFlow<FakeEntry> flow(entry, request, service, cancellation);
+    try {
+        auto answer = fakes::run(context, flow.run());
+        entry.reached(request, RequestStep::CallerAnswered);
+        return answer;
+    } catch (const Killed &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace sassafrasferry::entry
--- a/packages/http/include/sassafrasferry/http/types.h
+++ b/packages/http/include/sassafrasferry/http/types.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
--- a/packages/model/include/sassafrasferry/model/names.h
+++ b/packages/model/include/sassafrasferry/model/names.h
@@ -16,6 +16,9 @@
     std::string_view name;
 };
 
+template<typename Enum>
+EnumName(Enum, std::string_view) -> EnumName<Enum>;
+
 /// Specialised for each enum class by a function `enumNames(Enum)` found by argument lookup.
 template<typename Enum>
 concept NamedEnum = requires(Enum value)
--- a/packages/model/include/sassafrasferry/model/settings.h
+++ b/packages/model/include/sassafrasferry/model/settings.h
@@ -36,8 +36,8 @@
 /// Limits on what callers may send.
 struct CallerLimits
 {
-    std::int64_t headerBytes = 16 * 1024;
-    std::int64_t bodyBytes = 4 * 1024 * 1024;
+    std::int64_t headerBytes = 16LL * 1024;
+    std::int64_t bodyBytes = 4LL * 1024 * 1024;
     std::int64_t connections = 4096;
     std::chrono::milliseconds idleTimeout{60000};
     std::chrono::milliseconds readTimeout{10000};
--- a/packages/peer/src/peer_link.cpp
+++ b/packages/peer/src/peer_link.cpp
@@ -30,9 +30,10 @@
 struct PeerLink::Sockets
 {
     explicit Sockets(asio::io_context &context)
-        : pull(this->zmq, zmq::socket_type::pull), readable(context), sweeper(context)
-    {
-    }
+        : pull(this->zmq, zmq::socket_type::pull)
+        , readable(context)
+        , sweeper(context)
+    {}
 
     ~Sockets()
     {
@@ -54,8 +55,7 @@
     , peers(std::move(peers))
     , receive(std::move(receive))
     , sockets(std::make_unique<Sockets>(context))
-{
-}
+{}
 
 PeerLink::~PeerLink() = default;
 
--- a/packages/peer/src/peer_link_test.cpp
+++ b/packages/peer/src/peer_link_test.cpp
@@ -17,8 +17,8 @@
 model::Endpoint freeEndpoint()
 {
     boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor(
-            context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const boost::asio::ip::tcp::acceptor acceptor(context,
+                                                  {boost::asio::ip::make_address("127.0.0.1"), 0});
     return {"127.0.0.1", acceptor.local_endpoint().port()};
 }
 
--- a/packages/standins/src/load.cpp
+++ b/packages/standins/src/load.cpp
@@ -6,6 +6,10 @@
 #include <algorithm>
 #include <cmath>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 namespace sassafrasferry::standins {
 
 namespace {
@@ -36,7 +40,9 @@
 }
 
 Load::Load(asio::any_io_executor executor, LoadPlan plan)
-    : executor(executor), plan(std::move(plan)), random(this->plan.seed)
+    : executor(executor)
+    , plan(std::move(plan))
+    , random(this->plan.seed)
 {
     for (const auto &entry : this->plan.entries) {
         http::Client::Options options;
@@ -64,12 +70,12 @@
 Awaitable<LoadTally> Load::run()
 {
     this->begin = Clock::now();
-    this->end = this->begin
-            + this->plan.phase * static_cast<std::int64_t>(this->plan.services.size() + 1);
+    this->end =
+        this->begin + this->plan.phase * static_cast<std::int64_t>(this->plan.services.size() + 1);
     for (std::size_t i = 0; i < this->plan.services.size(); ++i) {
         ++this->open;
         asio::co_spawn(
-                this->executor, [this, i] { return this->offer(i); }, asio::detached);
+            this->executor, [this, i] { return this->offer(i); }, asio::detached);
     }
     asio::steady_timer timer(this->executor);
     while (this->open > 0) {
@@ -94,8 +100,8 @@
         ++this->open;
         const auto number = ++this->numbers;
         asio::co_spawn(
-                this->executor, [this, service, number] { return this->one(service, number); },
-                asio::detached);
+            this->executor, [this, service, number] { return this->one(service, number); },
+            asio::detached);
     }
     --this->open;
 }
@@ -105,8 +111,8 @@
 {
     std::uniform_real_distribution<double> spread(0.5, 1.5);
     const auto runTime = static_cast<double>(this->plan.runTime.count()) * spread(this->random);
-    const auto target = "/" + service.name + "/job?run-ms="
-            + std::to_string(static_cast<int>(std::lround(runTime)));
+    const auto target = "/" + service.name
+                        + "/job?run-ms=" + std::to_string(static_cast<int>(std::lround(runTime)));
     http::Request request{http::Verb::post, target, 11};
     request.set(http::header::callerId, "load");
     request.set(http::header::requestTimeout, std::to_string(this->plan.deadline.count()));
@@ -123,8 +129,8 @@
     auto &seen = this->tally.classes[static_cast<std::size_t>(service.requestClass)];
     const auto body = std::to_string(this->plan.seed) + "-" + std::to_string(number);
     const auto request = this->requestOf(service, body, body);
-    const bool isCancelled = std::uniform_real_distribution<double>(0, 1)(this->random)
-            < this->plan.cancelled;
+    const bool isCancelled =
+        std::uniform_real_distribution<double>(0, 1)(this->random) < this->plan.cancelled;
     ++seen.offered;
     const auto start = Clock::now();
     const bool inSurge = this->surges(serviceIndex, start);
@@ -137,14 +143,14 @@
         const auto exchange = co_await target.exchange(request, patience);
         const bool isAnswered = exchange.state == ExchangeState::Answered;
         const auto outcome =
-                isAnswered ? http::fieldOf(exchange.response, http::header::outcome) : "";
+            isAnswered ? http::fieldOf(exchange.response, http::header::outcome) : "";
         if (outcome == "completed") {
             const auto answer = http::parseJson(exchange.response.body());
             const bool isOwn = answer.is_object() && answer.value("echo", "") == body;
             seen.strangers += isOwn || exchange.response.result_int() >= 500 ? 0 : 1;
             const auto took = millisecondsBetween(start, Clock::now());
             const bool isLate =
-                    took > static_cast<double>(this->plan.deadline.count()) || attempt > 0;
+                took > static_cast<double>(this->plan.deadline.count()) || attempt > 0;
             (isLate ? seen.late : seen.completed) += 1;
             seen.milliseconds.push_back(took);
             ++this->tally.completedByService[service.name];
--- a/packages/standins/src/load_main.cpp
+++ b/packages/standins/src/load_main.cpp
@@ -11,6 +11,10 @@
 
 #include <absl/strings/str_split.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
 namespace {
 
 constexpr const char *usage = R"(standin-load: a load of callers.
@@ -54,7 +58,7 @@
         ++first.port;
         http::Request question{http::Verb::get, "/standin/runs", 11};
         const auto exchange =
-                co_await client.exchange(std::move(question), std::chrono::seconds(10));
+            co_await client.exchange(std::move(question), std::chrono::seconds(10));
         const auto body = http::parseJson(exchange.response.body());
         if (!body.is_object()) {
             word.isWhole = false;
@@ -73,10 +77,14 @@
 
 Json toJson(const standins::ClassTally &tally)
 {
-    return {{"offered", tally.offered},     {"completed", tally.completed},
-            {"late", tally.late},           {"refused", tally.refused},
-            {"unknown", tally.unknown},     {"broken", tally.broken},
-            {"strangers", tally.strangers}, {"p50", standins::quantileOf(tally.milliseconds, 0.5)},
+    return {{"offered", tally.offered},
+            {"completed", tally.completed},
+            {"late", tally.late},
+            {"refused", tally.refused},
+            {"unknown", tally.unknown},
+            {"broken", tally.broken},
+            {"strangers", tally.strangers},
+            {"p50", standins::quantileOf(tally.milliseconds, 0.5)},
             {"p99", standins::quantileOf(tally.milliseconds, 0.99)}};
 }
 
@@ -95,7 +103,9 @@
 int main(int argc, char **argv)
 {
     auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
-    const auto number = [&](const char *name) { return std::stod(arguments[name].asString()); };
+    const auto number = [&](const char *name) {
+        return std::stod(arguments[name].asString());
+    };
     const auto time = [&](const char *name) {
         return std::chrono::milliseconds(static_cast<std::int64_t>(number(name)));
     };
@@ -105,7 +115,7 @@
     for (const auto item : absl::StrSplit(arguments["--services"].asString(), ',')) {
         const std::vector<std::string> parts = absl::StrSplit(item, ':');
         const auto requestClass =
-                model::valueOf<model::RequestClass>(parts.size() > 1 ? parts[1] : "");
+            model::valueOf<model::RequestClass>(parts.size() > 1 ? parts[1] : "");
         if (!requestClass) {
             std::cerr << usage;
             return 2;
@@ -127,13 +137,13 @@
     standins::LoadTally tally;
     WorkersWord word;
     http::asio::co_spawn(
-            context,
-            [&]() -> http::Awaitable<void> {
-                tally = co_await load.run();
-                word = co_await askWorkers(context.get_executor(), workers, workerCount);
-                context.stop();
-            },
-            http::asio::detached);
+        context,
+        [&]() -> http::Awaitable<void> {
+            tally = co_await load.run();
+            word = co_await askWorkers(context.get_executor(), workers, workerCount);
+            context.stop();
+        },
+        http::asio::detached);
     context.run();
 
     std::uint64_t doubled = 0;
@@ -156,7 +166,7 @@
     const double phaseSeconds = std::chrono::duration<double>(plan.phase).count();
     const double runSeconds = std::chrono::duration<double>(plan.runTime).count();
     const double capacity = number("--pool-slots") / runSeconds * phaseSeconds
-            * static_cast<double>(plan.services.size());
+                            * static_cast<double>(plan.services.size());
     const Json report{{"classes", classes},
                       {"surgeGoodput", static_cast<double>(tally.surgeCompleted) / capacity},
                       {"resent", tally.resent},
--- a/packages/standins/src/platform_contract_test.cpp
+++ b/packages/standins/src/platform_contract_test.cpp
@@ -25,11 +25,11 @@
         options.listLag = 0ms;
         this->standin.emplace(this->context.get_executor(), options);
         this->server = std::make_shared<http::Server>(
-                std::vector<http::asio::any_io_executor>{this->context.get_executor()},
-                model::CallerLimits{},
-                [this](http::Request request, std::shared_ptr<http::Disconnect>) {
-                    return this->standin->handle(std::move(request));
-                });
+            std::vector<http::asio::any_io_executor>{this->context.get_executor()},
+            model::CallerLimits{},
+            [this](http::Request request, std::shared_ptr<http::Disconnect>) {
+                return this->standin->handle(std::move(request));
+            });
         this->endpoint = http::listenOnLoopback(*this->server);
         this->tables.emplace(this->context.get_executor(), this->endpoint, 10s);
     }
@@ -88,10 +88,10 @@
 TEST_CASE("each fault of the table service has its own word")
 {
     const auto row = GENERATE(values<FaultCase>({
-            {"down", {{"down", true}}, CommitState::NotApplied, 0},
-            {"answer lost", {{"lostAnswers", 1}}, CommitState::Unknown, 1},
-            {"call lost", {{"lostCalls", 1}}, CommitState::Unknown, 0},
-            {"slow", {{"delayMs", 20}}, CommitState::Committed, 1},
+        {"down", {{"down", true}}, CommitState::NotApplied, 0},
+        {"answer lost", {{"lostAnswers", 1}}, CommitState::Unknown, 1},
+        {"call lost", {{"lostCalls", 1}}, CommitState::Unknown, 0},
+        {"slow", {{"delayMs", 20}}, CommitState::Committed, 1},
     }));
     INFO(row.title);
     Fixture fixture;
--- a/packages/standins/src/platform_main.cpp
+++ b/packages/standins/src/platform_main.cpp
@@ -6,6 +6,9 @@
 #include <csignal>
 #include <iostream>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
 namespace {
 
 constexpr const char *usage = R"(standin-platform: a stand-in for the platform.
@@ -41,10 +44,10 @@
     model::CallerLimits limits;
     limits.bodyBytes = 64LL * 1024 * 1024;
     auto server = std::make_shared<http::Server>(
-            std::vector<http::asio::any_io_executor>{context.get_executor()}, limits,
-            [&](http::Request request, std::shared_ptr<http::Disconnect>) {
-                return standin.handle(std::move(request));
-            });
+        std::vector<http::asio::any_io_executor>{context.get_executor()}, limits,
+        [&](http::Request request, std::shared_ptr<http::Disconnect>) {
+            return standin.handle(std::move(request));
+        });
     const auto status = server->listen(*endpoint);
     if (!status.ok()) {
         std::cerr << status << "\n";
--- a/packages/standins/src/platform_standin.cpp
+++ b/packages/standins/src/platform_standin.cpp
@@ -1,6 +1,8 @@
 // The platform stand-in.
 #include <sassafrasferry/standins/platform_standin.h>
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace sassafrasferry::standins {
 
 namespace {
@@ -24,9 +26,9 @@
 } // namespace
 
 PlatformStandin::PlatformStandin(asio::any_io_executor executor, PlatformOptions options)
-    : executor(std::move(executor)), options(options)
-{
-}
+    : executor(std::move(executor))
+    , options(options)
+{}
 
 Awaitable<void> PlatformStandin::waitUntil(Clock::time_point at)
 {
@@ -36,8 +38,8 @@
 
 Awaitable<void> PlatformStandin::pace(Pace &pace, double perSecond)
 {
-    const auto step = std::chrono::duration_cast<Clock::duration>(
-            std::chrono::duration<double>(1.0 / perSecond));
+    const auto step =
+        std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(1.0 / perSecond));
     const auto at = std::max(Clock::now(), pace.next);
     pace.next = at + step;
     if (at > Clock::now())
@@ -78,8 +80,8 @@
 
 Awaitable<http::Response> PlatformStandin::transact(http::Request request)
 {
-    const auto commit = co_await this->tables.commit(
-            platform::transactionFrom(Json::parse(request.body())));
+    const auto commit =
+        co_await this->tables.commit(platform::transactionFrom(Json::parse(request.body())));
     switch (commit.state) {
     case CommitState::Committed:
         co_return http::jsonResponse(Status::ok, {{"version", commit.version}});
--- a/packages/standins/src/worker_contract_test.cpp
+++ b/packages/standins/src/worker_contract_test.cpp
@@ -18,8 +18,7 @@
     explicit Fixture(std::size_t slots = 8)
         : worker(std::make_shared<WorkerStandin>(context, WorkerOptions{"w", slots, 64, 1ms}))
         , client(context.get_executor(), worker->listen({"127.0.0.1", 0}), {})
-    {
-    }
+    {}
 
     http::Exchange ask(http::Request request)
     {
@@ -58,10 +57,10 @@
 TEST_CASE("a worker that refuses has not run, and says so")
 {
     const auto row = GENERATE(values<RefusalCase>({
-            {"no slot free", 0, far, {}, ""},
-            {"too late to start", 8, "1", {}, ""},
-            {"leaving", 8, far, {false, false, false, false, true, false}, "true"},
-            {"refuses", 8, far, {false, false, false, false, false, true}, ""},
+        {"no slot free", 0, far, {}, ""},
+        {"too late to start", 8, "1", {}, ""},
+        {"leaving", 8, far, {false, false, false, false, true, false}, "true"},
+        {"refuses", 8, far, {false, false, false, false, false, true}, ""},
     }));
     INFO(row.title);
     Fixture fixture(row.slots);
--- a/packages/standins/src/worker_standin.cpp
+++ b/packages/standins/src/worker_standin.cpp
@@ -3,6 +3,10 @@
 
 #include <sassafrasferry/http/json.h>
 
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
 namespace sassafrasferry::standins {
 
 namespace {
@@ -32,7 +36,7 @@
     if (at == std::string::npos)
         return usual;
     return std::chrono::milliseconds(
-            std::strtoll(target.c_str() + at + runTimeParameter.size(), nullptr, 10));
+        std::strtoll(target.c_str() + at + runTimeParameter.size(), nullptr, 10));
 }
 
 } // namespace
@@ -40,9 +44,9 @@
 struct WorkerStandin::Session
 {
     explicit Session(Tcp::socket socket)
-        : socket(std::move(socket)), timer(this->socket.get_executor())
-    {
-    }
+        : socket(std::move(socket))
+        , timer(this->socket.get_executor())
+    {}
 
     Tcp::socket socket;
     asio::steady_timer timer; // of the run; cancelled if the caller goes
@@ -53,9 +57,11 @@
 };
 
 WorkerStandin::WorkerStandin(asio::io_context &context, WorkerOptions options)
-    : context(context), options(std::move(options)), acceptor(context), startedAt(unixNow())
-{
-}
+    : context(context)
+    , options(std::move(options))
+    , acceptor(context)
+    , startedAt(unixNow())
+{}
 
 model::Endpoint WorkerStandin::listen(const model::Endpoint &endpoint)
 {
@@ -68,8 +74,8 @@
         return {endpoint.host, 0};
     this->acceptor.listen();
     asio::co_spawn(
-            this->context, [self = this->shared_from_this()] { return self->acceptLoop(); },
-            asio::detached);
+        this->context, [self = this->shared_from_this()] { return self->acceptLoop(); },
+        asio::detached);
     return {endpoint.host, this->acceptor.local_endpoint().port()};
 }
 
@@ -97,8 +103,8 @@
 {
     for (;;) {
         beast::error_code error;
-        auto socket = co_await this->acceptor.async_accept(
-                asio::redirect_error(asio::use_awaitable, error));
+        auto socket =
+            co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return;
         if (this->openSessions >= this->options.connections)
@@ -106,13 +112,13 @@
         socket.set_option(Tcp::no_delay(true), error);
         auto session = std::make_shared<Session>(std::move(socket));
         asio::co_spawn(
-                this->context,
-                [self = this->shared_from_this(), session]() -> Awaitable<void> {
-                    ++self->openSessions;
-                    co_await self->serve(session);
-                    --self->openSessions;
-                },
-                asio::detached);
+            this->context,
+            [self = this->shared_from_this(), session]() -> Awaitable<void> {
+                ++self->openSessions;
+                co_await self->serve(session);
+                --self->openSessions;
+            },
+            asio::detached);
     }
 }
 
@@ -204,8 +210,8 @@
     --this->busySlots;
     record.isDone = true;
     record.status = this->faults.fail ? 500 : 200;
-    const Json body{{"worker", this->options.name}, {"operation", operation},
-                    {"echo", request.body()}};
+    const Json body{
+        {"worker", this->options.name}, {"operation", operation}, {"echo", request.body()}};
     record.body = this->faults.fail ? "failed\n" : body.dump();
     session->mustBreak = this->faults.half;
     session->mustRepeat = this->faults.twice;
@@ -245,9 +251,8 @@
 {
     auto list = Json::array();
     for (const auto &[operation, record] : this->records)
-        list.push_back({{"operation", operation},
-                        {"key", record.idempotencyKey},
-                        {"done", record.isDone}});
+        list.push_back(
+            {{"operation", operation}, {"key", record.idempotencyKey}, {"done", record.isDone}});
     return http::jsonResponse(Status::ok, {{"worker", this->options.name},
                                            {"busy", this->busySlots},
                                            {"mostBusy", this->busyHighest},
