--- a/packages/cli/src/fleet_commands.cpp
+++ b/packages/cli/src/fleet_commands.cpp
@@ -78,4 +78,53 @@
     return exit_code::ok;
 }
 
+int waves(AdminClient &client)
+{
+    const auto answer = client.get("/v1/waves");
+    if (!answer.ok())
+        return report(answer.status());
+    if (answer->status != okStatus)
+        return report(absl::UnavailableError("the store cannot be read"));
+    for (const auto &wave : answer->body["waves"]) {
+        std::cout << "wave " << wave.value("name", "") << ": " << wave.value("state", "");
+        if (const auto reason = wave.value("reason", ""); !reason.empty())
+            std::cout << " (" << reason << ")";
+        std::cout << "\n";
+        for (const auto &pool : wave["pools"]) {
+            std::cout << "  pool " << pool.value("name", "") << ":";
+            for (const auto &[state, count] : pool["vms"].items()) {
+                if (count.get<int>() > 0)
+                    std::cout << " " << count << " " << state;
+            }
+            std::cout << "; " << pool.value("mayBeOut", 0)
+                      << " may be out; next: " << pool.value("next", "") << "; about "
+                      << pool.value("forecastMs", std::int64_t{0}) / 1000 << " s left\n";
+        }
+    }
+    for (const auto &vm : answer->body["vms"])
+        std::cout << "vm " << vm.value("name", "") << " of pool " << vm.value("pool", "") << ": "
+                  << vm.value("state", "")
+                  << (vm.value("target", "").empty() ? "" : " to pool " + vm.value("target", ""))
+                  << "\n";
+    return exit_code::ok;
+}
+
+int setWave(AdminClient &client, const std::string &wave, const std::string &action,
+            const std::string &token)
+{
+    const auto answer = client.post("/v1/waves/" + wave, {{"action", action}, {"token", token}});
+    if (!answer.ok()) {
+        std::cerr << answer.status().message() << "\n";
+        return absl::IsUnknown(answer.status()) ? exit_code::unknown : exit_code::unavailable;
+    }
+    if (answer->status == okStatus) {
+        std::cout << "accepted\n";
+        return exit_code::ok;
+    }
+    std::cerr << (answer->body.is_object() ? answer->body.value("state", "refused")
+                                           : answer->body.get<std::string>())
+              << "\n";
+    return exit_code::refused;
+}
+
 } // namespace sassafrasferry::cli
--- a/packages/cli/src/fleet_commands.h
+++ b/packages/cli/src/fleet_commands.h
@@ -12,4 +12,10 @@
 /// Prints the decisions on a request.
 int explain(AdminClient &client, const std::string &requestId);
 
+/// Prints every wave with its progress and forecast, and every VM that is not in service.
+int waves(AdminClient &client);
+/// Starts, halts or resumes a wave.
+int setWave(AdminClient &client, const std::string &wave, const std::string &action,
+            const std::string &token);
+
 } // namespace sassafrasferry::cli
--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -23,6 +23,8 @@
   sassafrasferry status [--admin LIST]
   sassafrasferry upstreams [--admin LIST]
   sassafrasferry explain REQUEST [--admin LIST]
+  sassafrasferry waves [--admin LIST]
+  sassafrasferry wave (start | halt | resume) WAVE [--admin LIST]
   sassafrasferry (-h | --help)
   sassafrasferry --version
 
@@ -85,6 +87,12 @@
         return cli::status(client);
     if (is("upstreams"))
         return cli::upstreams(client);
+    if (is("waves"))
+        return cli::waves(client);
+    if (is("wave")) {
+        const char *action = is("start") ? "start" : is("halt") ? "halt" : "resume";
+        return cli::setWave(client, text("WAVE"), action, fromEnvironment("SASSAFRASFERRY_TOKEN"));
+    }
     return cli::explain(client, text("REQUEST"));
 }
 
--- a/packages/entry/src/process/admin_api.h
+++ b/packages/entry/src/process/admin_api.h
@@ -27,6 +27,8 @@
     Awaitable<http::Response> apply(std::string section, http::Request request);
     Awaitable<http::Response> operation(std::string operationId);
     Awaitable<http::Response> history(std::string after);
+    Awaitable<http::Response> waves();
+    Awaitable<http::Response> setWave(std::string name, http::Request request);
 
     const model::Settings &settings;
     ProcessParts &parts;
--- a/packages/entry/src/process/control.cpp
+++ b/packages/entry/src/process/control.cpp
@@ -1,6 +1,10 @@
 // The loops of the control thread.
 #include "control.h"
 
+#include <sassafrasferry/fleet/move_rows.h>
+
+#include <algorithm>
+
 #include <glog/logging.h>
 
 namespace sassafrasferry::entry {
@@ -19,6 +23,12 @@
     return std::chrono::steady_clock::now();
 }
 
+std::int64_t unixNow()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
 Awaitable<void> sleepFor(asio::steady_timer &timer, std::chrono::milliseconds duration)
 {
     boost::system::error_code ignored;
@@ -39,6 +49,15 @@
     , documents(parts.store.tables())
     , list(context.get_executor(), settings.platform, settings.control.storeTimeout)
     , lease(parts.store.tables(), parts.incarnationName, {})
+    , fleetStore(parts.store.tables())
+    , vmControl(context.get_executor(), settings.platform, settings.control.storeTimeout)
+    , waves(parts.store.tables(), this->vmControl,
+            [this](const fleet::FleetDecision &decision) {
+                this->parts.log.write(
+                    {decision.event,
+                     "",
+                     {{"subject", decision.subject}, {"reason", decision.reason}}});
+            })
     , documentTimer(context)
 {}
 
@@ -87,6 +106,14 @@
     return {true, "ok"};
 }
 
+http::ClientTraffic Control::platformTraffic() const
+{
+    auto sum = this->parts.store.tables().traffic();
+    sum.sent += this->list.traffic().sent;
+    sum.received += this->list.traffic().received;
+    return sum;
+}
+
 const peer::PeerLink &Control::link() const
 {
     return this->peers;
@@ -153,44 +180,106 @@
 
 Awaitable<void> Control::refreshDocument()
 {
-    const auto head = co_await this->documents.head();
-    this->storeIsUp = head.ok();
+    const auto heads = co_await this->documents.heads(fleet::fleetHeadKey());
+    this->storeIsUp = heads.ok();
     const auto current = this->versions.current();
-    if (head.ok()) {
-        if (*head <= current->texts.revision) {
-            this->confirmed = now();
-            co_return;
-        }
-        const auto texts = co_await this->documents.load(current->texts);
-        if (texts.ok()) {
-            auto version = makeVersion(*texts);
-            if (version.ok()) {
-                this->adopt(std::move(*version), "store");
-                this->confirmed = now();
-            } else {
-                LOG(ERROR) << "event=document-unsound revision=" << texts->revision << " "
-                           << version.status();
-            }
+    if (!heads.ok()) {
+        this->askPeersForDocument();
+        co_return;
+    }
+    const bool isNewer = heads->revision > current->texts.revision;
+    // VMs that a change moves are marked before the change is adopted: adopted first, it would for
+    // a moment put a VM to use in its new pool that still has work of its old one.
+    if (isNewer || heads->otherVersion != this->fleetVersion) {
+        if (!co_await this->refreshFleet(heads->otherVersion))
             co_return;
-        }
+    }
+    if (!isNewer) {
+        this->confirmed = now();
+        co_return;
+    }
+    const auto texts = co_await this->documents.load(current->texts);
+    if (!texts.ok()) {
         LOG(WARNING) << "event=document-load-failed " << texts.status();
+        co_return;
+    }
+    // A change may have come between the two readings, and moved VMs of its own.
+    if (texts->revision != heads->revision && !co_await this->refreshFleet(platform::absent))
+        co_return;
+    auto version = makeVersion(*texts);
+    if (!version.ok()) {
+        LOG(ERROR) << "event=document-unsound revision=" << texts->revision << " "
+                   << version.status();
+        co_return;
+    }
+    this->adopt(std::move(*version), "store");
+    this->confirmed = now();
+}
+
+Awaitable<bool> Control::refreshFleet(std::int64_t newVersion)
+{
+    const auto rows = co_await this->fleetStore.load();
+    if (!rows.ok()) {
+        LOG(WARNING) << "event=fleet-load-failed " << rows.status();
+        co_return false;
+    }
+    std::set<std::string> names;
+    for (const auto &vm : rows->vms)
+        names.insert(vm.name);
+    this->markDraining(std::move(names));
+    this->fleetVersion = newVersion;
+    co_return true;
+}
+
+void Control::markDraining(std::set<std::string> names)
+{
+    using policy::LeavingSignal;
+    this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
+        for (const auto &name : this->draining) {
+            const bool isListed = this->listed.contains(name);
+            if (!names.contains(name))
+                dispatcher.setLeaving(name, isListed ? LeavingSignal::List : LeavingSignal::None,
+                                      now());
+        }
+        for (const auto &name : names)
+            dispatcher.setLeaving(name, LeavingSignal::Draining, now());
+    });
+    if (names != this->draining) {
+        std::string list;
+        for (const auto &name : names)
+            list += (list.empty() ? "" : ",") + name;
+        this->parts.log.write({"draining", "", {{"vms", list.empty() ? "-" : list}}});
     }
-    // The store cannot be read: a peer that is ahead has what is missing.
+    this->draining = std::move(names);
+}
+
+void Control::askPeersForDocument()
+{
+    const auto own = this->versions.current()->texts.revision;
     messages::Envelope envelope;
-    envelope.mutable_document_request()->set_have_revision(current->texts.revision);
+    envelope.mutable_document_request()->set_have_revision(own);
     for (const auto &peer : this->settings.peers) {
         const auto state = this->parts.membership.locked(
             [&](policy::Membership &membership) { return membership.peer(peer.name); });
-        if (state && state->revision > current->texts.revision
-            && this->peers.send(peer.name, envelope))
+        if (state && state->revision > own && this->peers.send(peer.name, envelope))
             break;
     }
 }
 
 void Control::adopt(VersionPointer version, const char *source)
 {
-    if (!this->versions.advance(version))
+    const auto before = this->versions.current();
+    if (version->texts.revision <= before->texts.revision)
         return;
+    // What the store would say of VMs that move is not known from a peer: they get no work until
+    // it can be read.
+    if (this->storeIsUp == false) {
+        auto names = this->draining;
+        for (const auto &move : fleet::movesBetween(before->document, version->document))
+            names.insert(move.vm);
+        this->markDraining(std::move(names));
+        this->fleetVersion = platform::absent;
+    }
     this->parts.log.write({"revision",
                            "",
                            {{"revision", std::to_string(version->texts.revision)},
@@ -198,11 +287,14 @@
                             {"vms", std::to_string(version->table.workers.size())},
                             {"services", std::to_string(version->table.services.size())}}});
     this->parts.dispatcher.change([&](policy::Dispatcher &dispatcher) {
-        auto changes = dispatcher.adopt(version->table, now());
+        dispatcher.expect(version->table);
         for (const auto &name : this->listed)
             dispatcher.setLeaving(name, policy::LeavingSignal::List, now());
-        return changes;
+        for (const auto &name : this->draining)
+            dispatcher.setLeaving(name, policy::LeavingSignal::Draining, now());
+        return dispatcher.adopt(version->table, now());
     });
+    this->versions.advance(version);
     this->sendHeartbeat(); // the peers learn the new revision at once
 }
 
@@ -290,6 +382,12 @@
     bool held = false;
     while (!this->stopping) {
         co_await this->lease.step(now);
+        if (this->holdsLease()) {
+            const auto view = this->fleetView();
+            const auto status = co_await this->waves.step(view, this->lease.fence());
+            if (!status.ok())
+                LOG(WARNING) << "event=waves-failed " << status;
+        }
         if (this->holdsLease() != held) {
             held = !held;
             this->parts.log.write(
@@ -428,6 +526,34 @@
     co_return result;
 }
 
+Awaitable<absl::StatusOr<fleet::FleetRows>> Control::fleetRows()
+{
+    return this->fleetStore.load();
+}
+
+Awaitable<platform::Commit> Control::setWave(fleet::WaveRow wave)
+{
+    return this->fleetStore.setWave(std::move(wave), nullptr);
+}
+
+fleet::FleetView Control::fleetView()
+{
+    this->viewed = this->versions.current();
+    fleet::FleetView view{this->viewed->document, {}, this->viewed->texts.revision, unixNow()};
+    for (const auto &name : this->listed) {
+        if (!this->draining.contains(name))
+            view.failed.insert(name);
+    }
+    this->parts.membership.locked([&](policy::Membership &membership) {
+        for (const auto &name : membership.live(now())) {
+            const auto peer = membership.peer(name);
+            if (peer)
+                view.revisionEverywhere = std::min(view.revisionEverywhere, peer->revision);
+        }
+    });
+    return view;
+}
+
 Awaitable<absl::StatusOr<std::int64_t>> Control::operation(std::string operationId)
 {
     return this->documents.operation(std::move(operationId));
--- a/packages/entry/src/process/control.h
+++ b/packages/entry/src/process/control.h
@@ -4,6 +4,8 @@
 #include "../connection/traffic_environment.h"
 #include "../version/version.h"
 
+#include <sassafrasferry/fleet/vm_control_client.h>
+#include <sassafrasferry/fleet/wave_runner.h>
 #include <sassafrasferry/peer/peer_link.h>
 #include <sassafrasferry/platform/document_store.h>
 #include <sassafrasferry/platform/lease_keeper.h>
@@ -44,6 +46,14 @@
     Awaitable<absl::StatusOr<std::int64_t>> operation(std::string operationId);
     Awaitable<absl::StatusOr<std::vector<platform::HistoryEntry>>> history(std::int64_t after);
 
+    Awaitable<absl::StatusOr<fleet::FleetRows>> fleetRows();
+    /// An operator starts, halts or resumes a wave.
+    Awaitable<platform::Commit> setWave(fleet::WaveRow wave);
+    /// What the wave planner sees.
+    fleet::FleetView fleetView();
+
+    /// Bytes moved between this entry VM and the platform for control.
+    http::ClientTraffic platformTraffic() const;
     const peer::PeerLink &link() const;
     /// When the revision in force was last known to be the newest.
     policy::Instant confirmedAt() const;
@@ -60,6 +70,9 @@
     Awaitable<void> dispatchLoop();
     Awaitable<void> leaseLoop();
     Awaitable<void> refreshDocument();
+    Awaitable<bool> refreshFleet(std::int64_t fleetVersion);
+    void askPeersForDocument();
+    void markDraining(std::set<std::string> names);
     void spawn(Awaitable<void> (Control::*loop)());
     void sendHeartbeat();
     void adopt(VersionPointer version, const char *source);
@@ -82,12 +95,19 @@
     platform::DocumentStore<platform::TableClient> documents;
     platform::VmListClient list;
     platform::LeaseKeeper<platform::TableClient> lease;
+    fleet::FleetStore<platform::TableClient> fleetStore;
+    fleet::VmControlClient vmControl;
+    fleet::WaveRunner<platform::TableClient, fleet::VmControlClient> waves;
     Timer documentTimer; // cancelled to read the document at once
     bool stopping = false;
     bool gone = false; // said to the peers
     bool storeIsUp = false;
     policy::Instant confirmed{};
     std::set<std::string> listed; // VMs that the platform's list says are leaving
+    std::set<std::string> draining; // VMs that have a row in the store
+    std::int64_t fleetVersion =
+        platform::absent; // of the fleet's head row, when `draining` was read
+    VersionPointer viewed; // keeps alive the document of the last fleet view
     policy::Instant nextWish{};
     std::size_t wishTurn = 0; // which peers are asked next
 };
--- a/packages/entry/src/process/daemon.cpp
+++ b/packages/entry/src/process/daemon.cpp
@@ -73,7 +73,8 @@
             return this->admin->handle(std::move(request));
         });
     std::vector<asio::any_io_executor> executors;
-    constexpr std::size_t idleConnections = 2; // for each worker and thread
+    const auto idleConnections = static_cast<std::size_t>(this->settings.routing.idleConnections
+                                                          / this->settings.trafficThreads);
     for (std::int64_t i = 0; i < this->settings.trafficThreads; ++i) {
         this->traffic.push_back(std::make_unique<TrafficThread>(this->parts, idleConnections));
         executors.push_back(this->traffic.back()->context.get_executor());
--- a/packages/entry/src/request/caller_handler.cpp
+++ b/packages/entry/src/request/caller_handler.cpp
@@ -157,11 +157,14 @@
     return http::awaitCallback<CallerAnswer>([&environment, context, race](Done done) {
         race->done = std::move(done);
         race->timer.expires_at(context->request.deadline);
-        race->timer.async_wait([race](const boost::system::error_code &error) {
-            if (!error && race->done)
-                std::exchange(race->done, nullptr)(ownAnswer(
-                    model::Outcome::Unknown, AnswerReason::DeadlinePassed, KeyedTimes{}.comeBack));
-        });
+        race->timer.async_wait(
+            [&environment, context, race](const boost::system::error_code &error) {
+                if (error || !race->done)
+                    return;
+                const auto retryAfter = environment.retryAfter(context->request.service);
+                std::exchange(race->done, nullptr)(
+                    ownAnswer(model::Outcome::Unknown, AnswerReason::DeadlinePassed, retryAfter));
+            });
         asio::co_spawn(
             environment.executor(),
             [&environment, context, race]() -> Awaitable<void> {
--- a/packages/entry/src/request/keyed_flow.h
+++ b/packages/entry/src/request/keyed_flow.h
@@ -19,8 +19,6 @@
     std::chrono::milliseconds startMargin{200};
     std::chrono::milliseconds firstPoll{50}; ///< of a claim that is in progress
     std::chrono::milliseconds longestPoll{500};
-    /// How soon a caller may come back for an outcome that is not known yet.
-    std::chrono::milliseconds comeBack{2000};
     /// A larger answer goes to the object store.
     std::size_t inlineBytes = 16UL * 1024;
 };
@@ -126,7 +124,7 @@
             const auto existing = co_await this->environment.readClaim(key);
             if (!existing.ok())
                 co_return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUnavailable,
-                                    KeyedTimes{}.comeBack);
+                                    this->comeBack());
             this->environment.reached(this->request, RequestStep::ClaimRead);
             this->version = existing->version;
             if (existing->version != platform::absent) {
@@ -145,6 +143,12 @@
 private:
     using MaybeAnswer = std::optional<CallerAnswer>;
 
+    // How soon a caller may come back for an outcome that is not known yet.
+    policy::Duration comeBack()
+    {
+        return this->environment.retryAfter(this->request.service);
+    }
+
     // An answer; or none, and the key may be claimed on `version`, or must be read again.
     Awaitable<MaybeAnswer> answerExisting(platform::VersionedClaim existing)
     {
@@ -178,7 +182,7 @@
             auto body = co_await this->environment.getObject(kept.answer.object);
             if (!body.ok())
                 co_return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUnavailable,
-                                    KeyedTimes{}.comeBack);
+                                    this->comeBack());
             kept.answer.body = std::move(*body);
         }
         auto answer = workerAnswer(kept.answer, kept.worker);
@@ -191,7 +195,7 @@
     {
         const auto next = this->environment.now() + this->poll;
         if (next >= this->request.deadline || this->cancellation.requested())
-            co_return ownAnswer(model::Outcome::Unknown, reason, KeyedTimes{}.comeBack);
+            co_return ownAnswer(model::Outcome::Unknown, reason, this->comeBack());
         co_await this->environment.pause(this->poll);
         this->poll = std::min(2 * this->poll, KeyedTimes{}.longestPoll);
         this->mustReadAgain = true;
@@ -217,8 +221,8 @@
             if (this->mayTurnOut(existing.claim, settled.word))
                 answer = co_await this->waitOn(AnswerReason::NotSettled);
             else
-                answer = ownAnswer(model::Outcome::Unknown, AnswerReason::NotSettled,
-                                   KeyedTimes{}.comeBack);
+                answer =
+                    ownAnswer(model::Outcome::Unknown, AnswerReason::NotSettled, this->comeBack());
             break;
         }
         co_return answer;
@@ -337,15 +341,14 @@
             // a resend has, through another entry VM.
             this->markNotRun();
             return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUnavailable,
-                             KeyedTimes{}.comeBack);
+                             this->comeBack());
         case platform::WriteState::Unknown:
         case platform::WriteState::Written:
             break;
         }
         // Nothing was sent, but the claim may stand in the store and hold off a resend.
         this->environment.leaveOver(this->claim, this->version, LeftOver::MarkNotRun);
-        return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUncertain,
-                         KeyedTimes{}.comeBack);
+        return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUncertain, this->comeBack());
     }
 
     Awaitable<MaybeAnswer> afterNotRun(policy::Grant grant, SendState state)
@@ -373,7 +376,7 @@
             const auto current = co_await this->environment.readClaim(this->claim.key);
             if (!current.ok())
                 co_return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUnavailable,
-                                    KeyedTimes{}.comeBack);
+                                    this->comeBack());
             this->mustReadAgain = current->version != this->version;
             if (this->mustReadAgain)
                 co_return std::nullopt;
@@ -393,7 +396,7 @@
         }
         this->markNotRun();
         co_return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUncertain,
-                            KeyedTimes{}.comeBack);
+                            this->comeBack());
     }
 
     // Our claim stands, and we know that no worker runs it: say so, so that a resend may run.
@@ -447,8 +450,7 @@
             this->poll = std::min(2 * this->poll, KeyedTimes{}.longestPoll);
         }
         this->environment.leaveOver(this->claim, this->version, LeftOver::AskWorker);
-        co_return ownAnswer(model::Outcome::Unknown, AnswerReason::WorkerSilent,
-                            KeyedTimes{}.comeBack);
+        co_return ownAnswer(model::Outcome::Unknown, AnswerReason::WorkerSilent, this->comeBack());
     }
 
     Environment &environment;
--- /dev/null
+++ b/packages/fleet/include/sassafrasferry/fleet/fleet_rows.h
@@ -0,0 +1,101 @@
+// Rows about VMs that are not simply in service, about waves, and about budgets. A VM without a row
+// is in service in the pool that the document names.
+#pragma once
+
+#include <sassafrasferry/model/names.h>
+#include <sassafrasferry/platform/rows.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sassafrasferry::fleet {
+
+using platform::Awaitable;
+using platform::Json;
+using platform::RowKey;
+
+/// Where a VM stands that is not in service.
+enum class VmState {
+    Draining, ///< no new work; the platform lets it finish what it has
+    InMaintenance,
+    BackFailing, ///< back from maintenance, and its check fails
+};
+
+constexpr auto enumNames(VmState)
+{
+    using model::EnumName;
+    return std::array{EnumName{VmState::Draining, "draining"},
+                      EnumName{VmState::InMaintenance, "in-maintenance"},
+                      EnumName{VmState::BackFailing, "back-failing"}};
+}
+
+/// A VM that is not in service.
+struct VmRow
+{
+    std::string name;
+    std::string pool; ///< the one pool it belongs to until this row is gone
+    std::string target; ///< a move: the pool it goes to; empty: maintenance
+    std::string wave; ///< maintenance: the wave
+    VmState state = VmState::Draining;
+    std::int64_t order = 0; ///< sent with every order to the platform, which ignores older ones
+    std::int64_t revision = 0; ///< a move: the document revision that asked for it
+    std::int64_t version = platform::absent;
+};
+
+/// Where a wave stands.
+enum class WaveState { Running, Halted, Finished };
+
+constexpr auto enumNames(WaveState)
+{
+    using model::EnumName;
+    return std::array{EnumName{WaveState::Running, "running"},
+                      EnumName{WaveState::Halted, "halted"},
+                      EnumName{WaveState::Finished, "finished"}};
+}
+
+/// A wave and its progress.
+struct WaveRow
+{
+    std::string name;
+    WaveState state = WaveState::Running;
+    std::string reason; ///< why it waits or has halted
+    std::vector<std::string> done; ///< VMs that are back in service
+    std::int64_t startedAt = 0; ///< Unix milliseconds
+    std::int64_t version = platform::absent;
+};
+
+/// The VMs of a pool that are out on permits.
+struct BudgetRow
+{
+    std::string pool;
+    std::vector<std::string> out;
+    std::int64_t version = platform::absent;
+};
+
+/// All rows of the fleet, as read.
+struct FleetRows
+{
+    std::vector<VmRow> vms;
+    std::vector<WaveRow> waves;
+    std::vector<BudgetRow> budgets;
+
+    const VmRow *vm(const std::string &name) const;
+    /// The budget of a pool; one of version `absent` if nothing is out.
+    BudgetRow budget(const std::string &pool) const;
+};
+
+/// Changes with every write of a fleet row, so that one small read tells whether any changed.
+RowKey fleetHeadKey();
+RowKey vmKey(const std::string &name);
+RowKey waveKey(const std::string &name);
+RowKey budgetKey(const std::string &pool);
+
+Json toJson(const VmRow &row);
+Json toJson(const WaveRow &row);
+Json toJson(const BudgetRow &row);
+absl::StatusOr<VmRow> vmFrom(const platform::Row &row);
+absl::StatusOr<WaveRow> waveFrom(const platform::Row &row);
+absl::StatusOr<BudgetRow> budgetFrom(const platform::Row &row);
+
+} // namespace sassafrasferry::fleet
--- /dev/null
+++ b/packages/fleet/include/sassafrasferry/fleet/fleet_store.h
@@ -0,0 +1,127 @@
+// Reads and changes fleet rows. Every change is one transaction that carries the control lease's
+// fence, and the version of each row it rests on.
+#pragma once
+
+#include <sassafrasferry/fleet/fleet_rows.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasferry::fleet {
+
+/// The fleet rows in the table service.
+template<platform::TableService Tables>
+class FleetStore
+{
+public:
+    explicit FleetStore(Tables &tables)
+        : tables(tables)
+    {
+    }
+
+    Awaitable<absl::StatusOr<FleetRows>> load()
+    {
+        FleetRows rows;
+        const auto vms = co_await this->tables.scan("vms", "");
+        const auto waves = co_await this->tables.scan("waves", "");
+        const auto budgets = co_await this->tables.scan("budgets", "");
+        for (const auto *part : {&vms, &waves, &budgets}) {
+            if (!part->ok())
+                co_return part->status();
+        }
+        absl::Status status;
+        take(*vms, rows.vms, vmFrom, status);
+        take(*waves, rows.waves, waveFrom, status);
+        take(*budgets, rows.budgets, budgetFrom, status);
+        if (!status.ok())
+            co_return status;
+        co_return rows;
+    }
+
+    /// Takes a VM out of service for a wave: the permit. Fails in a conflict if the budget row has
+    /// changed since it was read, or the VM has a row already.
+    Awaitable<platform::Commit> permit(VmRow vm, BudgetRow budget, platform::Condition fence)
+    {
+        budget.out.push_back(vm.name);
+        platform::Transaction transaction = fenced(fence);
+        transaction.conditions.push_back({vmKey(vm.name), platform::absent});
+        transaction.conditions.push_back({budgetKey(budget.pool), budget.version});
+        transaction.puts.push_back({vmKey(vm.name), toJson(vm)});
+        transaction.puts.push_back({budgetKey(budget.pool), toJson(budget)});
+        return this->tables.commit(std::move(transaction));
+    }
+
+    /// Writes a VM's next state.
+    Awaitable<platform::Commit> advance(VmRow vm, platform::Condition fence)
+    {
+        platform::Transaction transaction = fenced(fence);
+        transaction.conditions.push_back({vmKey(vm.name), vm.version});
+        transaction.puts.push_back({vmKey(vm.name), toJson(vm)});
+        return this->tables.commit(std::move(transaction));
+    }
+
+    /// A VM is in service again: its row goes, the budget gets its permit back, and its wave, if
+    /// any, counts it as done.
+    Awaitable<platform::Commit> returned(VmRow vm, BudgetRow budget, const WaveRow *wave,
+                                         platform::Condition fence)
+    {
+        platform::Transaction transaction = fenced(fence);
+        transaction.conditions.push_back({vmKey(vm.name), vm.version});
+        transaction.deletes.push_back(vmKey(vm.name));
+        if (std::erase(budget.out, vm.name) > 0) {
+            transaction.conditions.push_back({budgetKey(budget.pool), budget.version});
+            transaction.puts.push_back({budgetKey(budget.pool), toJson(budget)});
+        }
+        if (wave) {
+            auto next = *wave;
+            next.done.push_back(vm.name);
+            transaction.conditions.push_back({waveKey(next.name), next.version});
+            transaction.puts.push_back({waveKey(next.name), toJson(next)});
+        }
+        return this->tables.commit(std::move(transaction));
+    }
+
+    /// Writes a wave's state. Operators' orders carry no fence.
+    Awaitable<platform::Commit> setWave(WaveRow wave, const platform::Condition *fence)
+    {
+        platform::Transaction transaction;
+        if (fence)
+            transaction = fenced(*fence);
+        else
+            transaction.puts.push_back(bump());
+        transaction.conditions.push_back({waveKey(wave.name), wave.version});
+        transaction.puts.push_back({waveKey(wave.name), toJson(wave)});
+        return this->tables.commit(std::move(transaction));
+    }
+
+private:
+    static platform::Put bump()
+    {
+        return {fleetHeadKey(), Json::object()};
+    }
+
+    static platform::Transaction fenced(const platform::Condition &fence)
+    {
+        platform::Transaction transaction;
+        transaction.conditions.push_back(fence);
+        transaction.puts.push_back(bump());
+        return transaction;
+    }
+
+    template<typename T, typename From>
+    static void take(const std::vector<platform::Row> &rows, std::vector<T> &into, From from,
+                     absl::Status &status)
+    {
+        for (const auto &row : rows) {
+            auto item = from(row);
+            if (item.ok())
+                into.push_back(std::move(*item));
+            else
+                status = item.status();
+        }
+    }
+
+    Tables &tables;
+};
+
+} // namespace sassafrasferry::fleet
--- /dev/null
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -0,0 +1,310 @@
+// Waves under failure: a fault at every call that changes something, by the process that holds the
+// control lease. After each, the wave must finish with every VM maintained exactly once, each
+// only when it was empty, and never more VMs out than the budget allows.
+#include "../tests/fleet_world.h"
+
+#include <sassafrasferry/fakes/run.h>
+#include <sassafrasferry/fleet/move_rows.h>
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::fleet;
+
+namespace {
+
+constexpr std::size_t poolSize = 8;
+constexpr int mostSteps = 200;
+
+model::Document document()
+{
+    model::Document result;
+    result.revision = 1;
+    model::Pool pool{"p", "s", false, {}};
+    for (std::size_t i = 0; i < poolSize; ++i) {
+        model::Vm vm;
+        vm.name = "w" + std::to_string(i);
+        vm.dataCentre = "dc" + std::to_string(i / 4);
+        vm.rack = "r" + std::to_string(i / 2);
+        pool.vms.push_back(vm);
+    }
+    result.pools.push_back(pool);
+    model::Service service;
+    service.name = "x";
+    service.pool = "p";
+    service.availability = 0.5; // four of eight may be out
+    result.services.push_back(service);
+    model::Wave wave;
+    wave.name = "weekly";
+    wave.pools = {"p"};
+    result.waves.push_back(wave);
+    return result;
+}
+
+// Runs a wave to its end; the first violated promise, or an empty string.
+class Run
+{
+public:
+    using Runner = WaveRunner<FaultyTables, FaultyVms>;
+
+    Run()
+    {
+        for (const auto &vm : this->fleet.pools[0].vms)
+            this->vms.vms[vm.name] = {};
+        this->tables.commitNow({{}, {{waveKey("weekly"), toJson(WaveRow{})}}, {}});
+        this->takeOver();
+    }
+
+    // Another process takes the lease: the fence changes.
+    void takeOver()
+    {
+        const auto key = platform::LeaseKeeper<FaultyTables>::epochKey();
+        const auto commit = this->tables.commitNow({{}, {{key, Json{{"epoch", ++this->epoch}}}}, {}});
+        this->fence = {key, commit.version};
+    }
+
+    // One step of a process that believes to hold the lease with this fence.
+    void step(CallFaults &faults, platform::Condition stepFence)
+    {
+        FaultyTables tablesSeen{this->tables, faults};
+        FaultyVms vmsSeen{this->vms, faults};
+        Runner runner(tablesSeen, vmsSeen, [](const FleetDecision &) {});
+        const FleetView view{this->fleet, this->failed, 1, ++this->now};
+        boost::asio::io_context context(1);
+        (void)fakes::run(context, runner.step(view, stepFence));
+        this->check();
+    }
+
+    // The wave to its end, with the faults of the first process.
+    std::string finish(CallFaults &faults)
+    {
+        faults.whilePaused = [&] {
+            CallFaults none;
+            this->takeOver();
+            for (int i = 0; i < 5; ++i) {
+                this->step(none, this->fence);
+                this->vms.tick();
+            }
+        };
+        auto *current = &faults;
+        CallFaults none;
+        auto currentFence = this->fence;
+        for (int i = 0; i < mostSteps && !this->isFinished(); ++i) {
+            try {
+                this->step(*current, currentFence);
+            } catch (const HolderKilled &) {
+                this->takeOver();
+                current = &none;
+                currentFence = this->fence;
+            }
+            // A paused holder finds out by its next read of the lease.
+            if (currentFence.version != this->fence.version && i % 3 == 2)
+                currentFence = this->fence;
+            this->vms.tick();
+        }
+        if (this->failure.empty() && !this->isFinished())
+            this->failure = "the wave does not finish";
+        for (const auto &[name, vm] : this->vms.vms) {
+            if (this->failure.empty() && vm.maintained != 1)
+                this->failure = name + " was maintained " + std::to_string(vm.maintained)
+                        + " times";
+            if (this->failure.empty() && vm.maintainedWhileServing)
+                this->failure = name + " was maintained while it served";
+        }
+        return this->failure;
+    }
+
+    std::optional<WaveRow> wave() const
+    {
+        const auto rows = this->tables.readNow({waveKey("weekly")});
+        return *waveFrom(rows.at(0));
+    }
+
+    std::size_t out() const
+    {
+        return this->tables.scanNow("vms", "").size();
+    }
+
+    fakes::MemoryTables tables;
+    FakeVms vms;
+    std::set<std::string> failed;
+    model::Document fleet = document();
+    platform::Condition fence;
+
+private:
+    bool isFinished() const
+    {
+        return this->wave()->state == WaveState::Finished;
+    }
+
+    void check()
+    {
+        constexpr std::size_t limit = 4;
+        if (this->failure.empty() && this->out() + this->failed.size() > limit)
+            this->failure = std::to_string(this->out()) + " VMs out";
+        const auto budgets = this->tables.scanNow("budgets", "");
+        const auto inBudget = budgets.empty() ? 0 : budgetFrom(budgets[0])->out.size();
+        if (this->failure.empty() && inBudget != this->out())
+            this->failure = "the budget row and the VM rows differ";
+    }
+
+    std::int64_t epoch = 0;
+    std::int64_t now = 0;
+    std::string failure;
+};
+
+std::size_t callsOfAWave()
+{
+    Run run;
+    CallFaults faults;
+    CHECK(run.finish(faults).empty());
+    return faults.calls;
+}
+
+} // namespace
+
+TEST_CASE("every fault at every call of a wave, and twice")
+{
+    const auto calls = callsOfAWave();
+    std::size_t runs = 0;
+    std::size_t violations = 0;
+    std::string first;
+    for (const auto &fault : enumNames(CallFault{})) {
+        for (std::size_t call = 0; call < calls; ++call) {
+            for (const std::size_t again : {std::size_t{0}, std::size_t{1}, std::size_t{4}}) {
+                Run run;
+                CallFaults faults;
+                faults.faultOf = [&](std::size_t number) {
+                    const bool isDue = number == call || (again > 0 && number == call + again);
+                    return isDue ? fault.value : CallFault::None;
+                };
+                const auto failure = run.finish(faults);
+                ++runs;
+                violations += failure.empty() ? 0 : 1;
+                if (!failure.empty() && first.empty())
+                    first = std::string(fault.name) + " at call " + std::to_string(call) + ": "
+                            + failure;
+            }
+        }
+    }
+    std::cout << "wave matrix: " << enumNames(CallFault{}).size() << " faults x " << calls
+              << " calls, once and twice: " << runs << " runs, " << violations << " violations\n";
+    INFO(first);
+    CHECK(violations == 0);
+}
+
+TEST_CASE("two processes that both believe to hold the lease cannot overdraw the budget")
+{
+    // Each plans from the same rows and asks for permits in turn. The budget row's version lets one
+    // of two racing permits pass, and the fence stops the older process altogether.
+    Run run;
+    CallFaults none;
+    CallFaults racing;
+    racing.faultOf = [](std::size_t) { return CallFault::HolderPaused; };
+    bool isInside = false;
+    racing.whilePaused = [&] {
+        if (std::exchange(isInside, true))
+            return;
+        run.step(none, run.fence); // the same fence: the lease's own safeguard taken out
+        isInside = false;
+    };
+    for (int i = 0; i < 20; ++i) {
+        run.step(racing, run.fence);
+        run.vms.tick();
+    }
+    CHECK(run.finish(none).empty());
+}
+
+TEST_CASE("a wave waits while others have failed, and halts when VMs come back failing")
+{
+    Run run;
+    run.failed = {"w4", "w5", "w6", "w7"};
+    CallFaults none;
+    run.step(none, run.fence);
+    CHECK(run.out() == 0);
+    CHECK_THAT(run.wave()->reason, Catch::Contains("4 of 4"));
+    run.failed.clear();
+    run.fleet.waves[0].haltAfter = 1;
+    run.vms.failsAfterwards = "w0";
+    for (int i = 0; i < 20; ++i) {
+        run.step(none, run.fence);
+        run.vms.tick();
+    }
+    CHECK(run.wave()->state == WaveState::Halted);
+    CHECK_THAT(run.wave()->reason, Catch::Contains("came back failing"));
+}
+
+TEST_CASE("the checks notice a platform that obeys old orders")
+{
+    // A holder is paused before its maintain order, another one has the VM maintained, the first
+    // one wakes and gives its order: the VM would be rebooted with requests in flight.
+    std::size_t violations = 0;
+    const auto calls = callsOfAWave();
+    for (std::size_t call = 0; call < calls; ++call) {
+        Run run;
+        run.vms.obeysOldOrders = true;
+        CallFaults faults;
+        faults.faultOf = [&](std::size_t number) {
+            return number == call ? CallFault::HolderPaused : CallFault::None;
+        };
+        violations += run.finish(faults).empty() ? 0 : 1;
+    }
+    std::cout << "wave matrix without fenced orders: " << violations << " of " << calls
+              << " runs violate\n";
+    CHECK(violations > 0);
+}
+
+TEST_CASE("a move drains first, and waits until every entry VM knows of it")
+{
+    // A request in flight on w0 runs on in the old pool, and an entry VM that has not adopted the
+    // change would still send to w0 there. Only then may it serve in the new pool.
+    Run run;
+    VmRow move;
+    move.name = "w0";
+    move.pool = "p";
+    move.target = "q";
+    move.order = 1;
+    move.revision = 2;
+    run.tables.commitNow({{}, {{vmKey("w0"), toJson(move)}}, {}});
+    run.tables.commitNow({{}, {}, {waveKey("weekly")}});
+    CallFaults faults;
+    FaultyTables tables{run.tables, faults};
+    FaultyVms vms{run.vms, faults};
+    WaveRunner<FaultyTables, FaultyVms> runner(tables, vms, [](const FleetDecision &) {});
+    const auto step = [&](std::int64_t revisionEverywhere) {
+        const FleetView view{run.fleet, {}, revisionEverywhere, 5};
+        boost::asio::io_context context(1);
+        (void)fakes::run(context, runner.step(view, run.fence));
+        run.vms.tick();
+    };
+    for (int i = 0; i < 5; ++i)
+        step(1);
+    CHECK(run.vms.vms["w0"].report.phase == VmPhase::Empty);
+    CHECK(run.out() == 1);
+    for (int i = 0; i < 3; ++i)
+        step(2);
+    CHECK(run.vms.vms["w0"].report.phase == VmPhase::Serving);
+    CHECK(run.out() == 0);
+}
+
+TEST_CASE("a change that moves a VM writes its row in the same transaction")
+{
+    // Between the change and the row an entry VM could use the VM in its new pool while it still
+    // has work of the old one. A second move before the first has ended is refused.
+    const auto before = document();
+    auto after = before;
+    after.revision = 2;
+    after.pools.push_back({"q", "s", false, {after.pools[0].vms.back()}});
+    after.pools[0].vms.pop_back();
+    const auto puts = moveRows(before, after, 7);
+    REQUIRE(puts.size() == 1);
+    const auto row = vmFrom({puts[0].key, 1, puts[0].value});
+    CHECK(row->name == "w7");
+    CHECK(row->pool == "p");
+    CHECK(row->target == "q");
+    CHECK(row->state == VmState::Draining);
+    CHECK(row->revision == 2);
+    CHECK(moveRows(before, before, 7).empty());
+}
--- a/packages/http/include/sassafrasferry/http/client.h
+++ b/packages/http/include/sassafrasferry/http/client.h
@@ -30,6 +30,13 @@
     Response response; ///< whole, if answered
 };
 
+/// Bytes that a client has moved, headers included.
+struct ClientTraffic
+{
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+};
+
 /// Lets the owner of an exchange give it up from the same executor.
 class Abort
 {
@@ -64,6 +71,7 @@
 
     const model::Endpoint &endpoint() const;
     std::size_t idleCount() const;
+    ClientTraffic traffic() const;
 
 private:
     using Stream = beast::tcp_stream;
@@ -73,6 +81,7 @@
     asio::any_io_executor executor;
     model::Endpoint address;
     Options options;
+    ClientTraffic moved;
     std::vector<std::unique_ptr<Stream>> idle; // no answer is owed on any of them
 };
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -62,6 +62,11 @@
     return this->idle.size();
 }
 
+ClientTraffic Client::traffic() const
+{
+    return this->moved;
+}
+
 std::unique_ptr<Client::Stream> Client::takeIdle()
 {
     while (!this->idle.empty()) {
@@ -108,13 +113,13 @@
         result.state = ExchangeState::Broken;
         request.set(Field::host, this->address.host);
         request.keep_alive(true);
-        co_await beast::http::async_write(*stream, request, token);
+        this->moved.sent += co_await beast::http::async_write(*stream, request, token);
     }
     beast::flat_buffer buffer;
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(this->options.answerBytes);
     if (!error)
-        co_await beast::http::async_read(*stream, buffer, parser, token);
+        this->moved.received += co_await beast::http::async_read(*stream, buffer, parser, token);
     if (abort)
         abort->close = nullptr;
     if (error) {
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -230,7 +230,13 @@
                         && session->stream.socket().available(ignored) == 0)
                         disconnect->fire();
                 });
-            response = co_await this->handler(std::move(request), disconnect);
+            try {
+                response = co_await this->handler(std::move(request), disconnect);
+            } catch (const std::exception &) {
+                // One faulty request must not end the process, and with it all others.
+                response = textResponse(Status::internal_server_error, "internal error\n");
+                response.set(header::outcome, "unknown");
+            }
             *isWatching = false;
             disconnect->onDisconnect(nullptr);
             beast::error_code ignored;
--- a/packages/model/include/sassafrasferry/model/vocabulary.h
+++ b/packages/model/include/sassafrasferry/model/vocabulary.h
@@ -30,11 +30,11 @@
                       EnumName{RequestClass::Background, "background"}};
 }
 
-/// How an entry VM chooses a worker. All but `Shares` are baselines for measurement.
+/// How an entry VM chooses a worker. All but `Loans` are baselines for measurement.
 enum class RoutingPolicy {
-    Shares, ///< Slots divided among the live entry VMs, with loans and trials beyond the share.
-    Loans, ///< The same division, with loans only.
-    Trials, ///< The same division, with trials only.
+    Loans, ///< Slots divided among the live entry VMs, and lent by those that leave them idle.
+    Trials, ///< The same division, and trials beyond the share.
+    LoansTrials, ///< The same division, with loans and trials.
     FixedShares, ///< The same division, and nothing beyond the share.
     LeastOutstanding, ///< Fewest requests outstanding from this entry VM.
     RoundRobin, ///< In turn.
@@ -44,9 +44,9 @@
 
 constexpr auto enumNames(RoutingPolicy)
 {
-    return std::array{EnumName{RoutingPolicy::Shares, "shares"},
-                      EnumName{RoutingPolicy::Loans, "loans"},
+    return std::array{EnumName{RoutingPolicy::Loans, "loans"},
                       EnumName{RoutingPolicy::Trials, "trials"},
+                      EnumName{RoutingPolicy::LoansTrials, "loans-trials"},
                       EnumName{RoutingPolicy::FixedShares, "fixed-shares"},
                       EnumName{RoutingPolicy::LeastOutstanding, "least-outstanding"},
                       EnumName{RoutingPolicy::RoundRobin, "round-robin"},
--- a/packages/model/src/settings.cpp
+++ b/packages/model/src/settings.cpp
@@ -49,6 +49,7 @@
     reader.readName("policy", routing.policy);
     reader.readName("admission", routing.admission);
     reader.read("queueBound", routing.queueBound, {0, 1000000});
+    reader.read("idleConnections", routing.idleConnections, {1, mostThreads});
     reader.read("retryBudget", routing.retryBudget, {0, 10});
     reader.read("ejection", routing.ejection);
     reader.read("hopelessJobs", routing.hopelessJobs);
@@ -124,6 +125,8 @@
     reader.table("limits", [&](TomlReader &inner) { readLimits(inner, settings.limits); });
     reader.table("routing", [&](TomlReader &inner) { readRouting(inner, settings.routing); });
     reader.table("control", [&](TomlReader &inner) { readControl(inner, settings.control); });
+    if (settings.routing.idleConnections < settings.trafficThreads)
+        reader.find("trafficThreads", "must not be larger than routing.idleConnections");
     reader.finish();
     return settings;
 }
--- a/packages/platform/include/sassafrasferry/platform/document_store.h
+++ b/packages/platform/include/sassafrasferry/platform/document_store.h
@@ -4,6 +4,7 @@
 #include <sassafrasferry/model/sections.h>
 #include <sassafrasferry/platform/documents.h>
 
+#include <functional>
 #include <utility>
 
 namespace sassafrasferry::platform {
@@ -31,6 +32,25 @@
         co_return revisionOf(findRow(*rows, headKey()));
     }
 
+    /// The revision in force and the version of another row, read at one moment.
+    struct Heads
+    {
+        std::int64_t revision = 0;
+        std::int64_t otherVersion = absent;
+    };
+    Awaitable<absl::StatusOr<Heads>> heads(RowKey other)
+    {
+        const std::vector<RowKey> keys{headKey(), other};
+        const auto rows = co_await this->tables.read(keys);
+        if (!rows.ok())
+            co_return rows.status();
+        Heads heads;
+        heads.revision = revisionOf(findRow(*rows, headKey()));
+        if (const auto *row = findRow(*rows, other))
+            heads.otherVersion = row->version;
+        co_return heads;
+    }
+
     /// Brings texts up to the newest revision by reading only the sections that changed; all of
     /// them if nothing is known yet.
     Awaitable<absl::StatusOr<DocumentTexts>> load(DocumentTexts known)
@@ -51,13 +71,18 @@
         co_return absl::UnavailableError("the document changes faster than it can be read");
     }
 
+    /// Rows that a change needs besides its own; none of them may exist yet.
+    using ExtraRows = std::function<std::vector<Put>(const model::Document &current,
+                                                     const model::Document &changed)>;
+
     /// Applies a change. A change whose answer was lost is settled by its operation id. `known`:
-    /// any texts read before; they save reading.
-    Awaitable<ChangeResult> apply(SectionChange change, DocumentTexts known)
+    /// any texts read before; they save reading. `extraRows` may be empty.
+    Awaitable<ChangeResult> apply(SectionChange change, DocumentTexts known,
+                                  ExtraRows extraRows = {})
     {
         bool mayBeApplied = false;
         for (int round = 0; round < mostRounds; ++round) {
-            const auto attempt = co_await this->attempt(change, known);
+            const auto attempt = co_await this->attempt(change, known, extraRows);
             if (attempt.isFinal)
                 co_return attempt.result;
             mayBeApplied = mayBeApplied || attempt.commit == CommitState::Unknown;
@@ -178,9 +203,11 @@
         bool isApproved = false;
         std::string team;
         ChangeResult result;
+        std::vector<Put> extraRows;
     };
 
-    Awaitable<Attempt> attempt(SectionChange change, DocumentTexts &known)
+    Awaitable<Attempt> attempt(SectionChange change, DocumentTexts &known,
+                               const ExtraRows &extraRows)
     {
         const std::vector<RowKey> keys{headKey(), sectionKey(change.section),
                                        operationKey(change.operationId)};
@@ -204,7 +231,9 @@
                              currentRevision,
                              {},
                              current ? current->text : std::string()});
-        auto approval = approve(*texts, change);
+        auto approval = approve(*texts, change, extraRows);
+        if (approval.isApproved && !approval.extraRows.empty())
+            co_await this->checkExtraRows(change, approval);
         if (!approval.isApproved)
             co_return final(std::move(approval.result));
         const auto commit =
@@ -218,8 +247,26 @@
         return {true, CommitState::Committed, std::move(result)};
     }
 
+    // A row that exists already belongs to something under way, which must end first.
+    Awaitable<void> checkExtraRows(const SectionChange &change, Approval &approval)
+    {
+        std::vector<RowKey> keys;
+        for (const auto &put : approval.extraRows)
+            keys.push_back(put.key);
+        const auto rows = co_await this->tables.read(keys);
+        if (!rows.ok())
+            co_return; // the commit's conditions will tell
+        for (const auto &row : *rows) {
+            approval.isApproved = false;
+            approval.result.state = ChangeState::Refused;
+            approval.result.findings.push_back(
+                {{change.section, 1, 1}, row.key.key, "is being moved or maintained; wait"});
+        }
+    }
+
     // Validates the merged document.
-    static Approval approve(const DocumentTexts &texts, const SectionChange &change)
+    static Approval approve(const DocumentTexts &texts, const SectionChange &change,
+                            const ExtraRows &extraRows)
     {
         model::Findings ignored;
         const auto current = model::parseDocument(texts.sections, texts.revision, ignored);
@@ -229,14 +276,15 @@
         model::Findings findings;
         const auto changed = model::parseDocument(merged.sections, merged.revision, findings);
         if (!mayChange(current, changed, change))
-            return {false, {}, {ChangeState::Forbidden, 0, {}, {}}};
+            return {false, {}, {ChangeState::Forbidden, 0, {}, {}}, {}};
         if (!findings.empty())
-            return {false, {}, {ChangeState::Refused, 0, std::move(findings), {}}};
+            return {false, {}, {ChangeState::Refused, 0, std::move(findings), {}}, {}};
         const auto *owned = current.section(change.section);
         const auto *owner = owned ? owned : changed.section(change.section);
         return {true,
                 owner ? owner->team : std::string(),
-                {ChangeState::Accepted, merged.revision, {}, {}}};
+                {ChangeState::Accepted, merged.revision, {}, {}},
+                extraRows ? extraRows(current, changed) : std::vector<Put>()};
     }
 
     static Transaction transactionOf(const SectionChange &change, const Approval &approval,
--- a/packages/platform/include/sassafrasferry/platform/documents.h
+++ b/packages/platform/include/sassafrasferry/platform/documents.h
@@ -71,6 +71,9 @@
 RowKey revisionKey(std::int64_t revision);
 RowKey operationKey(const std::string &operationId);
 
+/// Whether the token is that of the team that owns a section of the document.
+bool isOwner(const model::Document &document, const std::string &section, const std::string &token);
+
 /// Whether the token belongs to the team that owns the section, by the document in force, and for
 /// a new section by the team that the new text names.
 bool mayChange(const model::Document &current, const model::Document &changed,
--- a/packages/platform/include/sassafrasferry/platform/table_client.h
+++ b/packages/platform/include/sassafrasferry/platform/table_client.h
@@ -16,6 +16,10 @@
     Awaitable<Commit> commit(Transaction transaction);
     Awaitable<absl::StatusOr<std::vector<Row>>> read(std::vector<RowKey> keys);
     Awaitable<absl::StatusOr<std::vector<Row>>> scan(std::string table, std::string after);
+    http::ClientTraffic traffic() const
+    {
+        return this->client.traffic();
+    }
 
 private:
     Awaitable<absl::StatusOr<Json>> ask(http::Request request);
--- a/packages/platform/include/sassafrasferry/platform/vm_list_client.h
+++ b/packages/platform/include/sassafrasferry/platform/vm_list_client.h
@@ -19,6 +19,10 @@
 
     /// Names of the VMs that are leaving or gone.
     http::Awaitable<absl::StatusOr<std::vector<std::string>>> leaving();
+    http::ClientTraffic traffic() const
+    {
+        return this->client.traffic();
+    }
 
 private:
     http::Client client;
--- a/packages/platform/src/documents.cpp
+++ b/packages/platform/src/documents.cpp
@@ -62,6 +62,12 @@
     return {"operations", operationId};
 }
 
+bool isOwner(const model::Document &document, const std::string &section, const std::string &token)
+{
+    const auto *found = document.section(section);
+    return found && isTokenOf(document, found->team, token);
+}
+
 bool mayChange(const model::Document &current, const model::Document &changed,
                const SectionChange &change)
 {
@@ -69,8 +75,8 @@
     if (current.sections.empty())
         return changed.section(change.section)
                && isTokenOf(changed, changed.section(change.section)->team, change.token);
-    if (const auto *section = current.section(change.section))
-        return isTokenOf(current, section->team, change.token);
+    if (current.section(change.section))
+        return isOwner(current, change.section, change.token);
     // A new section belongs to the team it names, which the document in force must know.
     const auto *created = changed.section(change.section);
     return created && isTokenOf(current, created->team, change.token);
--- a/packages/policy/include/sassafrasferry/policy/dispatcher.h
+++ b/packages/policy/include/sassafrasferry/policy/dispatcher.h
@@ -156,6 +156,9 @@
 public:
     Dispatcher(model::RoutingSettings settings, std::string entry, std::uint64_t seed);
 
+    /// Learns the workers of a routing table without using them yet, so that they can be marked as
+    /// leaving before `adopt` lets requests reach them.
+    void expect(const RoutingTable &table);
     /// Takes a newer routing table. Requests of services that are gone are refused.
     Changes adopt(const RoutingTable &table, Instant now);
     /// Takes a new view of the live entry VMs.
--- a/packages/policy/include/sassafrasferry/policy/membership.h
+++ b/packages/policy/include/sassafrasferry/policy/membership.h
@@ -23,7 +23,10 @@
 ///
 /// An entry VM that loses half of the others or more at once cannot tell their death from being
 /// cut off itself. If it took their slots while they live, every worker would be overcommitted
-/// for as long as the cut lasts. So it keeps the view it had until it hears from somebody again.
+/// for as long as the cut lasts. So it keeps the view it had. If it still hears some peers, it
+/// takes the silent ones for gone after `patience` timeouts: else the loss of two data centres for
+/// good would leave the survivors with the small shares they had. One that hears nobody keeps
+/// waiting.
 class Membership
 {
 public:
@@ -60,13 +63,17 @@
         Instant lastHeard;
     };
 
+    static constexpr int patience = 15; // timeouts
+
     bool silent(const Peer &peer, Instant now) const;
+    bool hearsSomebody(Instant now) const;
     std::size_t silentAtOnce(Instant now) const;
 
     std::string self;
     std::vector<Peer> peers;
     Duration timeout;
     bool leaving = false;
+    std::optional<Instant> cutSince; // set while the view is kept
     std::vector<std::string> view; // sorted; what `live` last returned
 };
 
--- a/packages/policy/include/sassafrasferry/policy/worker_choice.h
+++ b/packages/policy/include/sassafrasferry/policy/worker_choice.h
@@ -56,6 +56,7 @@
     WorkerSpec spec;
     Index pool = noIndex; ///< noIndex once no revision lists it
     std::size_t ordinal = 0; ///< place within its pool
+    std::uint32_t idleConnections = 0; ///< that this entry VM keeps open to it
     Share share;
     bool assigned = false; ///< belongs to this entry VM alone, under the `assigned` baseline
     std::uint32_t inUse = 0; ///< requests given to it and not finished
@@ -68,6 +69,10 @@
     Instant leavingUntil{}; ///< a signal of the worker itself is tried again after this
 
     bool isLeaving(Instant now) const;
+    /// Requests that this entry VM's part of the worker's connections allows at once. Idle ones are
+    /// connections too: a worker closes what is beyond its limit, and a request on a connection
+    /// that is closed so has an unknown outcome.
+    std::uint32_t connectionBound() const;
     /// Slots this entry VM may fill now, by its share and by loans.
     std::uint32_t allowed(Instant now) const;
 };
--- a/packages/policy/src/dispatcher.cpp
+++ b/packages/policy/src/dispatcher.cpp
@@ -46,8 +46,21 @@
     return &this->services[at->second];
 }
 
+void Dispatcher::expect(const RoutingTable &table)
+{
+    for (const auto &spec : table.workers) {
+        const auto [at, isNew] =
+            this->workerIndex.emplace(spec.name, static_cast<Index>(this->workers.size()));
+        if (!isNew)
+            continue;
+        this->workers.emplace_back();
+        this->workers.back().spec = spec;
+    }
+}
+
 void Dispatcher::adoptWorkers(const RoutingTable &table)
 {
+    this->expect(table);
     for (auto &worker : this->workers)
         worker.pool = noIndex;
     this->pools.clear();
@@ -64,6 +77,7 @@
             worker.spec = spec;
             worker.pool = poolIndex;
             worker.ordinal = pool.workers.size();
+            worker.idleConnections = static_cast<std::uint32_t>(this->settings.idleConnections);
             pool.workers.push_back(at->second);
         }
         this->pools.push_back(std::move(pool));
@@ -452,7 +466,7 @@
 std::vector<LoanWish> Dispatcher::loanWishes() const
 {
     std::vector<LoanWish> wishes;
-    const bool usesLoans = this->settings.policy == RoutingPolicy::Shares
+    const bool usesLoans = this->settings.policy == RoutingPolicy::LoansTrials
                            || this->settings.policy == RoutingPolicy::Loans;
     if (!usesLoans)
         return wishes;
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -43,6 +43,12 @@
     return now - peer.lastHeard > this->timeout;
 }
 
+bool Membership::hearsSomebody(Instant now) const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(),
+                       [&](const Peer &peer) { return !this->silent(peer, now); });
+}
+
 std::size_t Membership::silentAtOnce(Instant now) const
 {
     return static_cast<std::size_t>(
@@ -60,8 +66,14 @@
 
 const std::vector<std::string> &Membership::live(Instant now)
 {
-    if (this->cutOff(now))
-        return this->view;
+    if (this->cutOff(now)) {
+        if (!this->cutSince)
+            this->cutSince = now;
+        const bool isOver = now - *this->cutSince > patience * this->timeout;
+        if (!isOver || !this->hearsSomebody(now))
+            return this->view;
+    }
+    this->cutSince.reset();
     this->view.clear();
     for (const auto &peer : this->peers) {
         if (!peer.state.leaving && !this->silent(peer, now))
--- a/packages/policy/src/membership_test.cpp
+++ b/packages/policy/src/membership_test.cpp
@@ -47,6 +47,19 @@
     CHECK(membership.cutOff(start + 3s) == row.cutOff);
 }
 
+TEST_CASE("the loss of most entry VMs for good is accepted after a while, a cut is not")
+{
+    const auto heard = GENERATE(as<std::vector<std::string>>{}, std::vector<std::string>{},
+                                std::vector<std::string>{"b", "c"});
+    Membership membership("a", peers, 1500ms, start);
+    for (auto at = start; at <= start + 60s; at += 250ms) {
+        for (const auto &name : heard)
+            membership.heard({name, 1, 1, false}, at);
+        membership.live(at);
+    }
+    CHECK(membership.live(start + 60s).size() == (heard.empty() ? 7U : 3U));
+}
+
 TEST_CASE("a peer that says it leaves is out at once")
 {
     Membership membership("a", peers, 1500ms, start);
--- a/packages/policy/src/worker_choice.cpp
+++ b/packages/policy/src/worker_choice.cpp
@@ -53,11 +53,19 @@
     return false;
 }
 
+std::uint32_t WorkerState::connectionBound() const
+{
+    const auto connections = this->share.connections;
+    return connections > this->idleConnections ? connections - this->idleConnections
+                                               : std::min(1U, connections);
+}
+
 std::uint32_t WorkerState::allowed(Instant now) const
 {
     const auto sum = this->share.slots + this->borrowed.slots(now);
     const auto lentSlots = this->lent.slots(now);
-    return std::min(this->spec.slots, sum > lentSlots ? sum - lentSlots : 0);
+    const auto bySlots = std::min(this->spec.slots, sum > lentSlots ? sum - lentSlots : 0);
+    return std::min(bySlots, this->connectionBound());
 }
 
 WorkerChoice::WorkerChoice(RoutingPolicy policy, std::uint64_t seed)
@@ -73,7 +81,7 @@
         return {};
     ++this->turn;
     switch (this->policy) {
-    case RoutingPolicy::Shares:
+    case RoutingPolicy::LoansTrials:
     case RoutingPolicy::Trials: {
         const auto choice = this->chooseShare(workers, candidates, request, now);
         if (choice.worker != noIndex || !mayRefuse)
@@ -124,7 +132,7 @@
         const auto &worker = workers[index];
         const bool hasRoom = worker.inUse < worker.spec.slots;
         const bool isFit = worker.health.state(now) == WorkerHealth::State::Fit;
-        if (hasRoom && isFit && worker.share.connections > worker.inUse
+        if (hasRoom && isFit && worker.connectionBound() > worker.inUse
             && mayTake(worker, request, now))
             return {index, RouteReason::Trial};
     }
--- a/packages/standins/include/sassafrasferry/standins/load.h
+++ b/packages/standins/include/sassafrasferry/standins/load.h
@@ -27,6 +27,7 @@
 struct LoadPlan
 {
     std::vector<model::Endpoint> entries;
+    std::vector<model::Endpoint> health; ///< administration addresses; empty: all count as healthy
     std::vector<LoadService> services;
     double meanRate = 100; ///< requests a second of one service, in its ordinary time
     double surge = 5; ///< times the mean, for each service in turn
@@ -75,6 +76,8 @@
     using Clock = std::chrono::steady_clock;
 
     http::Awaitable<void> offer(std::size_t service);
+    http::Awaitable<void> watchHealth(std::size_t entry);
+    http::Client &pickClient();
     http::Awaitable<void> one(std::size_t service, std::uint64_t number);
     double rateOf(std::size_t service, Clock::time_point at) const;
     bool surges(std::size_t service, Clock::time_point at) const;
@@ -85,6 +88,8 @@
     LoadPlan plan;
     std::mt19937_64 random;
     std::vector<std::unique_ptr<http::Client>> clients;
+    std::vector<bool> healthy; // of each entry VM, as the balancer last saw it
+    bool isOver = false;
     LoadTally tally;
     Clock::time_point begin{};
     Clock::time_point end{};
--- a/packages/standins/src/load.cpp
+++ b/packages/standins/src/load.cpp
@@ -51,6 +51,37 @@
     }
 }
 
+// The platform's balancer: it sends to entry VMs whose health check passes, and to all of them if
+// none does.
+Awaitable<void> Load::watchHealth(std::size_t entry)
+{
+    constexpr std::chrono::milliseconds period{100};
+    http::Client::Options options;
+    http::Client prober(this->executor, this->plan.health[entry], options);
+    asio::steady_timer timer(this->executor);
+    while (!this->isOver) {
+        http::Request question{http::Verb::get, "/healthz", 11};
+        const auto exchange = co_await prober.exchange(std::move(question), 5 * period);
+        this->healthy[entry] = exchange.state == ExchangeState::Answered
+                               && exchange.response.result() == http::Status::ok;
+        timer.expires_after(period);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    --this->open;
+}
+
+http::Client &Load::pickClient()
+{
+    std::vector<std::size_t> choices;
+    for (std::size_t i = 0; i < this->clients.size(); ++i) {
+        if (this->healthy[i])
+            choices.push_back(i);
+    }
+    if (choices.empty())
+        return *this->clients[this->random() % this->clients.size()];
+    return *this->clients[choices[this->random() % choices.size()]];
+}
+
 bool Load::surges(std::size_t service, Clock::time_point at) const
 {
     const auto phase = static_cast<std::size_t>((at - this->begin) / this->plan.phase);
@@ -77,11 +108,22 @@
         asio::co_spawn(
             this->executor, [this, i] { return this->offer(i); }, asio::detached);
     }
+    this->healthy.assign(this->clients.size(), true);
+    for (std::size_t i = 0; i < this->plan.health.size(); ++i)
+        asio::co_spawn(
+            this->executor, [this, i] { return this->watchHealth(i); }, asio::detached);
     asio::steady_timer timer(this->executor);
     while (this->open > 0) {
         timer.expires_after(std::chrono::milliseconds(20));
         co_await timer.async_wait(asio::use_awaitable);
     }
+    // The health checks end by themselves, and only then may this object go.
+    this->isOver = true;
+    this->open = this->plan.health.size();
+    while (this->open > 0) {
+        timer.expires_after(std::chrono::milliseconds(20));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     co_return std::move(this->tally);
 }
 
@@ -139,7 +181,7 @@
         patience = this->plan.runTime / 4;
     asio::steady_timer timer(this->executor);
     for (int attempt = 0; attempt <= mostResends; ++attempt) {
-        auto &target = *this->clients[this->random() % this->clients.size()];
+        auto &target = this->pickClient();
         const auto exchange = co_await target.exchange(request, patience);
         const bool isAnswered = exchange.state == ExchangeState::Answered;
         const auto outcome =
--- a/packages/standins/src/load_main.cpp
+++ b/packages/standins/src/load_main.cpp
@@ -27,8 +27,11 @@
   --workers ENDPOINT  IP number and first port of the workers.
   --worker-count N    Workers, on consecutive ports.
   --services LIST     NAME:CLASS or NAME:CLASS:keyed, with commas between.
+  --health LIST       Administration addresses, in the order of the entries: send only to those
+                      whose health check passes, as a balancer does.
   --rate N            Mean requests a second of a service [default: 100].
   --surge N           Times the mean, each service in turn [default: 5].
+  --lull N            Times the mean, in the phase after its surge [default: 0.05].
   --phase-ms N        How long a surge lasts [default: 5000].
   --run-ms N          Mean run time [default: 100].
   --deadline-ms N     Deadline of each request [default: 2000].
@@ -122,8 +125,13 @@
         }
         plan.services.push_back({parts[0], *requestClass, parts.size() > 2});
     }
+    if (arguments["--health"]) {
+        for (const auto item : absl::StrSplit(arguments["--health"].asString(), ','))
+            plan.health.push_back(endpointOf(std::string(item)));
+    }
     plan.meanRate = number("--rate");
     plan.surge = number("--surge");
+    plan.lull = number("--lull");
     plan.phase = time("--phase-ms");
     plan.runTime = time("--run-ms");
     plan.deadline = time("--deadline-ms");
--- a/packages/standins/src/platform_main.cpp
+++ b/packages/standins/src/platform_main.cpp
@@ -15,12 +15,14 @@
 
 Usage:
   standin-platform --listen ENDPOINT [--writes-per-second N] [--reads-per-second N]
-                   [--list-lag-ms N]
+                   [--list-lag-ms N] [--drain-ms N] [--maintenance-ms N]
 
 Options:
   --listen ENDPOINT        IP number and port.
   --writes-per-second N    Transactions it takes [default: 400].
   --reads-per-second N     Reads it takes [default: 2000].
+  --drain-ms N             Until a drained VM is empty [default: 500].
+  --maintenance-ms N       How long maintenance takes [default: 1000].
   --list-lag-ms N          How late its list of VMs is [default: 2000].
 )";
 
@@ -39,6 +41,8 @@
     options.writesPerSecond = std::stod(arguments["--writes-per-second"].asString());
     options.readsPerSecond = std::stod(arguments["--reads-per-second"].asString());
     options.listLag = std::chrono::milliseconds(arguments["--list-lag-ms"].asLong());
+    options.drain = std::chrono::milliseconds(arguments["--drain-ms"].asLong());
+    options.maintenance = std::chrono::milliseconds(arguments["--maintenance-ms"].asLong());
     http::asio::io_context context(1);
     standins::PlatformStandin standin(context.get_executor(), options);
     model::CallerLimits limits;
--- a/packages/standins/src/platform_standin.cpp
+++ b/packages/standins/src/platform_standin.cpp
@@ -14,6 +14,7 @@
 using platform::CommitState;
 
 const std::string objectsPath = "/v1/objects/";
+const std::string vmsPath = "/v1/vms/";
 
 http::Response rowsResponse(const std::vector<platform::Row> &rows)
 {
@@ -70,6 +71,8 @@
             co_return this->scan(request);
         if (target == "/v1/vms?state=leaving")
             co_return this->list();
+        if (target.rfind(vmsPath, 0) == 0)
+            co_return this->vm(target.substr(vmsPath.size()), request);
         if (target.rfind(objectsPath, 0) == 0)
             co_return this->objects(target.substr(objectsPath.size()), request);
     } catch (const Json::exception &error) {
@@ -136,6 +139,53 @@
     return http::jsonResponse(Status::ok, {{"leaving", this->leaving}});
 }
 
+void PlatformStandin::passTime(ManagedVm &vm) const
+{
+    if (Clock::now() < vm.until)
+        return;
+    if (vm.report.phase == fleet::VmPhase::Draining)
+        vm.report.phase = fleet::VmPhase::Empty;
+    if (vm.report.phase == fleet::VmPhase::Maintaining) {
+        vm.report.phase = fleet::VmPhase::Serving;
+        vm.report.maintainedOrder = vm.underWay;
+        vm.report.isFailing = vm.comesBackFailing;
+        ++vm.maintained;
+    }
+}
+
+// Orders that are not newer than the last of their kind change nothing.
+void PlatformStandin::order(ManagedVm &vm, const std::string &what, std::int64_t number)
+{
+    if (what == "drain" && number > vm.report.drainedOrder) {
+        vm.report.drainedOrder = number;
+        vm.report.phase = fleet::VmPhase::Draining;
+        vm.until = Clock::now() + this->options.drain;
+    }
+    const bool isEmpty = vm.report.phase == fleet::VmPhase::Empty;
+    if (what == "maintain" && number > vm.underWay && isEmpty) {
+        vm.underWay = number;
+        vm.report.phase = fleet::VmPhase::Maintaining;
+        vm.until = Clock::now() + this->options.maintenance;
+    }
+    if (what == "resume" && number == vm.report.drainedOrder && isEmpty)
+        vm.report.phase = fleet::VmPhase::Serving;
+}
+
+http::Response PlatformStandin::vm(const std::string &path, const http::Request &request)
+{
+    const auto slash = path.find('/');
+    auto &vm = this->managed[path.substr(0, slash)];
+    this->passTime(vm);
+    if (slash != std::string::npos)
+        this->order(vm, path.substr(slash + 1),
+                    Json::parse(request.body()).at("order").get<std::int64_t>());
+    return http::jsonResponse(Status::ok, {{"phase", std::string(model::nameOf(vm.report.phase))},
+                                           {"drainedOrder", vm.report.drainedOrder},
+                                           {"maintainedOrder", vm.report.maintainedOrder},
+                                           {"failing", vm.report.isFailing},
+                                           {"maintained", vm.maintained}});
+}
+
 http::Response PlatformStandin::setFaults(const http::Request &request)
 {
     const auto body = http::parseJson(request.body());
@@ -154,6 +204,12 @@
     const auto body = http::parseJson(request.body());
     if (!body.is_object() || !body.contains("vm"))
         return http::textResponse(Status::bad_request, "needs vm\n");
+    if (body.contains("failing")) {
+        auto &vm = this->managed[body["vm"].get<std::string>()];
+        vm.comesBackFailing = body["failing"].get<bool>();
+        vm.report.isFailing = vm.report.isFailing && vm.comesBackFailing;
+        return http::textResponse(Status::ok, "");
+    }
     this->listChanges.push_back({Clock::now() + this->options.listLag,
                                  body["vm"].get<std::string>(), body.value("leaving", true)});
     return http::textResponse(Status::ok, "");
