--- a/fuzz/rows_fuzz.cpp
+++ b/fuzz/rows_fuzz.cpp
@@ -1,4 +1,5 @@
-// Bodies of administration requests and rows of the store: JSON of any shape is an error or a value.
+// Bodies of administration requests and rows of the store: JSON of any shape is an error or a
+// value.
 #include <sassafrasferry/fleet/fleet_rows.h>
 #include <sassafrasferry/platform/claim_rows.h>
 
--- a/packages/entry/src/process/daemon.cpp
+++ b/packages/entry/src/process/daemon.cpp
@@ -67,32 +67,26 @@
                                               this->versions);
     this->admin =
         std::make_unique<AdminApi>(this->settings, this->parts, this->versions, *this->control);
+    const auto administer = [this](http::Request request, std::shared_ptr<http::Disconnect>) {
+        return this->admin->handle(std::move(request));
+    };
     this->adminServer = std::make_shared<http::Server>(
-        std::vector<asio::any_io_executor>{this->controlContext.get_executor()},
-        this->settings.limits, [this](http::Request request, std::shared_ptr<http::Disconnect>) {
-            return this->admin->handle(std::move(request));
-        });
-    std::vector<asio::any_io_executor> executors;
+        std::vector<http::Lane>{{this->controlContext.get_executor(), administer}},
+        this->settings.limits);
     const auto idleConnections = static_cast<std::size_t>(this->settings.routing.idleConnections
                                                           / this->settings.trafficThreads);
+    std::vector<http::Lane> lanes;
     for (std::int64_t i = 0; i < this->settings.trafficThreads; ++i) {
         this->traffic.push_back(std::make_unique<TrafficThread>(this->parts, idleConnections));
-        executors.push_back(this->traffic.back()->context.get_executor());
+        auto &thread = *this->traffic.back();
+        lanes.push_back(
+            {thread.context.get_executor(),
+             [this, &thread](http::Request request, std::shared_ptr<http::Disconnect> disconnect) {
+                 return handleCaller(thread.environment, this->versions, std::move(request),
+                                     std::move(disconnect));
+             }});
     }
-    this->callerServer = std::make_shared<http::Server>(
-        executors, this->settings.limits,
-        [this](http::Request request,
-               std::shared_ptr<http::Disconnect> disconnect) -> Awaitable<http::Response> {
-            const auto executor = co_await asio::this_coro::executor;
-            for (const auto &thread : this->traffic) {
-                if (executor == thread->context.get_executor()) {
-                    auto response = co_await handleCaller(thread->environment, this->versions,
-                                                          std::move(request), disconnect);
-                    co_return response;
-                }
-            }
-            throw std::logic_error("a caller's session runs on no traffic thread");
-        });
+    this->callerServer = std::make_shared<http::Server>(std::move(lanes), this->settings.limits);
     auto status = this->control->start();
     if (status.ok())
         status = this->adminServer->listen(this->settings.admin);
--- a/packages/fleet/include/sassafrasferry/fleet/fleet_store.h
+++ b/packages/fleet/include/sassafrasferry/fleet/fleet_store.h
@@ -16,8 +16,7 @@
 public:
     explicit FleetStore(Tables &tables)
         : tables(tables)
-    {
-    }
+    {}
 
     Awaitable<absl::StatusOr<FleetRows>> load()
     {
--- a/packages/fleet/include/sassafrasferry/fleet/move_rows.h
+++ b/packages/fleet/include/sassafrasferry/fleet/move_rows.h
@@ -19,9 +19,9 @@
 
 /// The rows by which a change takes the VMs it moves out of service. They are written in the
 /// change's own transaction: at no moment does a VM serve in two pools, since it belongs to the old
-/// one until it is empty. Entry VMs read them with every new revision. `order` numbers the orders to
-/// the platform.
-std::vector<platform::Put> moveRows(const model::Document &current,
-                                    const model::Document &changed, std::int64_t order);
+/// one until it is empty. Entry VMs read them with every new revision. `order` numbers the orders
+/// to the platform.
+std::vector<platform::Put> moveRows(const model::Document &current, const model::Document &changed,
+                                    std::int64_t order);
 
 } // namespace sassafrasferry::fleet
--- a/packages/fleet/include/sassafrasferry/fleet/vm_control.h
+++ b/packages/fleet/include/sassafrasferry/fleet/vm_control.h
@@ -37,11 +37,20 @@
 /// one of its kind changes nothing, so neither a repetition nor a late one from a process that was
 /// frozen does harm.
 template<typename T>
-concept VmControl = requires(T &control, std::string vm, std::int64_t order) {
-    { control.report(vm) } -> std::same_as<Awaitable<absl::StatusOr<VmReport>>>;
-    { control.drain(vm, order) } -> std::same_as<Awaitable<absl::Status>>;
-    { control.maintain(vm, order) } -> std::same_as<Awaitable<absl::Status>>;
-    { control.resume(vm, order) } -> std::same_as<Awaitable<absl::Status>>;
+concept VmControl = requires(T &control, std::string vm, std::int64_t order)
+{
+    {
+        control.report(vm)
+        } -> std::same_as<Awaitable<absl::StatusOr<VmReport>>>;
+    {
+        control.drain(vm, order)
+        } -> std::same_as<Awaitable<absl::Status>>;
+    {
+        control.maintain(vm, order)
+        } -> std::same_as<Awaitable<absl::Status>>;
+    {
+        control.resume(vm, order)
+        } -> std::same_as<Awaitable<absl::Status>>;
 };
 
 } // namespace sassafrasferry::fleet
--- a/packages/fleet/include/sassafrasferry/fleet/wave_runner.h
+++ b/packages/fleet/include/sassafrasferry/fleet/wave_runner.h
@@ -38,9 +38,10 @@
     using Log = std::function<void(const FleetDecision &)>;
 
     WaveRunner(Tables &tables, Control &control, Log log)
-        : store(tables), control(control), log(std::move(log))
-    {
-    }
+        : store(tables)
+        , control(control)
+        , log(std::move(log))
+    {}
 
     /// One step. `fence`: the control lease's condition.
     Awaitable<absl::Status> step(const FleetView &view, platform::Condition fence)
@@ -62,6 +63,13 @@
     }
 
 private:
+    // An order that failed is given again by the next step.
+    void noteOrder(const std::string &vm, const absl::Status &status)
+    {
+        if (!status.ok())
+            this->log({"order-failed", vm, std::string(status.message())});
+    }
+
     Awaitable<void> advance(VmRow vm, const FleetView &view, platform::Condition fence)
     {
         const auto report = co_await this->control.report(vm.name);
@@ -82,14 +90,14 @@
                                     platform::Condition fence)
     {
         if (report.drainedOrder < vm.order) {
-            co_await this->control.drain(vm.name, vm.order);
+            this->noteOrder(vm.name, co_await this->control.drain(vm.name, vm.order));
             co_return;
         }
         if (!vm.target.empty()) {
             // An entry VM that has not adopted the move yet would still use it in the old pool.
             const bool isKnown = view.revisionEverywhere >= vm.revision;
             if (report.phase == VmPhase::Empty && isKnown)
-                co_await this->control.resume(vm.name, vm.order);
+                this->noteOrder(vm.name, co_await this->control.resume(vm.name, vm.order));
             if (report.phase == VmPhase::Serving && isKnown)
                 co_await this->giveBack(vm, "moved to " + vm.target, fence);
             co_return;
@@ -99,14 +107,14 @@
         vm.state = VmState::InMaintenance;
         const auto commit = co_await this->store.advance(vm, fence);
         if (commit.state == platform::CommitState::Committed)
-            co_await this->control.maintain(vm.name, vm.order);
+            this->noteOrder(vm.name, co_await this->control.maintain(vm.name, vm.order));
     }
 
     Awaitable<void> advanceMaintenance(VmRow vm, VmReport report, platform::Condition fence)
     {
         if (report.maintainedOrder < vm.order) {
             if (report.phase != VmPhase::Maintaining)
-                co_await this->control.maintain(vm.name, vm.order);
+                this->noteOrder(vm.name, co_await this->control.maintain(vm.name, vm.order));
             co_return;
         }
         if (report.phase != VmPhase::Serving)
@@ -160,8 +168,7 @@
 public:
     /// A pool as the planner sees it. Also used to show a wave's progress.
     static policy::WavePool poolOf(const model::Pool &pool, const model::Wave &wave,
-                                   const WaveRow &row, const FleetRows &rows,
-                                   const FleetView &view)
+                                   const WaveRow &row, const FleetRows &rows, const FleetView &view)
     {
         policy::WavePool result;
         result.name = pool.name;
@@ -173,7 +180,7 @@
         }
         for (const auto &vm : pool.vms)
             result.vms.push_back(
-                    {vm.name, vm.dataCentre, vm.rack, stateOf(vm.name, row, rows, view)});
+                {vm.name, vm.dataCentre, vm.rack, stateOf(vm.name, row, rows, view)});
         return result;
     }
 
@@ -182,8 +189,9 @@
                          platform::Condition fence)
     {
         const auto &waves = view.document.waves;
-        const auto wave = std::find_if(waves.begin(), waves.end(),
-                                       [&](const model::Wave &item) { return item.name == row.name; });
+        const auto wave = std::find_if(waves.begin(), waves.end(), [&](const model::Wave &item) {
+            return item.name == row.name;
+        });
         if (wave == waves.end())
             co_return;
         bool isFinished = true;
@@ -229,7 +237,7 @@
             budget.out.push_back(name);
             budget.version = commit.version;
             this->log({"drain", name, "wave " + wave.name});
-            co_await this->control.drain(name, vm.order);
+            this->noteOrder(name, co_await this->control.drain(name, vm.order));
         }
     }
 
--- a/packages/fleet/src/fleet_rows.cpp
+++ b/packages/fleet/src/fleet_rows.cpp
@@ -70,12 +70,9 @@
 
 Json toJson(const VmRow &row)
 {
-    return {{"pool", row.pool},
-            {"target", row.target},
-            {"wave", row.wave},
-            {"state", std::string(model::nameOf(row.state))},
-            {"order", row.order},
-            {"revision", row.revision}};
+    return {{"pool", row.pool},   {"target", row.target},
+            {"wave", row.wave},   {"state", std::string(model::nameOf(row.state))},
+            {"order", row.order}, {"revision", row.revision}};
 }
 
 Json toJson(const WaveRow &row)
--- a/packages/fleet/src/move_rows.cpp
+++ b/packages/fleet/src/move_rows.cpp
@@ -31,8 +31,8 @@
     return moves;
 }
 
-std::vector<platform::Put> moveRows(const model::Document &current,
-                                    const model::Document &changed, std::int64_t order)
+std::vector<platform::Put> moveRows(const model::Document &current, const model::Document &changed,
+                                    std::int64_t order)
 {
     std::vector<platform::Put> puts;
     for (const auto &move : movesBetween(current, changed)) {
--- a/packages/fleet/src/vm_control_client.cpp
+++ b/packages/fleet/src/vm_control_client.cpp
@@ -20,11 +20,10 @@
 } // namespace
 
 VmControlClient::VmControlClient(http::asio::any_io_executor executor,
-                                 const model::Endpoint &endpoint,
-                                 std::chrono::milliseconds timeout)
-    : client(std::move(executor), endpoint, {}), timeout(timeout)
-{
-}
+                                 const model::Endpoint &endpoint, std::chrono::milliseconds timeout)
+    : client(std::move(executor), endpoint, {})
+    , timeout(timeout)
+{}
 
 Awaitable<absl::StatusOr<VmReport>> VmControlClient::report(std::string vm)
 {
@@ -35,7 +34,7 @@
         co_return status;
     const auto json = http::parseJson(exchange.response.body());
     const auto phase =
-            json.is_object() ? model::valueOf<VmPhase>(json.value("phase", "")) : std::nullopt;
+        json.is_object() ? model::valueOf<VmPhase>(json.value("phase", "")) : std::nullopt;
     if (!phase)
         co_return absl::DataLossError("not a report on a VM");
     VmReport report;
@@ -46,8 +45,7 @@
     co_return report;
 }
 
-Awaitable<absl::Status> VmControlClient::give(std::string vm, std::string what,
-                                              std::int64_t order)
+Awaitable<absl::Status> VmControlClient::give(std::string vm, std::string what, std::int64_t order)
 {
     const http::Json body{{"order", order}};
     auto request = http::jsonRequest(http::Verb::post, "/v1/vms/" + vm + "/" + what, body);
--- a/packages/fleet/src/wave_runner_test.cpp
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -61,7 +61,8 @@
     void takeOver()
     {
         const auto key = platform::LeaseKeeper<FaultyTables>::epochKey();
-        const auto commit = this->tables.commitNow({{}, {{key, Json{{"epoch", ++this->epoch}}}}, {}});
+        const auto commit =
+            this->tables.commitNow({{}, {{key, Json{{"epoch", ++this->epoch}}}}, {}});
         this->fence = {key, commit.version};
     }
 
@@ -108,8 +109,8 @@
             this->failure = "the wave does not finish";
         for (const auto &[name, vm] : this->vms.vms) {
             if (this->failure.empty() && vm.maintained != 1)
-                this->failure = name + " was maintained " + std::to_string(vm.maintained)
-                        + " times";
+                this->failure =
+                    name + " was maintained " + std::to_string(vm.maintained) + " times";
             if (this->failure.empty() && vm.maintainedWhileServing)
                 this->failure = name + " was maintained while it served";
         }
@@ -202,7 +203,9 @@
     Run run;
     CallFaults none;
     CallFaults racing;
-    racing.faultOf = [](std::size_t) { return CallFault::HolderPaused; };
+    racing.faultOf = [](std::size_t) {
+        return CallFault::HolderPaused;
+    };
     bool isInside = false;
     racing.whilePaused = [&] {
         if (std::exchange(isInside, true))
--- a/packages/fleet/tests/fleet_world.h
+++ b/packages/fleet/tests/fleet_world.h
@@ -14,8 +14,7 @@
 
 /// Thrown where the process that holds the lease dies.
 struct HolderKilled
-{
-};
+{};
 
 /// A fault of one call.
 enum class CallFault {
@@ -81,8 +80,7 @@
         return this->tables.read(std::move(keys));
     }
 
-    Awaitable<absl::StatusOr<std::vector<platform::Row>>> scan(std::string table,
-                                                               std::string after)
+    Awaitable<absl::StatusOr<std::vector<platform::Row>>> scan(std::string table, std::string after)
     {
         return this->tables.scan(std::move(table), std::move(after));
     }
--- a/packages/http/include/sassafrasferry/http/server.h
+++ b/packages/http/include/sassafrasferry/http/server.h
@@ -32,12 +32,19 @@
 /// Handles one request; the answer is sent on the same connection.
 using Handler = std::function<Awaitable<Response>(Request, std::shared_ptr<Disconnect>)>;
 
+/// An executor and what handles the requests of the sessions that run on it.
+struct Lane
+{
+    asio::any_io_executor executor;
+    Handler handler;
+};
+
 /// A server. Construct by `std::make_shared`: sessions keep it alive.
 class Server : public std::enable_shared_from_this<Server>
 {
 public:
-    Server(std::vector<asio::any_io_executor> executors, model::CallerLimits limits,
-           Handler handler);
+    /// Sessions go to the lanes in turn; the first one accepts.
+    Server(std::vector<Lane> lanes, model::CallerLimits limits);
 
     /// Binds and starts accepting.
     absl::Status listen(const model::Endpoint &endpoint);
@@ -58,13 +65,13 @@
     Awaitable<void> acceptLoop();
     Awaitable<void> serve(std::shared_ptr<Session> session);
     Awaitable<void> refuse(std::shared_ptr<Session> session);
-    void start(Tcp::socket socket);
+    void start(Tcp::socket socket, const Lane &lane);
+    const Lane &nextLane();
 
-    std::vector<asio::any_io_executor> executors;
+    std::vector<Lane> lanes; // never changes
     model::CallerLimits limits;
-    Handler handler;
     Tcp::acceptor acceptor;
-    std::size_t nextExecutor = 0;
+    std::size_t turn = 0; // of the lanes
     std::shared_ptr<Registry> registry;
     std::atomic<bool> closing{false};
 };
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -70,11 +70,13 @@
 
 struct Server::Session
 {
-    explicit Session(Tcp::socket socket)
+    Session(Tcp::socket socket, const Handler &handler)
         : stream(std::move(socket))
+        , handler(handler)
     {}
 
     beast::tcp_stream stream;
+    const Handler &handler; // of the server's lane
     std::atomic<bool> busy{false}; // a request has been read and its answer not yet written
     std::list<std::shared_ptr<Session>>::iterator place;
 };
@@ -86,12 +88,10 @@
     std::atomic<std::size_t> busy{0};
 };
 
-Server::Server(std::vector<asio::any_io_executor> executors, model::CallerLimits limits,
-               Handler handler)
-    : executors(std::move(executors))
+Server::Server(std::vector<Lane> lanes, model::CallerLimits limits)
+    : lanes(std::move(lanes))
     , limits(limits)
-    , handler(std::move(handler))
-    , acceptor(this->executors.front())
+    , acceptor(this->lanes.front().executor)
     , registry(std::make_shared<Registry>())
 {}
 
@@ -112,8 +112,8 @@
     if (error)
         return absl::UnavailableError(model::toString(endpoint) + ": " + error.message());
     asio::co_spawn(
-        this->executors.front(), [self = this->shared_from_this()] { return self->acceptLoop(); },
-        asio::detached);
+        this->lanes.front().executor,
+        [self = this->shared_from_this()] { return self->acceptLoop(); }, asio::detached);
     return absl::OkStatus();
 }
 
@@ -137,22 +137,27 @@
 Awaitable<void> Server::acceptLoop()
 {
     for (;;) {
-        auto &executor = this->executors[this->nextExecutor++ % this->executors.size()];
+        const auto &lane = this->nextLane();
         beast::error_code error;
         auto socket = co_await this->acceptor.async_accept(
-            executor, asio::redirect_error(asio::use_awaitable, error));
+            lane.executor, asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted || !this->acceptor.is_open())
             co_return;
         if (!error)
-            this->start(std::move(socket));
+            this->start(std::move(socket), lane);
     }
 }
 
-void Server::start(Tcp::socket socket)
+const Lane &Server::nextLane()
+{
+    return this->lanes[this->turn++ % this->lanes.size()];
+}
+
+void Server::start(Tcp::socket socket, const Lane &lane)
 {
     beast::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
-    auto session = std::make_shared<Session>(std::move(socket));
+    auto session = std::make_shared<Session>(std::move(socket), lane.handler);
     bool isOverLimit = false;
     {
         const std::lock_guard lock(this->registry->mutex);
@@ -231,7 +236,7 @@
                         disconnect->fire();
                 });
             try {
-                response = co_await this->handler(std::move(request), disconnect);
+                response = co_await session->handler(std::move(request), disconnect);
             } catch (const std::exception &) {
                 // One faulty request must not end the process, and with it all others.
                 response = textResponse(Status::internal_server_error, "internal error\n");
@@ -269,19 +274,19 @@
 void Server::stopAccepting()
 {
     auto self = this->shared_from_this();
-    asio::post(this->executors.front(), [self] {
+    asio::post(this->lanes.front().executor, [self] {
         beast::error_code error;
         // A connection that the kernel has completed is reset if the listening socket closes
         // before it is taken in, and its caller's request would be cut off.
         self->acceptor.cancel(error);
         self->acceptor.non_blocking(true, error);
         for (;;) {
-            auto &executor = self->executors[self->nextExecutor++ % self->executors.size()];
-            Tcp::socket socket(executor);
+            const auto &lane = self->nextLane();
+            Tcp::socket socket(lane.executor);
             self->acceptor.accept(socket, error);
             if (error)
                 break;
-            self->start(std::move(socket));
+            self->start(std::move(socket), lane);
         }
         self->acceptor.close(error);
     });
--- a/packages/http/src/server_test.cpp
+++ b/packages/http/src/server_test.cpp
@@ -47,8 +47,8 @@
     }));
     INFO(row.title);
     asio::io_context context;
-    auto server = std::make_shared<Server>(
-        std::vector<asio::any_io_executor>{context.get_executor()}, smallLimits(), echo);
+    auto server =
+        std::make_shared<Server>(std::vector<Lane>{{context.get_executor(), echo}}, smallLimits());
     const auto endpoint = listenOnLoopback(*server);
     std::string answer;
     asio::co_spawn(
@@ -85,8 +85,8 @@
         context.stop();
         co_return textResponse(Status::ok, "");
     };
-    auto server = std::make_shared<Server>(
-        std::vector<asio::any_io_executor>{context.get_executor()}, smallLimits(), handler);
+    auto server = std::make_shared<Server>(std::vector<Lane>{{context.get_executor(), handler}},
+                                           smallLimits());
     const auto endpoint = listenOnLoopback(*server);
     Client client(context.get_executor(), endpoint, {});
     asio::co_spawn(
@@ -111,8 +111,8 @@
         co_await asio::post(context, asio::use_awaitable);
         co_return textResponse(Status::ok, request.body());
     };
-    server = std::make_shared<Server>(std::vector<asio::any_io_executor>{context.get_executor()},
-                                      smallLimits(), handler);
+    server = std::make_shared<Server>(std::vector<Lane>{{context.get_executor(), handler}},
+                                      smallLimits());
     const auto endpoint = listenOnLoopback(*server);
     Client client(context.get_executor(), endpoint, {});
     Exchange exchange;
--- a/packages/policy/src/capacity_planner.cpp
+++ b/packages/policy/src/capacity_planner.cpp
@@ -6,9 +6,9 @@
 namespace sassafrasferry::policy {
 
 CapacityPlanner::CapacityPlanner(MovePolicy policy, CapacityTimes times)
-    : policy(policy), times(times)
-{
-}
+    : policy(policy)
+    , times(times)
+{}
 
 Duration CapacityPlanner::usualTurn() const
 {
--- a/packages/policy/src/capacity_planner_test.cpp
+++ b/packages/policy/src/capacity_planner_test.cpp
@@ -51,10 +51,10 @@
 TEST_CASE("how often a VM moves over ten turns of demand")
 {
     const auto row = GENERATE(values<Case>({
-            {"long turns", MovePolicy::Outlasting, 600s, 10},
-            {"short turns, after the first", MovePolicy::Outlasting, 60s, 1},
-            {"short turns, always", MovePolicy::Always, 60s, 10},
-            {"never", MovePolicy::Never, 600s, 0},
+        {"long turns", MovePolicy::Outlasting, 600s, 10},
+        {"short turns, after the first", MovePolicy::Outlasting, 60s, 1},
+        {"short turns, always", MovePolicy::Always, 60s, 10},
+        {"never", MovePolicy::Never, 600s, 0},
     }));
     INFO(row.title);
     const auto wishes = wishesOver(row.policy, row.turn, 10);
--- a/packages/policy/src/wave_planner.cpp
+++ b/packages/policy/src/wave_planner.cpp
@@ -39,7 +39,7 @@
     };
     std::stable_sort(pending.begin(), pending.end(), [&](const WaveVm *a, const WaveVm *b) {
         return std::make_tuple(!sharesRack(*a), a->dataCentre, a->rack, a->name)
-                < std::make_tuple(!sharesRack(*b), b->dataCentre, b->rack, b->name);
+               < std::make_tuple(!sharesRack(*b), b->dataCentre, b->rack, b->name);
     });
     return pending;
 }
@@ -61,7 +61,7 @@
 WaveStep planWave(const WavePool &pool)
 {
     const auto backFailing =
-            count(pool, [](const WaveVm &vm) { return vm.state == WaveVmState::BackFailing; });
+        count(pool, [](const WaveVm &vm) { return vm.state == WaveVmState::BackFailing; });
     if (backFailing >= pool.haltAfter)
         return {WaveVerdict::Halted, std::to_string(backFailing) + " VMs came back failing", {}};
     const auto pending = pendingInOrder(pool);
@@ -78,7 +78,7 @@
     for (const auto *vm : pending) {
         if (out + 1 > limit) {
             step.reason = std::to_string(out) + " of " + std::to_string(limit)
-                    + " VMs that the budget allows are out";
+                          + " VMs that the budget allows are out";
             break;
         }
         const auto reserve = largestOtherRack(pool, *vm);
@@ -108,11 +108,11 @@
         const auto atOnce = budget.mayBeOut() + borrowed;
         if (atOnce == 0)
             continue;
-        const double rounds = static_cast<double>((budget.members + atOnce - 1) / atOnce);
-        const double rollOut = rounds * hours;
+        const std::size_t rounds = (budget.members + atOnce - 1) / atOnce;
+        const double rollOut = static_cast<double>(rounds) * hours;
         const auto lent = static_cast<double>(borrowed);
         const double cost = weights.rollOutHour * rollOut + weights.bufferHour * lent * rollOut
-                + weights.move * 2 * lent;
+                            + weights.move * 2 * lent;
         if (bestCost < 0 || cost < bestCost) {
             best = borrowed;
             bestCost = cost;
--- a/packages/policy/src/wave_planner_test.cpp
+++ b/packages/policy/src/wave_planner_test.cpp
@@ -45,13 +45,13 @@
 TEST_CASE("how many VMs may be out")
 {
     const auto row = GENERATE(values<BudgetCase>({
-            {10, 0.9, 0, 1},
-            {10, 0.75, 0, 2},
-            {8, 0.75, 0, 2},
-            {12, 0.5, 0, 6},
-            {10, 1.0, 0, 0},
-            {10, 1.0, 2, 2},
-            {10, 0.0, 0, 10},
+        {10, 0.9, 0, 1},
+        {10, 0.75, 0, 2},
+        {8, 0.75, 0, 2},
+        {12, 0.5, 0, 6},
+        {10, 1.0, 0, 0},
+        {10, 1.0, 2, 2},
+        {10, 0.0, 0, 10},
     }));
     CHECK(budgetOf(row.members, row.availability, row.borrowed).mayBeOut() == row.mayBeOut);
 }
@@ -61,21 +61,25 @@
     // The service falls below its budget if a wave takes VMs out while others fail, or while a
     // rack is lost; the planner counts both before it lets a VM go.
     const auto row = GENERATE(values<StepCase>({
-            {"budget of one", pool(10, 4, 0.9), {}, WaveVerdict::Drain, 1},
-            {"budget smaller than a rack", pool(10, 4, 0.75), {}, WaveVerdict::Drain, 1},
-            {"room for a rack", pool(12, 2, 0.5), {}, WaveVerdict::Drain, 4},
-            {"one out already", pool(10, 4, 0.9), {State::Draining}, WaveVerdict::Wait, 0},
-            {"one failed", pool(10, 4, 0.9), {State::Failed}, WaveVerdict::Wait, 0},
-            {"one failed, room for a rack", pool(12, 2, 0.5), {State::Failed},
-             WaveVerdict::Drain, 3},
-            {"one came back failing", pool(10, 4, 0.75), {State::BackFailing},
-             WaveVerdict::Drain, 1},
-            {"two came back failing", pool(10, 4, 0.5), {State::BackFailing, State::BackFailing},
-             WaveVerdict::Halted, 0},
-            {"nothing may be out", pool(10, 4, 1.0), {}, WaveVerdict::NeedsSpare, 0},
-            {"all done", pool(2, 1, 0.5), {State::Done, State::Done}, WaveVerdict::Finished, 0},
-            {"last one out", pool(2, 1, 0.5), {State::Done, State::InMaintenance},
-             WaveVerdict::Wait, 0},
+        {"budget of one", pool(10, 4, 0.9), {}, WaveVerdict::Drain, 1},
+        {"budget smaller than a rack", pool(10, 4, 0.75), {}, WaveVerdict::Drain, 1},
+        {"room for a rack", pool(12, 2, 0.5), {}, WaveVerdict::Drain, 4},
+        {"one out already", pool(10, 4, 0.9), {State::Draining}, WaveVerdict::Wait, 0},
+        {"one failed", pool(10, 4, 0.9), {State::Failed}, WaveVerdict::Wait, 0},
+        {"one failed, room for a rack", pool(12, 2, 0.5), {State::Failed}, WaveVerdict::Drain, 3},
+        {"one came back failing", pool(10, 4, 0.75), {State::BackFailing}, WaveVerdict::Drain, 1},
+        {"two came back failing",
+         pool(10, 4, 0.5),
+         {State::BackFailing, State::BackFailing},
+         WaveVerdict::Halted,
+         0},
+        {"nothing may be out", pool(10, 4, 1.0), {}, WaveVerdict::NeedsSpare, 0},
+        {"all done", pool(2, 1, 0.5), {State::Done, State::Done}, WaveVerdict::Finished, 0},
+        {"last one out",
+         pool(2, 1, 0.5),
+         {State::Done, State::InMaintenance},
+         WaveVerdict::Wait,
+         0},
     }));
     INFO(row.title);
     auto state = row.pool;
@@ -128,5 +132,6 @@
     const auto budget = budgetOf(10, 0.9, 0);
     CHECK(chooseBorrowed(budget, 6, 1h, {1, 10, 1}) == 0); // idle VMs are dear
     CHECK(chooseBorrowed(budget, 6, 1h, {10, 1, 0.1}) > 2); // time is dear
-    CHECK(chooseBorrowed(budgetOf(10, 1.0, 0), 6, 1h, {1, 10, 1}) == 2); // 5 h + 10 x 10 h + 4 moves
+    CHECK(chooseBorrowed(budgetOf(10, 1.0, 0), 6, 1h, {1, 10, 1})
+          == 2); // 5 h + 10 x 10 h + 4 moves
 }
--- a/packages/standins/src/fleet_measure.cpp
+++ b/packages/standins/src/fleet_measure.cpp
@@ -50,7 +50,9 @@
 {
 public:
     PoolWave(const Deployment &deployment, std::size_t size, WavePolicy policy, unsigned seed)
-        : deployment(deployment), policy(policy), random(seed)
+        : deployment(deployment)
+        , policy(policy)
+        , random(seed)
     {
         constexpr std::size_t perRack = 4;
         for (std::size_t i = 0; i < size; ++i) {
@@ -63,8 +65,8 @@
         const auto budget = budgetOf(size, deployment.availability, 0);
         this->required = budget.required;
         if (policy == WavePolicy::Planner)
-            this->pool.borrowed = chooseBorrowed(budget, deployment.spare,
-                                                 deployment.maintenance, deployment.weights);
+            this->pool.borrowed = chooseBorrowed(budget, deployment.spare, deployment.maintenance,
+                                                 deployment.weights);
     }
 
     WaveFigures run()
@@ -79,7 +81,7 @@
         }
         this->figures.rollOutHours = seconds(this->now) / 3600;
         this->figures.bufferVmHours =
-                static_cast<double>(this->pool.borrowed) * this->figures.rollOutHours;
+            static_cast<double>(this->pool.borrowed) * this->figures.rollOutHours;
         this->figures.moves = 2.0 * static_cast<double>(this->pool.borrowed);
         return this->figures;
     }
@@ -87,9 +89,8 @@
 private:
     bool isDone() const
     {
-        return std::all_of(this->vms.begin(), this->vms.end(), [](const SimulatedVm &vm) {
-            return vm.vm.state == WaveVmState::Done;
-        });
+        return std::all_of(this->vms.begin(), this->vms.end(),
+                           [](const SimulatedVm &vm) { return vm.vm.state == WaveVmState::Done; });
     }
 
     double uniform()
@@ -104,7 +105,7 @@
         const bool losesRack = !this->rackLost && this->now >= 25min;
         for (auto &vm : this->vms) {
             const bool inService =
-                    vm.vm.state == WaveVmState::Pending || vm.vm.state == WaveVmState::Done;
+                vm.vm.state == WaveVmState::Pending || vm.vm.state == WaveVmState::Done;
             if (inService && (this->uniform() < failure || (losesRack && vm.vm.rack == "r20"))) {
                 vm.vm.state = vm.vm.state == WaveVmState::Pending ? WaveVmState::Failed
                                                                   : WaveVmState::BackFailing;
@@ -135,9 +136,9 @@
     std::size_t out() const
     {
         return static_cast<std::size_t>(
-                std::count_if(this->vms.begin(), this->vms.end(), [](const SimulatedVm &vm) {
-                    return vm.vm.state != WaveVmState::Pending && vm.vm.state != WaveVmState::Done;
-                }));
+            std::count_if(this->vms.begin(), this->vms.end(), [](const SimulatedVm &vm) {
+                return vm.vm.state != WaveVmState::Pending && vm.vm.state != WaveVmState::Done;
+            }));
     }
 
     std::vector<std::string> nextDrains()
@@ -153,13 +154,13 @@
             return planWave(this->pool).drain;
         }
         const auto planned = static_cast<std::size_t>(
-                std::count_if(this->vms.begin(), this->vms.end(), [](const SimulatedVm &vm) {
-                    return vm.vm.state == WaveVmState::Draining
-                            || vm.vm.state == WaveVmState::InMaintenance;
-                }));
+            std::count_if(this->vms.begin(), this->vms.end(), [](const SimulatedVm &vm) {
+                return vm.vm.state == WaveVmState::Draining
+                       || vm.vm.state == WaveVmState::InMaintenance;
+            }));
         const double tenth = std::ceil(static_cast<double>(this->vms.size()) / 10);
         const auto atOnce =
-                this->policy == WavePolicy::OneAtATime ? 1 : static_cast<std::size_t>(tenth);
+            this->policy == WavePolicy::OneAtATime ? 1 : static_cast<std::size_t>(tenth);
         std::vector<std::string> names;
         for (const auto &vm : this->vms) {
             if (vm.vm.state == WaveVmState::Pending && planned + names.size() < atOnce)
@@ -218,9 +219,9 @@
         WavePolicy policy;
     };
     constexpr int seeds = 20;
-    for (const auto &row : {Row{"planner", WavePolicy::Planner},
-                            Row{"one at a time", WavePolicy::OneAtATime},
-                            Row{"10% at a time", WavePolicy::FixedTenth}}) {
+    for (const auto &row :
+         {Row{"planner", WavePolicy::Planner}, Row{"one at a time", WavePolicy::OneAtATime},
+          Row{"10% at a time", WavePolicy::FixedTenth}}) {
         WaveFigures sum;
         double longest = 0;
         for (unsigned seed = 1; seed <= seeds; ++seed) {
@@ -295,9 +296,8 @@
             const double demand = mean * factor * noise * poolVms;
             offered += demand;
             served += std::min(demand, poolVms + held[i]);
-            const auto wish = planners[i].observe(demand / poolVms,
-                                                  static_cast<std::size_t>(borrowed[i]),
-                                                  Instant(now));
+            const auto wish = planners[i].observe(
+                demand / poolVms, static_cast<std::size_t>(borrowed[i]), Instant(now));
             const double wanted = std::ceil(std::max(0.0, demand - poolVms));
             if (wish == MoveWish::Borrow && free > 0 && borrowed[i] < wanted) {
                 const double vms = std::min(free, wanted - borrowed[i]);
--- a/packages/standins/src/platform_contract_test.cpp
+++ b/packages/standins/src/platform_contract_test.cpp
@@ -24,12 +24,11 @@
         PlatformOptions options;
         options.listLag = 0ms;
         this->standin.emplace(this->context.get_executor(), options);
+        const auto handle = [this](http::Request request, std::shared_ptr<http::Disconnect>) {
+            return this->standin->handle(std::move(request));
+        };
         this->server = std::make_shared<http::Server>(
-            std::vector<http::asio::any_io_executor>{this->context.get_executor()},
-            model::CallerLimits{},
-            [this](http::Request request, std::shared_ptr<http::Disconnect>) {
-                return this->standin->handle(std::move(request));
-            });
+            std::vector<http::Lane>{{this->context.get_executor(), handle}}, model::CallerLimits{});
         this->endpoint = http::listenOnLoopback(*this->server);
         this->tables.emplace(this->context.get_executor(), this->endpoint, 10s);
     }
--- a/packages/standins/src/platform_main.cpp
+++ b/packages/standins/src/platform_main.cpp
@@ -47,11 +47,11 @@
     standins::PlatformStandin standin(context.get_executor(), options);
     model::CallerLimits limits;
     limits.bodyBytes = 64LL * 1024 * 1024;
+    const auto handle = [&](http::Request request, std::shared_ptr<http::Disconnect>) {
+        return standin.handle(std::move(request));
+    };
     auto server = std::make_shared<http::Server>(
-        std::vector<http::asio::any_io_executor>{context.get_executor()}, limits,
-        [&](http::Request request, std::shared_ptr<http::Disconnect>) {
-            return standin.handle(std::move(request));
-        });
+        std::vector<http::Lane>{{context.get_executor(), handle}}, limits);
     const auto status = server->listen(*endpoint);
     if (!status.ok()) {
         std::cerr << status << "\n";
