--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -11,11 +11,13 @@
 # boost/asio/awaitable.hpp 1.74 uses std::exchange without including <utility>.
 target_compile_options(project_options INTERFACE -include utility -fcoroutines -Wall -Wextra
     -Werror
-    # Both warn falsely on coroutine frames of g++ 12.
-    -Wno-maybe-uninitialized -Wno-mismatched-new-delete)
+    # All three warn falsely with g++ 12: on coroutine frames, and on "text" + string.
+    -Wno-maybe-uninitialized -Wno-mismatched-new-delete -Wno-restrict)
 target_compile_definitions(project_options INTERFACE BOOST_ASIO_NO_DEPRECATED
     BOOST_BEAST_USE_STD_STRING_VIEW SASSAFRASFERRY_VERSION="${PROJECT_VERSION}")
 if(SASSAFRASFERRY_SANITIZE)
+    # At -O2 the sanitizers' code makes coroutines compile several times longer.
+    set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O1 -g1")
     add_compile_options(-fsanitize=${SASSAFRASFERRY_SANITIZE} -fno-omit-frame-pointer)
     add_link_options(-fsanitize=${SASSAFRASFERRY_SANITIZE})
 endif()
--- a/packages/entry/src/connection/traffic_environment.cpp
+++ b/packages/entry/src/connection/traffic_environment.cpp
@@ -1,8 +1,10 @@
 // The daemon's side of `RequestEnvironment`.
 #include "traffic_environment.h"
 
-#include "../request/keyed_flow.h"
+#include "../request/claim_settler.h"
+#include "../request/idempotent_flow.h"
 
+#include <sassafrasferry/http/clock.h>
 #include <sassafrasferry/http/json.h>
 
 #include <glog/logging.h>
@@ -105,13 +107,12 @@
 
 policy::Instant TrafficEnvironment::now() const
 {
-    return std::chrono::steady_clock::now();
+    return http::steadyNow();
 }
 
 policy::UnixMilliseconds TrafficEnvironment::unixNow() const
 {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+    return http::unixNow();
 }
 
 Awaitable<void> TrafficEnvironment::pause(policy::Duration duration)
--- a/packages/entry/src/process/admin_api.cpp
+++ b/packages/entry/src/process/admin_api.cpp
@@ -75,42 +75,6 @@
     return "?";
 }
 
-// A wave with its progress, pool by pool, and what the planner would do next.
-Json waveJson(const model::Wave &wave, const fleet::WaveRow &row, const fleet::FleetRows &rows,
-              const fleet::FleetView &view)
-{
-    using Runner = fleet::WaveRunner<platform::TableClient, fleet::VmControlClient>;
-    auto pools = Json::array();
-    for (const auto &name : wave.pools) {
-        const auto *pool = view.document.pool(name);
-        if (!pool)
-            continue;
-        const auto state = Runner::poolOf(*pool, wave, row, rows, view);
-        const auto budget = policy::budgetOf(state.vms.size(), state.availability, 0);
-        Json counts;
-        for (const auto &name : enumNames(policy::WaveVmState{}))
-            counts[std::string(name.name)] = 0;
-        for (const auto &vm : state.vms)
-            counts[std::string(model::nameOf(vm.state))] =
-                counts[std::string(model::nameOf(vm.state))].get<int>() + 1;
-        const auto step = policy::planWave(state);
-        const auto pending = counts["pending"].get<std::size_t>();
-        const auto atOnce = std::max<std::size_t>(1, budget.mayBeOut());
-        const auto rounds = (pending + atOnce - 1) / atOnce;
-        pools.push_back(
-            {{"name", name},
-             {"vms", counts},
-             {"mayBeOut", budget.mayBeOut()},
-             {"next", step.reason},
-             {"forecastMs", rounds * static_cast<std::size_t>(wave.maintenance.count())}});
-    }
-    return {{"name", wave.name},
-            {"state", std::string(model::nameOf(row.state))},
-            {"reason", row.reason},
-            {"startedAt", row.startedAt},
-            {"pools", pools}};
-}
-
 double residentBytes()
 {
     std::ifstream statm("/proc/self/statm");
@@ -374,72 +338,4 @@
     co_return http::jsonResponse(Status::ok, {{"history", list}});
 }
 
-Awaitable<http::Response> AdminApi::waves()
-{
-    const auto rows = co_await this->control.fleetRows();
-    if (!rows.ok())
-        co_return http::textResponse(Status::service_unavailable,
-                                     std::string(rows.status().message()) + "\n");
-    const auto view = this->control.fleetView();
-    auto list = Json::array();
-    for (const auto &wave : view.document.waves) {
-        fleet::WaveRow row{wave.name, fleet::WaveState::Halted, "not started", {}, 0, 0};
-        for (const auto &item : rows->waves) {
-            if (item.name == wave.name)
-                row = item;
-        }
-        list.push_back(waveJson(wave, row, *rows, view));
-    }
-    auto vms = Json::array();
-    for (const auto &vm : rows->vms)
-        vms.push_back({{"name", vm.name},
-                       {"pool", vm.pool},
-                       {"target", vm.target},
-                       {"state", std::string(model::nameOf(vm.state))}});
-    co_return http::jsonResponse(Status::ok, {{"waves", list}, {"vms", vms}});
-}
-
-Awaitable<http::Response> AdminApi::setWave(std::string name, http::Request request)
-{
-    const auto body = http::parseJson(request.body());
-    const auto action = body.is_object() ? body.value("action", "") : std::string();
-    const bool isKnown = action == "start" || action == "halt" || action == "resume";
-    const auto &document = this->versions.current()->document;
-    const auto wave = std::find_if(document.waves.begin(), document.waves.end(),
-                                   [&](const model::Wave &item) { return item.name == name; });
-    if (!isKnown || wave == document.waves.end())
-        co_return http::textResponse(Status::bad_request, "no such wave or action\n");
-    if (!platform::isOwner(document, wave->section, body.value("token", "")))
-        co_return http::textResponse(Status::forbidden, "not this team's wave\n");
-    const auto rows = co_await this->control.fleetRows();
-    if (!rows.ok())
-        co_return http::textResponse(Status::service_unavailable, "the store is down\n");
-    fleet::WaveRow row{name, fleet::WaveState::Running, "", {}, 0, platform::absent};
-    for (const auto &item : rows->waves) {
-        if (item.name == name)
-            row = item;
-    }
-    if (action == "start") {
-        row.done.clear();
-        row.startedAt = std::chrono::duration_cast<std::chrono::milliseconds>(
-                            std::chrono::system_clock::now().time_since_epoch())
-                            .count();
-    }
-    row.state = action == "halt" ? fleet::WaveState::Halted : fleet::WaveState::Running;
-    row.reason = action == "halt" ? "halted by an operator" : "";
-    const auto commit = co_await this->control.setWave(row);
-    this->parts.log.write({"wave-" + action, "", {{"wave", name}}});
-    switch (commit.state) {
-    case platform::CommitState::Committed:
-        co_return http::jsonResponse(Status::ok, {{"state", "accepted"}});
-    case platform::CommitState::Conflict:
-        co_return http::jsonResponse(Status::conflict, {{"state", "conflict"}});
-    case platform::CommitState::NotApplied:
-        co_return http::jsonResponse(Status::service_unavailable, {{"state", "unavailable"}});
-    case platform::CommitState::Unknown:
-        break;
-    }
-    co_return http::jsonResponse(Status::bad_gateway, {{"state", "unknown"}});
-}
-
 } // namespace sassafrasferry::entry
--- a/packages/entry/src/process/control.cpp
+++ b/packages/entry/src/process/control.cpp
@@ -2,6 +2,7 @@
 #include "control.h"
 
 #include <sassafrasferry/fleet/move_rows.h>
+#include <sassafrasferry/http/clock.h>
 
 #include <algorithm>
 
@@ -12,22 +13,11 @@
 namespace {
 
 namespace asio = boost::asio;
+using http::unixNow;
+constexpr auto now = http::steadyNow;
 
 constexpr auto dispatchPeriod = std::chrono::milliseconds(20);
-constexpr auto wishPeriod = std::chrono::milliseconds(100);
 constexpr auto leasePeriod = std::chrono::milliseconds(500);
-constexpr std::size_t peersAskedAtOnce = 2;
-
-policy::Instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-std::int64_t unixNow()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
-}
 
 Awaitable<void> sleepFor(asio::steady_timer &timer, std::chrono::milliseconds duration)
 {
@@ -91,7 +81,7 @@
 Awaitable<void> Control::endStop()
 {
     this->gone = true;
-    this->sendHeartbeat();
+    this->peers.broadcast(this->heartbeat());
     co_await this->lease.release();
 }
 
@@ -139,22 +129,12 @@
     return this->lease.currentEpoch();
 }
 
-void Control::sendHeartbeat()
-{
-    messages::Envelope envelope;
-    auto &heartbeat = *envelope.mutable_heartbeat();
-    heartbeat.set_incarnation(this->parts.incarnation);
-    heartbeat.set_revision(this->versions.current()->texts.revision);
-    heartbeat.set_leaving(this->gone);
-    this->peers.broadcast(envelope);
-}
-
 Awaitable<void> Control::heartbeatLoop()
 {
     asio::steady_timer timer(this->context);
     std::vector<std::string> known;
     for (;;) {
-        this->sendHeartbeat();
+        this->sendHeartbeats();
         const auto live = this->parts.membership.locked(
             [](policy::Membership &membership) { return membership.live(now()); });
         if (live != known) {
@@ -253,19 +233,6 @@
     this->draining = std::move(names);
 }
 
-void Control::askPeersForDocument()
-{
-    const auto own = this->versions.current()->texts.revision;
-    messages::Envelope envelope;
-    envelope.mutable_document_request()->set_have_revision(own);
-    for (const auto &peer : this->settings.peers) {
-        const auto state = this->parts.membership.locked(
-            [&](policy::Membership &membership) { return membership.peer(peer.name); });
-        if (state && state->revision > own && this->peers.send(peer.name, envelope))
-            break;
-    }
-}
-
 void Control::adopt(VersionPointer version, const char *source)
 {
     const auto before = this->versions.current();
@@ -295,7 +262,7 @@
         return dispatcher.adopt(version->table, now());
     });
     this->versions.advance(version);
-    this->sendHeartbeat(); // the peers learn the new revision at once
+    this->sendHeartbeats(); // some peers learn the new revision at once, all by their next poll
 }
 
 Awaitable<void> Control::listLoop()
@@ -331,20 +298,6 @@
     }
 }
 
-void Control::tellPeers(const policy::LeavingNews &news)
-{
-    this->parts.log.write({"worker-signal",
-                           "",
-                           {{"worker", news.worker},
-                            {"signal", std::string(model::nameOf(news.signal))},
-                            {"from", "self"}}});
-    messages::Envelope envelope;
-    auto &signal = *envelope.mutable_worker_signal();
-    signal.set_worker(news.worker);
-    signal.set_signal(static_cast<std::uint32_t>(news.signal));
-    this->peers.broadcast(envelope);
-}
-
 Awaitable<void> Control::dispatchLoop()
 {
     asio::steady_timer timer(this->context);
@@ -356,26 +309,6 @@
     }
 }
 
-void Control::askForLoans()
-{
-    if (now() < this->nextWish || this->settings.peers.empty())
-        return;
-    const auto wishes = this->parts.dispatcher.locked(
-        [](policy::Dispatcher &dispatcher) { return dispatcher.loanWishes(); });
-    if (wishes.empty())
-        return;
-    this->nextWish = now() + wishPeriod;
-    for (std::size_t i = 0; i < peersAskedAtOnce; ++i) {
-        const auto &peer = this->settings.peers[this->wishTurn++ % this->settings.peers.size()];
-        for (const auto &wish : wishes) {
-            messages::Envelope envelope;
-            envelope.mutable_loan_wish()->set_pool(wish.pool);
-            envelope.mutable_loan_wish()->set_slots(wish.slots);
-            this->peers.send(peer.name, envelope);
-        }
-    }
-}
-
 Awaitable<void> Control::leaseLoop()
 {
     asio::steady_timer timer(this->context);
@@ -399,124 +332,6 @@
     }
 }
 
-void Control::receive(const messages::Envelope &envelope)
-{
-    switch (envelope.body_case()) {
-    case messages::Envelope::kHeartbeat:
-        this->receiveHeartbeat(envelope.sender(), envelope.heartbeat());
-        break;
-    case messages::Envelope::kWorkerSignal:
-        this->receiveSignal(envelope.sender(), envelope.worker_signal());
-        break;
-    case messages::Envelope::kLoanWish:
-        this->receiveWish(envelope.sender(), envelope.loan_wish());
-        break;
-    case messages::Envelope::kLoan:
-        this->receiveLoan(envelope.loan());
-        break;
-    case messages::Envelope::kDocumentRequest:
-        this->receiveDocumentRequest(envelope.sender(),
-                                     envelope.document_request().have_revision());
-        break;
-    case messages::Envelope::kDocumentReply:
-        this->receiveDocument(envelope.document_reply());
-        break;
-    case messages::Envelope::BODY_NOT_SET:
-        break;
-    }
-}
-
-void Control::receiveHeartbeat(const std::string &sender, const messages::Heartbeat &heartbeat)
-{
-    const policy::PeerState state{sender, heartbeat.incarnation(), heartbeat.revision(),
-                                  heartbeat.leaving()};
-    this->parts.membership.locked(
-        [&](policy::Membership &membership) { membership.heard(state, now()); });
-    const auto own = this->versions.current()->texts.revision;
-    if (heartbeat.revision() > own)
-        this->documentTimer.cancel(); // fetch it now
-    else if (own > 0)
-        this->confirmed = now();
-}
-
-void Control::receiveSignal(const std::string &sender, const messages::WorkerSignal &message)
-{
-    const auto signal = static_cast<policy::LeavingSignal>(message.signal());
-    if (model::nameOf(signal) == "?")
-        return; // from a newer version
-    this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
-        return dispatcher.setLeaving(message.worker(), signal, now());
-    });
-    this->parts.log.write({"worker-signal",
-                           "",
-                           {{"worker", message.worker()},
-                            {"signal", std::string(model::nameOf(signal))},
-                            {"from", sender}}});
-}
-
-void Control::receiveWish(const std::string &sender, const messages::LoanWish &wish)
-{
-    const auto loan = this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
-        return dispatcher.lend({wish.pool(), wish.slots()}, now());
-    });
-    if (loan.items.empty())
-        return;
-    messages::Envelope envelope;
-    auto &message = *envelope.mutable_loan();
-    message.set_pool(loan.pool);
-    message.set_term_milliseconds(static_cast<std::uint32_t>(loan.term.count()));
-    for (const auto &item : loan.items) {
-        message.add_workers(item.worker);
-        message.add_slots(item.slots);
-    }
-    this->peers.send(sender, envelope);
-}
-
-void Control::receiveLoan(const messages::Loan &message)
-{
-    policy::Loan loan{message.pool(), {}, std::chrono::milliseconds(message.term_milliseconds())};
-    for (int i = 0; i < message.workers_size() && i < message.slots_size(); ++i)
-        loan.items.push_back({message.workers(i), message.slots(i)});
-    this->parts.dispatcher.change(
-        [&](policy::Dispatcher &dispatcher) { return dispatcher.borrow(loan, now()); });
-}
-
-void Control::receiveDocumentRequest(const std::string &sender, std::int64_t haveRevision)
-{
-    const auto version = this->versions.current();
-    if (version->texts.revision <= haveRevision)
-        return;
-    messages::Envelope envelope;
-    auto &reply = *envelope.mutable_document_reply();
-    reply.set_revision(version->texts.revision);
-    for (const auto &section : version->texts.sections) {
-        reply.add_names(section.name);
-        if (section.revision <= haveRevision)
-            continue;
-        auto &changed = *reply.add_sections();
-        changed.set_name(section.name);
-        changed.set_text(section.text);
-        changed.set_revision(section.revision);
-    }
-    this->peers.send(sender, envelope);
-}
-
-void Control::receiveDocument(const messages::DocumentReply &reply)
-{
-    auto texts = this->versions.current()->texts;
-    if (reply.revision() <= texts.revision)
-        return;
-    texts.revision = reply.revision();
-    const std::set<std::string> names(reply.names().begin(), reply.names().end());
-    std::erase_if(texts.sections,
-                  [&](const model::SectionText &section) { return !names.contains(section.name); });
-    for (const auto &section : reply.sections())
-        texts.set({section.name(), section.text(), section.revision()});
-    auto version = makeVersion(std::move(texts));
-    if (version.ok())
-        this->adopt(std::move(*version), "peer");
-}
-
 Awaitable<platform::ChangeResult> Control::apply(platform::SectionChange change)
 {
     auto result =
--- a/packages/entry/src/process/control.h
+++ b/packages/entry/src/process/control.h
@@ -74,7 +74,8 @@
     void askPeersForDocument();
     void markDraining(std::set<std::string> names);
     void spawn(Awaitable<void> (Control::*loop)());
-    void sendHeartbeat();
+    messages::Envelope heartbeat() const;
+    void sendHeartbeats();
     void adopt(VersionPointer version, const char *source);
     void take(const std::vector<std::string> &leaving);
     void tellPeers(const policy::LeavingNews &news);
@@ -110,6 +111,7 @@
     VersionPointer viewed; // keeps alive the document of the last fleet view
     policy::Instant nextWish{};
     std::size_t wishTurn = 0; // which peers are asked next
+    std::size_t heartbeatTurn = 0; // which peers hear next
 };
 
 } // namespace sassafrasferry::entry
--- /dev/null
+++ b/packages/entry/src/process/control_peers.cpp
@@ -0,0 +1,206 @@
+// What the control thread tells other entry VMs, and what it does with what they tell.
+#include "control.h"
+
+#include <sassafrasferry/http/clock.h>
+
+#include <algorithm>
+
+namespace sassafrasferry::entry {
+
+namespace {
+
+constexpr auto wishPeriod = std::chrono::milliseconds(100);
+constexpr std::size_t peersAskedAtOnce = 2;
+
+constexpr auto now = http::steadyNow;
+
+} // namespace
+
+messages::Envelope Control::heartbeat() const
+{
+    messages::Envelope envelope;
+    auto &heartbeat = *envelope.mutable_heartbeat();
+    heartbeat.set_incarnation(this->parts.incarnation);
+    heartbeat.set_revision(this->versions.current()->texts.revision);
+    heartbeat.set_leaving(this->gone);
+    return envelope;
+}
+
+// To some peers in turn: what heartbeats cost must not grow with the square of the entry VMs.
+void Control::sendHeartbeats()
+{
+    const auto envelope = this->heartbeat();
+    const auto count = std::min(policy::heartbeatFanOut, this->settings.peers.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto &peer =
+            this->settings.peers[this->heartbeatTurn++ % this->settings.peers.size()];
+        this->peers.send(peer.name, envelope);
+    }
+}
+
+void Control::askPeersForDocument()
+{
+    const auto own = this->versions.current()->texts.revision;
+    messages::Envelope envelope;
+    envelope.mutable_document_request()->set_have_revision(own);
+    for (const auto &peer : this->settings.peers) {
+        const auto state = this->parts.membership.locked(
+            [&](policy::Membership &membership) { return membership.peer(peer.name); });
+        if (state && state->revision > own && this->peers.send(peer.name, envelope))
+            break;
+    }
+}
+
+void Control::tellPeers(const policy::LeavingNews &news)
+{
+    this->parts.log.write({"worker-signal",
+                           "",
+                           {{"worker", news.worker},
+                            {"signal", std::string(model::nameOf(news.signal))},
+                            {"from", "self"}}});
+    messages::Envelope envelope;
+    auto &signal = *envelope.mutable_worker_signal();
+    signal.set_worker(news.worker);
+    signal.set_signal(static_cast<std::uint32_t>(news.signal));
+    this->peers.broadcast(envelope);
+}
+
+void Control::askForLoans()
+{
+    if (now() < this->nextWish || this->settings.peers.empty())
+        return;
+    const auto wishes = this->parts.dispatcher.locked(
+        [](policy::Dispatcher &dispatcher) { return dispatcher.loanWishes(); });
+    if (wishes.empty())
+        return;
+    this->nextWish = now() + wishPeriod;
+    for (std::size_t i = 0; i < peersAskedAtOnce; ++i) {
+        const auto &peer = this->settings.peers[this->wishTurn++ % this->settings.peers.size()];
+        for (const auto &wish : wishes) {
+            messages::Envelope envelope;
+            envelope.mutable_loan_wish()->set_pool(wish.pool);
+            envelope.mutable_loan_wish()->set_slots(wish.slots);
+            this->peers.send(peer.name, envelope);
+        }
+    }
+}
+
+void Control::receive(const messages::Envelope &envelope)
+{
+    switch (envelope.body_case()) {
+    case messages::Envelope::kHeartbeat:
+        this->receiveHeartbeat(envelope.sender(), envelope.heartbeat());
+        break;
+    case messages::Envelope::kWorkerSignal:
+        this->receiveSignal(envelope.sender(), envelope.worker_signal());
+        break;
+    case messages::Envelope::kLoanWish:
+        this->receiveWish(envelope.sender(), envelope.loan_wish());
+        break;
+    case messages::Envelope::kLoan:
+        this->receiveLoan(envelope.loan());
+        break;
+    case messages::Envelope::kDocumentRequest:
+        this->receiveDocumentRequest(envelope.sender(),
+                                     envelope.document_request().have_revision());
+        break;
+    case messages::Envelope::kDocumentReply:
+        this->receiveDocument(envelope.document_reply());
+        break;
+    case messages::Envelope::BODY_NOT_SET:
+        break;
+    }
+}
+
+void Control::receiveHeartbeat(const std::string &sender, const messages::Heartbeat &heartbeat)
+{
+    const policy::PeerState state{sender, heartbeat.incarnation(), heartbeat.revision(),
+                                  heartbeat.leaving()};
+    this->parts.membership.locked(
+        [&](policy::Membership &membership) { membership.heard(state, now()); });
+    const auto own = this->versions.current()->texts.revision;
+    if (heartbeat.revision() > own)
+        this->documentTimer.cancel(); // fetch it now
+    else if (own > 0)
+        this->confirmed = now();
+}
+
+void Control::receiveSignal(const std::string &sender, const messages::WorkerSignal &message)
+{
+    const auto signal = static_cast<policy::LeavingSignal>(message.signal());
+    if (model::nameOf(signal) == "?")
+        return; // from a newer version
+    this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
+        return dispatcher.setLeaving(message.worker(), signal, now());
+    });
+    this->parts.log.write({"worker-signal",
+                           "",
+                           {{"worker", message.worker()},
+                            {"signal", std::string(model::nameOf(signal))},
+                            {"from", sender}}});
+}
+
+void Control::receiveWish(const std::string &sender, const messages::LoanWish &wish)
+{
+    const auto loan = this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
+        return dispatcher.lend({wish.pool(), wish.slots()}, now());
+    });
+    if (loan.items.empty())
+        return;
+    messages::Envelope envelope;
+    auto &message = *envelope.mutable_loan();
+    message.set_pool(loan.pool);
+    message.set_term_milliseconds(static_cast<std::uint32_t>(loan.term.count()));
+    for (const auto &item : loan.items) {
+        message.add_workers(item.worker);
+        message.add_slots(item.slots);
+    }
+    this->peers.send(sender, envelope);
+}
+
+void Control::receiveLoan(const messages::Loan &message)
+{
+    policy::Loan loan{message.pool(), {}, std::chrono::milliseconds(message.term_milliseconds())};
+    for (int i = 0; i < message.workers_size() && i < message.slots_size(); ++i)
+        loan.items.push_back({message.workers(i), message.slots(i)});
+    this->parts.dispatcher.change(
+        [&](policy::Dispatcher &dispatcher) { return dispatcher.borrow(loan, now()); });
+}
+
+void Control::receiveDocumentRequest(const std::string &sender, std::int64_t haveRevision)
+{
+    const auto version = this->versions.current();
+    if (version->texts.revision <= haveRevision)
+        return;
+    messages::Envelope envelope;
+    auto &reply = *envelope.mutable_document_reply();
+    reply.set_revision(version->texts.revision);
+    for (const auto &section : version->texts.sections) {
+        reply.add_names(section.name);
+        if (section.revision <= haveRevision)
+            continue;
+        auto &changed = *reply.add_sections();
+        changed.set_name(section.name);
+        changed.set_text(section.text);
+        changed.set_revision(section.revision);
+    }
+    this->peers.send(sender, envelope);
+}
+
+void Control::receiveDocument(const messages::DocumentReply &reply)
+{
+    auto texts = this->versions.current()->texts;
+    if (reply.revision() <= texts.revision)
+        return;
+    texts.revision = reply.revision();
+    const std::set<std::string> names(reply.names().begin(), reply.names().end());
+    std::erase_if(texts.sections,
+                  [&](const model::SectionText &section) { return !names.contains(section.name); });
+    for (const auto &section : reply.sections())
+        texts.set({section.name(), section.text(), section.revision()});
+    auto version = makeVersion(std::move(texts));
+    if (version.ok())
+        this->adopt(std::move(*version), "peer");
+}
+
+} // namespace sassafrasferry::entry
--- a/packages/entry/src/process/daemon.cpp
+++ b/packages/entry/src/process/daemon.cpp
@@ -3,6 +3,8 @@
 
 #include "../request/caller_handler.h"
 
+#include <sassafrasferry/http/clock.h>
+
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
@@ -18,9 +20,7 @@
 // Milliseconds since 1970 grow from start to start of the same entry VM.
 std::uint64_t newIncarnation()
 {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+    return static_cast<std::uint64_t>(http::unixNow());
 }
 
 std::vector<std::string> namesOf(const std::vector<model::PeerSettings> &peers)
@@ -52,7 +52,8 @@
     , incarnationName(this->settings.name + "." + std::to_string(this->incarnation))
     , dispatcher(this->settings.routing, this->settings.name, this->incarnation)
     , membership(this->settings.name, this->incarnation, namesOf(this->settings.peers),
-                 this->settings.control.peerTimeout)
+                 policy::silenceOf(this->settings.control.peerTimeout,
+                                   this->settings.control.heartbeat, this->settings.peers.size()))
     , store(this->controlContext.get_executor(), this->settings, this->incarnationName)
     , parts{this->settings.name, this->incarnation, this->incarnationName,
             this->dispatcher,    this->membership,  this->store,
--- a/packages/entry/src/request/answers.cpp
+++ b/packages/entry/src/request/answers.cpp
@@ -43,9 +43,8 @@
     case RefusalReason::NoWorkers:
     case RefusalReason::DeadlineUnreachable:
     case RefusalReason::QueueFull:
-    case RefusalReason::RetryBudget:
     case RefusalReason::TooManyRefusals:
-    case RefusalReason::Stopping:
+    case RefusalReason::Starting:
         return 503;
     }
     return 503;
--- a/packages/entry/src/request/caller_handler.cpp
+++ b/packages/entry/src/request/caller_handler.cpp
@@ -183,7 +183,12 @@
                               std::shared_ptr<RequestContext> context)
 {
     if (!context->service) {
-        const policy::Refusal refusal{{}, policy::RefusalReason::UnknownService, {}};
+        // Before the first document nothing can be said about a service; soon it can.
+        const bool isStarting = context->version->texts.revision == 0;
+        const policy::Refusal refusal{{},
+                                      isStarting ? policy::RefusalReason::Starting
+                                                 : policy::RefusalReason::UnknownService,
+                                      isStarting ? std::chrono::seconds(1) : policy::Duration{}};
         co_return refusalAnswer(refusal, false);
     }
     if (!context->service->idempotent) {
--- a/packages/fleet/src/wave_runner_test.cpp
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -311,3 +311,17 @@
     CHECK(row->revision == 2);
     CHECK(moveRows(before, before, 7).empty());
 }
+
+TEST_CASE("a process without the lease changes nothing")
+{
+    // It was paused, another one took the lease over, and it goes on with what it had decided.
+    Run run;
+    const auto old = run.fence;
+    run.takeOver();
+    CallFaults none;
+    for (int i = 0; i < 3; ++i)
+        run.step(none, old);
+    CHECK(run.out() == 0);
+    run.step(none, run.fence);
+    CHECK(run.out() == 2); // the rest of the budget is kept for a rack of two
+}
--- a/packages/model/include/sassafrasferry/model/toml_reader.h
+++ b/packages/model/include/sassafrasferry/model/toml_reader.h
@@ -84,6 +84,8 @@
 private:
     const toml::node *node(std::string_view key);
     std::string pathOf(std::string_view key) const;
+    void visitTable(const toml::node &node, const std::string &nodePath,
+                    const std::function<void(TomlReader &)> &visit);
 
     const toml::table &source;
     std::string file;
--- a/packages/model/src/toml_reader.cpp
+++ b/packages/model/src/toml_reader.cpp
@@ -140,6 +140,19 @@
     return present;
 }
 
+void TomlReader::visitTable(const toml::node &node, const std::string &nodePath,
+                            const std::function<void(TomlReader &)> &visit)
+{
+    const auto *inner = node.as_table();
+    if (!inner) {
+        this->findings.push_back({placeOf(node.source(), this->file), nodePath, "must be a table"});
+        return;
+    }
+    TomlReader reader(*inner, this->file, nodePath, this->findings);
+    visit(reader);
+    reader.finish();
+}
+
 void TomlReader::eachTable(std::string_view key,
                            const std::function<void(const std::string &, TomlReader &)> &visit)
 {
@@ -153,16 +166,8 @@
     }
     for (const auto &[name, element] : *tables) {
         const std::string nameText(name.str());
-        const auto elementPath = absl::StrCat(this->pathOf(key), ".", nameText);
-        const auto *inner = element.as_table();
-        if (!inner) {
-            this->findings.push_back(
-                {placeOf(element.source(), this->file), elementPath, "must be a table"});
-            continue;
-        }
-        TomlReader reader(*inner, this->file, elementPath, this->findings);
-        visit(nameText, reader);
-        reader.finish();
+        this->visitTable(element, absl::StrCat(this->pathOf(key), ".", nameText),
+                         [&](TomlReader &reader) { visit(nameText, reader); });
     }
 }
 
@@ -177,33 +182,14 @@
         return;
     }
     std::size_t index = 0;
-    for (const auto &element : *array) {
-        const auto elementPath = absl::StrCat(this->pathOf(key), "[", index++, "]");
-        const auto *inner = element.as_table();
-        if (!inner) {
-            this->findings.push_back(
-                {placeOf(element.source(), this->file), elementPath, "must be a table"});
-            continue;
-        }
-        TomlReader reader(*inner, this->file, elementPath, this->findings);
-        visit(reader);
-        reader.finish();
-    }
+    for (const auto &element : *array)
+        this->visitTable(element, absl::StrCat(this->pathOf(key), "[", index++, "]"), visit);
 }
 
 void TomlReader::table(std::string_view key, const std::function<void(TomlReader &)> &visit)
 {
-    const auto *at = this->node(key);
-    if (!at)
-        return;
-    const auto *inner = at->as_table();
-    if (!inner) {
-        this->find(key, "must be a table");
-        return;
-    }
-    TomlReader reader(*inner, this->file, this->pathOf(key), this->findings);
-    visit(reader);
-    reader.finish();
+    if (const auto *at = this->node(key))
+        this->visitTable(*at, this->pathOf(key), visit);
 }
 
 void TomlReader::finish()
--- a/packages/policy/include/sassafrasferry/policy/dispatcher.h
+++ b/packages/policy/include/sassafrasferry/policy/dispatcher.h
@@ -40,9 +40,8 @@
     DeadlineUnreachable, ///< the predicted wait passes its deadline
     QueueFull,
     HopelessJob, ///< it failed on several workers that serve others well
-    RetryBudget, ///< it failed, and the service's retries are used up
     TooManyRefusals, ///< several workers in turn were full
-    Stopping, ///< this entry VM is stopping
+    Starting, ///< this entry VM has no document yet
 };
 
 constexpr auto enumNames(RefusalReason)
@@ -53,9 +52,8 @@
                       EnumName{RefusalReason::DeadlineUnreachable, "deadline-unreachable"},
                       EnumName{RefusalReason::QueueFull, "queue-full"},
                       EnumName{RefusalReason::HopelessJob, "hopeless-job"},
-                      EnumName{RefusalReason::RetryBudget, "retry-budget"},
                       EnumName{RefusalReason::TooManyRefusals, "too-many-refusals"},
-                      EnumName{RefusalReason::Stopping, "stopping"}};
+                      EnumName{RefusalReason::Starting, "starting"}};
 }
 
 /// A request that will not be given to a worker, and when a new try makes sense.
--- a/packages/policy/include/sassafrasferry/policy/membership.h
+++ b/packages/policy/include/sassafrasferry/policy/membership.h
@@ -10,6 +10,14 @@
 
 namespace sassafrasferry::policy {
 
+/// Peers that are sent a heartbeat in one period, in turn. With 60 entry VMs and four periods a
+/// second, heartbeats to all would cost each of them several kilobytes a second.
+constexpr std::size_t heartbeatFanOut = 8;
+
+/// Silence after which a peer counts as gone: the configured time, or three rounds of heartbeats if
+/// a round over all peers takes longer.
+Duration silenceOf(Duration configured, Duration period, std::size_t peers);
+
 /// What a heartbeat tells.
 struct PeerState
 {
--- a/packages/policy/src/dispatcher.cpp
+++ b/packages/policy/src/dispatcher.cpp
@@ -16,8 +16,6 @@
 constexpr Duration noWorkersRetryAfter = std::chrono::seconds(5);
 constexpr Duration leavingMark = std::chrono::seconds(5);
 constexpr Duration closedMark = std::chrono::seconds(1);
-constexpr Duration leastLoan = std::chrono::milliseconds(500);
-constexpr std::uint32_t mostWished = 16;
 
 LeavingSignal signalOf(RunResult result)
 {
@@ -463,108 +461,4 @@
     return names;
 }
 
-std::vector<LoanWish> Dispatcher::loanWishes() const
-{
-    std::vector<LoanWish> wishes;
-    const bool usesLoans = this->settings.policy == RoutingPolicy::LoansTrials
-                           || this->settings.policy == RoutingPolicy::Loans;
-    if (!usesLoans)
-        return wishes;
-    for (const auto &pool : this->pools) {
-        std::size_t count = 0;
-        for (const auto index : pool.services)
-            count += this->services[index].queue.size();
-        if (count > 0)
-            wishes.push_back(
-                {pool.name, static_cast<std::uint32_t>(std::min<std::size_t>(count, mostWished))});
-    }
-    return wishes;
-}
-
-Loan Dispatcher::lend(const LoanWish &wish, Instant now)
-{
-    Loan loan{wish.pool, {}, {}};
-    const auto pool = std::find_if(this->pools.begin(), this->pools.end(),
-                                   [&](const PoolState &state) { return state.name == wish.pool; });
-    if (pool == this->pools.end())
-        return loan;
-    double runSeconds = 0;
-    for (const auto index : pool->services) {
-        if (this->services[index].queue.size() > 0)
-            return loan; // this entry VM wants its slots itself
-        runSeconds = std::max(runSeconds, this->services[index].runTimes.meanSeconds());
-    }
-    const auto term = std::max(leastLoan, fromSeconds(4 * runSeconds));
-    loan.term = std::chrono::duration_cast<std::chrono::milliseconds>(term);
-    std::uint32_t left = wish.slots;
-    for (const auto index : pool->workers) {
-        auto &worker = this->workers[index];
-        const auto allowed = worker.allowed(now);
-        if (left == 0 || worker.inUse >= allowed || worker.isLeaving(now))
-            continue;
-        const auto slots = std::min(left, allowed - worker.inUse);
-        worker.lent.add(slots, now + term, now);
-        loan.items.push_back({worker.spec.name, slots});
-        left -= slots;
-    }
-    return loan;
-}
-
-Changes Dispatcher::borrow(const Loan &loan, Instant now)
-{
-    Changes changes;
-    for (const auto &item : loan.items) {
-        const auto at = this->workerIndex.find(item.worker);
-        if (at == this->workerIndex.end())
-            continue;
-        // The lender takes its slots back at the end of the term; what starts in the last quarter
-        // would mostly still run then, and the worker would refuse the lender.
-        constexpr int quarters = 4;
-        this->workers[at->second].borrowed.add(item.slots, now + loan.term * 3 / quarters, now);
-    }
-    this->serveAll(changes, now);
-    return changes;
-}
-
-std::vector<PoolStatus> Dispatcher::poolStatus(Instant now) const
-{
-    std::vector<PoolStatus> statuses;
-    for (const auto &pool : this->pools) {
-        PoolStatus status{pool.name, 0, 0, 0, 0};
-        for (const auto index : pool.services) {
-            const auto &service = this->services[index];
-            if (this->pools[service.spec.pool].name == pool.name)
-                status.waiting += service.queue.size();
-        }
-        for (const auto index : pool.workers) {
-            status.inUse += this->workers[index].inUse;
-            status.allowed += this->workers[index].allowed(now);
-            status.slots += this->workers[index].spec.slots;
-        }
-        statuses.push_back(std::move(status));
-    }
-    return statuses;
-}
-
-std::vector<WorkerStatus> Dispatcher::workerStatus(Instant now) const
-{
-    std::vector<WorkerStatus> statuses;
-    for (const auto &worker : this->workers) {
-        if (worker.pool == noIndex)
-            continue;
-        statuses.push_back({worker.spec.name, this->pools[worker.pool].name, worker.inUse,
-                            worker.allowed(now), worker.health.state(now),
-                            worker.isLeaving(now) ? worker.leaving : LeavingSignal::None});
-    }
-    return statuses;
-}
-
-std::size_t Dispatcher::waiting() const
-{
-    std::size_t sum = 0;
-    for (const auto &service : this->services)
-        sum += service.queue.size();
-    return sum;
-}
-
 } // namespace sassafrasferry::policy
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -5,6 +5,13 @@
 
 namespace sassafrasferry::policy {
 
+Duration silenceOf(Duration configured, Duration period, std::size_t peers)
+{
+    constexpr int roundsMissed = 3;
+    const auto periods = (peers + heartbeatFanOut - 1) / heartbeatFanOut;
+    return std::max(configured, roundsMissed * static_cast<Duration::rep>(periods) * period);
+}
+
 Membership::Membership(std::string self, const std::vector<std::string> &peers, Duration timeout,
                        Instant now)
     : self(std::move(self))
--- a/packages/policy/src/membership_test.cpp
+++ b/packages/policy/src/membership_test.cpp
@@ -67,6 +67,17 @@
     CHECK(membership.live(start + 1ms).size() == 6);
 }
 
+TEST_CASE("the silence that counts grows with the peers that share heartbeats")
+{
+    struct Row
+    {
+        std::size_t peers;
+        Duration silence;
+    };
+    const auto row = GENERATE(values<Row>({{6, 1500ms}, {8, 1500ms}, {19, 2250ms}, {59, 6000ms}}));
+    CHECK(silenceOf(1500ms, 250ms, row.peers) == row.silence);
+}
+
 TEST_CASE("an entry VM that has just started counts its peers as live")
 {
     Membership membership("a", peers, 1500ms, start);
--- a/packages/standins/src/worker_standin.cpp
+++ b/packages/standins/src/worker_standin.cpp
@@ -1,6 +1,7 @@
 // The worker stand-in.
 #include <sassafrasferry/standins/worker_standin.h>
 
+#include <sassafrasferry/http/clock.h>
 #include <sassafrasferry/http/json.h>
 
 #include <boost/asio.hpp>
@@ -19,16 +20,11 @@
 using http::Response;
 using http::Status;
 using http::Tcp;
+using http::unixNow;
 
 const std::string runsPath = "/runs/";
 const std::string runTimeParameter = "run-ms=";
 
-std::int64_t unixNow()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
-}
-
 std::chrono::milliseconds runTimeOf(const Request &request, std::chrono::milliseconds usual)
 {
     const std::string target(request.target());
