--- a/packages/standins/src/worker_standin.cpp
+++ b/packages/standins/src/worker_standin.cpp
@@ -213,6 +213,7 @@
     session->mustRepeat = this->faults.twice;
     session->mustSilence = this->faults.silent;
     auto response = http::textResponse(static_cast<Status>(record.status), record.body);
+    response.set(http::header::outcome, "completed"); // for callers who ask it directly
     response.set(http::Field::content_type, "application/json");
     co_return response;
 }
