--- a/packages/entry/src/connection/upstream_pool.cpp
+++ b/packages/entry/src/connection/upstream_pool.cpp
@@ -21,12 +21,4 @@
     return *client;
 }
 
-std::size_t UpstreamPool::idleCount() const
-{
-    std::size_t sum = 0;
-    for (const auto &[address, client] : this->clients)
-        sum += client->idleCount();
-    return sum;
-}
-
 } // namespace sassafrasferry::entry
--- a/packages/entry/src/connection/upstream_pool.h
+++ b/packages/entry/src/connection/upstream_pool.h
@@ -19,7 +19,6 @@
     UpstreamPool(http::asio::any_io_executor executor, std::size_t idleConnections);
 
     http::Client &client(const model::Endpoint &endpoint);
-    std::size_t idleCount() const;
 
 private:
     http::asio::any_io_executor executor;
--- a/packages/entry/src/process/control.cpp
+++ b/packages/entry/src/process/control.cpp
@@ -109,11 +109,6 @@
     return this->peers;
 }
 
-policy::Instant Control::confirmedAt() const
-{
-    return this->confirmed;
-}
-
 bool Control::storeReachable() const
 {
     return this->storeIsUp;
@@ -213,16 +208,13 @@
 
 void Control::markDraining(std::set<std::string> names)
 {
-    using policy::LeavingSignal;
     this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
         for (const auto &name : this->draining) {
-            const bool isListed = this->listed.contains(name);
             if (!names.contains(name))
-                dispatcher.setLeaving(name, isListed ? LeavingSignal::List : LeavingSignal::None,
-                                      now());
+                dispatcher.drained(name);
         }
         for (const auto &name : names)
-            dispatcher.setLeaving(name, LeavingSignal::Draining, now());
+            dispatcher.setLeaving(name, policy::LeavingSignal::Draining, now());
     });
     if (names != this->draining) {
         std::string list;
@@ -240,7 +232,7 @@
         return;
     // What the store would say of VMs that move is not known from a peer: they get no work until
     // it can be read.
-    if (this->storeIsUp == false) {
+    if (!this->storeIsUp) {
         auto names = this->draining;
         for (const auto &move : fleet::movesBetween(before->document, version->document))
             names.insert(move.vm);
--- a/packages/entry/src/process/control.h
+++ b/packages/entry/src/process/control.h
@@ -55,8 +55,6 @@
     /// Bytes moved between this entry VM and the platform for control.
     http::ClientTraffic platformTraffic() const;
     const peer::PeerLink &link() const;
-    /// When the revision in force was last known to be the newest.
-    policy::Instant confirmedAt() const;
     bool storeReachable() const;
     bool holdsLease() const;
     std::int64_t leaseEpoch() const;
--- a/packages/entry/src/process/decision_log.cpp
+++ b/packages/entry/src/process/decision_log.cpp
@@ -13,14 +13,14 @@
     if (!value.empty() && value.find_first_of(" \"\n\r\t\\=") == std::string::npos)
         return value;
     std::string result = "\"";
-    for (const char letter : value) {
-        if (letter == '\n') {
+    for (const char character : value) {
+        if (character == '\n') {
             result += "\\n";
             continue;
         }
-        if (letter == '"' || letter == '\\')
+        if (character == '"' || character == '\\')
             result += '\\';
-        result += static_cast<unsigned char>(letter) < ' ' ? ' ' : letter;
+        result += static_cast<unsigned char>(character) < ' ' ? ' ' : character;
     }
     return result + '"';
 }
--- a/packages/entry/src/request/caller_handler.cpp
+++ b/packages/entry/src/request/caller_handler.cpp
@@ -47,8 +47,8 @@
 
 bool isPlainId(const std::string &text)
 {
-    const auto isPlain = [](unsigned char letter) {
-        return std::isgraph(letter) != 0;
+    const auto isPlain = [](unsigned char character) {
+        return std::isgraph(character) != 0;
     };
     return !text.empty() && text.size() <= longestId
            && std::all_of(text.begin(), text.end(), isPlain);
--- a/packages/http/include/sassafrasferry/http/client.h
+++ b/packages/http/include/sassafrasferry/http/client.h
@@ -69,7 +69,6 @@
     Awaitable<Exchange> exchange(Request request, std::chrono::milliseconds timeout,
                                  std::shared_ptr<Abort> abort = nullptr);
 
-    const model::Endpoint &endpoint() const;
     std::size_t idleCount() const;
     ClientTraffic traffic() const;
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -52,11 +52,6 @@
     , options(options)
 {}
 
-const model::Endpoint &Client::endpoint() const
-{
-    return this->address;
-}
-
 std::size_t Client::idleCount() const
 {
     return this->idle.size();
--- a/packages/platform/include/sassafrasferry/platform/lease_keeper.h
+++ b/packages/platform/include/sassafrasferry/platform/lease_keeper.h
@@ -102,12 +102,6 @@
         return this->epoch;
     }
 
-    /// Who held the lease when it was last seen.
-    const std::string &lastHolder() const
-    {
-        return this->seenHolder;
-    }
-
 private:
     Awaitable<void> write(policy::Instant begin, bool isTakeover)
     {
--- a/packages/policy/include/sassafrasferry/policy/dispatcher.h
+++ b/packages/policy/include/sassafrasferry/policy/dispatcher.h
@@ -178,10 +178,11 @@
     /// When a new try of a refused request makes sense, with jitter.
     Duration retryAfter(const std::string &service);
 
-    /// A signal that a worker is leaving (or, `None`, that it is not). True if that is news.
+    /// A signal that a worker is leaving, or, `None`, that the list and the worker itself no longer
+    /// say so. True if that changes whether it gets new work.
     bool setLeaving(const std::string &worker, LeavingSignal signal, Instant now);
-    /// Workers that are marked by this signal.
-    std::vector<std::string> leavingBy(LeavingSignal signal) const;
+    /// A worker has no row in the store any more.
+    void drained(const std::string &worker);
 
     /// Pools that wait for slots.
     std::vector<LoanWish> loanWishes() const;
--- a/packages/policy/include/sassafrasferry/policy/membership.h
+++ b/packages/policy/include/sassafrasferry/policy/membership.h
@@ -61,9 +61,6 @@
     /// The last state heard of a peer.
     std::optional<PeerState> peer(const std::string &name) const;
 
-    /// The highest revision heard from any peer.
-    std::int64_t highestRevision() const;
-
 private:
     struct Peer
     {
--- a/packages/policy/include/sassafrasferry/policy/worker_choice.h
+++ b/packages/policy/include/sassafrasferry/policy/worker_choice.h
@@ -50,6 +50,19 @@
                       EnumName{LeavingSignal::Closed, "closed"}};
 }
 
+/// What says that a worker is leaving. Each source speaks for itself alone: a list that no longer
+/// names a VM must not put a VM back to use that has a row in the store.
+struct LeavingMarks
+{
+    bool listed = false;
+    bool draining = false;
+    LeavingSignal own = LeavingSignal::None; ///< `Refusal` or `Closed`
+    Instant ownUntil{}; ///< the worker is tried again after this
+
+    /// The strongest signal that counts now.
+    LeavingSignal signal(Instant now) const;
+};
+
 /// A worker as this entry VM uses it. Lives for the process, across document revisions.
 struct WorkerState
 {
@@ -60,13 +73,11 @@
     Share share;
     bool assigned = false; ///< belongs to this entry VM alone, under the `assigned` baseline
     std::uint32_t inUse = 0; ///< requests given to it and not finished
-    std::uint32_t trials = 0; ///< of those, the ones beyond the share
     Instant fullUntil{}; ///< after a refusal, when it may have a slot free again
     LoanBook lent;
     LoanBook borrowed;
     WorkerHealth health;
-    LeavingSignal leaving = LeavingSignal::None;
-    Instant leavingUntil{}; ///< a signal of the worker itself is tried again after this
+    LeavingMarks leaving;
 
     bool isLeaving(Instant now) const;
     /// Requests that this entry VM's part of the worker's connections allows at once. Idle ones are
--- a/packages/policy/src/dispatcher.cpp
+++ b/packages/policy/src/dispatcher.cpp
@@ -255,8 +255,6 @@
     auto &worker = this->workers[chosen.worker];
     ++worker.inUse;
     ++state.running;
-    if (chosen.reason == RouteReason::Trial)
-        ++worker.trials;
     if (chosen.reason == RouteReason::Probe)
         worker.health.probeSent();
     return Grant{
@@ -370,8 +368,6 @@
     auto &worker = this->workers[report.worker];
     auto *service = this->findService(report.service);
     --worker.inUse;
-    if (report.reason == RouteReason::Trial)
-        --worker.trials;
     // A service that has left the document still counts what it has running.
     const auto known = this->serviceIndex.find(report.service);
     if (known != this->serviceIndex.end())
@@ -440,25 +436,33 @@
     if (at == this->workerIndex.end())
         return false;
     auto &worker = this->workers[at->second];
+    auto &marks = worker.leaving;
     const bool was = worker.isLeaving(now);
-    const bool isOwn = signal == LeavingSignal::Refusal || signal == LeavingSignal::Closed;
-    if (isOwn && was
-        && (worker.leaving == LeavingSignal::List || worker.leaving == LeavingSignal::Draining))
-        return false; // the stronger signal stays
-    worker.leaving = signal;
-    if (isOwn)
-        worker.leavingUntil = now + (signal == LeavingSignal::Refusal ? leavingMark : closedMark);
+    switch (signal) {
+    case LeavingSignal::None:
+        marks.listed = false;
+        marks.own = LeavingSignal::None;
+        break;
+    case LeavingSignal::List:
+        marks.listed = true;
+        break;
+    case LeavingSignal::Draining:
+        marks.draining = true;
+        break;
+    case LeavingSignal::Refusal:
+    case LeavingSignal::Closed:
+        marks.own = signal;
+        marks.ownUntil = now + (signal == LeavingSignal::Refusal ? leavingMark : closedMark);
+        break;
+    }
     return was != worker.isLeaving(now);
 }
 
-std::vector<std::string> Dispatcher::leavingBy(LeavingSignal signal) const
+void Dispatcher::drained(const std::string &workerName)
 {
-    std::vector<std::string> names;
-    for (const auto &worker : this->workers) {
-        if (worker.pool != noIndex && worker.leaving == signal)
-            names.push_back(worker.spec.name);
-    }
-    return names;
+    const auto at = this->workerIndex.find(workerName);
+    if (at != this->workerIndex.end())
+        this->workers[at->second].leaving.draining = false;
 }
 
 } // namespace sassafrasferry::policy
--- a/packages/policy/src/dispatcher_status.cpp
+++ b/packages/policy/src/dispatcher_status.cpp
@@ -31,7 +31,7 @@
             continue;
         statuses.push_back({worker.spec.name, this->pools[worker.pool].name, worker.inUse,
                             worker.allowed(now), worker.health.state(now),
-                            worker.isLeaving(now) ? worker.leaving : LeavingSignal::None});
+                            worker.leaving.signal(now)});
     }
     return statuses;
 }
--- a/packages/policy/src/dispatcher_test.cpp
+++ b/packages/policy/src/dispatcher_test.cpp
@@ -172,10 +172,27 @@
     CHECK_FALSE(dispatcher.setLeaving("w0", signal, start));
     for (std::uint64_t i = 0; i < 8; ++i)
         CHECK(std::get<Grant>(dispatcher.submit(request(i), start)).workerName == "w1");
-    CHECK(dispatcher.setLeaving("w0", LeavingSignal::None, start));
+    if (signal == LeavingSignal::Draining)
+        dispatcher.drained("w0");
+    else
+        CHECK(dispatcher.setLeaving("w0", LeavingSignal::None, start));
     CHECK(std::get<Grant>(dispatcher.submit(request(9), start)).workerName == "w0");
 }
 
+TEST_CASE("a worker that drains stays out though the list says that it is back")
+{
+    // The platform's list names w0, a wave drains it, the list drops it again. A caller's request
+    // sent to w0 now would be cut off by its maintenance.
+    Dispatcher dispatcher(routing(model::RoutingPolicy::Loans), "a", 1);
+    dispatcher.adopt(table(1), start);
+    dispatcher.setLeaving("w0", LeavingSignal::List, start);
+    dispatcher.setLeaving("w0", LeavingSignal::Draining, start);
+    CHECK_FALSE(dispatcher.setLeaving("w0", LeavingSignal::None, start));
+    CHECK(std::holds_alternative<Refusal>(dispatcher.submit(request(1), start)));
+    dispatcher.drained("w0");
+    CHECK(std::holds_alternative<Grant>(dispatcher.submit(request(2), start)));
+}
+
 TEST_CASE("lent slots are not used by the lender, and come back by themselves")
 {
     Dispatcher lender(routing(model::RoutingPolicy::Loans), "a", 1);
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -112,12 +112,4 @@
     return std::nullopt;
 }
 
-std::int64_t Membership::highestRevision() const
-{
-    std::int64_t highest = 0;
-    for (const auto &peer : this->peers)
-        highest = std::max(highest, peer.state.revision);
-    return highest;
-}
-
 } // namespace sassafrasferry::policy
--- a/packages/policy/src/worker_choice.cpp
+++ b/packages/policy/src/worker_choice.cpp
@@ -38,19 +38,18 @@
 
 } // namespace
 
+LeavingSignal LeavingMarks::signal(Instant now) const
+{
+    if (this->draining)
+        return LeavingSignal::Draining;
+    if (this->listed)
+        return LeavingSignal::List;
+    return now < this->ownUntil ? this->own : LeavingSignal::None;
+}
+
 bool WorkerState::isLeaving(Instant now) const
 {
-    switch (this->leaving) {
-    case LeavingSignal::None:
-        return false;
-    case LeavingSignal::List:
-    case LeavingSignal::Draining:
-        return true;
-    case LeavingSignal::Refusal:
-    case LeavingSignal::Closed:
-        return now < this->leavingUntil;
-    }
-    return false;
+    return this->leaving.signal(now) != LeavingSignal::None;
 }
 
 std::uint32_t WorkerState::connectionBound() const
