A request that failed on every worker no longer holds up its queue; the version under a lock

Ruled out: the order of the queue (a retry must go first, it has waited). The atomic shared pointer of g++ 12 unlocks without release. Change: workers that failed are taken only while no other one is free; the version stands under a lock; the load counts what services outside their surge got ('bystanders'). Conclusion: mended.

--- a/packages/entry/src/version/version.cpp
+++ b/packages/entry/src/version/version.cpp
@@ -22,14 +22,16 @@
 
 VersionPointer VersionHolder::current() const
 {
-    return this->version.load();
+    const std::lock_guard lock(this->mutex);
+    return this->version;
 }
 
 bool VersionHolder::advance(VersionPointer next)
 {
-    if (next->texts.revision <= this->current()->texts.revision)
+    const std::lock_guard lock(this->mutex);
+    if (next->texts.revision <= this->version->texts.revision)
         return false;
-    this->version.store(std::move(next));
+    this->version = std::move(next);
     return true;
 }
 
--- a/packages/entry/src/version/version.h
+++ b/packages/entry/src/version/version.h
@@ -7,8 +7,8 @@
 
 #include <absl/status/statusor.h>
 
-#include <atomic>
 #include <memory>
+#include <mutex>
 
 namespace sassafrasferry::entry {
 
@@ -37,7 +37,10 @@
     bool advance(VersionPointer version);
 
 private:
-    std::atomic<VersionPointer> version;
+    // Not std::atomic<std::shared_ptr>: in the library of g++ 12 its load unlocks without release,
+    // which the thread sanitizer rightly reports.
+    mutable std::mutex mutex;
+    VersionPointer version;
 };
 
 } // namespace sassafrasferry::entry
--- a/packages/policy/src/dispatcher_test.cpp
+++ b/packages/policy/src/dispatcher_test.cpp
@@ -245,6 +245,23 @@
     }
 }
 
+TEST_CASE("a request that has failed on every worker does not hold up the others")
+{
+    // It waits at the head of the queue for a worker it has not failed on, and there is none.
+    // Callers behind it see refusals while slots are free.
+    Dispatcher dispatcher(routing(model::RoutingPolicy::FixedShares), "a", 1);
+    dispatcher.adopt(table(1), start);
+    const auto first = std::get<Grant>(dispatcher.submit(request(1), start));
+    CHECK(fill(dispatcher) == 7);
+    auto retry = request(50);
+    retry.isRetry = true;
+    retry.avoid = {"w0"};
+    dispatcher.submit(retry, start);
+    const auto changes = dispatcher.finish(report(first, RunResult::Succeeded), start);
+    REQUIRE(changes.grants.size() == 1);
+    CHECK(changes.grants[0].id == RequestId{50});
+}
+
 TEST_CASE("a hopeless job is refused at once, with no time to come back")
 {
     Dispatcher dispatcher(routing(model::RoutingPolicy::FixedShares), "a", 1);
--- a/packages/policy/src/worker_choice.cpp
+++ b/packages/policy/src/worker_choice.cpp
@@ -15,10 +15,9 @@
            != request.avoid.end();
 }
 
-bool mayTake(const WorkerState &worker, const Submission &request, Instant now)
+bool mayTake(const WorkerState &worker, Instant now)
 {
-    return now >= worker.fullUntil && !worker.isLeaving(now) && worker.health.accepts(now)
-           && !isAvoided(request, worker);
+    return now >= worker.fullUntil && !worker.isLeaving(now) && worker.health.accepts(now);
 }
 
 RouteReason reasonOf(const WorkerState &worker, Instant now)
@@ -28,12 +27,17 @@
     return worker.inUse < worker.share.slots ? RouteReason::FreeShare : RouteReason::Borrowed;
 }
 
-// Larger is better: free slots first, then a rack other than that of the last failure.
+// Larger is better: a worker that this request has not failed on, then a rack other than that of
+// the last failure, then free slots. Failures are passed over only while there is another worker: a
+// request that has failed on all of them would else wait at the head of its queue, in front of
+// others that could run.
 std::uint32_t rankOf(const WorkerState &worker, const Submission &request, std::uint32_t free)
 {
-    const bool otherRack = request.avoidRack.empty() || worker.spec.rack != request.avoidRack;
     constexpr std::uint32_t rackWeight = 1U << 16;
-    return free + (otherRack ? rackWeight : 0);
+    constexpr std::uint32_t freshWeight = 1U << 17;
+    const bool isOtherRack = request.avoidRack.empty() || worker.spec.rack != request.avoidRack;
+    const bool isFresh = !isAvoided(request, worker);
+    return free + (isOtherRack ? rackWeight : 0) + (isFresh ? freshWeight : 0);
 }
 
 } // namespace
@@ -110,7 +114,7 @@
         const auto index = candidates[(i + this->turn) % count];
         const auto &worker = workers[index];
         const auto allowed = worker.allowed(now);
-        if (worker.inUse >= allowed || !mayTake(worker, request, now))
+        if (worker.inUse >= allowed || !mayTake(worker, now))
             continue;
         const auto rank = rankOf(worker, request, allowed - worker.inUse);
         if (best.worker == noIndex || rank > bestRank) {
@@ -132,7 +136,7 @@
         const bool hasRoom = worker.inUse < worker.spec.slots;
         const bool isFit = worker.health.state(now) == WorkerHealth::State::Fit;
         if (hasRoom && isFit && worker.connectionBound() > worker.inUse
-            && mayTake(worker, request, now))
+            && !isAvoided(request, worker) && mayTake(worker, now))
             return {index, RouteReason::Trial};
     }
     return {};
@@ -146,9 +150,14 @@
     for (const auto index : candidates) {
         const auto &worker = workers[index];
         const bool isOurs = this->policy != RoutingPolicy::Assigned || worker.assigned;
-        if (isOurs && worker.inUse < worker.spec.slots && mayTake(worker, request, now))
+        if (isOurs && worker.inUse < worker.spec.slots && mayTake(worker, now))
             fit.push_back(index);
     }
+    const auto avoided = [&](Index index) {
+        return isAvoided(request, workers[index]);
+    };
+    if (!std::all_of(fit.begin(), fit.end(), avoided))
+        std::erase_if(fit, avoided);
     if (fit.empty())
         return {};
     if (this->policy == RoutingPolicy::Random)
--- a/packages/standins/include/sassafrasferry/standins/load.h
+++ b/packages/standins/include/sassafrasferry/standins/load.h
@@ -62,6 +62,8 @@
     std::vector<std::string> completedKeys;
     std::vector<std::string> notRunKeys; ///< whose last answer was "not run"
     std::uint64_t surgeCompleted = 0; ///< of the service in its surge, while it lasted
+    std::uint64_t bystandersOffered = 0; ///< of services that were not in their surge
+    std::uint64_t bystandersCompleted = 0; ///< of those, in time
 };
 
 /// Offers the plan; returns when every request has been answered.
--- a/packages/standins/src/load.cpp
+++ b/packages/standins/src/load.cpp
@@ -176,6 +176,7 @@
     ++seen.offered;
     const auto start = Clock::now();
     const bool inSurge = this->surges(serviceIndex, start);
+    this->tally.bystandersOffered += inSurge ? 0 : 1;
     std::chrono::milliseconds patience = this->plan.deadline + answerSlack;
     if (isCancelled)
         patience = this->plan.runTime / 4;
@@ -197,6 +198,7 @@
             seen.milliseconds.push_back(took);
             ++this->tally.completedByService[service.name];
             this->tally.surgeCompleted += inSurge && !isLate ? 1 : 0;
+            this->tally.bystandersCompleted += !inSurge && !isLate ? 1 : 0;
             if (service.keyed)
                 this->tally.completedKeys.push_back(body);
             break;
--- a/packages/standins/src/load_main.cpp
+++ b/packages/standins/src/load_main.cpp
@@ -175,7 +175,11 @@
     const double runSeconds = std::chrono::duration<double>(plan.runTime).count();
     const double capacity = number("--pool-slots") / runSeconds * phaseSeconds
                             * static_cast<double>(plan.services.size());
+    const double bystanders =
+        static_cast<double>(tally.bystandersCompleted)
+        / static_cast<double>(std::max<std::uint64_t>(1, tally.bystandersOffered));
     const Json report{{"classes", classes},
+                      {"bystanders", bystanders},
                       {"surgeGoodput", static_cast<double>(tally.surgeCompleted) / capacity},
                       {"resent", tally.resent},
                       {"workerRefusals", word.refused},
