--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -20,6 +20,10 @@
     set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O1 -g1")
     add_compile_options(-fsanitize=${SASSAFRASFERRY_SANITIZE} -fno-omit-frame-pointer)
     add_link_options(-fsanitize=${SASSAFRASFERRY_SANITIZE})
+    if(SASSAFRASFERRY_SANITIZE STREQUAL thread)
+        # Asio uses fences, which the thread sanitizer does not follow and g++ warns of.
+        add_compile_options(-Wno-tsan)
+    endif()
 endif()
 
 # add_package(NAME SOURCES ... USES ...): one static library sassafrasferry_NAME.
