--- a/packages/fleet/src/wave_runner_test.cpp
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -325,3 +325,25 @@
     run.step(none, run.fence);
     CHECK(run.out() == 2); // the rest of the budget is kept for a rack of two
 }
+
+TEST_CASE("of two permits that rest on the same budget row one passes")
+{
+    // Two processes have read that one more VM may go out, and each has chosen another one. Callers
+    // of the service would find two gone.
+    fakes::MemoryTables tables;
+    const auto key = platform::LeaseKeeper<fakes::MemoryTables>::epochKey();
+    const platform::Condition fence{key,
+                                    tables.commitNow({{}, {{key, Json::object()}}, {}}).version};
+    FleetStore<fakes::MemoryTables> store(tables);
+    boost::asio::io_context context(1);
+    const auto permit = [&](const std::string &name) {
+        VmRow vm;
+        vm.name = name;
+        vm.pool = "p";
+        const BudgetRow asRead{"p", {}, platform::absent};
+        return fakes::run(context, store.permit(vm, asRead, fence)).state;
+    };
+    CHECK(permit("w0") == platform::CommitState::Committed);
+    CHECK(permit("w1") == platform::CommitState::Conflict);
+    CHECK(tables.scanNow("vms", "").size() == 1);
+}
