Malformed TOML no longer ends the process that parses it

Cause: the fuzzer of settings found that the TOML library asserts on some malformed keys ('[+', control characters): an operator's faulty section would have ended an entry VM built with assertions. Change: control characters are findings before parsing; the library's assertions throw, and are findings. Conclusion: mended.

--- a/packages/model/src/settings_test.cpp
+++ b/packages/model/src/settings_test.cpp
@@ -74,3 +74,24 @@
     REQUIRE(findings.size() == 1);
     CHECK(findings[0].place.line == 2);
 }
+
+TEST_CASE("a control character is a finding, wherever it stands")
+{
+    // The operator's file was cut by a crash of an editor, or is no text at all. In a key such a
+    // character ended the process in an assertion of the TOML library.
+    const auto text = GENERATE(as<std::string>{}, "a = 1\n[\x03\x08", "a = 1\nb\x7f = 1",
+                               std::string("a = 1\n\0b = 1", 12));
+    Findings findings;
+    parseSettings(text, "s.toml", findings);
+    REQUIRE(findings.size() == 1);
+    CHECK(findings[0].place.line == 2);
+    CHECK_THAT(findings[0].message, Catch::Contains("control character"));
+}
+
+TEST_CASE("a text on which the TOML library asserts is a finding")
+{
+    const auto text = GENERATE(as<std::string>{}, "[+", "[\x7f", "a = 1\n[[+");
+    Findings findings;
+    parseSettings(text, "s.toml", findings);
+    CHECK(findings.size() == 1);
+}
--- a/packages/model/src/toml_reader.cpp
+++ b/packages/model/src/toml_reader.cpp
@@ -17,6 +17,24 @@
     return absl::StrCat("must lie between ", least, " and ", most);
 }
 
+// The place of the first control character other than tab and line ends.
+std::optional<Place> controlCharacterIn(std::string_view text, const std::string &file)
+{
+    constexpr char firstPrintable = ' ';
+    constexpr char deleteCharacter = 0x7f;
+    Place place{file, 1, 1};
+    for (const char character : text) {
+        const bool isControl =
+            (character >= 0 && character < firstPrintable) || character == deleteCharacter;
+        if (isControl && character != '\t' && character != '\n' && character != '\r')
+            return place;
+        ++place.column;
+        if (character == '\n')
+            place = {file, place.line + 1, 1};
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 TomlReader::TomlReader(const toml::table &table, std::string file, std::string path,
@@ -203,11 +221,20 @@
 std::unique_ptr<toml::table> parseToml(std::string_view text, const std::string &file,
                                        Findings &findings)
 {
+    // The library asserts on some control characters in keys, which ended the process that parsed
+    // them. TOML forbids all of them, so none needs to reach it.
+    if (const auto control = controlCharacterIn(text, file)) {
+        findings.push_back({*control, "", "holds a control character, which TOML forbids"});
+        return nullptr;
+    }
     try {
         return std::make_unique<toml::table>(toml::parse(text, file));
     } catch (const toml::parse_error &error) {
         findings.push_back({placeOf(error.source(), file), "", std::string(error.description())});
         return nullptr;
+    } catch (const std::logic_error &error) {
+        findings.push_back({{file, 1, 1}, "", error.what()});
+        return nullptr;
     }
 }
 
