TOML assertions throw only where the library has any

Cause: lint: the library defines its own macros with NDEBUG, so ours were redefined (1 error in 5 files).

--- a/packages/model/include/sassafrasferry/model/toml_reader.h
+++ b/packages/model/include/sassafrasferry/model/toml_reader.h
@@ -13,13 +13,14 @@
 #include <stdexcept>
 #include <string>
 
-// The TOML library asserts on some malformed keys ("[+"), and without assertions takes them for
-// impossible. A text must not end the process, so its assertions throw instead.
+// The TOML library asserts on some malformed keys, as "[+". A text must not end the process, so
+// its assertions throw. With NDEBUG it has none, and goes on to an error of its own.
+#ifndef NDEBUG
 #define TOML_ASSERT(expression) \
     (static_cast<bool>(expression) \
          ? static_cast<void>(0) \
          : throw std::logic_error("the text is malformed in a way the TOML library cannot name"))
-#define TOML_ASSERT_ASSUME(expression) TOML_ASSERT(expression)
+#endif
 #include <toml++/toml.h>
 
 namespace sassafrasferry::model {
