--- a/packages/model/include/sassafrasferry/model/toml_reader.h
+++ b/packages/model/include/sassafrasferry/model/toml_reader.h
@@ -16,10 +16,18 @@
 // The TOML library asserts on some malformed keys, as "[+". A text must not end the process, so
 // its assertions throw. With NDEBUG it has none, and goes on to an error of its own.
 #ifndef NDEBUG
+namespace sassafrasferry::model {
+
+/// What a failed assertion of the TOML library does; a function, as it asserts in expressions.
+[[noreturn]] inline void throwMalformed()
+{
+    throw std::logic_error("the text is malformed in a way the TOML library cannot name");
+}
+
+} // namespace sassafrasferry::model
+
 #define TOML_ASSERT(expression) \
-    (static_cast<bool>(expression) \
-         ? static_cast<void>(0) \
-         : throw std::logic_error("the text is malformed in a way the TOML library cannot name"))
+    (static_cast<bool>(expression) ? static_cast<void>(0) : sassafrasferry::model::throwMalformed())
 #endif
 #include <toml++/toml.h>
 
