Urgent requests start within seconds; all entry VMs share the store's writes for claims

Cause, urgent: a pool whose slots are all held by runs of minutes frees none in time, and an urgent request waited until its deadline (30 of 30 refused). Ruled out: the order of classes, which is right once a slot frees. Cause, claims: each entry VM wrote each 25 ms whatever their number, 2,400 a second at sixty, and a lone claim and its completion waited for that gap. Change: an urgent request that has waited for urgentPatienceMs has the youngest idempotent background run stopped, here or, through the wish for a loan, at a peer; each run twice at the most.

--- a/packages/entry/src/connection/traffic_environment.cpp
+++ b/packages/entry/src/connection/traffic_environment.cpp
@@ -73,6 +73,13 @@
     return result;
 }
 
+std::string resultName(const SendResult &result)
+{
+    if (result.state == SendState::Preempted)
+        return "preempted";
+    return std::string(model::nameOf(runResultOf(result)));
+}
+
 policy::UnixMilliseconds millisecondsField(const http::Response &response, const char *name)
 {
     const auto text = http::fieldOf(response, name);
@@ -189,20 +196,38 @@
                             {"operation", options.operationId}}});
     auto abort = std::make_shared<http::Abort>();
     cancellation.whenRequested([abort] { abort->abort(); });
+    auto isPreempted = std::make_shared<bool>(false);
+    if (grant.preemptible)
+        this->parts.dispatcher.whenPreempted(grant.id, this->stopper(abort, isPreempted));
     auto message = upstreamRequest(request, options);
     auto exchange = co_await this->upstreams.client(grant.address)
                         .exchange(std::move(message), options.timeout, abort);
     cancellation.whenRequested(nullptr);
+    if (grant.preemptible)
+        this->parts.dispatcher.forgetPreemption(grant.id);
     auto result = sendResult(exchange, abort->aborted());
+    if (result.state == SendState::Cancelled && *isPreempted && !cancellation.requested())
+        result.state = SendState::Preempted;
     if (result.state != SendState::Answered)
         this->parts.log.write({"worker-failed",
                                request.id,
                                {{"worker", grant.workerName},
-                                {"result", std::string(model::nameOf(runResultOf(result)))},
+                                {"result", resultName(result)},
                                 {"error", std::string(exchange.status.message())}}});
     co_return result;
 }
 
+std::function<void()> TrafficEnvironment::stopper(std::shared_ptr<http::Abort> abort,
+                                                  std::shared_ptr<bool> isPreempted)
+{
+    return [this, abort = std::move(abort), isPreempted = std::move(isPreempted)] {
+        asio::post(this->ownExecutor, [abort, isPreempted] {
+            *isPreempted = true;
+            abort->abort();
+        });
+    };
+}
+
 Awaitable<policy::WorkerWord> TrafficEnvironment::askWorker(std::string address,
                                                             std::string operationId)
 {
--- a/packages/entry/src/connection/traffic_environment.h
+++ b/packages/entry/src/connection/traffic_environment.h
@@ -64,6 +64,10 @@
     http::asio::any_io_executor executor() const;
 
 private:
+    // Ends an exchange from another thread, and notes why.
+    std::function<void()> stopper(std::shared_ptr<http::Abort> abort,
+                                  std::shared_ptr<bool> isPreempted);
+
     http::asio::any_io_executor ownExecutor;
     ProcessParts &parts;
     UpstreamPool upstreams;
--- a/packages/entry/src/process/control.cpp
+++ b/packages/entry/src/process/control.cpp
@@ -141,6 +141,7 @@
         }
         this->parts.dispatcher.change(
             [&](policy::Dispatcher &dispatcher) { return dispatcher.setLive(live, now()); });
+        this->parts.store.setEntries(live.size());
         co_await sleepFor(timer, this->settings.control.heartbeat);
     }
 }
--- a/packages/entry/src/process/control_peers.cpp
+++ b/packages/entry/src/process/control_peers.cpp
@@ -70,7 +70,7 @@
     if (now() < this->nextWish || this->settings.peers.empty())
         return;
     const auto wishes = this->parts.dispatcher.locked(
-        [](policy::Dispatcher &dispatcher) { return dispatcher.loanWishes(); });
+        [](policy::Dispatcher &dispatcher) { return dispatcher.loanWishes(now()); });
     if (wishes.empty())
         return;
     this->nextWish = now() + wishPeriod;
@@ -80,6 +80,9 @@
             messages::Envelope envelope;
             envelope.mutable_loan_wish()->set_pool(wish.pool);
             envelope.mutable_loan_wish()->set_slots(wish.slots);
+            // One peer at a time is asked to stop runs, lest several stop one for the same request.
+            if (i == 0)
+                envelope.mutable_loan_wish()->set_urgent(wish.urgent);
             this->peers.send(peer.name, envelope);
         }
     }
@@ -142,8 +145,11 @@
 
 void Control::receiveWish(const std::string &sender, const messages::LoanWish &wish)
 {
-    const auto loan = this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
-        return dispatcher.lend({wish.pool(), wish.slots()}, now());
+    policy::Loan loan;
+    this->parts.dispatcher.change([&](policy::Dispatcher &dispatcher) {
+        auto lending = dispatcher.lend({wish.pool(), wish.slots(), wish.urgent()}, now());
+        loan = std::move(lending.loan);
+        return std::move(lending.changes);
     });
     if (loan.items.empty())
         return;
--- a/packages/entry/src/process/control_store.cpp
+++ b/packages/entry/src/process/control_store.cpp
@@ -10,8 +10,9 @@
     : control(control)
     , tableClient(control, settings.platform, settings.control.storeTimeout)
     , batcher(control, this->tableClient,
-              {settings.control.claimBatch, 2 * settings.control.storeTimeout,
-               std::chrono::milliseconds(50)})
+              {policy::WritePace(static_cast<double>(settings.control.claimWrites),
+                                 settings.peers.size() + 1),
+               2 * settings.control.storeTimeout, std::chrono::milliseconds(50)})
     , objects(control, settings.platform, settings.control.storeTimeout)
     , incarnationName(std::move(incarnationName))
 {}
@@ -72,6 +73,11 @@
     });
 }
 
+void ControlStore::setEntries(std::size_t entries)
+{
+    this->batcher.setEntries(entries);
+}
+
 platform::TableClient &ControlStore::tables()
 {
     return this->tableClient;
--- a/packages/entry/src/process/control_store.h
+++ b/packages/entry/src/process/control_store.h
@@ -24,6 +24,8 @@
     Awaitable<absl::Status> putObject(std::string name, std::string body);
     Awaitable<absl::StatusOr<std::string>> getObject(std::string name);
 
+    /// The number of live entry VMs, which share the store's writes. For the control thread only.
+    void setEntries(std::size_t entries);
     /// For the control thread only.
     platform::TableClient &tables();
     /// Transactions that carried claims.
--- a/packages/entry/src/process/shared_dispatcher.cpp
+++ b/packages/entry/src/process/shared_dispatcher.cpp
@@ -55,6 +55,32 @@
     done(SlotCancelled{});
 }
 
+void SharedDispatcher::whenPreempted(RequestId id, std::function<void()> stop)
+{
+    std::unique_lock lock(this->mutex);
+    const auto [at, isFirst] = this->stops.emplace(id, stop);
+    lock.unlock();
+    if (!isFirst)
+        stop();
+}
+
+void SharedDispatcher::forgetPreemption(RequestId id)
+{
+    const std::lock_guard lock(this->mutex);
+    this->stops.erase(id);
+}
+
+std::vector<std::function<void()>> SharedDispatcher::takeStops(const policy::Changes &changes)
+{
+    std::vector<std::function<void()>> taken;
+    for (const auto id : changes.preempted) {
+        auto &stop = this->stops[id];
+        if (stop)
+            taken.push_back(std::exchange(stop, nullptr));
+    }
+    return taken;
+}
+
 std::vector<SharedDispatcher::WakeUp> SharedDispatcher::takeWakeUps(policy::Changes &changes)
 {
     std::vector<WakeUp> wakeUps;
--- a/packages/entry/src/process/shared_dispatcher.h
+++ b/packages/entry/src/process/shared_dispatcher.h
@@ -32,6 +32,12 @@
     /// A slot for a request, or its refusal. Suspends while it waits.
     Awaitable<SlotResult> slot(policy::Submission submission, Cancellation &cancellation);
 
+    /// Calls `stop` once, on whatever thread, if a granted request must make room; at once if it
+    /// had to before this call.
+    void whenPreempted(policy::RequestId id, std::function<void()> stop);
+    /// The granted request has ended.
+    void forgetPreemption(policy::RequestId id);
+
     /// Calls `use(dispatcher)` under the lock.
     template<typename Use>
     auto locked(Use use)
@@ -47,8 +53,11 @@
         std::unique_lock lock(this->mutex);
         auto changes = use(this->dispatcher);
         auto wakeUps = this->takeWakeUps(changes);
+        const auto stops = this->takeStops(changes);
         lock.unlock();
         this->deliver(wakeUps, changes);
+        for (const auto &stop : stops)
+            stop();
     }
 
 private:
@@ -61,11 +70,15 @@
 
     void cancel(policy::RequestId id);
     std::vector<WakeUp> takeWakeUps(policy::Changes &changes);
+    std::vector<std::function<void()>> takeStops(const policy::Changes &changes);
     void deliver(std::vector<WakeUp> &wakeUps, const policy::Changes &changes);
 
     std::mutex mutex; // guards all below but `news`
     policy::Dispatcher dispatcher;
     std::unordered_map<policy::RequestId, Done> waiters; // one for each waiting request
+    // One for each preemptible request that runs; empty once it has been told to stop, or if it is
+    // to be told when it says how.
+    std::unordered_map<policy::RequestId, std::function<void()>> stops;
     std::uint64_t lastId = 0;
     News news;
 };
--- a/packages/entry/src/request/idempotent_flow.h
+++ b/packages/entry/src/request/idempotent_flow.h
@@ -37,6 +37,7 @@
     case SendState::Broken:
         return policy::RunResult::Failed;
     case SendState::Cancelled:
+    case SendState::Preempted:
         return policy::RunResult::Cancelled;
     }
     return policy::RunResult::Failed;
@@ -57,7 +58,7 @@
                policy::RunResult result, policy::Instant begin)
 {
     environment.finish({grant.worker, request.service, result, grant.reason,
-                        environment.now() - begin, request.job});
+                        environment.now() - begin, request.job, grant.id});
 }
 
 /// Serves one idempotent request.
@@ -137,6 +138,12 @@
         case SendState::Leaving:
         case SendState::Unreachable:
             return this->tryAgainAfterNotRun(grant, sent.state);
+        case SendState::Preempted:
+            // It waits for its next turn; no retry is counted, since no worker failed.
+            this->mayHaveRun = true;
+            this->submission.isRetry = true;
+            ++this->submission.preemptions;
+            return {};
         case SendState::Cancelled:
             return {true, ownAnswer(model::Outcome::Unknown, AnswerReason::CallerGone, {})};
         }
--- a/packages/entry/src/request/idempotent_flow_test.cpp
+++ b/packages/entry/src/request/idempotent_flow_test.cpp
@@ -31,6 +31,7 @@
 const FakeWorker breaks = worker(&FakeWorker::breaksAnswers);
 const FakeWorker down = worker(&FakeWorker::isDown);
 const FakeWorker leaving = worker(&FakeWorker::isLeaving);
+const FakeWorker stops = worker(&FakeWorker::stopsOnce);
 const FakeWorker refuses = worker(&FakeWorker::refuses);
 
 } // namespace
@@ -49,6 +50,7 @@
         {"all are down", {down, down, down}, Outcome::NotRun, 503, 0},
         {"all are full", {refuses, refuses, refuses}, Outcome::NotRun, 503, 0},
         {"broken, then down", {breaks, down, down}, Outcome::Unknown, 503, 1},
+        {"stopped for an urgent one", {stops, good, good}, Outcome::Completed, 200, 2},
         {"all break off", {breaks, breaks, breaks}, Outcome::Unknown, 502, 3},
     }));
     INFO(row.title);
--- a/packages/entry/src/request/keyed_flow.h
+++ b/packages/entry/src/request/keyed_flow.h
@@ -246,6 +246,7 @@
             break;
         case SendState::Broken:
         case SendState::Cancelled:
+        case SendState::Preempted:
             answer = co_await this->afterBroken();
             break;
         }
--- a/packages/entry/src/request/request_types.h
+++ b/packages/entry/src/request/request_types.h
@@ -91,6 +91,7 @@
     Unreachable, ///< no byte left; not run
     Broken, ///< it may have run; there is no whole answer
     Cancelled, ///< given up; it may have run
+    Preempted, ///< stopped to make room for an urgent request; it may have run
 };
 
 /// What came of sending a request to a worker.
--- a/packages/entry/tests/fault_world.h
+++ b/packages/entry/tests/fault_world.h
@@ -60,6 +60,7 @@
     bool fails = false;
     bool refuses = false;
     bool isLeaving = false;
+    bool stopsOnce = false; // its first run has to make room for an urgent request
 };
 
 /// Everything outside the entry VMs.
@@ -201,6 +202,10 @@
         run.body = options.operationId + std::string(this->world.answerBytes, '.');
         ++this->world.startsByKey[run.key];
         this->world.startedOperations.insert(options.operationId);
+        if (std::exchange(worker.stopsOnce, false)) {
+            result.state = SendState::Preempted;
+            co_return result;
+        }
         if (worker.breaksAnswers || worker.isSilent) {
             if (worker.isSilent)
                 this->world.pass(options.timeout);
@@ -264,7 +269,7 @@
         // enough changes what is said, and nothing that is checked.
         platform::RowBatcher<fakes::MemoryTables> batcher(
             context.get_executor(), this->world.tables,
-            {std::chrono::milliseconds(0), std::chrono::milliseconds(3),
+            {policy::WritePace(1e6, 1), std::chrono::milliseconds(3),
              std::chrono::milliseconds(1)});
         platform::RowWrite write;
         write.key = platform::claimKey(claim.key);
--- a/packages/model/include/sassafrasferry/model/settings.h
+++ b/packages/model/include/sassafrasferry/model/settings.h
@@ -53,6 +53,8 @@
     double retryBudget = 0.1; ///< retries allowed for each first attempt
     bool ejection = true;
     bool hopelessJobs = true;
+    /// An urgent request that has waited this long has background runs stopped; zero: none ever.
+    std::chrono::milliseconds urgentPatience{2000};
 };
 
 /// Periods of the control thread, and the limits of leases.
@@ -63,7 +65,8 @@
     std::chrono::milliseconds poll{1000}; ///< between reads of the document's head
     std::chrono::milliseconds stale{4000}; ///< unconfirmed revision after which health fails
     std::chrono::milliseconds listPoll{1000}; ///< between reads of the platform's list of VMs
-    std::chrono::milliseconds claimBatch{25}; ///< least time between two claim transactions
+    /// Claim transactions a second, of all entry VMs together.
+    std::int64_t claimWrites = 280;
     std::chrono::milliseconds storeTimeout{1500};
     std::chrono::milliseconds balancerLag{1000}; ///< accepting goes on this long after SIGTERM
     std::chrono::milliseconds stopDeadline{60000}; ///< then what is in flight is cut, and named
--- a/packages/model/src/settings.cpp
+++ b/packages/model/src/settings.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr IntegerRange periodRange{1, 3600000};
+constexpr IntegerRange writesRange{1, 1000000};
 constexpr std::int64_t mostThreads = 64;
 constexpr std::int64_t mostBody = 1LL << 30;
 
@@ -53,6 +54,7 @@
     reader.read("retryBudget", routing.retryBudget, {0, 10});
     reader.read("ejection", routing.ejection);
     reader.read("hopelessJobs", routing.hopelessJobs);
+    reader.read("urgentPatienceMs", routing.urgentPatience, {0, 3600000});
 }
 
 void readControl(TomlReader &reader, ControlSettings &control)
@@ -62,7 +64,7 @@
     reader.read("pollMs", control.poll, periodRange);
     reader.read("staleMs", control.stale, periodRange);
     reader.read("listPollMs", control.listPoll, periodRange);
-    reader.read("claimBatchMs", control.claimBatch, periodRange);
+    reader.read("claimWrites", control.claimWrites, writesRange);
     reader.read("storeTimeoutMs", control.storeTimeout, periodRange);
     reader.read("balancerLagMs", control.balancerLag, {0, 3600000});
     reader.read("stopDeadlineMs", control.stopDeadline, periodRange);
--- a/packages/platform/include/sassafrasferry/platform/row_batcher.h
+++ b/packages/platform/include/sassafrasferry/platform/row_batcher.h
@@ -4,6 +4,7 @@
 
 #include <sassafrasferry/http/await_callback.h>
 #include <sassafrasferry/platform/rows.h>
+#include <sassafrasferry/policy/write_pace.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -51,7 +52,7 @@
 /// Times of a batcher.
 struct BatcherTimes
 {
-    std::chrono::milliseconds gap{25}; ///< least time between two transactions
+    policy::WritePace pace; ///< of new transactions
     std::chrono::milliseconds settle{3000}; ///< how long an unanswered write is pursued
     std::chrono::milliseconds pause{50}; ///< between two tries
 };
@@ -90,6 +91,12 @@
             });
     }
 
+    /// The number of live entry VMs, which share the store's writes.
+    void setEntries(std::size_t entries)
+    {
+        this->times.pace.setEntries(entries);
+    }
+
     /// Transactions sent so far.
     std::size_t transactions() const
     {
@@ -151,8 +158,8 @@
     Awaitable<void> writeLoop()
     {
         while (!this->writes.empty()) {
-            co_await this->pauseUntil(this->lastSent + this->times.gap);
-            this->lastSent = Clock::now();
+            co_await this->pauseUntil(this->times.pace.next());
+            this->times.pace.taken(Clock::now());
             co_await this->commitBatch(this->takeWrites());
         }
         this->isWriting = false;
@@ -270,7 +277,6 @@
     std::vector<PendingRead> reads;
     bool isWriting = false; // the write loop runs; there is one at a time
     bool isReading = false;
-    Clock::time_point lastSent{};
     std::size_t sent = 0;
 };
 
--- a/packages/platform/src/row_batcher_test.cpp
+++ b/packages/platform/src/row_batcher_test.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-const BatcherTimes quick{0ms, 0ms, 0ms};
+const BatcherTimes quick{policy::WritePace(1e6, 1), 0ms, 0ms};
 
 RowWrite writeOf(const std::string &key, std::int64_t version, const std::string &id)
 {
--- a/packages/policy/include/sassafrasferry/policy/dispatcher.h
+++ b/packages/policy/include/sassafrasferry/policy/dispatcher.h
@@ -5,6 +5,7 @@
 #include <sassafrasferry/model/settings.h>
 #include <sassafrasferry/policy/hopeless_jobs.h>
 #include <sassafrasferry/policy/loans.h>
+#include <sassafrasferry/policy/preemption.h>
 #include <sassafrasferry/policy/request_queue.h>
 #include <sassafrasferry/policy/retry_budget.h>
 #include <sassafrasferry/policy/routing_table.h>
@@ -31,6 +32,7 @@
     model::Endpoint address;
     RouteReason reason = RouteReason::FreeShare;
     bool overflowed = false; ///< it runs on the service's spare pool
+    bool preemptible = false; ///< it may be named by `Changes::preempted`
 };
 
 /// Why a request was refused; none of these was given to a worker.
@@ -86,6 +88,7 @@
     std::vector<Grant> grants;
     std::vector<Refusal> refusals;
     std::vector<LeavingNews> news;
+    std::vector<RequestId> preempted; ///< granted requests to be stopped now
 };
 
 /// What became of a granted request.
@@ -118,6 +121,7 @@
     RouteReason reason = RouteReason::FreeShare;
     Duration runTime{};
     JobFingerprint job = 0;
+    RequestId id{}; ///< as in the grant
 };
 
 /// One pool, for status pages.
@@ -146,6 +150,14 @@
 {
     std::string pool;
     std::uint32_t slots = 0;
+    std::uint32_t urgent = 0; ///< urgent requests that have waited too long
+};
+
+/// What a wish of another entry VM led to.
+struct Lending
+{
+    Loan loan;
+    Changes changes;
 };
 
 /// The dispatcher.
@@ -185,9 +197,10 @@
     void drained(const std::string &worker);
 
     /// Pools that wait for slots.
-    std::vector<LoanWish> loanWishes() const;
-    /// Lends idle slots of a pool to another entry VM. An empty loan lends nothing.
-    Loan lend(const LoanWish &wish, Instant now);
+    std::vector<LoanWish> loanWishes(Instant now) const;
+    /// Lends idle slots of a pool to another entry VM, and for its overdue urgent requests also
+    /// slots of background requests, which are stopped. An empty loan lends nothing.
+    Lending lend(const LoanWish &wish, Instant now);
     /// Takes slots that another entry VM has lent.
     Changes borrow(const Loan &loan, Instant now);
 
@@ -234,6 +247,12 @@
     double capacityFor(const ServiceState &service, Instant now) const;
     Duration predictedWait(const ServiceState &service, model::RequestClass requestClass,
                            double capacity) const;
+    bool isPreemptible(const ServiceState &service, const Submission &request) const;
+    std::size_t overdueUrgent(const ServiceState &service, Instant now) const;
+    std::vector<Preempted> preemptIn(Index pool, std::size_t wanted);
+    void lendIdle(const PoolState &pool, std::uint32_t wanted, Loan &loan, Instant now);
+    void lendPreempted(Index pool, std::uint32_t wanted, Lending &lending, Instant now);
+    void makeRoom(Changes &changes, Instant now);
     bool mayEject(const WorkerState &worker, Instant now) const;
     void noteResult(WorkerState &worker, ServiceState *service, const RunReport &report,
                     Instant now);
@@ -246,6 +265,7 @@
     std::minstd_rand random;
     WorkerChoice choice;
     HopelessJobs hopeless;
+    Preemption preemption;
     std::vector<WorkerState> workers; // grows only; indices in grants stay valid
     std::vector<PoolState> pools; // as in the newest table
     std::vector<ServiceState> services; // grows only
--- a/packages/policy/include/sassafrasferry/policy/request_queue.h
+++ b/packages/policy/include/sassafrasferry/policy/request_queue.h
@@ -25,6 +25,8 @@
     Instant deadline{};
     JobFingerprint job = 0;
     bool isRetry = false;
+    int preemptions = 0; ///< times it was stopped for an urgent request
+    Instant arrived{}; ///< set when it is submitted
     std::vector<std::string> avoid; ///< workers that this request failed on
     std::string avoidRack; ///< the rack of the last of them; another one is preferred
 };
@@ -42,6 +44,8 @@
     std::size_t size(model::RequestClass requestClass) const;
     /// Requests of this class or a more pressing one.
     std::size_t sizeUpTo(model::RequestClass requestClass) const;
+    /// Waiting requests of a class that arrived at this moment or before.
+    std::size_t countSince(model::RequestClass requestClass, Instant arrived) const;
     /// Takes everything out.
     std::vector<Submission> clear();
 
--- a/packages/policy/include/sassafrasferry/policy/run_times.h
+++ b/packages/policy/include/sassafrasferry/policy/run_times.h
@@ -1,4 +1,4 @@
-// Observed run times of one service: the mean and quantiles over the last runs. The declared run
+// Observed run times of one service: the mean and the median over the last runs. The declared run
 // time counts only until enough runs have been seen.
 #pragma once
 
@@ -17,8 +17,8 @@
     void add(Duration runTime);
     /// The mean, in seconds; never below a microsecond, so that it can be divided by.
     double meanSeconds() const;
-    /// The run time that a share `quantile` (0 to 1) of runs stays within.
-    Duration quantile(double quantile) const;
+    /// The run time that half of the runs stay within.
+    Duration median() const;
 
 private:
     static constexpr std::size_t windowSize = 64;
--- a/packages/policy/src/dispatcher_loans.cpp
+++ b/packages/policy/src/dispatcher_loans.cpp
@@ -7,14 +7,20 @@
 
 namespace {
 
+using model::RequestClass;
 using model::RoutingPolicy;
 
 constexpr Duration leastLoan = std::chrono::milliseconds(500);
-constexpr std::uint32_t mostWished = 16;
+constexpr std::size_t mostWished = 16;
+
+std::uint32_t wishedSlots(std::size_t waiting)
+{
+    return static_cast<std::uint32_t>(std::min(waiting, mostWished));
+}
 
 } // namespace
 
-std::vector<LoanWish> Dispatcher::loanWishes() const
+std::vector<LoanWish> Dispatcher::loanWishes(Instant now) const
 {
     std::vector<LoanWish> wishes;
     const bool usesLoans = this->settings.policy == RoutingPolicy::LoansTrials
@@ -23,32 +29,49 @@
         return wishes;
     for (const auto &pool : this->pools) {
         std::size_t count = 0;
-        for (const auto index : pool.services)
+        std::size_t urgent = 0;
+        for (const auto index : pool.services) {
             count += this->services[index].queue.size();
+            urgent += this->overdueUrgent(this->services[index], now);
+        }
         if (count > 0)
-            wishes.push_back(
-                {pool.name, static_cast<std::uint32_t>(std::min<std::size_t>(count, mostWished))});
+            wishes.push_back({pool.name, wishedSlots(count), wishedSlots(urgent)});
     }
     return wishes;
 }
 
-Loan Dispatcher::lend(const LoanWish &wish, Instant now)
+Lending Dispatcher::lend(const LoanWish &wish, Instant now)
 {
-    Loan loan{wish.pool, {}, {}};
+    Lending lending{{wish.pool, {}, {}}, {}};
     const auto pool = std::find_if(this->pools.begin(), this->pools.end(),
                                    [&](const PoolState &state) { return state.name == wish.pool; });
     if (pool == this->pools.end())
-        return loan;
+        return lending;
+    const auto waitingOnes = this->waitingClasses(*pool);
+    const auto waits = [&](RequestClass requestClass) {
+        return waitingOnes[static_cast<std::size_t>(requestClass)];
+    };
+    // What waits here comes first; only a peer's overdue urgent requests go before the rest of it.
+    const bool isIdle = std::none_of(waitingOnes.begin(), waitingOnes.end(),
+                                     [](bool waitsHere) { return waitsHere; });
+    if (isIdle)
+        this->lendIdle(*pool, wish.slots, lending.loan, now);
+    if (lending.loan.items.empty() && !waits(RequestClass::Urgent)) {
+        const auto index = static_cast<Index>(pool - this->pools.begin());
+        this->lendPreempted(index, wish.urgent, lending, now);
+    }
+    return lending;
+}
+
+void Dispatcher::lendIdle(const PoolState &pool, std::uint32_t wanted, Loan &loan, Instant now)
+{
     double runSeconds = 0;
-    for (const auto index : pool->services) {
-        if (this->services[index].queue.size() > 0)
-            return loan; // this entry VM wants its slots itself
+    for (const auto index : pool.services)
         runSeconds = std::max(runSeconds, this->services[index].runTimes.meanSeconds());
-    }
     const auto term = std::max(leastLoan, fromSeconds(4 * runSeconds));
     loan.term = std::chrono::duration_cast<std::chrono::milliseconds>(term);
-    std::uint32_t left = wish.slots;
-    for (const auto index : pool->workers) {
+    std::uint32_t left = wanted;
+    for (const auto index : pool.workers) {
         auto &worker = this->workers[index];
         const auto allowed = worker.allowed(now);
         if (left == 0 || worker.inUse >= allowed || worker.isLeaving(now))
@@ -58,7 +81,6 @@
         loan.items.push_back({worker.spec.name, slots});
         left -= slots;
     }
-    return loan;
 }
 
 Changes Dispatcher::borrow(const Loan &loan, Instant now)
--- a/packages/policy/src/dispatcher_test.cpp
+++ b/packages/policy/src/dispatcher_test.cpp
@@ -66,7 +66,8 @@
 
 RunReport report(const Grant &grant, RunResult result)
 {
-    return {grant.worker, "x", result, grant.reason, 100ms, static_cast<JobFingerprint>(grant.id)};
+    return {grant.worker, "x", result, grant.reason, 100ms, static_cast<JobFingerprint>(grant.id),
+            grant.id};
 }
 
 } // namespace
@@ -203,9 +204,9 @@
         dispatcher->setLive(two, start);
     }
     CHECK(fill(borrower) == 4); // its share; the fifth waits
-    const auto wishes = borrower.loanWishes();
+    const auto wishes = borrower.loanWishes(start);
     REQUIRE(wishes.size() == 1);
-    const auto loan = lender.lend(wishes[0], start);
+    const auto loan = lender.lend(wishes[0], start).loan;
     REQUIRE(loan.items.size() == 1);
     const auto changes = borrower.borrow(loan, start);
     REQUIRE(changes.grants.size() == 1);
--- a/packages/policy/src/request_queue.cpp
+++ b/packages/policy/src/request_queue.cpp
@@ -64,6 +64,18 @@
     return sum;
 }
 
+std::size_t RequestQueue::countSince(model::RequestClass requestClass, Instant arrived) const
+{
+    std::size_t count = 0;
+    if (this->size(requestClass) == 0)
+        return count;
+    for (const auto id : this->order[indexOf(requestClass)]) {
+        const auto found = this->waiting.find(id);
+        count += found != this->waiting.end() && found->second.arrived <= arrived ? 1 : 0;
+    }
+    return count;
+}
+
 std::vector<Submission> RequestQueue::clear()
 {
     std::vector<Submission> all;
--- a/packages/policy/src/run_times.cpp
+++ b/packages/policy/src/run_times.cpp
@@ -1,4 +1,4 @@
-// The window of run times. It is 64 wide, so that a quantile costs one partial sort of 64 values.
+// The window of run times. It is 64 wide, so that the median costs one partial sort of 64 values.
 #include <sassafrasferry/policy/run_times.h>
 
 #include <algorithm>
@@ -28,13 +28,13 @@
     return std::max(least, seconds(this->sum) / static_cast<double>(this->count));
 }
 
-Duration RunTimes::quantile(double quantile) const
+Duration RunTimes::median() const
 {
     if (this->count < enough)
         return this->declared;
     auto sorted = this->window;
     const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(this->count);
-    const auto rank = static_cast<std::ptrdiff_t>(quantile * static_cast<double>(this->count - 1));
+    const auto rank = static_cast<std::ptrdiff_t>((this->count - 1) / 2);
     std::nth_element(sorted.begin(), sorted.begin() + rank, end);
     return sorted[static_cast<std::size_t>(rank)];
 }
