--- /dev/null
+++ b/scripts/checks.sh
@@ -0,0 +1,73 @@
+# What the scripts that cause faults check, and the load they do it under. Sourced after fleet.sh, by
+# scripts that set `entries` and `workers`.
+
+failures=0
+
+# fleet_document: one pool of all workers, with two services and a wave.
+fleet_document() {
+    cat <<DOC
+[sections.fleet]
+team = "operations"
+[sections.fleet.teams.operations]
+tokenHash = "$(printf operations-token | sha256sum | cut -d' ' -f1)"
+$(pool fleet main 1 $workers)
+[sections.fleet.services.invoice]
+pool = "main"
+idempotent = false
+class = "urgent"
+availability = 0.75
+[sections.fleet.services.quote]
+pool = "main"
+availability = 0.75
+[sections.fleet.waves.weekly]
+pools = ["main"]
+maintenanceMs = 1000
+DOC
+}
+
+check() { # WHAT ACTUAL WANTED
+    if [ "$2" = "$3" ]; then
+        echo "  pass: $1 = $2"
+    else
+        echo "  FAIL: $1 = $2, wanted $3"
+        failures=$((failures + 1))
+    fi
+}
+
+platform_faults() { curl -sf -o /dev/null -d "$1" "http://$platform_address/standin/faults"; }
+status_of() { curl -sf "http://$(admin_address "$1")/v1/status"; }
+field() { python3 -c 'import json,sys; print(json.load(sys.stdin)[sys.argv[1]])' "$1"; }
+
+# load NAME SECONDS: starts a steady load that ends by itself.
+load() {
+    local list="" n
+    for ((n = 1; n <= entries; ++n)); do list+="${list:+,}$(caller_address "$n")"; done
+    start "load-$1" "$fleet_bin/packages/standins/standin-load" --entries "$list" \
+        --health "$admin_list" --workers "$(worker_address 1)" --worker-count $workers \
+        --services invoice:urgent:keyed,quote:normal --rate 150 --surge 1 --lull 1 \
+        --phase-ms $(($2 * 1000 / 3)) --run-ms 30 --deadline-ms 3000 --pool-slots 96 \
+        --seed "$((++load_seed))"
+}
+load_seed=0
+
+# judge NAME: waits for a load and checks what must hold under any fault. Its report stays in $report.
+judge() {
+    local code=0
+    end_quietly "load-$1" || code=$?
+    report=$(tail -1 "$fleet_dir/load-$1.log")
+    echo "  $report"
+    check "$1: doubled, lost, strangers, run though told not run" "$code" 0
+}
+end_quietly() {
+    local code=0
+    wait "${fleet_pids[$1]}" || code=$?
+    unset "fleet_pids[$1]"
+    return $code
+}
+count() { python3 -c 'import json,sys; r=json.loads(sys.argv[1]); print(sum(c[sys.argv[2]] for c in r["classes"].values()))' "$report" "$1"; }
+
+# conclude NAME: the last line; fails if any check failed.
+conclude() {
+    [ $failures -eq 0 ] && echo "$1: all checks passed" || echo "$1: $failures checks failed"
+    [ $failures -eq 0 ]
+}
