Claims are deleted after their time; history comes in pages

Cause: claims were kept for good, so the table grew with every keyed request (CAPACITY, what breaks first), and history read all revisions in one scan. Change: each batch of new claims writes one list of its keys in the order of their end; the lease holder reads lists that are due and deletes settled claims, objects first, on the fence and each claim's version. Claims not settled stay and are listed again. scan takes a limit.

--- a/packages/cli/src/document_commands.cpp
+++ b/packages/cli/src/document_commands.cpp
@@ -202,16 +202,23 @@
 
 int history(AdminClient &client, std::int64_t after)
 {
-    const auto answer = client.get("/v1/history/" + std::to_string(after));
-    if (!answer.ok())
-        return report(answer.status());
-    if (answer->status != okStatus)
-        return report(absl::UnavailableError("the store cannot be read"));
-    for (const auto &entry : answer->body["history"])
-        std::cout << "revision " << entry.value("revision", 0) << " section "
-                  << entry.value("section", "") << " team " << entry.value("team", "")
-                  << " operation " << entry.value("operationId", "") << "\n";
-    return exit_code::ok;
+    // It comes in pages; the last one is empty.
+    for (;;) {
+        const auto answer = client.get("/v1/history/" + std::to_string(after));
+        if (!answer.ok())
+            return report(answer.status());
+        if (answer->status != okStatus)
+            return report(absl::UnavailableError("the store cannot be read"));
+        const auto &page = answer->body["history"];
+        if (page.empty())
+            return exit_code::ok;
+        for (const auto &entry : page) {
+            after = entry.value("revision", after + 1);
+            std::cout << "revision " << after << " section " << entry.value("section", "")
+                      << " team " << entry.value("team", "") << " operation "
+                      << entry.value("operationId", "") << "\n";
+        }
+    }
 }
 
 int watch(AdminClient &client, std::int64_t revision)
--- a/packages/entry/src/process/control.cpp
+++ b/packages/entry/src/process/control.cpp
@@ -48,6 +48,8 @@
                      "",
                      {{"subject", decision.subject}, {"reason", decision.reason}}});
             })
+    , sweeper(parts.store.tables(), parts.store.objectStore(),
+              settings.control.claimRetention.count())
     , documentTimer(context)
 {}
 
@@ -313,6 +315,7 @@
             const auto status = co_await this->waves.step(view, this->lease.fence());
             if (!status.ok())
                 LOG(WARNING) << "event=waves-failed " << status;
+            co_await this->sweepClaims();
         }
         if (this->holdsLease() != held) {
             held = !held;
@@ -325,6 +328,17 @@
     }
 }
 
+Awaitable<void> Control::sweepClaims()
+{
+    const auto deleted = co_await this->sweeper.step(unixNow(), this->lease.fence());
+    if (!deleted.ok()) {
+        LOG(WARNING) << "event=claims-not-deleted " << deleted.status();
+        co_return;
+    }
+    if (*deleted > 0)
+        this->parts.log.write({"claims-deleted", "", {{"count", std::to_string(*deleted)}}});
+}
+
 Awaitable<platform::ChangeResult> Control::apply(platform::SectionChange change)
 {
     auto result =
--- a/packages/entry/src/process/control.h
+++ b/packages/entry/src/process/control.h
@@ -7,6 +7,7 @@
 #include <sassafrasferry/fleet/vm_control_client.h>
 #include <sassafrasferry/fleet/wave_runner.h>
 #include <sassafrasferry/peer/peer_link.h>
+#include <sassafrasferry/platform/claim_sweeper.h>
 #include <sassafrasferry/platform/document_store.h>
 #include <sassafrasferry/platform/lease_keeper.h>
 #include <sassafrasferry/platform/vm_list_client.h>
@@ -69,6 +70,7 @@
     Awaitable<void> leaseLoop();
     Awaitable<void> refreshDocument();
     Awaitable<bool> refreshFleet(std::int64_t fleetVersion);
+    Awaitable<void> sweepClaims();
     void askPeersForDocument();
     void markDraining(std::set<std::string> names);
     void spawn(Awaitable<void> (Control::*loop)());
@@ -97,6 +99,7 @@
     fleet::FleetStore<platform::TableClient> fleetStore;
     fleet::VmControlClient vmControl;
     fleet::WaveRunner<platform::TableClient, fleet::VmControlClient> waves;
+    platform::ClaimSweeper<platform::TableClient, platform::ObjectClient> sweeper;
     Timer documentTimer; // cancelled to read the document at once
     bool stopping = false;
     bool gone = false; // said to the peers
--- a/packages/entry/src/process/control_store.cpp
+++ b/packages/entry/src/process/control_store.cpp
@@ -15,6 +15,7 @@
                2 * settings.control.storeTimeout, std::chrono::milliseconds(50)})
     , objects(control, settings.platform, settings.control.storeTimeout)
     , incarnationName(std::move(incarnationName))
+    , claimRetention(settings.control.claimRetention)
 {}
 
 template<typename T, typename Operation>
@@ -50,6 +51,8 @@
     write.expectedVersion = version;
     write.value = platform::toJson(claim);
     write.writeId = this->incarnationName + "." + std::to_string(++this->lastWriteId);
+    if (claim.state == policy::ClaimState::Claimed)
+        write.expiresAt = claim.claimedAt + this->claimRetention.count();
     using Result = platform::WriteResult;
     return this->onControl<Result>([this, write = std::move(write)]() -> Awaitable<Result> {
         co_return co_await this->batcher.write(write);
@@ -83,6 +86,11 @@
     return this->tableClient;
 }
 
+platform::ObjectClient &ControlStore::objectStore()
+{
+    return this->objects;
+}
+
 std::size_t ControlStore::transactions() const
 {
     return this->batcher.transactions();
--- a/packages/entry/src/process/control_store.h
+++ b/packages/entry/src/process/control_store.h
@@ -28,6 +28,7 @@
     void setEntries(std::size_t entries);
     /// For the control thread only.
     platform::TableClient &tables();
+    platform::ObjectClient &objectStore();
     /// Transactions that carried claims.
     std::size_t transactions() const;
 
@@ -40,6 +41,7 @@
     platform::RowBatcher<platform::TableClient> batcher;
     platform::ObjectClient objects;
     std::string incarnationName;
+    std::chrono::milliseconds claimRetention;
     std::atomic<std::uint64_t> lastWriteId{0};
 };
 
--- a/packages/fakes/include/sassafrasferry/fakes/memory_tables.h
+++ b/packages/fakes/include/sassafrasferry/fakes/memory_tables.h
@@ -25,13 +25,12 @@
 public:
     Awaitable<platform::Commit> commit(platform::Transaction transaction);
     Awaitable<absl::StatusOr<std::vector<platform::Row>>> read(std::vector<platform::RowKey> keys);
-    Awaitable<absl::StatusOr<std::vector<platform::Row>>> scan(std::string table,
-                                                               std::string after);
+    Awaitable<absl::StatusOr<std::vector<platform::Row>>> scan(platform::ScanRange range);
 
     /// Commits at once, past all faults.
     platform::Commit commitNow(const platform::Transaction &transaction);
     std::vector<platform::Row> readNow(const std::vector<platform::RowKey> &keys) const;
-    std::vector<platform::Row> scanNow(const std::string &table, const std::string &after) const;
+    std::vector<platform::Row> scanNow(const platform::ScanRange &range) const;
 
     TableFaults faults;
     std::size_t commits = 0; ///< transactions asked for
--- a/packages/fakes/src/memory_tables.cpp
+++ b/packages/fakes/src/memory_tables.cpp
@@ -54,11 +54,14 @@
     return found;
 }
 
-std::vector<Row> MemoryTables::scanNow(const std::string &table, const std::string &after) const
+std::vector<Row> MemoryTables::scanNow(const platform::ScanRange &range) const
 {
     std::vector<Row> found;
-    for (auto at = this->rows.upper_bound({table, after}); at != this->rows.end(); ++at) {
-        if (at->first.table != table)
+    const auto limit =
+        range.limit == platform::ScanRange::everything ? this->rows.size() : range.limit;
+    for (auto at = this->rows.upper_bound({range.table, range.after}); at != this->rows.end();
+         ++at) {
+        if (at->first.table != range.table || found.size() == limit)
             break;
         found.push_back(at->second);
     }
@@ -86,12 +89,12 @@
     co_return this->readNow(keys);
 }
 
-Awaitable<absl::StatusOr<std::vector<Row>>> MemoryTables::scan(std::string table, std::string after)
+Awaitable<absl::StatusOr<std::vector<Row>>> MemoryTables::scan(platform::ScanRange range)
 {
     ++this->reads;
     if (this->faults.down || use(this->faults.failedReads))
         co_return absl::UnavailableError("down");
-    co_return this->scanNow(table, after);
+    co_return this->scanNow(range);
 }
 
 } // namespace sassafrasferry::fakes
--- a/packages/fleet/include/sassafrasferry/fleet/fleet_store.h
+++ b/packages/fleet/include/sassafrasferry/fleet/fleet_store.h
@@ -21,9 +21,12 @@
     Awaitable<absl::StatusOr<FleetRows>> load()
     {
         FleetRows rows;
-        const auto vms = co_await this->tables.scan("vms", "");
-        const auto waves = co_await this->tables.scan("waves", "");
-        const auto budgets = co_await this->tables.scan("budgets", "");
+        const platform::ScanRange allVms{"vms", ""};
+        const auto vms = co_await this->tables.scan(allVms);
+        const platform::ScanRange allWaves{"waves", ""};
+        const auto waves = co_await this->tables.scan(allWaves);
+        const platform::ScanRange allBudgets{"budgets", ""};
+        const auto budgets = co_await this->tables.scan(allBudgets);
         for (const auto *part : {&vms, &waves, &budgets}) {
             if (!part->ok())
                 co_return part->status();
--- a/packages/fleet/src/wave_runner_test.cpp
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -125,7 +125,7 @@
 
     std::size_t out() const
     {
-        return this->tables.scanNow("vms", "").size();
+        return this->tables.scanNow({"vms", ""}).size();
     }
 
     fakes::MemoryTables tables;
@@ -145,7 +145,7 @@
         constexpr std::size_t limit = 4;
         if (this->failure.empty() && this->out() + this->failed.size() > limit)
             this->failure = std::to_string(this->out()) + " VMs out";
-        const auto budgets = this->tables.scanNow("budgets", "");
+        const auto budgets = this->tables.scanNow({"budgets", ""});
         const auto inBudget = budgets.empty() ? 0 : budgetFrom(budgets[0])->out.size();
         if (this->failure.empty() && inBudget != this->out())
             this->failure = "the budget row and the VM rows differ";
@@ -345,5 +345,5 @@
     };
     CHECK(permit("w0") == platform::CommitState::Committed);
     CHECK(permit("w1") == platform::CommitState::Conflict);
-    CHECK(tables.scanNow("vms", "").size() == 1);
+    CHECK(tables.scanNow({"vms", ""}).size() == 1);
 }
--- a/packages/fleet/tests/fleet_world.h
+++ b/packages/fleet/tests/fleet_world.h
@@ -80,9 +80,9 @@
         return this->tables.read(std::move(keys));
     }
 
-    Awaitable<absl::StatusOr<std::vector<platform::Row>>> scan(std::string table, std::string after)
+    Awaitable<absl::StatusOr<std::vector<platform::Row>>> scan(platform::ScanRange range)
     {
-        return this->tables.scan(std::move(table), std::move(after));
+        return this->tables.scan(std::move(range));
     }
 };
 
--- a/packages/model/include/sassafrasferry/model/settings.h
+++ b/packages/model/include/sassafrasferry/model/settings.h
@@ -67,6 +67,8 @@
     std::chrono::milliseconds listPoll{1000}; ///< between reads of the platform's list of VMs
     /// Claim transactions a second, of all entry VMs together.
     std::int64_t claimWrites = 280;
+    /// How long a settled claim and its answer are kept for resends with the same key.
+    std::chrono::milliseconds claimRetention = std::chrono::hours(24);
     std::chrono::milliseconds storeTimeout{1500};
     std::chrono::milliseconds balancerLag{1000}; ///< accepting goes on this long after SIGTERM
     std::chrono::milliseconds stopDeadline{60000}; ///< then what is in flight is cut, and named
--- a/packages/model/src/settings.cpp
+++ b/packages/model/src/settings.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr IntegerRange periodRange{1, 3600000};
+constexpr IntegerRange retentionRange{1000, 366LL * 24 * 3600 * 1000};
 constexpr IntegerRange writesRange{1, 1000000};
 constexpr std::int64_t mostThreads = 64;
 constexpr std::int64_t mostBody = 1LL << 30;
@@ -65,6 +66,7 @@
     reader.read("staleMs", control.stale, periodRange);
     reader.read("listPollMs", control.listPoll, periodRange);
     reader.read("claimWrites", control.claimWrites, writesRange);
+    reader.read("claimRetentionMs", control.claimRetention, retentionRange);
     reader.read("storeTimeoutMs", control.storeTimeout, periodRange);
     reader.read("balancerLagMs", control.balancerLag, {0, 3600000});
     reader.read("stopDeadlineMs", control.stopDeadline, periodRange);
--- a/packages/platform/include/sassafrasferry/platform/document_store.h
+++ b/packages/platform/include/sassafrasferry/platform/document_store.h
@@ -104,10 +104,11 @@
         co_return revisionOf(findRow(*rows, key));
     }
 
-    /// What changed after a revision, oldest first.
+    /// What changed after a revision, oldest first, a page at the most.
     Awaitable<absl::StatusOr<std::vector<HistoryEntry>>> history(std::int64_t after)
     {
-        const auto rows = co_await this->tables.scan("revisions", revisionKey(after).key);
+        const ScanRange range{"revisions", revisionKey(after).key, historyPage};
+        const auto rows = co_await this->tables.scan(range);
         if (!rows.ok())
             co_return rows.status();
         std::vector<HistoryEntry> entries;
@@ -144,7 +145,8 @@
         const auto before = co_await this->head();
         if (!before.ok())
             co_return before.status();
-        const auto rows = co_await this->tables.scan("sections", "");
+        const ScanRange range{"sections", ""};
+        const auto rows = co_await this->tables.scan(range);
         if (!rows.ok())
             co_return rows.status();
         const auto after = co_await this->head();
--- a/packages/platform/include/sassafrasferry/platform/documents.h
+++ b/packages/platform/include/sassafrasferry/platform/documents.h
@@ -57,6 +57,9 @@
     std::string currentText; ///< conflict: the section as it stands
 };
 
+/// Lines of history that are read at once.
+constexpr std::size_t historyPage = 200;
+
 /// One line of the document's history.
 struct HistoryEntry
 {
--- a/packages/platform/include/sassafrasferry/platform/object_client.h
+++ b/packages/platform/include/sassafrasferry/platform/object_client.h
@@ -16,6 +16,8 @@
 
     http::Awaitable<absl::Status> put(std::string name, std::string body);
     http::Awaitable<absl::StatusOr<std::string>> get(std::string name);
+    /// Removes an object; it is no error if there is none.
+    http::Awaitable<absl::Status> remove(std::string name);
 
 private:
     http::Client client;
--- a/packages/platform/include/sassafrasferry/platform/row_batcher.h
+++ b/packages/platform/include/sassafrasferry/platform/row_batcher.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <sassafrasferry/http/await_callback.h>
+#include <sassafrasferry/platform/expiry_lists.h>
 #include <sassafrasferry/platform/rows.h>
 #include <sassafrasferry/policy/write_pace.h>
 
@@ -28,6 +29,7 @@
     std::int64_t expectedVersion = absent;
     Json value; ///< an object; the batcher adds the field `writeId`
     std::string writeId; ///< unique to this write, so that its effect can be told from others'
+    policy::UnixMilliseconds expiresAt = 0; ///< listed for deletion from then on; 0: not listed
 };
 
 /// How one write ended.
@@ -172,9 +174,25 @@
             transaction.conditions.push_back({pending.write.key, pending.write.expectedVersion});
             transaction.puts.push_back({pending.write.key, pending.write.value});
         }
+        listForDeletion(batch, transaction);
         return transaction;
     }
 
+    // One list for the whole batch, under the latest of its moments: no row goes too early.
+    static void listForDeletion(const std::vector<PendingWrite> &batch, Transaction &transaction)
+    {
+        std::vector<RowKey> listed;
+        policy::UnixMilliseconds latest = 0;
+        for (const auto &pending : batch) {
+            if (pending.write.expiresAt == 0)
+                continue;
+            listed.push_back(pending.write.key);
+            latest = std::max(latest, pending.write.expiresAt);
+        }
+        if (!listed.empty())
+            transaction.puts.push_back(expiryList(latest, batch.front().write.writeId, listed));
+    }
+
     static void finish(const std::vector<PendingWrite> &batch, const WriteResult &result)
     {
         for (const auto &pending : batch)
--- a/packages/platform/include/sassafrasferry/platform/rows.h
+++ b/packages/platform/include/sassafrasferry/platform/rows.h
@@ -74,10 +74,20 @@
     std::vector<std::size_t> failed; ///< indices of conditions that did not hold
 };
 
+/// Rows of one table with keys greater than `after`, in order.
+struct ScanRange
+{
+    static constexpr std::size_t everything = 0;
+
+    std::string table;
+    std::string after;
+    std::size_t limit = everything; ///< rows at the most
+};
+
 /// A client of the table service.
 template<typename T>
 concept TableService = requires(T &tables, Transaction transaction, std::vector<RowKey> keys,
-                                std::string text)
+                                ScanRange range)
 {
     {
         tables.commit(transaction)
@@ -86,9 +96,8 @@
     {
         tables.read(keys)
         } -> std::same_as<Awaitable<absl::StatusOr<std::vector<Row>>>>;
-    // Rows of a table with keys greater than a given one, in order.
     {
-        tables.scan(text, text)
+        tables.scan(range)
         } -> std::same_as<Awaitable<absl::StatusOr<std::vector<Row>>>>;
 };
 
--- a/packages/platform/include/sassafrasferry/platform/table_client.h
+++ b/packages/platform/include/sassafrasferry/platform/table_client.h
@@ -15,7 +15,7 @@
 
     Awaitable<Commit> commit(Transaction transaction);
     Awaitable<absl::StatusOr<std::vector<Row>>> read(std::vector<RowKey> keys);
-    Awaitable<absl::StatusOr<std::vector<Row>>> scan(std::string table, std::string after);
+    Awaitable<absl::StatusOr<std::vector<Row>>> scan(ScanRange range);
     http::ClientTraffic traffic() const
     {
         return this->client.traffic();
--- a/packages/platform/src/object_client.cpp
+++ b/packages/platform/src/object_client.cpp
@@ -41,4 +41,13 @@
     co_return std::move(exchange.response.body());
 }
 
+http::Awaitable<absl::Status> ObjectClient::remove(std::string name)
+{
+    http::Request request{http::Verb::delete_, "/v1/objects/" + name, 11};
+    const auto exchange = co_await this->client.exchange(std::move(request), this->timeout);
+    const bool isGone = exchange.state == http::ExchangeState::Answered
+                        && exchange.response.result() == http::Status::not_found;
+    co_return isGone ? absl::OkStatus() : statusOf(exchange);
+}
+
 } // namespace sassafrasferry::platform
--- a/packages/platform/src/table_client.cpp
+++ b/packages/platform/src/table_client.cpp
@@ -84,9 +84,9 @@
     co_return rowsFrom(*answer);
 }
 
-Awaitable<absl::StatusOr<std::vector<Row>>> TableClient::scan(std::string table, std::string after)
+Awaitable<absl::StatusOr<std::vector<Row>>> TableClient::scan(ScanRange range)
 {
-    const Json body{{"table", table}, {"after", after}};
+    const Json body{{"table", range.table}, {"after", range.after}, {"limit", range.limit}};
     const auto answer = co_await this->ask(http::jsonRequest(Verb::post, "/v1/scans", body));
     if (!answer.ok())
         co_return answer.status();
--- a/packages/standins/src/platform_contract_test.cpp
+++ b/packages/standins/src/platform_contract_test.cpp
@@ -78,10 +78,10 @@
     const auto third = fixture.commit(put(first.version));
     CHECK(third.state == CommitState::Committed);
     CHECK(third.version > first.version);
-    const auto rows = fakes::run(fixture.context, fixture.tables->scan("t", ""));
+    const auto rows = fakes::run(fixture.context, fixture.tables->scan({"t", ""}));
     REQUIRE(rows->size() == 1);
     CHECK((*rows)[0].version == third.version);
-    CHECK(fakes::run(fixture.context, fixture.tables->scan("t", "a"))->empty());
+    CHECK(fakes::run(fixture.context, fixture.tables->scan({"t", "a"}))->empty());
 }
 
 TEST_CASE("each fault of the table service has its own word")
@@ -97,7 +97,21 @@
     fixture.post("/standin/faults", row.faults);
     CHECK(fixture.commit(put(platform::absent)).state == row.expected);
     fixture.post("/standin/faults", http::Json::object());
-    CHECK(fakes::run(fixture.context, fixture.tables->scan("t", ""))->size() == row.rows);
+    CHECK(fakes::run(fixture.context, fixture.tables->scan({"t", ""}))->size() == row.rows);
+}
+
+TEST_CASE("a scan gives rows in the order of their keys, no more than asked for")
+{
+    Fixture fixture;
+    for (const auto *key : {"c", "a", "b"})
+        fixture.commit({{}, {{{"t", key}, http::Json::object()}}, {}});
+    const auto page = fakes::run(fixture.context, fixture.tables->scan({"t", "", 2}));
+    REQUIRE(page->size() == 2);
+    CHECK((*page)[0].key.key == "a");
+    CHECK((*page)[1].key.key == "b");
+    const auto rest = fakes::run(fixture.context, fixture.tables->scan({"t", "b", 2}));
+    REQUIRE(rest->size() == 1);
+    CHECK((*rest)[0].key.key == "c");
 }
 
 TEST_CASE("objects are kept whole, and the list names the VMs that leave")
@@ -108,6 +122,10 @@
     CHECK(fakes::run(fixture.context, objects.put("o", body)).ok());
     CHECK(*fakes::run(fixture.context, objects.get("o")) == body);
     CHECK_FALSE(fakes::run(fixture.context, objects.get("none")).ok());
+    // Removed twice, as after a lost answer: an object that is gone is no fault.
+    CHECK(fakes::run(fixture.context, objects.remove("o")).ok());
+    CHECK(fakes::run(fixture.context, objects.remove("o")).ok());
+    CHECK_FALSE(fakes::run(fixture.context, objects.get("o")).ok());
     platform::VmListClient list(fixture.context.get_executor(), fixture.endpoint, 10s);
     CHECK(fakes::run(fixture.context, list.leaving())->empty());
     fixture.post("/standin/vms", {{"vm", "w1"}, {"leaving", true}});
--- a/packages/standins/src/platform_standin.cpp
+++ b/packages/standins/src/platform_standin.cpp
@@ -12,6 +12,7 @@
 using http::Status;
 using http::Verb;
 using platform::CommitState;
+using platform::ScanRange;
 
 const std::string objectsPath = "/v1/objects/";
 const std::string vmsPath = "/v1/vms/";
@@ -110,8 +111,8 @@
 http::Response PlatformStandin::scan(const http::Request &request)
 {
     const auto body = Json::parse(request.body());
-    return rowsResponse(this->tables.scanNow(body.at("table").get<std::string>(),
-                                             body.at("after").get<std::string>()));
+    return rowsResponse(this->tables.scanNow(
+        {body.at("table"), body.at("after"), body.value("limit", ScanRange::everything)}));
 }
 
 http::Response PlatformStandin::objects(const std::string &name, const http::Request &request)
@@ -120,6 +121,10 @@
         this->stored[name] = request.body();
         return http::textResponse(Status::ok, "");
     }
+    if (request.method() == Verb::delete_) {
+        this->stored.erase(name);
+        return http::textResponse(Status::ok, "");
+    }
     const auto at = this->stored.find(name);
     if (at == this->stored.end())
         return http::textResponse(Status::not_found, "");
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -53,6 +53,11 @@
 }
 
 start_platform() {
+    # A fleet on the same ports would answer in place of this one.
+    if curl -s -o /dev/null "http://$platform_address/"; then
+        echo "ports from $base on are in use; set FLEET_BASE" >&2
+        exit 1
+    fi
     start platform "$fleet_bin/packages/standins/standin-platform" --listen "$platform_address" "$@"
     wait_for 10 curl -sf -o /dev/null "http://$platform_address/v1/vms?state=leaving"
 }
