Teams' quotas are kept; a stop names what it cuts; smaller files

Cause: a team's quota of processors was read and not enforced, so a document promised what the system did not do. Ruled out: the store or the lease holder as the counter (a write or a round trip a request), usage in heartbeats (above 3 KB/s at 60 entry VMs). Change: a quota is divided by live membership in whole requests and lent when unused; a service without room is passed over when a slot frees. In a daemon that is destroyed, traffic contexts now end before what their requests refer to.

--- a/packages/cli/src/fleet_commands.cpp
+++ b/packages/cli/src/fleet_commands.cpp
@@ -46,6 +46,11 @@
                   << " waiting " << pool.value("waiting", 0) << ", slots in use "
                   << pool.value("inUse", 0) << " of " << pool.value("allowed", 0) << " here and "
                   << pool.value("slots", 0) << " in all\n";
+    for (const auto &team : body["teams"])
+        std::cout << "team " << std::left << std::setw(nameWidth) << team.value("name", "")
+                  << " waiting " << team.value("waiting", 0) << ", processors in use "
+                  << team.value("inUse", 0) << " of " << team.value("allowed", 0) << " here and "
+                  << team.value("quota", 0) << " in all\n";
     return exit_code::ok;
 }
 
--- a/packages/entry/src/connection/traffic_environment.h
+++ b/packages/entry/src/connection/traffic_environment.h
@@ -3,6 +3,7 @@
 
 #include "../process/control_store.h"
 #include "../process/decision_log.h"
+#include "../process/in_flight.h"
 #include "../process/metrics.h"
 #include "../process/shared_dispatcher.h"
 #include "../process/shared_membership.h"
@@ -22,6 +23,7 @@
     ControlStore &store;
     DecisionLog &log;
     Metrics &metrics;
+    InFlight inFlight{};
     std::atomic<std::uint64_t> lastId{0}; ///< of requests and operations
     std::atomic<std::size_t> leftOvers{0}; ///< claims being finished after their answer
 };
--- a/packages/entry/src/process/control.h
+++ b/packages/entry/src/process/control.h
@@ -85,6 +85,8 @@
     void receiveSignal(const std::string &sender, const messages::WorkerSignal &signal);
     void receiveWish(const std::string &sender, const messages::LoanWish &wish);
     void receiveLoan(const messages::Loan &loan);
+    void receiveQuotaWish(const std::string &sender, const messages::QuotaWish &wish);
+    void receiveQuotaLoan(const messages::QuotaLoan &loan);
     void receiveDocumentRequest(const std::string &sender, std::int64_t haveRevision);
     void receiveDocument(const messages::DocumentReply &reply);
 
--- a/packages/entry/src/process/control_peers.cpp
+++ b/packages/entry/src/process/control_peers.cpp
@@ -71,7 +71,9 @@
         return;
     const auto wishes = this->parts.dispatcher.locked(
         [](policy::Dispatcher &dispatcher) { return dispatcher.loanWishes(now()); });
-    if (wishes.empty())
+    const auto quotaWishes = this->parts.dispatcher.locked(
+        [](policy::Dispatcher &dispatcher) { return dispatcher.quotaWishes(now()); });
+    if (wishes.empty() && quotaWishes.empty())
         return;
     this->nextWish = now() + wishPeriod;
     for (std::size_t i = 0; i < peersAskedAtOnce; ++i) {
@@ -85,6 +87,12 @@
                 envelope.mutable_loan_wish()->set_urgent(wish.urgent);
             this->peers.send(peer.name, envelope);
         }
+        for (const auto &wish : quotaWishes) {
+            messages::Envelope envelope;
+            envelope.mutable_quota_wish()->set_team(wish.team);
+            envelope.mutable_quota_wish()->set_processors(wish.processors);
+            this->peers.send(peer.name, envelope);
+        }
     }
 }
 
@@ -103,6 +111,12 @@
     case messages::Envelope::kLoan:
         this->receiveLoan(envelope.loan());
         break;
+    case messages::Envelope::kQuotaWish:
+        this->receiveQuotaWish(envelope.sender(), envelope.quota_wish());
+        break;
+    case messages::Envelope::kQuotaLoan:
+        this->receiveQuotaLoan(envelope.quota_loan());
+        break;
     case messages::Envelope::kDocumentRequest:
         this->receiveDocumentRequest(envelope.sender(),
                                      envelope.document_request().have_revision());
@@ -173,6 +187,29 @@
         [&](policy::Dispatcher &dispatcher) { return dispatcher.borrow(loan, now()); });
 }
 
+void Control::receiveQuotaWish(const std::string &sender, const messages::QuotaWish &wish)
+{
+    const auto loan = this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
+        return dispatcher.lendQuota({wish.team(), wish.processors()}, now());
+    });
+    if (loan.processors == 0)
+        return;
+    messages::Envelope envelope;
+    auto &message = *envelope.mutable_quota_loan();
+    message.set_team(loan.team);
+    message.set_processors(loan.processors);
+    message.set_term_milliseconds(static_cast<std::uint32_t>(loan.term.count()));
+    this->peers.send(sender, envelope);
+}
+
+void Control::receiveQuotaLoan(const messages::QuotaLoan &message)
+{
+    const policy::QuotaLoan loan{message.team(), message.processors(),
+                                 std::chrono::milliseconds(message.term_milliseconds())};
+    this->parts.dispatcher.change(
+        [&](policy::Dispatcher &dispatcher) { return dispatcher.borrowQuota(loan, now()); });
+}
+
 void Control::receiveDocumentRequest(const std::string &sender, std::int64_t haveRevision)
 {
     const auto version = this->versions.current();
--- a/packages/entry/src/process/daemon.cpp
+++ b/packages/entry/src/process/daemon.cpp
@@ -128,12 +128,20 @@
         this->controlContext, [this] { return this->stop(); }, asio::detached);
     // A second signal ends the wait for what is in flight.
     co_await signals.async_wait(asio::use_awaitable);
-    LOG(WARNING) << "event=cut busy=" << this->callerServer->busySessions()
-                 << " claims=" << this->parts.leftOvers << " why=signal";
-    this->exitCode = this->isDone() ? exit_code::ok : exit_code::cut;
+    if (!this->isDone())
+        this->noteCut("signal");
     this->controlContext.stop();
 }
 
+void Daemon::noteCut(const char *why)
+{
+    for (const auto &id : this->parts.inFlight.ids())
+        this->parts.log.write({"cut", id, {{"why", why}}});
+    LOG(WARNING) << "event=cut busy=" << this->callerServer->busySessions()
+                 << " claims=" << this->parts.leftOvers << " why=" << why;
+    this->exitCode = exit_code::cut;
+}
+
 bool Daemon::isDone() const
 {
     return this->callerServer->sessionCount() == 0 && this->parts.leftOvers == 0;
@@ -158,11 +166,8 @@
         co_await timer.async_wait(asio::use_awaitable);
         this->callerServer->closeSessions(); // those taken in after the first call
     }
-    if (!this->isDone()) {
-        LOG(WARNING) << "event=cut busy=" << this->callerServer->busySessions()
-                     << " claims=" << this->parts.leftOvers << " why=deadline";
-        this->exitCode = exit_code::cut;
-    }
+    if (!this->isDone())
+        this->noteCut("deadline");
     co_await this->control->endStop();
     // The last heartbeat is in ZeroMQ's hands; its thread needs a moment to send it.
     timer.expires_after(period);
--- a/packages/entry/src/process/daemon.h
+++ b/packages/entry/src/process/daemon.h
@@ -36,11 +36,11 @@
     absl::Status start();
     Awaitable<void> waitForSignals();
     Awaitable<void> stop();
+    void noteCut(const char *why);
     bool isDone() const;
 
     model::Settings settings;
     boost::asio::io_context controlContext;
-    std::vector<std::unique_ptr<TrafficThread>> traffic;
     std::uint64_t incarnation;
     std::string incarnationName;
     SharedDispatcher dispatcher;
@@ -50,6 +50,8 @@
     Metrics metrics;
     ProcessParts parts;
     VersionHolder versions;
+    // After what requests refer to: those that a stop cuts off end when this does.
+    std::vector<std::unique_ptr<TrafficThread>> traffic;
     std::unique_ptr<Control> control;
     std::unique_ptr<AdminApi> admin;
     std::shared_ptr<http::Server> adminServer;
--- a/packages/entry/src/request/answers.cpp
+++ b/packages/entry/src/request/answers.cpp
@@ -39,7 +39,10 @@
     case RefusalReason::UnknownService:
         return 404;
     case RefusalReason::HopelessJob:
+    case RefusalReason::QuotaTooSmall:
         return 422;
+    case RefusalReason::QuotaReached:
+        return 429;
     case RefusalReason::NoWorkers:
     case RefusalReason::DeadlineUnreachable:
     case RefusalReason::QueueFull:
--- a/packages/entry/src/request/caller_handler.cpp
+++ b/packages/entry/src/request/caller_handler.cpp
@@ -231,6 +231,7 @@
         response.set(http::header::outcome, "not-run");
         co_return response;
     }
+    const InFlight::Mark mark(environment.process().inFlight, context->request.id);
     disconnect->onDisconnect([context] { context->cancellation.request(); });
     const auto answer = co_await serve(environment, context);
     environment.reached(context->request, RequestStep::CallerAnswered);
--- a/packages/policy/include/sassafrasferry/policy/dispatcher.h
+++ b/packages/policy/include/sassafrasferry/policy/dispatcher.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <sassafrasferry/model/settings.h>
+#include <sassafrasferry/policy/dispatcher_status.h>
+#include <sassafrasferry/policy/grants.h>
 #include <sassafrasferry/policy/hopeless_jobs.h>
 #include <sassafrasferry/policy/loans.h>
 #include <sassafrasferry/policy/preemption.h>
@@ -10,6 +12,7 @@
 #include <sassafrasferry/policy/retry_budget.h>
 #include <sassafrasferry/policy/routing_table.h>
 #include <sassafrasferry/policy/run_times.h>
+#include <sassafrasferry/policy/team_quota.h>
 #include <sassafrasferry/policy/worker_choice.h>
 
 #include <memory>
@@ -22,59 +25,6 @@
 
 namespace sassafrasferry::policy {
 
-/// A request has a slot of a worker; `Dispatcher::finish` gives it back.
-struct Grant
-{
-    RequestId id{};
-    Index worker = noIndex; ///< valid until `finish`
-    std::string workerName;
-    std::string rack;
-    model::Endpoint address;
-    RouteReason reason = RouteReason::FreeShare;
-    bool overflowed = false; ///< it runs on the service's spare pool
-    bool preemptible = false; ///< it may be named by `Changes::preempted`
-};
-
-/// Why a request was refused; none of these was given to a worker.
-enum class RefusalReason {
-    UnknownService,
-    NoWorkers, ///< no worker of its pools is in service
-    DeadlineUnreachable, ///< the predicted wait passes its deadline
-    QueueFull,
-    HopelessJob, ///< it failed on several workers that serve others well
-    TooManyRefusals, ///< several workers in turn were full
-    Starting, ///< this entry VM has no document yet
-};
-
-constexpr auto enumNames(RefusalReason)
-{
-    using model::EnumName;
-    return std::array{EnumName{RefusalReason::UnknownService, "unknown-service"},
-                      EnumName{RefusalReason::NoWorkers, "no-workers"},
-                      EnumName{RefusalReason::DeadlineUnreachable, "deadline-unreachable"},
-                      EnumName{RefusalReason::QueueFull, "queue-full"},
-                      EnumName{RefusalReason::HopelessJob, "hopeless-job"},
-                      EnumName{RefusalReason::TooManyRefusals, "too-many-refusals"},
-                      EnumName{RefusalReason::Starting, "starting"}};
-}
-
-/// A request that will not be given to a worker, and when a new try makes sense.
-struct Refusal
-{
-    RequestId id{};
-    RefusalReason reason = RefusalReason::NoWorkers;
-    Duration retryAfter{}; ///< zero: a new try makes no sense
-};
-
-/// The request waits; a later `Changes` grants or refuses it.
-struct Queued
-{
-    std::size_t ahead = 0;
-    Duration predictedWait{};
-};
-
-using Admission = std::variant<Grant, Queued, Refusal>;
-
 /// News about a worker that other entry VMs should hear.
 struct LeavingNews
 {
@@ -91,68 +41,6 @@
     std::vector<RequestId> preempted; ///< granted requests to be stopped now
 };
 
-/// What became of a granted request.
-enum class RunResult {
-    Succeeded,
-    Failed, ///< the worker answered that it failed, broke off, or timed out
-    Refused, ///< the worker had no slot free; not run
-    Leaving, ///< the worker refused since it is leaving; not run
-    Unreachable, ///< no connection could be opened; not run
-    Cancelled, ///< given up by the caller; says nothing about the worker
-};
-
-constexpr auto enumNames(RunResult)
-{
-    using model::EnumName;
-    return std::array{EnumName{RunResult::Succeeded, "succeeded"},
-                      EnumName{RunResult::Failed, "failed"},
-                      EnumName{RunResult::Refused, "refused"},
-                      EnumName{RunResult::Leaving, "leaving"},
-                      EnumName{RunResult::Unreachable, "unreachable"},
-                      EnumName{RunResult::Cancelled, "cancelled"}};
-}
-
-/// The report that ends a grant.
-struct RunReport
-{
-    Index worker = noIndex;
-    std::string service;
-    RunResult result = RunResult::Succeeded;
-    RouteReason reason = RouteReason::FreeShare;
-    Duration runTime{};
-    JobFingerprint job = 0;
-    RequestId id{}; ///< as in the grant
-};
-
-/// One pool, for status pages.
-struct PoolStatus
-{
-    std::string name;
-    std::size_t waiting = 0;
-    std::uint32_t inUse = 0;
-    std::uint32_t allowed = 0; ///< slots this entry VM may fill
-    std::uint32_t slots = 0; ///< slots in all
-};
-
-/// One worker, for status pages.
-struct WorkerStatus
-{
-    std::string name;
-    std::string pool;
-    std::uint32_t inUse = 0;
-    std::uint32_t allowed = 0;
-    WorkerHealth::State health = WorkerHealth::State::Fit;
-    LeavingSignal leaving = LeavingSignal::None;
-};
-
-/// A pool whose queue wants slots of other entry VMs.
-struct LoanWish
-{
-    std::string pool;
-    std::uint32_t slots = 0;
-    std::uint32_t urgent = 0; ///< urgent requests that have waited too long
-};
-
 /// What a wish of another entry VM led to.
 struct Lending
 {
@@ -204,6 +92,13 @@
     /// Takes slots that another entry VM has lent.
     Changes borrow(const Loan &loan, Instant now);
 
+    /// Teams that wait for more of their quota.
+    std::vector<QuotaWish> quotaWishes(Instant now) const;
+    /// Lends unused quota of a team to another entry VM; zero processors lend nothing.
+    QuotaLoan lendQuota(const QuotaWish &wish, Instant now);
+    Changes borrowQuota(const QuotaLoan &loan, Instant now);
+
+    std::vector<TeamStatus> teamStatus(Instant now) const;
     std::vector<PoolStatus> poolStatus(Instant now) const;
     std::vector<WorkerStatus> workerStatus(Instant now) const;
     std::size_t waiting() const;
@@ -224,6 +119,19 @@
         RunTimes runTimes{Duration{}};
         RetryBudget retries{0};
         std::uint32_t running = 0;
+        Index team = noIndex;
+    };
+    struct TeamState
+    {
+        TeamSpec spec;
+        TeamQuota quota;
+    };
+    // What a running request holds of its team's quota. Kept by request, since a change of the
+    // document may give its service to another team while it runs.
+    struct Charge
+    {
+        Index team = noIndex;
+        std::uint32_t processors = 0;
     };
     struct GiveUp
     {
@@ -236,13 +144,21 @@
     ServiceState *findService(const std::string &name);
     void adoptWorkers(const RoutingTable &table);
     void adoptServices(const RoutingTable &table);
+    void adoptTeams(const RoutingTable &table);
     void recomputeShares();
+    void divideQuotas();
+    const TeamState *limitingTeam(const ServiceState &service) const;
+    bool quotaHasRoom(const ServiceState &service, Instant now) const;
+    double quotaCapacity(const ServiceState &service, double capacity, Instant now) const;
+    void charge(const ServiceState &service, const WorkerState &worker, RequestId id);
+    void discharge(RequestId id);
     std::optional<Grant> tryGrant(Index service, const Submission &request, Instant now);
     std::optional<Grant> grantOn(Index pool, Index service, const Submission &request, Instant now);
     void serve(Index pool, Changes &changes, Instant now);
     void serveAll(Changes &changes, Instant now);
-    Index nextService(const PoolState &pool, model::RequestClass requestClass);
-    std::array<bool, model::requestClassCount> waitingClasses(const PoolState &pool) const;
+    Index nextService(const PoolState &pool, model::RequestClass requestClass, Instant now);
+    std::array<bool, model::requestClassCount> waitingClasses(const PoolState &pool,
+                                                              Instant now) const;
     std::uint32_t capacityOf(Index pool, Instant now) const;
     double capacityFor(const ServiceState &service, Instant now) const;
     Duration predictedWait(const ServiceState &service, model::RequestClass requestClass,
@@ -269,6 +185,9 @@
     std::vector<WorkerState> workers; // grows only; indices in grants stay valid
     std::vector<PoolState> pools; // as in the newest table
     std::vector<ServiceState> services; // grows only
+    std::vector<TeamState> teams; // grows only
+    std::unordered_map<RequestId, Charge> charges; // of running requests of teams with a quota
+    std::unordered_map<std::string, Index> teamIndex;
     std::unordered_map<std::string, Index> workerIndex;
     std::unordered_map<std::string, Index> serviceIndex;
     std::set<GiveUp> giveUps; // one for each waiting request; stale ones are dropped when due
--- a/packages/policy/include/sassafrasferry/policy/loans.h
+++ b/packages/policy/include/sassafrasferry/policy/loans.h
@@ -10,6 +10,14 @@
 
 namespace sassafrasferry::policy {
 
+/// A pool whose queue wants slots of other entry VMs.
+struct LoanWish
+{
+    std::string pool;
+    std::uint32_t slots = 0;
+    std::uint32_t urgent = 0; ///< urgent requests that have waited too long
+};
+
 /// Slots of one worker that move from the lender to the borrower.
 struct LoanItem
 {
--- a/packages/policy/include/sassafrasferry/policy/routing_table.h
+++ b/packages/policy/include/sassafrasferry/policy/routing_table.h
@@ -24,6 +24,15 @@
     std::string rack;
     std::uint32_t slots = 8;
     std::uint32_t connections = 64;
+    std::uint32_t slotProcessors = 1; ///< processors that a request holds on it, rounded up
+};
+
+/// A team and its quota.
+struct TeamSpec
+{
+    std::string name;
+    std::uint32_t processors = 0; ///< its running requests may hold at once; 0: no limit
+    std::uint32_t unit = 1; ///< the most that one of its requests holds
 };
 
 /// A pool and the workers in it, as indices into `RoutingTable::workers`.
@@ -46,6 +55,7 @@
     std::chrono::milliseconds runTime{100};
     double availability = 0.75;
     bool startRefusal = true;
+    Index team = noIndex; ///< that owns its section, or noIndex if no team is described
 };
 
 /// The table for one document revision. Immutable once compiled.
@@ -55,6 +65,7 @@
     std::vector<WorkerSpec> workers;
     std::vector<PoolSpec> pools;
     std::vector<ServiceSpec> services;
+    std::vector<TeamSpec> teams;
     std::unordered_map<std::string, Index> serviceIndex;
     std::unordered_map<std::string, Index> workerIndex;
 
--- a/packages/policy/include/sassafrasferry/policy/shares.h
+++ b/packages/policy/include/sassafrasferry/policy/shares.h
@@ -28,6 +28,10 @@
     std::uint32_t connections = 64;
 };
 
+/// The part of the one with that rank, from 0, if a whole is divided into parts that differ by one
+/// at the most. The parts sum to the whole.
+std::uint32_t partOf(std::uint32_t whole, std::size_t parts, std::size_t rank);
+
 /// The entry VMs that share a worker: the `mostSharers` highest by rendezvous hashing, by name.
 std::vector<std::string> sharersOf(const std::string &worker,
                                    const std::vector<std::string> &liveEntries);
--- a/packages/policy/include/sassafrasferry/policy/worker_health.h
+++ b/packages/policy/include/sassafrasferry/policy/worker_health.h
@@ -1,6 +1,7 @@
 // Whether a worker is fit to be given work, from the results of what it was given.
 #pragma once
 
+#include <sassafrasferry/model/names.h>
 #include <sassafrasferry/policy/time.h>
 
 #include <array>
@@ -60,4 +61,12 @@
     bool probing = false; // a probe is out; there is one at a time
 };
 
+constexpr auto enumNames(WorkerHealth::State)
+{
+    using model::EnumName;
+    return std::array{EnumName{WorkerHealth::State::Fit, "fit"},
+                      EnumName{WorkerHealth::State::Ejected, "ejected"},
+                      EnumName{WorkerHealth::State::Probing, "probing"}};
+}
+
 } // namespace sassafrasferry::policy
--- a/packages/policy/src/dispatcher.cpp
+++ b/packages/policy/src/dispatcher.cpp
@@ -54,6 +54,8 @@
                                          Instant now)
 {
     auto &state = this->services[service];
+    if (!this->quotaHasRoom(state, now))
+        return std::nullopt;
     const auto chosen = this->choice.choose(this->workers, this->pools[pool].workers, request,
                                             state.spec.idempotent, now);
     if (chosen.worker == noIndex)
@@ -61,6 +63,7 @@
     auto &worker = this->workers[chosen.worker];
     ++worker.inUse;
     ++state.running;
+    this->charge(state, worker, request.id);
     if (chosen.reason == RouteReason::Probe)
         worker.health.probeSent();
     Grant grant{request.id,       chosen.worker,       worker.spec.name,
@@ -71,10 +74,14 @@
     return grant;
 }
 
-std::array<bool, model::requestClassCount> Dispatcher::waitingClasses(const PoolState &pool) const
+std::array<bool, model::requestClassCount> Dispatcher::waitingClasses(const PoolState &pool,
+                                                                      Instant now) const
 {
+    // Those whose team has no quota left wait for their own team, not for a slot.
     std::array<bool, model::requestClassCount> waitingOnes{};
     for (const auto index : pool.services) {
+        if (!this->quotaHasRoom(this->services[index], now))
+            continue;
         for (std::size_t i = 0; i < model::requestClassCount; ++i) {
             if (this->services[index].queue.size(static_cast<RequestClass>(i)) > 0)
                 waitingOnes[i] = true;
@@ -83,14 +90,14 @@
     return waitingOnes;
 }
 
-Index Dispatcher::nextService(const PoolState &pool, RequestClass requestClass)
+Index Dispatcher::nextService(const PoolState &pool, RequestClass requestClass, Instant now)
 {
     // The service with the fewest requests running goes first: a surge of one service cannot keep
     // another one, whose queue is short, from the slots they share.
     Index next = noIndex;
     for (const auto index : pool.services) {
         const auto &service = this->services[index];
-        if (service.queue.size(requestClass) == 0)
+        if (service.queue.size(requestClass) == 0 || !this->quotaHasRoom(service, now))
             continue;
         if (next == noIndex || service.running < this->services[next].running)
             next = index;
@@ -102,11 +109,11 @@
 {
     auto &pool = this->pools[poolIndex];
     for (;;) {
-        const auto waitingOnes = this->waitingClasses(pool);
+        const auto waitingOnes = this->waitingClasses(pool, now);
         if (std::none_of(waitingOnes.begin(), waitingOnes.end(), [](bool any) { return any; }))
             return;
         const auto requestClass = pool.turns.next(waitingOnes);
-        const auto service = this->nextService(pool, requestClass);
+        const auto service = this->nextService(pool, requestClass, now);
         auto &queue = this->services[service].queue;
         const auto *request = queue.front(requestClass);
         auto grant = this->grantOn(poolIndex, service, *request, now);
@@ -178,6 +185,7 @@
     auto *service = this->findService(report.service);
     --worker.inUse;
     this->preemption.ended(report.id);
+    this->discharge(report.id);
     // A service that has left the document still counts what it has running.
     const auto known = this->serviceIndex.find(report.service);
     if (known != this->serviceIndex.end())
--- a/packages/policy/src/dispatcher_loans.cpp
+++ b/packages/policy/src/dispatcher_loans.cpp
@@ -47,7 +47,7 @@
                                    [&](const PoolState &state) { return state.name == wish.pool; });
     if (pool == this->pools.end())
         return lending;
-    const auto waitingOnes = this->waitingClasses(*pool);
+    const auto waitingOnes = this->waitingClasses(*pool, now);
     const auto waits = [&](RequestClass requestClass) {
         return waitingOnes[static_cast<std::size_t>(requestClass)];
     };
--- a/packages/policy/src/dispatcher_preemption.cpp
+++ b/packages/policy/src/dispatcher_preemption.cpp
@@ -22,7 +22,8 @@
 
 std::size_t Dispatcher::overdueUrgent(const ServiceState &service, Instant now) const
 {
-    if (this->settings.urgentPatience.count() == 0)
+    // A slot would not help one that waits for its team's quota.
+    if (this->settings.urgentPatience.count() == 0 || !this->quotaHasRoom(service, now))
         return 0;
     return service.queue.countSince(RequestClass::Urgent, now - this->settings.urgentPatience);
 }
--- a/packages/policy/src/dispatcher_table.cpp
+++ b/packages/policy/src/dispatcher_table.cpp
@@ -56,6 +56,8 @@
         auto &service = this->services[at->second];
         service.spec = spec;
         service.present = true;
+        service.team =
+            spec.team == noIndex ? noIndex : this->teamIndex.at(table.teams[spec.team].name);
         this->pools[spec.pool].services.push_back(at->second);
         if (spec.overflow != noIndex && spec.overflow != spec.pool)
             this->pools[spec.overflow].services.push_back(at->second);
@@ -65,6 +67,7 @@
 Changes Dispatcher::adopt(const RoutingTable &table, Instant now)
 {
     this->adoptWorkers(table);
+    this->adoptTeams(table);
     this->adoptServices(table);
     this->recomputeShares();
     Changes changes;
@@ -92,6 +95,7 @@
 
 void Dispatcher::recomputeShares()
 {
+    this->divideQuotas();
     for (auto &worker : this->workers) {
         worker.share = {};
         worker.assigned = false;
--- a/packages/policy/src/routing_table.cpp
+++ b/packages/policy/src/routing_table.cpp
@@ -1,10 +1,20 @@
 // Compiling a document into a routing table.
 #include <sassafrasferry/policy/routing_table.h>
 
+#include <algorithm>
+
 namespace sassafrasferry::policy {
 
 namespace {
 
+// A VM that names no processors counts one a slot.
+std::uint32_t slotProcessorsOf(const model::Vm &vm)
+{
+    const auto slots = std::max<std::int64_t>(1, vm.slots);
+    return static_cast<std::uint32_t>(
+        std::max<std::int64_t>(1, (vm.processors + slots - 1) / slots));
+}
+
 WorkerSpec workerOf(const model::Vm &vm)
 {
     return {vm.name,
@@ -12,7 +22,39 @@
             vm.dataCentre,
             vm.rack,
             static_cast<std::uint32_t>(vm.slots),
-            static_cast<std::uint32_t>(vm.connections)};
+            static_cast<std::uint32_t>(vm.connections),
+            slotProcessorsOf(vm)};
+}
+
+// The most that a request of a pool holds on any of its workers.
+std::uint32_t unitOf(const RoutingTable &table, Index pool)
+{
+    std::uint32_t unit = 1;
+    if (pool == noIndex)
+        return unit;
+    for (const auto worker : table.pools[pool].workers)
+        unit = std::max(unit, table.workers[worker].slotProcessors);
+    return unit;
+}
+
+void resolveTeams(const model::Document &document, RoutingTable &table)
+{
+    std::unordered_map<std::string, Index> teams;
+    for (const auto &team : document.teams) {
+        teams.emplace(team.name, static_cast<Index>(table.teams.size()));
+        table.teams.push_back({team.name, static_cast<std::uint32_t>(team.processors)});
+    }
+    for (std::size_t i = 0; i < table.services.size(); ++i) {
+        const auto *section = document.section(document.services[i].section);
+        const auto at = section ? teams.find(section->team) : teams.end();
+        if (at == teams.end())
+            continue;
+        auto &service = table.services[i];
+        auto &team = table.teams[at->second];
+        service.team = at->second;
+        team.unit = std::max(team.unit, unitOf(table, service.pool));
+        team.unit = std::max(team.unit, unitOf(table, service.overflow));
+    }
 }
 
 ServiceSpec serviceOf(const model::Service &service,
@@ -65,6 +107,7 @@
         table.serviceIndex.emplace(service.name, static_cast<Index>(table.services.size()));
         table.services.push_back(serviceOf(service, pools));
     }
+    resolveTeams(document, table);
     return table;
 }
 
--- a/packages/policy/src/shares.cpp
+++ b/packages/policy/src/shares.cpp
@@ -21,6 +21,8 @@
     return XXH3_64bits_withSeed(entry.data(), entry.size(), seed);
 }
 
+} // namespace
+
 std::uint32_t partOf(std::uint32_t whole, std::size_t parts, std::size_t rank)
 {
     const auto count = static_cast<std::uint32_t>(parts);
@@ -28,8 +30,6 @@
     return whole / count + (rank < remainder ? 1 : 0);
 }
 
-} // namespace
-
 std::vector<std::string> sharersOf(const std::string &worker,
                                    const std::vector<std::string> &liveEntries)
 {
--- a/scripts/checks.sh
+++ b/scripts/checks.sh
@@ -38,6 +38,17 @@
 status_of() { curl -sf "http://$(admin_address "$1")/v1/status"; }
 field() { python3 -c 'import json,sys; print(json.load(sys.stdin)[sys.argv[1]])' "$1"; }
 
+live_at() { status_of "$1" | python3 -c 'import json,sys; print(len(json.load(sys.stdin)["live"]))'; }
+sees() { [ "$(live_at "$1")" = "$2" ]; }
+# all_see COUNT N...: waits until each of the entry VMs N sees COUNT live, and says how long it took.
+all_see() {
+    local count=$1 begin n
+    shift
+    begin=$(date +%s%N)
+    for n in "$@"; do wait_for 30 sees "$n" "$count"; done
+    echo "  entry VMs $* see $count live after $((($(date +%s%N) - begin) / 1000000)) ms"
+}
+
 # load NAME SECONDS: starts a steady load that ends by itself.
 load() {
     local list="" n
