Claims are kept from their outcome on; a team's quota is not blamed for another team's queue

Cause 1: retention counted from the claim, so a run longer than the retention was deleted when it ended, and its resend would have run again. Change: settledAt; rows without it count from the claim. Cause 2: the predicted wait put the whole pool's queue over the quota's capacity, so a request within its quota was refused as quota-reached behind another team's queue. Change: the wait for the quota counts the team's own queue; the longer of the two waits decides, and names the reason.

--- a/packages/entry/src/request/claim_settler.h
+++ b/packages/entry/src/request/claim_settler.h
@@ -51,7 +51,7 @@
             co_return settled;
         auto &claim = settled.current.claim;
         if (settled.settlement == policy::Settlement::Complete) {
-            claim.state = policy::ClaimState::Completed;
+            claim.settle(policy::ClaimState::Completed, this->environment.unixNow());
             claim.answer = settled.word.answer;
             const auto stored = co_await storeBody(this->environment, claim);
             if (!stored.ok()) {
@@ -59,7 +59,7 @@
                 co_return settled;
             }
         } else {
-            claim.state = policy::ClaimState::NotRun;
+            claim.settle(policy::ClaimState::NotRun, this->environment.unixNow());
         }
         const auto written = co_await this->environment.writeClaim(claim, existing.version);
         if (written.state == platform::WriteState::Written)
@@ -113,7 +113,7 @@
                 if (!stored.ok())
                     continue;
             } else {
-                left.claim.state = policy::ClaimState::NotRun;
+                left.claim.settle(policy::ClaimState::NotRun, environment.unixNow());
             }
             const auto written = co_await environment.writeClaim(left.claim, left.version);
             if (written.state == platform::WriteState::Written)
--- a/packages/entry/src/request/keyed_flow.h
+++ b/packages/entry/src/request/keyed_flow.h
@@ -197,7 +197,7 @@
         const auto left = timeLeft(this->environment, this->request);
         filled.startDeadline = filled.claimedAt + std::min(left, KeyedTimes{}.startWindow).count();
         filled.startRefusal = this->service.startRefusal;
-        filled.state = policy::ClaimState::Claimed;
+        filled.settle(policy::ClaimState::Claimed, 0);
         this->mustReadAgain = false;
     }
 
@@ -307,7 +307,7 @@
             co_return answer;
         }
         auto settled = this->claim;
-        settled.state = policy::ClaimState::NotRun;
+        settled.settle(policy::ClaimState::NotRun, this->environment.unixNow());
         const auto written = co_await this->environment.writeClaim(settled, this->version);
         if (written.state == platform::WriteState::Written) {
             this->hasClaim = false;
@@ -334,7 +334,7 @@
     {
         this->environment.reached(this->request, RequestStep::AnswerWhole);
         auto answer = workerAnswer(stored, this->claim.worker);
-        this->claim.state = policy::ClaimState::Completed;
+        this->claim.settle(policy::ClaimState::Completed, this->environment.unixNow());
         this->claim.answer = std::move(stored);
         const auto body =
             co_await ClaimSettler<Environment>::storeBody(this->environment, this->claim);
--- a/packages/platform/include/sassafrasferry/platform/claim_sweeper.h
+++ b/packages/platform/include/sassafrasferry/platform/claim_sweeper.h
@@ -31,7 +31,7 @@
 class ClaimSweeper
 {
 public:
-    /// `retention`: how long a claim is kept after it was made, in milliseconds.
+    /// `retention`: how long a claim is kept after it was settled, in milliseconds.
     ClaimSweeper(Tables &tables, Objects &objects, policy::UnixMilliseconds retention)
         : tables(tables)
         , objects(objects)
@@ -119,7 +119,7 @@
 
     enum class Fate {
         Delete,
-        ListAgain, ///< not settled: a resend must still find that it may have run
+        ListAgain, ///< not settled, or not long ago: a resend must still find it
         Leave, ///< claimed anew, and on a later list; or not readable
     };
 
@@ -129,7 +129,8 @@
         const auto found = claimFrom(row);
         if (!found.ok() || found->claim.claimedAt + this->retention > now)
             return Fate::Leave;
-        if (found->claim.state == policy::ClaimState::Claimed)
+        const bool isSettled = found->claim.state != policy::ClaimState::Claimed;
+        if (!isSettled || found->claim.settledAt + this->retention > now)
             return Fate::ListAgain;
         if (!found->claim.answer.object.empty())
             objectNames.push_back(found->claim.answer.object);
--- a/packages/platform/src/claim_rows.cpp
+++ b/packages/platform/src/claim_rows.cpp
@@ -20,6 +20,7 @@
               {"worker", claim.worker},
               {"workerAddress", claim.workerAddress},
               {"claimedAt", claim.claimedAt},
+              {"settledAt", claim.settledAt},
               {"startDeadline", claim.startDeadline},
               {"startRefusal", claim.startRefusal},
               {"state", std::string(model::nameOf(claim.state))}};
@@ -48,6 +49,8 @@
         json.at("worker").get_to(claim.worker);
         json.at("workerAddress").get_to(claim.workerAddress);
         json.at("claimedAt").get_to(claim.claimedAt);
+        // Rows of entry VMs of the version before have none.
+        claim.settledAt = json.value("settledAt", claim.claimedAt);
         json.at("startDeadline").get_to(claim.startDeadline);
         json.at("startRefusal").get_to(claim.startRefusal);
         const auto state = model::valueOf<ClaimState>(json.at("state").get<std::string>());
--- a/packages/platform/src/claim_rows_test.cpp
+++ b/packages/platform/src/claim_rows_test.cpp
@@ -19,6 +19,7 @@
     claim.worker = "w";
     claim.workerAddress = "127.0.0.1:1";
     claim.claimedAt = 11;
+    claim.settledAt = 14;
     claim.startDeadline = 12;
     claim.state = state;
     if (state == policy::ClaimState::Completed)
--- a/packages/policy/include/sassafrasferry/policy/claim.h
+++ b/packages/policy/include/sassafrasferry/policy/claim.h
@@ -46,10 +46,18 @@
     std::string worker;
     std::string workerAddress;
     UnixMilliseconds claimedAt = 0;
+    UnixMilliseconds settledAt = 0; ///< when its outcome became known; 0 while it is not
     UnixMilliseconds startDeadline = 0; ///< a worker refuses to start it later than this
     bool startRefusal = true; ///< the worker keeps to the start deadline
     ClaimState state = ClaimState::Claimed;
     StoredAnswer answer; ///< once completed
+
+    /// It stands so since `at`; 0 for a claim whose outcome is open.
+    void settle(ClaimState newState, UnixMilliseconds at)
+    {
+        this->state = newState;
+        this->settledAt = at;
+    }
 };
 
 /// What to do with a request whose key has a claim already.
--- a/packages/policy/include/sassafrasferry/policy/dispatcher.h
+++ b/packages/policy/include/sassafrasferry/policy/dispatcher.h
@@ -149,7 +149,8 @@
     void divideQuotas();
     const TeamState *limitingTeam(const ServiceState &service) const;
     bool quotaHasRoom(const ServiceState &service, Instant now) const;
-    double quotaCapacity(const ServiceState &service, double capacity, Instant now) const;
+    Duration quotaWait(const ServiceState &service, model::RequestClass requestClass,
+                       Instant now) const;
     void charge(const ServiceState &service, const WorkerState &worker, RequestId id);
     void discharge(RequestId id);
     std::optional<Grant> tryGrant(Index service, const Submission &request, Instant now);
--- a/packages/policy/src/dispatcher_admission.cpp
+++ b/packages/policy/src/dispatcher_admission.cpp
@@ -84,14 +84,15 @@
         if (auto grant = this->tryGrant(at->second, request, now))
             return *grant;
     }
-    const double slots = this->capacityFor(*service, now);
-    if (slots <= 0)
+    const double capacity = this->capacityFor(*service, now);
+    if (capacity <= 0)
         return this->refuse(request.id, RefusalReason::NoWorkers, noWorkersRetryAfter);
     const auto *team = this->limitingTeam(*service);
     if (team && team->quota.isTooSmall())
         return this->refuse(request.id, RefusalReason::QuotaTooSmall, Duration{});
-    const double capacity = this->quotaCapacity(*service, slots, now);
-    const auto wait = this->predictedWait(*service, request.requestClass, capacity);
+    const auto slotWait = this->predictedWait(*service, request.requestClass, capacity);
+    const auto quotaWait = this->quotaWait(*service, request.requestClass, now);
+    const auto wait = std::max(slotWait, quotaWait);
     const bool decidesByDeadline = this->settings.admission == AdmissionPolicy::Deadline;
     const auto run = decidesByDeadline ? service->runTimes.median() : Duration{};
     const auto queueBound = static_cast<std::size_t>(this->settings.queueBound);
@@ -100,8 +101,8 @@
         return this->refuse(request.id, RefusalReason::QueueFull, wait);
     if (decidesByDeadline && now + wait + run > request.deadline)
         return this->refuse(request.id,
-                            capacity < slots ? RefusalReason::QuotaReached
-                                             : RefusalReason::DeadlineUnreachable,
+                            quotaWait > slotWait ? RefusalReason::QuotaReached
+                                                 : RefusalReason::DeadlineUnreachable,
                             std::max(leastRetryAfter, now + wait + run - request.deadline));
     this->giveUps.insert({request.deadline - run, request.id, at->second});
     const Queued queued{service->queue.sizeUpTo(request.requestClass), wait};
--- a/packages/policy/src/dispatcher_quota.cpp
+++ b/packages/policy/src/dispatcher_quota.cpp
@@ -2,7 +2,6 @@
 #include <sassafrasferry/policy/dispatcher.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace sassafrasferry::policy {
 
@@ -47,14 +46,18 @@
     return !team || team->quota.hasRoom(now);
 }
 
-double Dispatcher::quotaCapacity(const ServiceState &service, double capacity, Instant now) const
+Duration Dispatcher::quotaWait(const ServiceState &service, model::RequestClass requestClass,
+                               Instant now) const
 {
     const auto *team = this->limitingTeam(service);
     if (!team)
-        return capacity;
-    // At least one: an entry VM without a part of its own borrows.
-    const auto units = std::max(1U, team->quota.allowed(now) / team->quota.unitSize());
-    return std::min(capacity, static_cast<double>(units));
+        return {};
+    std::size_t ahead = 0;
+    for (const auto &other : this->services)
+        ahead += other.team == service.team ? other.queue.sizeUpTo(requestClass) : 0;
+    // At least one at a time: an entry VM without a part of its own borrows.
+    const auto atOnce = std::max(1U, team->quota.allowed(now) / team->quota.unitSize());
+    return fromSeconds(static_cast<double>(ahead + 1) * service.runTimes.meanSeconds() / atOnce);
 }
 
 void Dispatcher::charge(const ServiceState &service, const WorkerState &worker, RequestId id)
--- a/packages/policy/src/dispatcher_quota_test.cpp
+++ b/packages/policy/src/dispatcher_quota_test.cpp
@@ -127,6 +127,37 @@
     CHECK(dispatcher.teamStatus(start)[0].inUse == 12);
 }
 
+TEST_CASE("a long queue of another team does not make a team's quota look used up")
+{
+    // The pool of 16 slots has 100 quotes waiting, 0.7 s of work. An invoice within its quota waits
+    // as long as a quote does, and is in time.
+    auto dispatcher = dispatcherOf("a", {"a"}, 12);
+    fill(dispatcher, "quote");
+    for (int i = 0; i < 100; ++i)
+        submit(dispatcher, "quote");
+    Submission invoice;
+    invoice.id = RequestId{++lastId};
+    invoice.service = "invoice";
+    invoice.deadline = start + 2s;
+    CHECK(std::holds_alternative<Queued>(dispatcher.submit(invoice, start)));
+}
+
+TEST_CASE("what waits longer for the quota than for a slot is refused for the quota")
+{
+    auto dispatcher = dispatcherOf("a", {"a"}, slotProcessors);
+    fill(dispatcher, "invoice");
+    for (int i = 0; i < 30; ++i)
+        submit(dispatcher, "invoice");
+    Submission invoice;
+    invoice.id = RequestId{++lastId};
+    invoice.service = "invoice";
+    invoice.deadline = start + 2s;
+    const auto admission = dispatcher.submit(invoice, start);
+    REQUIRE(std::holds_alternative<Refusal>(admission));
+    CHECK(std::get<Refusal>(admission).reason == RefusalReason::QuotaReached);
+    CHECK(std::get<Refusal>(admission).retryAfter > 0s);
+}
+
 TEST_CASE("what a finished request held is free for the next of its team")
 {
     auto dispatcher = dispatcherOf("a", {"a"}, 12);
