--- a/packages/platform/include/sassafrasferry/platform/claim_sweeper.h
+++ b/packages/platform/include/sassafrasferry/platform/claim_sweeper.h
@@ -64,40 +64,36 @@
         std::size_t deleted = 0;
     };
 
+    // What is to be done about the lists that are due, in one transaction.
+    struct Plan
+    {
+        Transaction transaction;
+        std::vector<std::string> objects; // to be removed
+        std::vector<RowKey> open; // claims to be listed again
+        std::size_t deleted = 0;
+    };
+
     Awaitable<absl::StatusOr<Page>> sweepPage(policy::UnixMilliseconds now, Condition fence)
     {
         const ScanRange range{expiryTable, "", mostLists};
         const auto lists = co_await this->tables.scan(range);
         if (!lists.ok())
             co_return lists.status();
-        Transaction transaction;
-        transaction.conditions.push_back(fence);
-        const auto keys = takeDue(*lists, now, transaction);
-        if (transaction.deletes.empty())
+        Plan plan;
+        plan.transaction.conditions.push_back(fence);
+        const auto keys = takeDue(*lists, now, plan.transaction);
+        if (plan.transaction.deletes.empty())
             co_return Page{};
         const auto rows = co_await this->tables.read(keys);
         if (!rows.ok())
             co_return rows.status();
-        std::vector<RowKey> open;
-        std::vector<std::string> objectNames;
-        Page page{true, 0};
-        for (const auto &row : *rows) {
-            switch (this->fateOf(row, now, objectNames)) {
-            case Fate::Delete:
-                transaction.conditions.push_back({row.key, row.version});
-                transaction.deletes.push_back(row.key);
-                ++page.deleted;
-                break;
-            case Fate::ListAgain:
-                open.push_back(row.key);
-                break;
-            case Fate::Leave:
-                break;
-            }
-        }
-        if (!open.empty())
-            transaction.puts.push_back(expiryList(now + this->retention, open.front().key, open));
-        const auto status = co_await this->finish(std::move(transaction), std::move(objectNames));
+        for (const auto &row : *rows)
+            this->decide(row, now, plan);
+        if (!plan.open.empty())
+            plan.transaction.puts.push_back(
+                expiryList(now + this->retention, plan.open.front().key, plan.open));
+        const Page page{true, plan.deleted};
+        const auto status = co_await this->carryOut(std::move(plan));
         if (!status.ok())
             co_return status;
         co_return page;
@@ -117,37 +113,36 @@
         return {keys.begin(), keys.end()};
     }
 
-    enum class Fate {
-        Delete,
-        ListAgain, ///< not settled, or not long ago: a resend must still find it
-        Leave, ///< claimed anew, and on a later list; or not readable
-    };
-
-    Fate fateOf(const Row &row, policy::UnixMilliseconds now,
-                std::vector<std::string> &objectNames) const
+    // A claim that is not settled, or not long ago, as one claimed anew, is listed again: a resend
+    // must still find it. One that cannot be read is left alone.
+    void decide(const Row &row, policy::UnixMilliseconds now, Plan &plan) const
     {
         const auto found = claimFrom(row);
-        if (!found.ok() || found->claim.claimedAt + this->retention > now)
-            return Fate::Leave;
+        if (!found.ok())
+            return;
         const bool isSettled = found->claim.state != policy::ClaimState::Claimed;
-        if (!isSettled || found->claim.settledAt + this->retention > now)
-            return Fate::ListAgain;
+        if (!isSettled || found->claim.settledAt + this->retention > now) {
+            plan.open.push_back(row.key);
+            return;
+        }
         if (!found->claim.answer.object.empty())
-            objectNames.push_back(found->claim.answer.object);
-        return Fate::Delete;
+            plan.objects.push_back(found->claim.answer.object);
+        plan.transaction.conditions.push_back({row.key, row.version});
+        plan.transaction.deletes.push_back(row.key);
+        ++plan.deleted;
     }
 
     // Objects go first: removed after the rows, they would stay for good if the sweeper died
     // between. A completed claim never changes, so nothing can want them back; a replay in the
     // moment between is told that the outcome is not known.
-    Awaitable<absl::Status> finish(Transaction transaction, std::vector<std::string> objectNames)
+    Awaitable<absl::Status> carryOut(Plan plan)
     {
-        for (const auto &name : objectNames) {
+        for (const auto &name : plan.objects) {
             const auto status = co_await this->objects.remove(name);
             if (!status.ok())
                 co_return status;
         }
-        const auto commit = co_await this->tables.commit(std::move(transaction));
+        const auto commit = co_await this->tables.commit(std::move(plan.transaction));
         if (commit.state != CommitState::Committed)
             co_return absl::UnavailableError("claims were not deleted, or it is not known");
         co_return absl::OkStatus();
--- a/packages/policy/src/dispatcher_preemption.cpp
+++ b/packages/policy/src/dispatcher_preemption.cpp
@@ -36,6 +36,12 @@
 
 void Dispatcher::makeRoom(Changes &changes, Instant now)
 {
+    const bool isNeeded =
+        std::any_of(this->services.begin(), this->services.end(), [&](const auto &service) {
+            return service.present && this->overdueUrgent(service, now) > 0;
+        });
+    if (!isNeeded)
+        return;
     // What is being stopped already will serve requests that wait: stopping one more run at every
     // tick until the first slot is free would empty the pool.
     std::vector<std::size_t> coming(this->pools.size());
