--- a/packages/platform/include/sassafrasferry/platform/document_store.h
+++ b/packages/platform/include/sassafrasferry/platform/document_store.h
@@ -166,6 +166,11 @@
         const auto entries = co_await this->history(known.revision);
         if (!entries.ok())
             co_return entries.status();
+        if (entries->size() >= historyPage) {
+            // There may be more changes than were told; all of the document is less to read.
+            auto texts = co_await this->loadAll();
+            co_return texts;
+        }
         auto newest = known.revision;
         std::vector<RowKey> keys{headKey()};
         for (const auto &entry : *entries) {
--- a/packages/platform/src/document_store_test.cpp
+++ b/packages/platform/src/document_store_test.cpp
@@ -78,6 +78,27 @@
     CHECK(after.section("fleet")->text == fleetText());
 }
 
+TEST_CASE("an entry VM that is far behind reads the document whole")
+{
+    // It was cut off for hours. History comes in pages; were it to trust a single one, it would
+    // miss the changes behind it, find that the revisions differ, and stay behind for good.
+    Fixture fixture;
+    fixture.apply(fleet());
+    const auto known = fixture.load();
+    std::int64_t revision = 0;
+    for (std::size_t i = 0; i <= historyPage; ++i) {
+        const auto text = billingText("change " + std::to_string(i));
+        const auto change =
+            fixture.apply({"billing", text, revision, "op" + std::to_string(i), "bill-token"});
+        REQUIRE(change.state == ChangeState::Accepted);
+        revision = change.revision;
+    }
+    const auto texts = fakes::run(fixture.context, fixture.store.load(known));
+    REQUIRE(texts.ok());
+    CHECK(texts->revision == revision);
+    CHECK(texts->section("billing")->text == billingText("change " + std::to_string(historyPage)));
+}
+
 TEST_CASE("what is not accepted changes nothing, and says why")
 {
     const auto row = GENERATE(values<RefusalCase>({
