A team at its quota asks for no slots of other entry VMs

Cause: the wish for slots counted requests that wait for their team's quota; slots lent for them stood idle where another team could have used them. Change: only requests whose team has room are counted.

--- a/packages/policy/src/dispatcher_loans.cpp
+++ b/packages/policy/src/dispatcher_loans.cpp
@@ -31,8 +31,9 @@
         std::size_t count = 0;
         std::size_t urgent = 0;
         for (const auto index : pool.services) {
-            count += this->services[index].queue.size();
-            urgent += this->overdueUrgent(this->services[index], now);
+            const auto &service = this->services[index];
+            count += this->quotaHasRoom(service, now) ? service.queue.size() : 0;
+            urgent += this->overdueUrgent(service, now);
         }
         if (count > 0)
             wishes.push_back({pool.name, wishedSlots(count), wishedSlots(urgent)});
--- a/packages/policy/src/dispatcher_quota_test.cpp
+++ b/packages/policy/src/dispatcher_quota_test.cpp
@@ -158,6 +158,16 @@
     CHECK(std::get<Refusal>(admission).retryAfter > 0s);
 }
 
+TEST_CASE("a team at its quota asks for no slots of other entry VMs")
+{
+    // Slots lent to it would stand idle, and be missing where another team has work.
+    auto dispatcher = dispatcherOf("a", {"a"}, 12);
+    fill(dispatcher, "invoice");
+    CHECK(dispatcher.loanWishes(start).empty());
+    fill(dispatcher, "quote");
+    CHECK(dispatcher.loanWishes(start).size() == 1);
+}
+
 TEST_CASE("what a finished request held is free for the next of its team")
 {
     auto dispatcher = dispatcherOf("a", {"a"}, 12);
