A stop decided while its request ends is not kept for nobody

Cause: the registration of a stop was dropped when the exchange ended, a moment before the run was reported as ended; a stop decided in between stood in the table for good, an entry for each such race. Ruled out: an abort that touches a freed connection; the client clears its handle when it ends. Change: SharedDispatcher::finish drops it in one step with the end of the run. Seen: tests of the hand-over between threads, early and late, 8 assertions, plain and under the address sanitizer; the race itself is not caused by a test. Conclusion: a leak of tens of bytes a race, no wrong stop.

--- a/packages/entry/src/connection/traffic_environment.cpp
+++ b/packages/entry/src/connection/traffic_environment.cpp
@@ -157,8 +157,7 @@
 void TrafficEnvironment::finish(const policy::RunReport &report)
 {
     this->parts.metrics.sent(report.result);
-    this->parts.dispatcher.change(
-        [&](policy::Dispatcher &dispatcher) { return dispatcher.finish(report, this->now()); });
+    this->parts.dispatcher.finish(report, this->now());
 }
 
 bool TrafficEnvironment::jobFailed(policy::JobFingerprint job, policy::Index worker)
@@ -203,8 +202,6 @@
     auto exchange = co_await this->upstreams.client(grant.address)
                         .exchange(std::move(message), options.timeout, abort);
     cancellation.whenRequested(nullptr);
-    if (grant.preemptible)
-        this->parts.dispatcher.forgetPreemption(grant.id);
     auto result = sendResult(exchange, abort->aborted());
     if (result.state == SendState::Cancelled && *isPreempted && !cancellation.requested())
         result.state = SendState::Preempted;
--- a/packages/entry/src/process/shared_dispatcher.cpp
+++ b/packages/entry/src/process/shared_dispatcher.cpp
@@ -64,10 +64,13 @@
         stop();
 }
 
-void SharedDispatcher::forgetPreemption(RequestId id)
+void SharedDispatcher::finish(const policy::RunReport &report, policy::Instant now)
 {
-    const std::lock_guard lock(this->mutex);
-    this->stops.erase(id);
+    this->change([&](policy::Dispatcher &policyDispatcher) {
+        // In one step with the end of the run: a stop in between would be kept for nobody.
+        this->stops.erase(report.id);
+        return policyDispatcher.finish(report, now);
+    });
 }
 
 std::vector<std::function<void()>> SharedDispatcher::takeStops(const policy::Changes &changes)
--- a/packages/entry/src/process/shared_dispatcher.h
+++ b/packages/entry/src/process/shared_dispatcher.h
@@ -35,8 +35,8 @@
     /// Calls `stop` once, on whatever thread, if a granted request must make room; at once if it
     /// had to before this call.
     void whenPreempted(policy::RequestId id, std::function<void()> stop);
-    /// The granted request has ended.
-    void forgetPreemption(policy::RequestId id);
+    /// A granted request has ended.
+    void finish(const policy::RunReport &report, policy::Instant now);
 
     /// Calls `use(dispatcher)` under the lock.
     template<typename Use>
