The term of a loan stands once, for slots and quotas

Conclusion: no change of behaviour but that a lender's term is cut to whole milliseconds, as the borrower's was.

--- a/packages/policy/include/sassafrasferry/policy/loans.h
+++ b/packages/policy/include/sassafrasferry/policy/loans.h
@@ -33,6 +33,12 @@
     std::chrono::milliseconds term{};
 };
 
+/// How long a loan lasts for work with this mean run time.
+std::chrono::milliseconds loanTerm(double meanRunSeconds);
+/// How long the borrower starts work on a loan. The lender counts it again at the end of the term;
+/// what starts in the last quarter would mostly still run then.
+std::chrono::milliseconds usableTerm(std::chrono::milliseconds term);
+
 /// What one entry VM has lent or borrowed of one worker.
 class LoanBook
 {
--- a/packages/policy/src/dispatcher_loans.cpp
+++ b/packages/policy/src/dispatcher_loans.cpp
@@ -10,7 +10,6 @@
 using model::RequestClass;
 using model::RoutingPolicy;
 
-constexpr Duration leastLoan = std::chrono::milliseconds(500);
 constexpr std::size_t mostWished = 16;
 
 std::uint32_t wishedSlots(std::size_t waiting)
@@ -69,8 +68,7 @@
     double runSeconds = 0;
     for (const auto index : pool.services)
         runSeconds = std::max(runSeconds, this->services[index].runTimes.meanSeconds());
-    const auto term = std::max(leastLoan, fromSeconds(4 * runSeconds));
-    loan.term = std::chrono::duration_cast<std::chrono::milliseconds>(term);
+    loan.term = loanTerm(runSeconds);
     std::uint32_t left = wanted;
     for (const auto index : pool.workers) {
         auto &worker = this->workers[index];
@@ -78,7 +76,7 @@
         if (left == 0 || worker.inUse >= allowed || worker.isLeaving(now))
             continue;
         const auto slots = std::min(left, allowed - worker.inUse);
-        worker.lent.add(slots, now + term, now);
+        worker.lent.add(slots, now + loan.term, now);
         loan.items.push_back({worker.spec.name, slots});
         left -= slots;
     }
@@ -91,10 +89,7 @@
         const auto at = this->workerIndex.find(item.worker);
         if (at == this->workerIndex.end())
             continue;
-        // The lender takes its slots back at the end of the term; what starts in the last quarter
-        // would mostly still run then, and the worker would refuse the lender.
-        constexpr int quarters = 4;
-        this->workers[at->second].borrowed.add(item.slots, now + loan.term * 3 / quarters, now);
+        this->workers[at->second].borrowed.add(item.slots, now + usableTerm(loan.term), now);
     }
     this->serveAll(changes, now);
     return changes;
--- a/packages/policy/src/dispatcher_quota.cpp
+++ b/packages/policy/src/dispatcher_quota.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Duration leastQuotaLoan = std::chrono::milliseconds(500);
 constexpr std::uint32_t mostWishedUnits = 16;
 
 } // namespace
@@ -107,9 +106,8 @@
             return loan; // this entry VM wants its part itself
         runSeconds = std::max(runSeconds, service.runTimes.meanSeconds());
     }
-    const auto term = std::max(leastQuotaLoan, fromSeconds(4 * runSeconds));
-    loan.term = std::chrono::duration_cast<std::chrono::milliseconds>(term);
-    loan.processors = this->teams[at->second].quota.lend(wish.processors, now + term, now);
+    loan.term = loanTerm(runSeconds);
+    loan.processors = this->teams[at->second].quota.lend(wish.processors, now + loan.term, now);
     return loan;
 }
 
@@ -119,9 +117,7 @@
     const auto at = this->teamIndex.find(loan.team);
     if (at == this->teamIndex.end())
         return changes;
-    // As with slots: what starts late in the term would still run when the lender counts it again.
-    constexpr int quarters = 4;
-    this->teams[at->second].quota.borrow(loan.processors, now + loan.term * 3 / quarters, now);
+    this->teams[at->second].quota.borrow(loan.processors, now + usableTerm(loan.term), now);
     this->serveAll(changes, now);
     return changes;
 }
