A cut keeps the view though its silences begin one by one

An entry VM that loses more than half of its peers at once keeps its view; "at once" counted only peers silent for the whole timeout. Heartbeats arrive spread over a round, so the first peer was dropped before the second counted, and each next one was alone again. Ruled out: load of the machine (the new test has a virtual clock and fails for 2, 3 and 6 peers), a shorter script wait. The same happened at the end of a cut: the first peer heard again made the others the few, and they were dropped for a round. Change: a silence counts from half the timeout on, and the view is kept for half a timeout after. Conclusion: the promise "does not conclude that it is alone" holds now; it did not before.

--- a/packages/policy/include/sassafrasferry/policy/membership.h
+++ b/packages/policy/include/sassafrasferry/policy/membership.h
@@ -29,12 +29,16 @@
 
 /// The view of one entry VM on the others. Single-threaded.
 ///
-/// An entry VM that loses half of the others or more at once cannot tell their death from being
+/// An entry VM that loses more than half of the others at once cannot tell their death from being
 /// cut off itself. If it took their slots while they live, every worker would be overcommitted
 /// for as long as the cut lasts. So it keeps the view it had. If it still hears some peers, it
 /// takes the silent ones for gone after `patience` timeouts: else the loss of two data centres for
 /// good would leave the survivors with the small shares they had. One that hears nobody keeps
 /// waiting.
+///
+/// "At once" counts a peer from half its timeout on. Heartbeats arrive spread over a round, and so
+/// do the ends of their silences: by the time the first peer of a cut is silent for the whole
+/// timeout, the last one must already count, or the peers are dropped one by one.
 class Membership
 {
 public:
@@ -71,14 +75,16 @@
     static constexpr int patience = 15; // timeouts
 
     bool silent(const Peer &peer, Instant now) const;
+    bool overdue(const Peer &peer, Instant now) const;
     bool hearsSomebody(Instant now) const;
-    std::size_t silentAtOnce(Instant now) const;
+    std::size_t overdueAtOnce(Instant now) const;
 
     std::string self;
     std::vector<Peer> peers;
     Duration timeout;
     bool leaving = false;
     std::optional<Instant> cutSince; // set while the view is kept
+    Instant cutSeen{}; // the last time that this entry VM counted as cut off
     std::vector<std::string> view; // sorted; what `live` last returned
 };
 
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -50,17 +50,22 @@
     return now - peer.lastHeard > this->timeout;
 }
 
+bool Membership::overdue(const Peer &peer, Instant now) const
+{
+    return now - peer.lastHeard > this->timeout / 2;
+}
+
 bool Membership::hearsSomebody(Instant now) const
 {
     return std::any_of(this->peers.begin(), this->peers.end(),
                        [&](const Peer &peer) { return !this->silent(peer, now); });
 }
 
-std::size_t Membership::silentAtOnce(Instant now) const
+std::size_t Membership::overdueAtOnce(Instant now) const
 {
     return static_cast<std::size_t>(
         std::count_if(this->peers.begin(), this->peers.end(), [&](const Peer &peer) {
-            return !peer.state.leaving && this->silent(peer, now)
+            return !peer.state.leaving && this->overdue(peer, now)
                    && std::binary_search(this->view.begin(), this->view.end(), peer.state.name);
         }));
 }
@@ -68,7 +73,7 @@
 bool Membership::cutOff(Instant now) const
 {
     const auto others = this->view.size() - (this->leaving ? 0 : 1);
-    return others >= 2 && 2 * this->silentAtOnce(now) > others;
+    return others >= 2 && 2 * this->overdueAtOnce(now) > others;
 }
 
 const std::vector<std::string> &Membership::live(Instant now)
@@ -76,6 +81,12 @@
     if (this->cutOff(now)) {
         if (!this->cutSince)
             this->cutSince = now;
+        this->cutSeen = now;
+    }
+    // For a while after the cut too: its end is heard from one peer before the others, and those
+    // would for that moment count as silent, now that they are no longer the most.
+    const bool isCut = this->cutSince && now - this->cutSeen <= this->timeout / 2;
+    if (isCut) {
         const bool isOver = now - *this->cutSince > patience * this->timeout;
         if (!isOver || !this->hearsSomebody(now))
             return this->view;
--- a/packages/policy/src/membership_test.cpp
+++ b/packages/policy/src/membership_test.cpp
@@ -47,6 +47,31 @@
     CHECK(membership.cutOff(start + 3s) == row.cutOff);
 }
 
+TEST_CASE("a cut keeps the view though its silences begin and end one by one")
+{
+    // The caller sees refusals by workers for as long as a cut entry VM counts on its peers' slots.
+    // Heartbeats arrive at different moments of a round. So at the cut one peer's silence is over
+    // the timeout before the others' are, and at its end one peer is heard before the others. Were
+    // only full silences counted, the peers would be dropped one at a time, none of them "most".
+    const auto count = GENERATE(as<std::size_t>{}, 2, 3, 6);
+    const std::vector<std::string> names(peers.begin(), peers.begin() + static_cast<long>(count));
+    const auto cutBegins = start + 2s;
+    const auto cutEnds = start + 12s;
+    Membership membership("a", names, 1500ms, start);
+    std::size_t fewest = count + 1;
+    for (auto at = start; at <= start + 15s; at += 10ms) {
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto offset = 10ms * static_cast<long>(240 * i / count / 10);
+            const bool isSent = (at - start) % 250ms == offset;
+            if (isSent && (at < cutBegins || at >= cutEnds))
+                membership.heard({names[i], 1, 1, false}, at);
+        }
+        fewest = std::min(fewest, membership.live(at).size());
+    }
+    CHECK(fewest == count + 1);
+    CHECK_FALSE(membership.cutOff(start + 15s));
+}
+
 TEST_CASE("the loss of most entry VMs for good is accepted after a while, a cut is not")
 {
     const auto heard = GENERATE(as<std::vector<std::string>>{}, std::vector<std::string>{},
