A change that moves a VM writes its row, in the daemon too

Cause: found by reading. DocumentStore took the rows of a move and checked them, but its transaction left them out, and the daemon never passed any. So a change of the document put a VM into its new pool at once, with requests of the old pool still running on it, against "a VM belongs to exactly one pool at any moment". The test that was named for it asserted only what moveRows returned. Ruled out: that the runner or the entry VMs' marks were at fault; both are tested and right, they had no row to act on. Change: the rows go into the change's transaction with "must not exist yet", and the fleet's head with them; Control::apply asks for them. Conclusion: moves by the document drain first, now also where it counts.

--- a/packages/entry/src/process/control_document.cpp
+++ b/packages/entry/src/process/control_document.cpp
@@ -163,8 +163,17 @@
 
 Awaitable<platform::ChangeResult> Control::apply(platform::SectionChange change)
 {
+    using Documents = platform::DocumentStore<platform::TableClient>;
+    const Documents::ExtraRowsOf moves = [](const model::Document &current,
+                                            const model::Document &changed) {
+        Documents::ExtraRows rows;
+        rows.fresh = fleet::moveRows(current, changed, http::unixNow());
+        if (!rows.fresh.empty())
+            rows.touched.push_back({fleet::fleetHeadKey(), platform::Json::object()});
+        return rows;
+    };
     auto result =
-        co_await this->documents.apply(std::move(change), this->versions.current()->texts);
+        co_await this->documents.apply(std::move(change), this->versions.current()->texts, moves);
     if (result.state == platform::ChangeState::Accepted)
         this->documentTimer.cancel();
     co_return result;
--- a/packages/fleet/src/wave_runner_test.cpp
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -4,7 +4,6 @@
 #include "../tests/fleet_world.h"
 
 #include <sassafrasferry/fakes/run.h>
-#include <sassafrasferry/fleet/move_rows.h>
 
 #include <catch2/catch.hpp>
 
@@ -292,26 +291,6 @@
     CHECK(run.out() == 0);
 }
 
-TEST_CASE("a change that moves a VM writes its row in the same transaction")
-{
-    // Between the change and the row an entry VM could use the VM in its new pool while it still
-    // has work of the old one. A second move before the first has ended is refused.
-    const auto before = document();
-    auto after = before;
-    after.revision = 2;
-    after.pools.push_back({"q", "s", false, {after.pools[0].vms.back()}});
-    after.pools[0].vms.pop_back();
-    const auto puts = moveRows(before, after, 7);
-    REQUIRE(puts.size() == 1);
-    const auto row = vmFrom({puts[0].key, 1, puts[0].value});
-    CHECK(row->name == "w7");
-    CHECK(row->pool == "p");
-    CHECK(row->target == "q");
-    CHECK(row->state == VmState::Draining);
-    CHECK(row->revision == 2);
-    CHECK(moveRows(before, before, 7).empty());
-}
-
 TEST_CASE("a process without the lease changes nothing")
 {
     // It was paused, another one took the lease over, and it goes on with what it had decided.
--- a/packages/platform/include/sassafrasferry/platform/document_store.h
+++ b/packages/platform/include/sassafrasferry/platform/document_store.h
@@ -71,14 +71,19 @@
         co_return absl::UnavailableError("the document changes faster than it can be read");
     }
 
-    /// Rows that a change needs besides its own; none of them may exist yet.
-    using ExtraRows = std::function<std::vector<Put>(const model::Document &current,
-                                                     const model::Document &changed)>;
+    /// Rows that a change writes besides its own, in the same transaction.
+    struct ExtraRows
+    {
+        std::vector<Put> fresh; ///< none of them may exist yet
+        std::vector<Put> touched; ///< written whatever they hold
+    };
+    using ExtraRowsOf =
+        std::function<ExtraRows(const model::Document &current, const model::Document &changed)>;
 
     /// Applies a change. A change whose answer was lost is settled by its operation id. `known`:
     /// any texts read before; they save reading. `extraRows` may be empty.
     Awaitable<ChangeResult> apply(SectionChange change, DocumentTexts known,
-                                  ExtraRows extraRows = {})
+                                  ExtraRowsOf extraRows = {})
     {
         bool mayBeApplied = false;
         for (int round = 0; round < mostRounds; ++round) {
@@ -210,11 +215,11 @@
         bool isApproved = false;
         std::string team;
         ChangeResult result;
-        std::vector<Put> extraRows;
+        ExtraRows extraRows;
     };
 
     Awaitable<Attempt> attempt(SectionChange change, DocumentTexts &known,
-                               const ExtraRows &extraRows)
+                               const ExtraRowsOf &extraRows)
     {
         const std::vector<RowKey> keys{headKey(), sectionKey(change.section),
                                        operationKey(change.operationId)};
@@ -239,7 +244,7 @@
                              {},
                              current ? current->text : std::string()});
         auto approval = approve(*texts, change, extraRows);
-        if (approval.isApproved && !approval.extraRows.empty())
+        if (approval.isApproved && !approval.extraRows.fresh.empty())
             co_await this->checkExtraRows(change, approval);
         if (!approval.isApproved)
             co_return final(std::move(approval.result));
@@ -258,7 +263,7 @@
     Awaitable<void> checkExtraRows(const SectionChange &change, Approval &approval)
     {
         std::vector<RowKey> keys;
-        for (const auto &put : approval.extraRows)
+        for (const auto &put : approval.extraRows.fresh)
             keys.push_back(put.key);
         const auto rows = co_await this->tables.read(keys);
         if (!rows.ok())
@@ -273,7 +278,7 @@
 
     // Validates the merged document.
     static Approval approve(const DocumentTexts &texts, const SectionChange &change,
-                            const ExtraRows &extraRows)
+                            const ExtraRowsOf &extraRows)
     {
         model::Findings ignored;
         const auto current = model::parseDocument(texts.sections, texts.revision, ignored);
@@ -291,7 +296,7 @@
         return {true,
                 owner ? owner->team : std::string(),
                 {ChangeState::Accepted, merged.revision, {}, {}},
-                extraRows ? extraRows(current, changed) : std::vector<Put>()};
+                extraRows ? extraRows(current, changed) : ExtraRows()};
     }
 
     static Transaction transactionOf(const SectionChange &change, const Approval &approval,
@@ -311,6 +316,12 @@
               {"team", approval.team},
               {"operationId", change.operationId}}},
             {operationKey(change.operationId), {{"revision", revision}}}};
+        for (const auto &put : approval.extraRows.fresh) {
+            transaction.conditions.push_back({put.key, absent});
+            transaction.puts.push_back(put);
+        }
+        for (const auto &put : approval.extraRows.touched)
+            transaction.puts.push_back(put);
         return transaction;
     }
 
--- a/scripts/checks.sh
+++ b/scripts/checks.sh
@@ -55,7 +55,7 @@
     for ((n = 1; n <= entries; ++n)); do list+="${list:+,}$(caller_address "$n")"; done
     start "load-$1" "$fleet_bin/packages/standins/standin-load" --entries "$list" \
         --health "$admin_list" --workers "$(worker_address 1)" --worker-count $workers \
-        --services invoice:urgent:keyed,quote:normal --rate 150 --surge 1 --lull 1 \
+        --services "${load_services:-invoice:urgent:keyed,quote:normal}" --rate 150 --surge 1 --lull 1 \
         --phase-ms $(($2 * 1000 / 3)) --run-ms 30 --deadline-ms 3000 --pool-slots 96 \
         --seed "$((++load_seed))"
 }
