--- a/packages/cli/src/fleet_commands.cpp
+++ b/packages/cli/src/fleet_commands.cpp
@@ -101,15 +101,19 @@
                 if (count.get<int>() > 0)
                     std::cout << " " << count << " " << state;
             }
-            std::cout << "; " << pool.value("mayBeOut", 0)
-                      << " may be out; next: " << pool.value("next", "") << "; about "
-                      << pool.value("forecastMs", std::int64_t{0}) / 1000 << " s left\n";
+            std::cout << "; " << pool.value("mayBeOut", 0) << " may be out, "
+                      << pool.value("borrowed", 0) << " borrowed; next: " << pool.value("next", "")
+                      << "; about " << pool.value("forecastMs", std::int64_t{0}) / 1000
+                      << " s left\n";
         }
     }
     for (const auto &vm : answer->body["vms"])
         std::cout << "vm " << vm.value("name", "") << " of pool " << vm.value("pool", "") << ": "
                   << vm.value("state", "")
                   << (vm.value("target", "").empty() ? "" : " to pool " + vm.value("target", ""))
+                  << (vm.value("home", "").empty() ? ""
+                                                   : " (lent by " + vm.value("home", "") + " for "
+                                                         + vm.value("purpose", "") + ")")
                   << "\n";
     return exit_code::ok;
 }
--- a/packages/entry/src/process/admin_waves.cpp
+++ b/packages/entry/src/process/admin_waves.cpp
@@ -17,14 +17,13 @@
 Json waveJson(const model::Wave &wave, const fleet::WaveRow &row, const fleet::FleetRows &rows,
               const fleet::FleetView &view)
 {
-    using Runner = fleet::WaveRunner<platform::TableClient, fleet::VmControlClient>;
     auto pools = Json::array();
     for (const auto &name : wave.pools) {
         const auto *pool = view.document.pool(name);
         if (!pool)
             continue;
-        const auto state = Runner::poolOf(*pool, wave, row, rows, view);
-        const auto budget = policy::budgetOf(state.vms.size(), state.availability, 0);
+        const auto state = fleet::poolView(*pool, wave, row, rows, view);
+        const auto budget = policy::budgetOf(state.vms.size(), state.availability, state.borrowed);
         Json counts;
         for (const auto &name : enumNames(policy::WaveVmState{}))
             counts[std::string(name.name)] = 0;
@@ -39,6 +38,7 @@
             {{"name", name},
              {"vms", counts},
              {"mayBeOut", budget.mayBeOut()},
+             {"borrowed", state.borrowed},
              {"next", step.reason},
              {"forecastMs", rounds * static_cast<std::size_t>(wave.maintenance.count())}});
     }
@@ -72,6 +72,8 @@
         vms.push_back({{"name", vm.name},
                        {"pool", vm.pool},
                        {"target", vm.target},
+                       {"home", vm.home},
+                       {"purpose", vm.wave.empty() ? "demand" : "wave " + vm.wave},
                        {"state", std::string(model::nameOf(vm.state))}});
     co_return http::jsonResponse(Status::ok, {{"waves", list}, {"vms", vms}});
 }
--- a/packages/entry/src/process/control.cpp
+++ b/packages/entry/src/process/control.cpp
@@ -30,6 +30,7 @@
     , vmControl(context.get_executor(), settings.platform, settings.control.storeTimeout)
     , waves(parts.store.tables(), this->vmControl,
             [this](const fleet::FleetDecision &decision) {
+                this->fleetChanged = true;
                 this->parts.log.write(
                     {decision.event,
                      "",
@@ -59,6 +60,7 @@
     this->spawn(&Control::listLoop);
     this->spawn(&Control::dispatchLoop);
     this->spawn(&Control::leaseLoop);
+    this->spawn(&Control::demandLoop);
     return absl::OkStatus();
 }
 
--- a/packages/entry/src/process/control.h
+++ b/packages/entry/src/process/control.h
@@ -11,6 +11,7 @@
 #include <sassafrasferry/platform/document_store.h>
 #include <sassafrasferry/platform/lease_keeper.h>
 #include <sassafrasferry/platform/vm_list_client.h>
+#include <sassafrasferry/policy/demand.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,6 +28,24 @@
     std::string reason;
 };
 
+/// Where a version came from.
+enum class VersionSource { Store, Peer };
+
+constexpr auto enumNames(VersionSource)
+{
+    using model::EnumName;
+    return std::array{EnumName{VersionSource::Store, "store"},
+                      EnumName{VersionSource::Peer, "peer"}};
+}
+
+/// What is known of VMs that are not simply in service in the pool of the document.
+struct FleetKnowledge
+{
+    std::set<std::string> out; ///< VMs that get no new work
+    std::vector<policy::Placement> placements; ///< lent VMs, sorted
+    std::int64_t version = platform::absent; ///< of the fleet's head row, when they were read
+};
+
 /// Runs on the control thread only, but for what is said to be thread-safe.
 class Control
 {
@@ -68,15 +87,23 @@
     Awaitable<void> listLoop();
     Awaitable<void> dispatchLoop();
     Awaitable<void> leaseLoop();
+    Awaitable<void> demandLoop();
     Awaitable<void> refreshDocument();
     Awaitable<bool> refreshFleet(std::int64_t fleetVersion);
     Awaitable<void> sweepClaims();
     void askPeersForDocument();
+    void takeFleet(FleetKnowledge knowledge);
     void markDraining(std::set<std::string> names);
     void spawn(Awaitable<void> (Control::*loop)());
     messages::Envelope heartbeat() const;
     void sendHeartbeats();
-    void adopt(VersionPointer version, const char *source);
+    void adopt(VersionPointer version, VersionSource source);
+    void adoptTable(const model::Document &document);
+    bool lendsForDemand() const;
+    void tellDemand();
+    std::vector<std::string> busyOut() const;
+    std::vector<policy::PoolLoad> poolLoads() const;
+    std::vector<policy::PoolWish> demandWishes();
     void take(const std::vector<std::string> &leaving);
     void tellPeers(const policy::LeavingNews &news);
     void askForLoans();
@@ -87,7 +114,11 @@
     void receiveLoan(const messages::Loan &loan);
     void receiveQuotaWish(const std::string &sender, const messages::QuotaWish &wish);
     void receiveQuotaLoan(const messages::QuotaLoan &loan);
-    void receiveDocumentRequest(const std::string &sender, std::int64_t haveRevision);
+    void receiveDemand(const std::string &sender, const messages::Demand &demand);
+    void receiveDocumentRequest(const std::string &sender,
+                                const messages::DocumentRequest &request);
+    void receiveTexts(const messages::DocumentReply &reply);
+    void receiveFleet(const messages::DocumentReply &reply);
     void receiveDocument(const messages::DocumentReply &reply);
 
     boost::asio::io_context &context;
@@ -108,9 +139,12 @@
     bool storeIsUp = false;
     policy::Instant confirmed{};
     std::set<std::string> listed; // VMs that the platform's list says are leaving
-    std::set<std::string> draining; // VMs that have a row in the store
-    std::int64_t fleetVersion =
-        platform::absent; // of the fleet's head row, when `draining` was read
+    FleetKnowledge fleetKnown;
+    policy::RoutingTable table; // in force: of the document and of `fleetKnown.placements`
+    bool fleetChanged = false; // by this process, since its rows were last read
+    policy::DemandTold demandTold;
+    policy::DemandHeard demandHeard;
+    std::optional<policy::DemandPlanner> demandPlanner; // while the lease is held
     VersionPointer viewed; // keeps alive the document of the last fleet view
     policy::Instant nextWish{};
     std::size_t wishTurn = 0; // which peers are asked next
--- a/packages/entry/src/process/control_document.cpp
+++ b/packages/entry/src/process/control_document.cpp
@@ -5,6 +5,8 @@
 #include <sassafrasferry/fleet/move_rows.h>
 #include <sassafrasferry/http/clock.h>
 
+#include <algorithm>
+
 #include <glog/logging.h>
 
 namespace sassafrasferry::entry {
@@ -36,7 +38,7 @@
     const bool isNewer = heads->revision > current->texts.revision;
     // VMs that a change moves are marked before the change is adopted: adopted first, it would for
     // a moment put a VM to use in its new pool that still has work of its old one.
-    if (isNewer || heads->otherVersion != this->fleetVersion) {
+    if (isNewer || heads->otherVersion != this->fleetKnown.version) {
         if (!co_await this->refreshFleet(heads->otherVersion))
             co_return;
     }
@@ -58,7 +60,7 @@
                    << version.status();
         co_return;
     }
-    this->adopt(std::move(*version), "store");
+    this->adopt(std::move(*version), VersionSource::Store);
     this->confirmed = now();
 }
 
@@ -69,61 +71,90 @@
         LOG(WARNING) << "event=fleet-load-failed " << rows.status();
         co_return false;
     }
-    std::set<std::string> names;
-    for (const auto &vm : rows->vms)
-        names.insert(vm.name);
-    this->markDraining(std::move(names));
-    this->fleetVersion = newVersion;
+    FleetKnowledge knowledge{{}, {}, newVersion};
+    for (const auto &vm : rows->vms) {
+        if (vm.state != fleet::VmState::Lent)
+            knowledge.out.insert(vm.name);
+        if (vm.isLoan() && vm.pool != vm.home)
+            knowledge.placements.push_back({vm.name, vm.pool});
+    }
+    this->takeFleet(std::move(knowledge));
     co_return true;
 }
 
+void Control::takeFleet(FleetKnowledge knowledge)
+{
+    std::sort(knowledge.placements.begin(), knowledge.placements.end());
+    // While the table changes, VMs that were out and those that will be get no work: taken back
+    // first, a VM on its way would for a moment be of use in the pool that it has left.
+    auto outMeanwhile = knowledge.out;
+    outMeanwhile.insert(this->fleetKnown.out.begin(), this->fleetKnown.out.end());
+    this->markDraining(std::move(outMeanwhile));
+    if (knowledge.placements != this->fleetKnown.placements) {
+        std::string list;
+        for (const auto &placement : knowledge.placements)
+            list += (list.empty() ? "" : ",") + placement.vm + ":" + placement.pool;
+        this->parts.log.write({"placements", "", {{"vms", list.empty() ? "-" : list}}});
+        this->fleetKnown.placements = std::move(knowledge.placements);
+        this->adoptTable(this->versions.current()->document);
+    }
+    this->markDraining(std::move(knowledge.out));
+    this->fleetKnown.version = knowledge.version;
+}
+
 void Control::markDraining(std::set<std::string> names)
 {
     this->parts.dispatcher.locked([&](policy::Dispatcher &dispatcher) {
-        for (const auto &name : this->draining) {
+        for (const auto &name : this->fleetKnown.out) {
             if (!names.contains(name))
                 dispatcher.drained(name);
         }
         for (const auto &name : names)
             dispatcher.setLeaving(name, policy::LeavingSignal::Draining, now());
     });
-    if (names != this->draining) {
+    if (names != this->fleetKnown.out) {
         std::string list;
         for (const auto &name : names)
             list += (list.empty() ? "" : ",") + name;
         this->parts.log.write({"draining", "", {{"vms", list.empty() ? "-" : list}}});
     }
-    this->draining = std::move(names);
+    this->fleetKnown.out = std::move(names);
+}
+
+void Control::adoptTable(const model::Document &document)
+{
+    this->table = policy::compileRoutingTable(document, this->fleetKnown.placements);
+    this->parts.dispatcher.change([&](policy::Dispatcher &dispatcher) {
+        dispatcher.expect(this->table);
+        for (const auto &name : this->listed)
+            dispatcher.setLeaving(name, policy::LeavingSignal::List, now());
+        for (const auto &name : this->fleetKnown.out)
+            dispatcher.setLeaving(name, policy::LeavingSignal::Draining, now());
+        return dispatcher.adopt(this->table, now());
+    });
 }
 
-void Control::adopt(VersionPointer version, const char *source)
+void Control::adopt(VersionPointer version, VersionSource source)
 {
     const auto before = this->versions.current();
     if (version->texts.revision <= before->texts.revision)
         return;
     // What the store would say of VMs that move is not known from a peer: they get no work until
-    // it can be read.
-    if (!this->storeIsUp) {
-        auto names = this->draining;
+    // it, or a peer that has read it, says where they are.
+    if (source == VersionSource::Peer) {
+        auto names = this->fleetKnown.out;
         for (const auto &move : fleet::movesBetween(before->document, version->document))
             names.insert(move.vm);
         this->markDraining(std::move(names));
-        this->fleetVersion = platform::absent;
+        this->fleetKnown.version = platform::absent;
     }
     this->parts.log.write({"revision",
                            "",
                            {{"revision", std::to_string(version->texts.revision)},
-                            {"source", source},
+                            {"source", std::string(model::nameOf(source))},
                             {"vms", std::to_string(version->table.workers.size())},
                             {"services", std::to_string(version->table.services.size())}}});
-    this->parts.dispatcher.change([&](policy::Dispatcher &dispatcher) {
-        dispatcher.expect(version->table);
-        for (const auto &name : this->listed)
-            dispatcher.setLeaving(name, policy::LeavingSignal::List, now());
-        for (const auto &name : this->draining)
-            dispatcher.setLeaving(name, policy::LeavingSignal::Draining, now());
-        return dispatcher.adopt(version->table, now());
-    });
+    this->adoptTable(version->document);
     this->versions.advance(version);
     this->sendHeartbeats(); // some peers learn the new revision at once, all by their next poll
 }
--- a/packages/entry/src/process/control_lease.cpp
+++ b/packages/entry/src/process/control_lease.cpp
@@ -27,12 +27,18 @@
     while (!this->stopping) {
         co_await this->lease.step(now);
         if (this->holdsLease()) {
-            const auto view = this->fleetView();
+            auto view = this->fleetView();
+            view.wishes = this->demandWishes();
             const auto status = co_await this->waves.step(view, this->lease.fence());
             if (!status.ok())
                 LOG(WARNING) << "event=waves-failed " << status;
+            // All entry VMs must know of a change before the next step of it: tell them at once.
+            if (std::exchange(this->fleetChanged, false))
+                this->documentTimer.cancel();
             co_await this->sweepClaims();
         }
+        if (!this->holdsLease())
+            this->demandPlanner.reset();
         if (this->holdsLease() != held) {
             held = !held;
             this->parts.log.write(
@@ -70,14 +76,20 @@
     this->viewed = this->versions.current();
     fleet::FleetView view{this->viewed->document, {}, this->viewed->texts.revision, unixNow()};
     for (const auto &name : this->listed) {
-        if (!this->draining.contains(name))
+        if (!this->fleetKnown.out.contains(name))
             view.failed.insert(name);
     }
+    view.fleetVersionEverywhere = this->fleetKnown.version;
+    const auto busyHere = this->busyOut();
+    view.busy.insert(busyHere.begin(), busyHere.end());
     this->parts.membership.locked([&](policy::Membership &membership) {
         for (const auto &name : membership.live(now())) {
             const auto peer = membership.peer(name);
-            if (peer)
-                view.revisionEverywhere = std::min(view.revisionEverywhere, peer->revision);
+            if (!peer)
+                continue;
+            view.revisionEverywhere = std::min(view.revisionEverywhere, peer->revision);
+            view.fleetVersionEverywhere = std::min(view.fleetVersionEverywhere, peer->fleetVersion);
+            view.busy.insert(peer->busy.begin(), peer->busy.end());
         }
     });
     return view;
--- a/packages/entry/src/process/control_peers.cpp
+++ b/packages/entry/src/process/control_peers.cpp
@@ -23,9 +23,21 @@
     heartbeat.set_incarnation(this->parts.incarnation);
     heartbeat.set_revision(this->versions.current()->texts.revision);
     heartbeat.set_leaving(this->gone);
+    heartbeat.set_fleet_version(this->fleetKnown.version);
+    heartbeat.set_holds_lease(this->holdsLease());
+    for (const auto &name : this->busyOut())
+        heartbeat.add_busy(name);
     return envelope;
 }
 
+std::vector<std::string> Control::busyOut() const
+{
+    if (this->fleetKnown.out.empty())
+        return {};
+    return this->parts.dispatcher.locked(
+        [](policy::Dispatcher &dispatcher) { return dispatcher.busyDraining(); });
+}
+
 // To some peers in turn: what heartbeats cost must not grow with the square of the entry VMs.
 void Control::sendHeartbeats()
 {
@@ -43,10 +55,13 @@
     const auto own = this->versions.current()->texts.revision;
     messages::Envelope envelope;
     envelope.mutable_document_request()->set_have_revision(own);
+    envelope.mutable_document_request()->set_have_fleet_version(this->fleetKnown.version);
     for (const auto &peer : this->settings.peers) {
         const auto state = this->parts.membership.locked(
             [&](policy::Membership &membership) { return membership.peer(peer.name); });
-        if (state && state->revision > own && this->peers.send(peer.name, envelope))
+        const bool knowsMore =
+            state && (state->revision > own || state->fleetVersion > this->fleetKnown.version);
+        if (knowsMore && this->peers.send(peer.name, envelope))
             break;
     }
 }
@@ -118,12 +133,14 @@
         this->receiveQuotaLoan(envelope.quota_loan());
         break;
     case messages::Envelope::kDocumentRequest:
-        this->receiveDocumentRequest(envelope.sender(),
-                                     envelope.document_request().have_revision());
+        this->receiveDocumentRequest(envelope.sender(), envelope.document_request());
         break;
     case messages::Envelope::kDocumentReply:
         this->receiveDocument(envelope.document_reply());
         break;
+    case messages::Envelope::kDemand:
+        this->receiveDemand(envelope.sender(), envelope.demand());
+        break;
     case messages::Envelope::BODY_NOT_SET:
         break;
     }
@@ -131,14 +148,19 @@
 
 void Control::receiveHeartbeat(const std::string &sender, const messages::Heartbeat &heartbeat)
 {
-    const policy::PeerState state{sender, heartbeat.incarnation(), heartbeat.revision(),
-                                  heartbeat.leaving()};
+    const policy::PeerState state{sender,
+                                  heartbeat.incarnation(),
+                                  heartbeat.revision(),
+                                  heartbeat.leaving(),
+                                  heartbeat.fleet_version(),
+                                  heartbeat.holds_lease(),
+                                  {heartbeat.busy().begin(), heartbeat.busy().end()}};
     this->parts.membership.locked(
         [&](policy::Membership &membership) { membership.heard(state, now()); });
     const auto own = this->versions.current()->texts.revision;
-    if (heartbeat.revision() > own)
+    if (heartbeat.revision() > own || heartbeat.fleet_version() > this->fleetKnown.version)
         this->documentTimer.cancel(); // fetch it now
-    else if (own > 0)
+    if (heartbeat.revision() <= own && own > 0)
         this->confirmed = now();
 }
 
@@ -210,27 +232,65 @@
         [&](policy::Dispatcher &dispatcher) { return dispatcher.borrowQuota(loan, now()); });
 }
 
-void Control::receiveDocumentRequest(const std::string &sender, std::int64_t haveRevision)
+void Control::receiveDocumentRequest(const std::string &sender,
+                                     const messages::DocumentRequest &request)
 {
     const auto version = this->versions.current();
-    if (version->texts.revision <= haveRevision)
+    const bool isNewer = version->texts.revision > request.have_revision();
+    const bool knowsFleet = this->fleetKnown.version > request.have_fleet_version();
+    if (!isNewer && !knowsFleet)
         return;
     messages::Envelope envelope;
     auto &reply = *envelope.mutable_document_reply();
     reply.set_revision(version->texts.revision);
     for (const auto &section : version->texts.sections) {
         reply.add_names(section.name);
-        if (section.revision <= haveRevision)
+        if (section.revision <= request.have_revision())
             continue;
         auto &changed = *reply.add_sections();
         changed.set_name(section.name);
         changed.set_text(section.text);
         changed.set_revision(section.revision);
     }
+    reply.set_fleet_version(this->fleetKnown.version);
+    for (const auto &name : this->fleetKnown.out) {
+        auto &placement = *reply.add_placements();
+        placement.set_vm(name);
+        placement.set_out(true);
+    }
+    for (const auto &item : this->fleetKnown.placements) {
+        auto &placement = *reply.add_placements();
+        placement.set_vm(item.vm);
+        placement.set_pool(item.pool);
+    }
     this->peers.send(sender, envelope);
 }
 
+// What a peer knows of VMs that are out or lent, while the store cannot be read.
+void Control::receiveFleet(const messages::DocumentReply &reply)
+{
+    if (this->storeIsUp || reply.fleet_version() <= this->fleetKnown.version)
+        return;
+    FleetKnowledge knowledge{{}, {}, reply.fleet_version()};
+    for (const auto &placement : reply.placements()) {
+        if (placement.out())
+            knowledge.out.insert(placement.vm());
+        else
+            knowledge.placements.push_back({placement.vm(), placement.pool()});
+    }
+    this->takeFleet(std::move(knowledge));
+}
+
 void Control::receiveDocument(const messages::DocumentReply &reply)
+{
+    // Before the document, so that it never puts a lent VM to use at home; and after it, since
+    // it makes what was known of moved VMs uncertain.
+    this->receiveFleet(reply);
+    this->receiveTexts(reply);
+    this->receiveFleet(reply);
+}
+
+void Control::receiveTexts(const messages::DocumentReply &reply)
 {
     auto texts = this->versions.current()->texts;
     if (reply.revision() <= texts.revision)
@@ -243,7 +303,7 @@
         texts.set({section.name(), section.text(), section.revision()});
     auto version = makeVersion(std::move(texts));
     if (version.ok())
-        this->adopt(std::move(*version), "peer");
+        this->adopt(std::move(*version), VersionSource::Peer);
 }
 
 } // namespace sassafrasferry::entry
--- a/packages/fleet/include/sassafrasferry/fleet/fleet_rows.h
+++ b/packages/fleet/include/sassafrasferry/fleet/fleet_rows.h
@@ -20,6 +20,8 @@
     Draining, ///< no new work; the platform lets it finish what it has
     InMaintenance,
     BackFailing, ///< back from maintenance, and its check fails
+    Arriving, ///< lent, or back: belongs to its next pool, and waits until every entry VM knows
+    Lent, ///< in service in another pool than the document's
 };
 
 constexpr auto enumNames(VmState)
@@ -27,20 +29,31 @@
     using model::EnumName;
     return std::array{EnumName{VmState::Draining, "draining"},
                       EnumName{VmState::InMaintenance, "in-maintenance"},
-                      EnumName{VmState::BackFailing, "back-failing"}};
+                      EnumName{VmState::BackFailing, "back-failing"},
+                      EnumName{VmState::Arriving, "arriving"}, EnumName{VmState::Lent, "lent"}};
 }
 
-/// A VM that is not in service.
+/// A VM that is not in service in the pool of the document.
+///
+/// A loan goes Draining (target: the borrower) > Arriving > Lent > Draining (target: home) >
+/// Arriving > no row. The pool changes when the VM is empty, and only then.
 struct VmRow
 {
     std::string name;
     std::string pool; ///< the one pool it belongs to until this row is gone
-    std::string target; ///< a move: the pool it goes to; empty: maintenance
-    std::string wave; ///< maintenance: the wave
+    std::string target; ///< a move or loan: the pool it goes to next; empty: none
+    std::string home; ///< a loan: the pool that the document names; else empty
+    std::string wave; ///< maintenance, or a loan for a wave: the wave; empty: a loan for demand
     VmState state = VmState::Draining;
     std::int64_t order = 0; ///< sent with every order to the platform, which ignores older ones
-    std::int64_t revision = 0; ///< a move: the document revision that asked for it
+    std::int64_t revision = 0; ///< the document revision that it was decided by
     std::int64_t version = platform::absent;
+
+    bool isLoan() const;
+    /// A loan: the pool that has the VM or awaits it; empty once it is back at home.
+    const std::string &borrower() const;
+    /// True if it goes back, or is about to be in service at home.
+    bool isReturning() const;
 };
 
 /// Where a wave stands.
@@ -65,11 +78,12 @@
     std::int64_t version = platform::absent;
 };
 
-/// The VMs of a pool that are out on permits.
+/// What a pool's availability budget is charged with.
 struct BudgetRow
 {
     std::string pool;
-    std::vector<std::string> out;
+    std::vector<std::string> out; ///< VMs of the pool that are out on permits, lent ones included
+    std::vector<std::string> borrowed; ///< VMs lent to the pool and in service there
     std::int64_t version = platform::absent;
 };
 
--- a/packages/fleet/include/sassafrasferry/fleet/fleet_store.h
+++ b/packages/fleet/include/sassafrasferry/fleet/fleet_store.h
@@ -40,8 +40,8 @@
         co_return rows;
     }
 
-    /// Takes a VM out of service for a wave: the permit. Fails in a conflict if the budget row has
-    /// changed since it was read, or the VM has a row already.
+    /// Takes a VM out of service for a wave or a loan: the permit. Fails in a conflict if the
+    /// budget row has changed since it was read, or the VM has a row already.
     Awaitable<platform::Commit> permit(VmRow vm, BudgetRow budget, platform::Condition fence)
     {
         budget.out.push_back(vm.name);
@@ -62,6 +62,40 @@
         return this->tables.commit(std::move(transaction));
     }
 
+    /// A lent VM is in service with its borrower, or leaves it: its next state, and the borrower's
+    /// budget with the VM among the borrowed or not. On the budget's version, since a permit that
+    /// rests on the borrowed VM and is still on its way must not pass once the VM goes.
+    Awaitable<platform::Commit> setBorrowed(VmRow vm, BudgetRow borrower, platform::Condition fence)
+    {
+        std::erase(borrower.borrowed, vm.name);
+        if (vm.state == VmState::Lent)
+            borrower.borrowed.push_back(vm.name);
+        platform::Transaction transaction = fenced(fence);
+        transaction.conditions.push_back({vmKey(vm.name), vm.version});
+        transaction.conditions.push_back({budgetKey(borrower.pool), borrower.version});
+        transaction.puts.push_back({vmKey(vm.name), toJson(vm)});
+        transaction.puts.push_back({budgetKey(borrower.pool), toJson(borrower)});
+        return this->tables.commit(std::move(transaction));
+    }
+
+    /// A VM that the document no longer has: its row goes, and so do its names in the budgets.
+    Awaitable<platform::Commit> forget(VmRow vm, std::vector<BudgetRow> budgets,
+                                       platform::Condition fence)
+    {
+        platform::Transaction transaction = fenced(fence);
+        transaction.conditions.push_back({vmKey(vm.name), vm.version});
+        transaction.deletes.push_back(vmKey(vm.name));
+        for (auto &budget : budgets) {
+            const auto erased =
+                std::erase(budget.out, vm.name) + std::erase(budget.borrowed, vm.name);
+            if (erased == 0)
+                continue;
+            transaction.conditions.push_back({budgetKey(budget.pool), budget.version});
+            transaction.puts.push_back({budgetKey(budget.pool), toJson(budget)});
+        }
+        return this->tables.commit(std::move(transaction));
+    }
+
     /// A VM is in service again: its row goes, the budget gets its permit back, and its wave, if
     /// any, counts it as done.
     Awaitable<platform::Commit> returned(VmRow vm, BudgetRow budget, const WaveRow *wave,
--- /dev/null
+++ b/packages/fleet/include/sassafrasferry/fleet/vm_lender.h
@@ -0,0 +1,242 @@
+// Lends VMs of spare pools, for waves and for demand, and takes them back.
+#pragma once
+
+#include <sassafrasferry/fleet/fleet_store.h>
+#include <sassafrasferry/fleet/fleet_view.h>
+#include <sassafrasferry/fleet/pool_view.h>
+#include <sassafrasferry/policy/lending.h>
+
+#include <optional>
+
+namespace sassafrasferry::fleet {
+
+/// Decides which loans there should be, and starts or ends some of them. Keeps nothing between
+/// steps.
+///
+/// A pool borrows from the spare pools that its services overflow to. A loan is charged to the
+/// spare pool's availability budget from its first row to its last, by the same permit as a wave's
+/// drain, so that neither can overdraw what the other has left.
+template<platform::TableService Tables>
+class VmLender
+{
+public:
+    VmLender(FleetStore<Tables> &store, const FleetLog &log)
+        : store(store)
+        , log(log)
+    {}
+
+    /// One step; true if it changed any row, so that `rows` no longer holds.
+    Awaitable<bool> step(const FleetRows &rows, const FleetView &view, platform::Condition fence)
+    {
+        bool hasChanged = false;
+        for (const auto &order : ordersOf(rows, view)) {
+            const bool done = co_await this->carryOut(order, rows, view, fence);
+            // One order for each pool rests on what was read; two could rest on the same budget.
+            hasChanged = hasChanged || done;
+        }
+        co_return hasChanged;
+    }
+
+private:
+    // The loans that a pool has or awaits for one purpose, and how many it should have.
+    struct Need
+    {
+        std::string pool;
+        std::string wave; // empty: for demand
+        std::string reason;
+        std::size_t wanted = 0;
+    };
+
+    // A VM to lend or to take back.
+    struct Order
+    {
+        std::string vm;
+        std::string from; // the pool that it belongs to now
+        std::string to;
+        std::string wave;
+        std::string reason;
+        bool isReturn = false;
+    };
+
+    static std::vector<const VmRow *> loansFor(const Need &need, const FleetRows &rows)
+    {
+        std::vector<const VmRow *> loans;
+        for (const auto &vm : rows.vms) {
+            const bool counts = vm.isLoan() && !vm.isReturning();
+            if (counts && vm.borrower() == need.pool && vm.wave == need.wave)
+                loans.push_back(&vm);
+        }
+        return loans;
+    }
+
+    static std::vector<const model::Pool *> sparesOf(const std::string &pool,
+                                                     const model::Document &document)
+    {
+        std::vector<const model::Pool *> spares;
+        for (const auto &service : document.services) {
+            if (service.pool != pool || service.overflow.empty() || service.overflow == pool)
+                continue;
+            const auto *spare = document.pool(service.overflow);
+            if (spare && std::find(spares.begin(), spares.end(), spare) == spares.end())
+                spares.push_back(spare);
+        }
+        return spares;
+    }
+
+    static std::size_t lendableTo(const std::string &pool, const FleetRows &rows,
+                                  const FleetView &view)
+    {
+        std::size_t sum = 0;
+        for (const auto *spare : sparesOf(pool, view.document))
+            sum += policy::lendable(poolView(*spare, rows, view));
+        return sum;
+    }
+
+    static void addWaveNeeds(std::vector<Need> &needs, const FleetRows &rows, const FleetView &view)
+    {
+        for (const auto &wave : view.document.waves) {
+            const auto row =
+                std::find_if(rows.waves.begin(), rows.waves.end(),
+                             [&](const WaveRow &item) { return item.name == wave.name; });
+            if (row == rows.waves.end() || row->state != WaveState::Running)
+                continue;
+            for (const auto &name : wave.pools) {
+                const auto *pool = view.document.pool(name);
+                if (!pool)
+                    continue;
+                const auto state = poolView(*pool, wave, *row, rows, view);
+                Need need{name, wave.name, "wave " + wave.name, 0};
+                if (policy::planWave(state).verdict == policy::WaveVerdict::Finished)
+                    continue;
+                const auto has = loansFor(need, rows).size();
+                const auto budget = policy::budgetOf(state.vms.size(), state.availability, 0);
+                need.wanted =
+                    policy::chooseBorrowed(budget, has + lendableTo(name, rows, view),
+                                           wave.maintenance, view.document.lending->weights);
+                needs.push_back(std::move(need));
+            }
+        }
+    }
+
+    static void addDemandNeeds(std::vector<Need> &needs, const FleetRows &rows,
+                               const FleetView &view)
+    {
+        for (const auto &pool : view.document.pools) {
+            Need need{pool.name, "", "demand", 0};
+            const auto loans = loansFor(need, rows);
+            need.wanted = loans.size();
+            for (const auto &wish : view.wishes) {
+                if (wish.pool != pool.name)
+                    continue;
+                // VMs on their way are not in the wish's capacity yet.
+                const auto coming = static_cast<std::size_t>(
+                    std::count_if(loans.begin(), loans.end(),
+                                  [](const VmRow *vm) { return vm->state != VmState::Lent; }));
+                if (wish.wish == policy::MoveWish::Borrow)
+                    need.wanted += wish.vms > coming ? wish.vms - coming : 0;
+                else
+                    need.wanted -= std::min(need.wanted, wish.vms);
+            }
+            needs.push_back(std::move(need));
+        }
+    }
+
+    static std::vector<Need> needsOf(const FleetRows &rows, const FleetView &view)
+    {
+        std::vector<Need> needs;
+        if (!view.document.lending)
+            return needs;
+        addWaveNeeds(needs, rows, view);
+        if (view.document.lending->demand != model::MovePolicy::Never)
+            addDemandNeeds(needs, rows, view);
+        return needs;
+    }
+
+    // At most one order for each spare pool and one for each borrower, since each changes what the
+    // next would rest on.
+    static std::vector<Order> ordersOf(const FleetRows &rows, const FleetView &view)
+    {
+        const auto needs = needsOf(rows, view);
+        std::vector<Order> orders;
+        std::set<std::string> touched;
+        const auto add = [&](std::optional<Order> order) {
+            if (!order || touched.contains(order->from) || touched.contains(order->to))
+                return;
+            touched.insert(order->from);
+            touched.insert(order->to);
+            orders.push_back(std::move(*order));
+        };
+        for (const auto &need : needs) {
+            if (loansFor(need, rows).size() < need.wanted)
+                add(loanFor(need, rows, view));
+        }
+        for (const auto &vm : rows.vms)
+            add(returnOf(vm, needs, rows, view));
+        return orders;
+    }
+
+    static std::optional<Order> loanFor(const Need &need, const FleetRows &rows,
+                                        const FleetView &view)
+    {
+        const auto *borrower = view.document.pool(need.pool);
+        for (const auto *spare : sparesOf(need.pool, view.document)) {
+            const auto vm =
+                policy::chooseToLend(poolView(*spare, rows, view), poolView(*borrower, rows, view));
+            if (vm)
+                return Order{*vm, spare->name, need.pool, need.wave, need.reason, false};
+        }
+        return std::nullopt;
+    }
+
+    // A loan that nothing needs any more, or whose VM has failed.
+    static std::optional<Order> returnOf(const VmRow &vm, const std::vector<Need> &needs,
+                                         const FleetRows &rows, const FleetView &view)
+    {
+        if (vm.state != VmState::Lent)
+            return std::nullopt;
+        const auto need = std::find_if(needs.begin(), needs.end(), [&](const Need &item) {
+            return item.pool == vm.pool && item.wave == vm.wave;
+        });
+        const bool hasFailed = view.failed.contains(vm.name);
+        if (need != needs.end() && loansFor(*need, rows).size() <= need->wanted && !hasFailed)
+            return std::nullopt;
+        const auto *borrower = view.document.pool(vm.pool);
+        if (borrower && !hasFailed && !policy::mayGiveBack(poolView(*borrower, rows, view)))
+            return std::nullopt;
+        return Order{vm.name, vm.pool, vm.home, vm.wave, hasFailed ? "has failed" : "is not needed",
+                     true};
+    }
+
+    Awaitable<bool> carryOut(Order order, const FleetRows &rows, const FleetView &view,
+                             platform::Condition fence)
+    {
+        VmRow vm;
+        if (const auto *row = rows.vm(order.vm))
+            vm = *row;
+        vm.name = order.vm;
+        vm.pool = order.from;
+        vm.target = order.to;
+        vm.home = order.isReturn ? order.to : order.from;
+        vm.wave = order.wave;
+        vm.state = VmState::Draining;
+        vm.order = view.now;
+        vm.revision = view.document.revision;
+        const auto budget = rows.budget(order.from);
+        // Not a conditional expression: g++ 12 destroys its co_await operands twice.
+        platform::Commit commit;
+        if (order.isReturn)
+            commit = co_await this->store.setBorrowed(vm, budget, fence);
+        else
+            commit = co_await this->store.permit(vm, budget, fence);
+        if (commit.state != platform::CommitState::Committed)
+            co_return true; // the next step reads what stands
+        this->log({order.isReturn ? "take-back" : "lend", vm.name,
+                   "from " + order.from + " to " + order.to + ": " + order.reason});
+        co_return true;
+    }
+
+    FleetStore<Tables> &store;
+    const FleetLog &log;
+};
+
+} // namespace sassafrasferry::fleet
--- a/packages/fleet/src/fleet_rows.cpp
+++ b/packages/fleet/src/fleet_rows.cpp
@@ -30,6 +30,23 @@
 
 } // namespace
 
+bool VmRow::isLoan() const
+{
+    return !this->home.empty();
+}
+
+const std::string &VmRow::borrower() const
+{
+    return this->pool == this->home ? this->target : this->pool;
+}
+
+bool VmRow::isReturning() const
+{
+    const bool leavesBorrower = this->state == VmState::Draining && this->target == this->home;
+    const bool arrivesAtHome = this->state == VmState::Arriving && this->pool == this->home;
+    return this->isLoan() && (leavesBorrower || arrivesAtHome);
+}
+
 const VmRow *FleetRows::vm(const std::string &name) const
 {
     for (const auto &row : this->vms) {
@@ -45,7 +62,7 @@
         if (row.pool == pool)
             return row;
     }
-    return {pool, {}, platform::absent};
+    return {pool, {}, {}, platform::absent};
 }
 
 RowKey fleetHeadKey()
@@ -70,9 +87,13 @@
 
 Json toJson(const VmRow &row)
 {
-    return {{"pool", row.pool},   {"target", row.target},
-            {"wave", row.wave},   {"state", std::string(model::nameOf(row.state))},
-            {"order", row.order}, {"revision", row.revision}};
+    return {{"pool", row.pool},
+            {"target", row.target},
+            {"home", row.home},
+            {"wave", row.wave},
+            {"state", std::string(model::nameOf(row.state))},
+            {"order", row.order},
+            {"revision", row.revision}};
 }
 
 Json toJson(const WaveRow &row)
@@ -85,7 +106,7 @@
 
 Json toJson(const BudgetRow &row)
 {
-    return {{"out", row.out}};
+    return {{"out", row.out}, {"borrowed", row.borrowed}};
 }
 
 absl::StatusOr<VmRow> vmFrom(const platform::Row &row)
@@ -94,6 +115,7 @@
         result.name = row.key.key;
         json.at("pool").get_to(result.pool);
         json.at("target").get_to(result.target);
+        result.home = json.value("home", "");
         json.at("wave").get_to(result.wave);
         json.at("order").get_to(result.order);
         json.at("revision").get_to(result.revision);
@@ -117,6 +139,7 @@
     return guarded<BudgetRow>(row, [&](const Json &json, BudgetRow &result) {
         result.pool = row.key.key;
         json.at("out").get_to(result.out);
+        result.borrowed = json.value("borrowed", std::vector<std::string>());
     });
 }
 
--- a/packages/fleet/src/wave_runner_test.cpp
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -319,7 +319,7 @@
         VmRow vm;
         vm.name = name;
         vm.pool = "p";
-        const BudgetRow asRead{"p", {}, platform::absent};
+        const BudgetRow asRead{"p", {}, {}, platform::absent};
         return fakes::run(context, store.permit(vm, asRead, fence)).state;
     };
     CHECK(permit("w0") == platform::CommitState::Committed);
--- a/packages/model/include/sassafrasferry/model/document.h
+++ b/packages/model/include/sassafrasferry/model/document.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,26 @@
     std::int64_t haltAfter = 2; ///< VMs that may come back failing before the wave halts
 };
 
+/// What a deployment pays for: of an hour of roll-out, of an hour that a borrowed VM is held, of a
+/// move of a VM.
+struct FleetWeights
+{
+    double rollOutHour = 1;
+    double bufferHour = 1;
+    double move = 0.1;
+};
+
+/// When VMs of spare pools are lent to the pools whose services overflow there. A document without
+/// this lends none.
+struct Lending
+{
+    std::string section;
+    FleetWeights weights; ///< choose how many to borrow for a wave
+    MovePolicy demand = MovePolicy::Outlasting; ///< loans for demand
+    std::chrono::milliseconds move{60000}; ///< from the decision to serving in the other pool
+    std::chrono::milliseconds steady{10000}; ///< demand must have held this long
+};
+
 /// A section: who owns it, and when it last changed.
 struct Section
 {
@@ -94,6 +115,7 @@
     std::vector<Pool> pools;
     std::vector<Service> services;
     std::vector<Wave> waves;
+    std::optional<Lending> lending;
 
     const Section *section(std::string_view name) const;
     const Team *team(std::string_view name) const;
--- a/packages/model/include/sassafrasferry/model/vocabulary.h
+++ b/packages/model/include/sassafrasferry/model/vocabulary.h
@@ -68,4 +68,17 @@
                       EnumName{AdmissionPolicy::Unbounded, "unbounded"}};
 }
 
+/// How moves of spare VMs to pools whose demand has outgrown them are decided.
+enum class MovePolicy {
+    Outlasting, ///< Only if the turn of demand is likely to outlast the move.
+    Always, ///< As soon as demand passes capacity, and back as soon as it does not.
+    Never,
+};
+
+constexpr auto enumNames(MovePolicy)
+{
+    return std::array{EnumName{MovePolicy::Outlasting, "outlasting"},
+                      EnumName{MovePolicy::Always, "always"}, EnumName{MovePolicy::Never, "never"}};
+}
+
 } // namespace sassafrasferry::model
--- a/packages/model/src/document.cpp
+++ b/packages/model/src/document.cpp
@@ -122,6 +122,24 @@
     parse.document.waves.push_back(std::move(wave));
 }
 
+void readLending(Parse &parse, const Section &section, TomlReader &reader)
+{
+    constexpr RealRange weightRange{0, 1e6};
+    Lending lending;
+    lending.section = section.name;
+    reader.read("rollOutHour", lending.weights.rollOutHour, weightRange);
+    reader.read("bufferHour", lending.weights.bufferHour, weightRange);
+    reader.read("move", lending.weights.move, weightRange);
+    reader.readName("demand", lending.demand);
+    reader.read("moveMs", lending.move, timeRange);
+    reader.read("steadyMs", lending.steady, timeRange);
+    if (parse.document.lending)
+        reader.find("",
+                    "lending is already in section \"" + parse.document.lending->section + "\"");
+    else
+        parse.document.lending = lending;
+}
+
 void readTeam(Parse &parse, const Section &section, const std::string &name, TomlReader &reader)
 {
     Team team{name, {}, 0};
@@ -153,6 +171,7 @@
     reader.eachTable("waves", [&](const std::string &name, TomlReader &inner) {
         readWave(parse, section, name, inner);
     });
+    reader.table("lending", [&](TomlReader &inner) { readLending(parse, section, inner); });
     parse.document.sections.push_back(std::move(section));
 }
 
--- a/packages/model/src/document_test.cpp
+++ b/packages/model/src/document_test.cpp
@@ -69,12 +69,16 @@
         {"out of range",
          "[sections.billing.services.x]\npool = \"invoicing\"\navailability = 1.5\n",
          "sections.billing.services.x.availability", "must lie between"},
+        {"lending twice", "[sections.billing.lending]\nmove = 1\n", "sections.billing.lending",
+         "lending is already in section \"fleet\""},
         {"foreign section", "[sections.other]\nteam = \"ops\"\n", "sections.other",
          "does not belong into section \"billing\""},
     }));
     INFO(fault.title);
     Findings findings;
-    parseDocument({{"fleet", fleet, 1}, {"billing", billing + fault.extra, 2}}, 2, findings);
+    const std::string lending = "[sections.fleet.lending]\ndemand = \"never\"\n";
+    parseDocument({{"fleet", fleet + lending, 1}, {"billing", billing + fault.extra, 2}}, 2,
+                  findings);
     REQUIRE_FALSE(findings.empty());
     CHECK(findings[0].keyPath == fault.keyPath);
     CHECK_THAT(findings[0].message, Catch::Contains(fault.message));
--- a/packages/policy/include/sassafrasferry/policy/capacity_planner.h
+++ b/packages/policy/include/sassafrasferry/policy/capacity_planner.h
@@ -1,27 +1,16 @@
 // When a VM of the spare pool moves to a pool whose demand has outgrown it, and when it returns.
 #pragma once
 
-#include <sassafrasferry/model/names.h>
+#include <sassafrasferry/model/vocabulary.h>
 #include <sassafrasferry/policy/time.h>
 
 #include <cstddef>
+#include <string>
 #include <vector>
 
 namespace sassafrasferry::policy {
 
-/// How moves are decided.
-enum class MovePolicy {
-    Outlasting, ///< only if the turn of demand is likely to outlast the move
-    Always, ///< as soon as demand passes capacity, and back as soon as it does not
-    Never,
-};
-
-constexpr auto enumNames(MovePolicy)
-{
-    using model::EnumName;
-    return std::array{EnumName{MovePolicy::Outlasting, "outlasting"},
-                      EnumName{MovePolicy::Always, "always"}, EnumName{MovePolicy::Never, "never"}};
-}
+using model::MovePolicy;
 
 /// Times and bounds of moves.
 struct CapacityTimes
@@ -63,4 +52,46 @@
     std::vector<Duration> turns; // lengths of past turns, newest last
 };
 
+/// One pool's load, as the holder of the control lease knows it.
+struct PoolLoad
+{
+    std::string pool;
+    double demand = 0; ///< slots that the work offered would keep busy
+    double capacity = 0; ///< slots of its VMs in service, borrowed ones included
+    double slotsPerVm = 8;
+    std::size_t borrowed = 0; ///< VMs that it has or awaits for demand
+};
+
+/// What is wanted for one pool, and for how many VMs.
+struct PoolWish
+{
+    std::string pool;
+    MoveWish wish = MoveWish::Stay;
+    std::size_t vms = 0;
+};
+
+/// Watches the demand of all pools. Lives as long as a process holds the control lease: the next
+/// holder learns the usual turns anew.
+class DemandPlanner
+{
+public:
+    DemandPlanner(MovePolicy policy, CapacityTimes times);
+
+    /// The wishes of pools that want something.
+    std::vector<PoolWish> observe(const std::vector<PoolLoad> &loads, Instant now);
+
+private:
+    struct Watched
+    {
+        std::string pool;
+        CapacityPlanner planner;
+    };
+
+    Watched &watched(const std::string &pool);
+
+    MovePolicy policy;
+    CapacityTimes times;
+    std::vector<Watched> pools;
+};
+
 } // namespace sassafrasferry::policy
--- a/packages/policy/include/sassafrasferry/policy/dispatcher.h
+++ b/packages/policy/include/sassafrasferry/policy/dispatcher.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <sassafrasferry/model/settings.h>
+#include <sassafrasferry/policy/demand.h>
 #include <sassafrasferry/policy/dispatcher_status.h>
 #include <sassafrasferry/policy/grants.h>
 #include <sassafrasferry/policy/hopeless_jobs.h>
@@ -83,6 +84,8 @@
     bool setLeaving(const std::string &worker, LeavingSignal signal, Instant now);
     /// A worker has no row in the store any more.
     void drained(const std::string &worker);
+    /// Workers with a row in the store on which requests of this entry VM still run.
+    std::vector<std::string> busyDraining() const;
 
     /// Pools that wait for slots.
     std::vector<LoanWish> loanWishes(Instant now) const;
@@ -98,6 +101,8 @@
     QuotaLoan lendQuota(const QuotaWish &wish, Instant now);
     Changes borrowQuota(const QuotaLoan &loan, Instant now);
 
+    /// The work offered to each pool by the requests of its own services.
+    std::vector<PoolDemand> demand(Instant now) const;
     std::vector<TeamStatus> teamStatus(Instant now) const;
     std::vector<PoolStatus> poolStatus(Instant now) const;
     std::vector<WorkerStatus> workerStatus(Instant now) const;
@@ -118,6 +123,7 @@
         RequestQueue queue;
         RunTimes runTimes{Duration{}};
         RetryBudget retries{0};
+        OfferedWork offered;
         std::uint32_t running = 0;
         Index team = noIndex;
     };
@@ -133,6 +139,8 @@
         Index team = noIndex;
         std::uint32_t processors = 0;
     };
+    // Which slots are counted: those that may be filled now, or the shares, lent or not.
+    enum class SlotCount { Allowed, Owned };
     struct GiveUp
     {
         Instant at{};
@@ -160,8 +168,8 @@
     Index nextService(const PoolState &pool, model::RequestClass requestClass, Instant now);
     std::array<bool, model::requestClassCount> waitingClasses(const PoolState &pool,
                                                               Instant now) const;
-    std::uint32_t capacityOf(Index pool, Instant now) const;
-    double capacityFor(const ServiceState &service, Instant now) const;
+    std::uint32_t slotsOf(Index pool, SlotCount count, Instant now) const;
+    double capacityFor(const ServiceState &service, SlotCount count, Instant now) const;
     Duration predictedWait(const ServiceState &service, model::RequestClass requestClass,
                            double capacity) const;
     bool isPreemptible(const ServiceState &service, const Submission &request) const;
--- a/packages/policy/include/sassafrasferry/policy/membership.h
+++ b/packages/policy/include/sassafrasferry/policy/membership.h
@@ -25,6 +25,9 @@
     std::uint64_t incarnation = 0; ///< grows with each start of the process
     std::int64_t revision = 0;
     bool leaving = false;
+    std::int64_t fleetVersion = 0; ///< of the fleet's head row, when it last read the rows
+    bool holdsLease = false;
+    std::vector<std::string> busy{}; ///< VMs out of service on which it still has requests
 };
 
 /// The view of one entry VM on the others. Single-threaded.
--- a/packages/policy/include/sassafrasferry/policy/routing_table.h
+++ b/packages/policy/include/sassafrasferry/policy/routing_table.h
@@ -75,7 +75,18 @@
     const WorkerSpec *worker(const std::string &name) const;
 };
 
-/// Compiles a document that has no findings.
-RoutingTable compileRoutingTable(const model::Document &document);
+/// A VM that serves in another pool than the document's, since it is lent.
+struct Placement
+{
+    std::string vm;
+    std::string pool;
+
+    auto operator<=>(const Placement &) const = default;
+};
+
+/// Compiles a document that has no findings. A VM that is placed in a pool that the document does
+/// not have is in none.
+RoutingTable compileRoutingTable(const model::Document &document,
+                                 const std::vector<Placement> &placements = {});
 
 } // namespace sassafrasferry::policy
--- a/packages/policy/include/sassafrasferry/policy/wave_planner.h
+++ b/packages/policy/include/sassafrasferry/policy/wave_planner.h
@@ -1,6 +1,7 @@
 // Which VMs of a pool a maintenance wave drains next, and why it waits or halts.
 #pragma once
 
+#include <sassafrasferry/model/document.h>
 #include <sassafrasferry/model/names.h>
 #include <sassafrasferry/policy/availability_budget.h>
 #include <sassafrasferry/policy/time.h>
@@ -19,6 +20,7 @@
     Done, ///< back in service
     BackFailing, ///< came back and failed its check
     Failed, ///< out of service, and not by the wave
+    Lent, ///< serves in another pool, or is on its way there or back
 };
 
 constexpr auto enumNames(WaveVmState)
@@ -29,7 +31,8 @@
                       EnumName{WaveVmState::InMaintenance, "in-maintenance"},
                       EnumName{WaveVmState::Done, "done"},
                       EnumName{WaveVmState::BackFailing, "back-failing"},
-                      EnumName{WaveVmState::Failed, "failed"}};
+                      EnumName{WaveVmState::Failed, "failed"},
+                      EnumName{WaveVmState::Lent, "lent"}};
 }
 
 /// A VM in a wave.
@@ -85,14 +88,7 @@
 /// budget with or without the wave.
 WaveStep planWave(const WavePool &pool);
 
-/// What a deployment pays for: of an hour of roll-out, of an hour that a borrowed VM is held, of a
-/// move of a VM.
-struct FleetWeights
-{
-    double rollOutHour = 1;
-    double bufferHour = 1;
-    double move = 0.1;
-};
+using model::FleetWeights;
 
 /// How many VMs to borrow for a wave, of `spareFree`: the number with the least weighted cost.
 std::size_t chooseBorrowed(const AvailabilityBudget &budget, std::size_t spareFree,
--- a/packages/policy/src/capacity_planner.cpp
+++ b/packages/policy/src/capacity_planner.cpp
@@ -2,6 +2,7 @@
 #include <sassafrasferry/policy/capacity_planner.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace sassafrasferry::policy {
 
@@ -63,4 +64,41 @@
     return left >= 2 * this->times.move ? MoveWish::Borrow : MoveWish::Stay;
 }
 
+DemandPlanner::DemandPlanner(MovePolicy policy, CapacityTimes times)
+    : policy(policy)
+    , times(times)
+{}
+
+DemandPlanner::Watched &DemandPlanner::watched(const std::string &pool)
+{
+    for (auto &item : this->pools) {
+        if (item.pool == pool)
+            return item;
+    }
+    this->pools.push_back({pool, CapacityPlanner(this->policy, this->times)});
+    return this->pools.back();
+}
+
+std::vector<PoolWish> DemandPlanner::observe(const std::vector<PoolLoad> &loads, Instant now)
+{
+    std::vector<PoolWish> wishes;
+    for (const auto &load : loads) {
+        if (load.capacity <= 0 || load.slotsPerVm <= 0)
+            continue;
+        const auto wish = this->watched(load.pool).planner.observe(load.demand / load.capacity,
+                                                                   load.borrowed, now);
+        if (wish == MoveWish::Stay)
+            continue;
+        // As many as are lacking; back go as many as leave the demand between the two bounds, lest
+        // the next look borrows them again.
+        const double comfortable = load.demand / ((this->times.high + this->times.low) / 2);
+        const double vms = wish == MoveWish::Borrow
+                               ? std::ceil((load.demand - load.capacity) / load.slotsPerVm)
+                               : std::floor((load.capacity - comfortable) / load.slotsPerVm);
+        if (vms >= 1)
+            wishes.push_back({load.pool, wish, static_cast<std::size_t>(vms)});
+    }
+    return wishes;
+}
+
 } // namespace sassafrasferry::policy
--- a/packages/policy/src/dispatcher_admission.cpp
+++ b/packages/policy/src/dispatcher_admission.cpp
@@ -15,20 +15,20 @@
 
 } // namespace
 
-std::uint32_t Dispatcher::capacityOf(Index pool, Instant now) const
+std::uint32_t Dispatcher::slotsOf(Index pool, SlotCount count, Instant now) const
 {
     std::uint32_t sum = 0;
     for (const auto index : this->pools[pool].workers) {
         const auto &worker = this->workers[index];
         if (!worker.isLeaving(now) && worker.health.state(now) == WorkerHealth::State::Fit)
-            sum += worker.allowed(now);
+            sum += count == SlotCount::Allowed ? worker.allowed(now) : worker.share.slots;
     }
     return sum;
 }
 
-double Dispatcher::capacityFor(const ServiceState &service, Instant now) const
+double Dispatcher::capacityFor(const ServiceState &service, SlotCount count, Instant now) const
 {
-    double capacity = this->capacityOf(service.spec.pool, now);
+    double capacity = this->slotsOf(service.spec.pool, count, now);
     if (service.spec.overflow == noIndex)
         return capacity;
     std::size_t contenders = 1;
@@ -36,7 +36,7 @@
         const auto &other = this->services[index];
         contenders += &other != &service && other.queue.size() > 0 ? 1 : 0;
     }
-    const double spare = this->capacityOf(service.spec.overflow, now);
+    const double spare = this->slotsOf(service.spec.overflow, count, now);
     return capacity + spare / static_cast<double>(contenders);
 }
 
@@ -77,20 +77,30 @@
     if (this->settings.hopelessJobs && this->hopeless.isHopeless(request.job, now))
         return this->refuse(request.id, RefusalReason::HopelessJob, Duration{});
     request.arrived = now;
-    if (!request.isRetry)
+    if (!request.isRetry) {
         service->retries.firstAttempt();
+        service->offered.add(fromSeconds(service->runTimes.meanSeconds()), now);
+    }
     // Nobody of the same class is waiting, so taking a free slot passes nobody over.
     if (service->queue.sizeUpTo(request.requestClass) == 0 || request.isRetry) {
         if (auto grant = this->tryGrant(at->second, request, now))
             return *grant;
     }
-    const double capacity = this->capacityFor(*service, now);
+    double capacity = this->capacityFor(*service, SlotCount::Allowed, now);
+    Duration untilReturned{};
+    if (capacity <= 0) {
+        // All may be lent. They come back by themselves; told "no workers", the caller would be
+        // sent away for seconds by a pool with free slots.
+        capacity = this->capacityFor(*service, SlotCount::Owned, now);
+        untilReturned = loanTerm(service->runTimes.meanSeconds());
+    }
     if (capacity <= 0)
         return this->refuse(request.id, RefusalReason::NoWorkers, noWorkersRetryAfter);
     const auto *team = this->limitingTeam(*service);
     if (team && team->quota.isTooSmall())
         return this->refuse(request.id, RefusalReason::QuotaTooSmall, Duration{});
-    const auto slotWait = this->predictedWait(*service, request.requestClass, capacity);
+    const auto slotWait =
+        untilReturned + this->predictedWait(*service, request.requestClass, capacity);
     const auto quotaWait = this->quotaWait(*service, request.requestClass, now);
     const auto wait = std::max(slotWait, quotaWait);
     const bool decidesByDeadline = this->settings.admission == AdmissionPolicy::Deadline;
--- a/packages/policy/src/dispatcher_leaving.cpp
+++ b/packages/policy/src/dispatcher_leaving.cpp
@@ -45,4 +45,14 @@
         this->workers[at->second].leaving.draining = false;
 }
 
+std::vector<std::string> Dispatcher::busyDraining() const
+{
+    std::vector<std::string> names;
+    for (const auto &worker : this->workers) {
+        if (worker.leaving.draining && worker.inUse > 0)
+            names.push_back(worker.spec.name);
+    }
+    return names;
+}
+
 } // namespace sassafrasferry::policy
--- a/packages/policy/src/dispatcher_status.cpp
+++ b/packages/policy/src/dispatcher_status.cpp
@@ -23,6 +23,23 @@
     return statuses;
 }
 
+std::vector<PoolDemand> Dispatcher::demand(Instant now) const
+{
+    std::vector<PoolDemand> demands;
+    for (const auto &pool : this->pools) {
+        PoolDemand demand{pool.name, 0, 0};
+        for (const auto index : pool.workers)
+            demand.capacity += this->workers[index].spec.slots;
+        for (const auto index : pool.services) {
+            const auto &service = this->services[index];
+            if (this->pools[service.spec.pool].name == pool.name)
+                demand.slots += service.offered.slots(now);
+        }
+        demands.push_back(std::move(demand));
+    }
+    return demands;
+}
+
 std::vector<WorkerStatus> Dispatcher::workerStatus(Instant now) const
 {
     std::vector<WorkerStatus> statuses;
--- a/packages/policy/src/dispatcher_test.cpp
+++ b/packages/policy/src/dispatcher_test.cpp
@@ -215,6 +215,24 @@
     CHECK(lender.tick(start + loan.term).grants.size() == 1);
 }
 
+TEST_CASE("a request that finds all slots lent waits for them")
+{
+    // An idle entry VM has lent all that it holds of a small pool when a request arrives. Its
+    // slots are back within the loan's term; told "no workers", the caller would have been sent
+    // away for 5 s by a pool with free slots.
+    Dispatcher lender(routing(model::RoutingPolicy::Loans), "a", 1);
+    lender.setLive({"a", "b"}, start);
+    lender.adopt(table(1), start);
+    const auto loan = lender.lend({"main", 8, 0}, start).loan;
+    REQUIRE(loan.items.size() == 1);
+    CHECK(loan.items[0].slots == 4);
+    CHECK(std::holds_alternative<Queued>(lender.submit(request(1), start)));
+    const auto tooSoon = lender.submit(request(2, 200ms), start);
+    REQUIRE(std::holds_alternative<Refusal>(tooSoon));
+    CHECK(std::get<Refusal>(tooSoon).reason == RefusalReason::DeadlineUnreachable);
+    CHECK(lender.tick(start + loan.term).grants.size() == 1);
+}
+
 TEST_CASE("a worker that fails everything is ejected, and only as far as the budget allows")
 {
     // Eight workers at 0.75 availability: two may be out. All fail.
--- a/packages/policy/src/routing_table.cpp
+++ b/packages/policy/src/routing_table.cpp
@@ -37,6 +37,12 @@
     return unit;
 }
 
+bool isPlaced(const std::vector<Placement> &placements, const std::string &vm)
+{
+    return std::any_of(placements.begin(), placements.end(),
+                       [&](const Placement &placement) { return placement.vm == vm; });
+}
+
 void resolveTeams(const model::Document &document, RoutingTable &table)
 {
     std::unordered_map<std::string, Index> teams;
@@ -87,7 +93,8 @@
     return at == this->workerIndex.end() ? nullptr : &this->workers[at->second];
 }
 
-RoutingTable compileRoutingTable(const model::Document &document)
+RoutingTable compileRoutingTable(const model::Document &document,
+                                 const std::vector<Placement> &placements)
 {
     RoutingTable table;
     table.revision = document.revision;
@@ -97,12 +104,19 @@
         PoolSpec spec{pool.name, pool.spare, {}};
         for (const auto &vm : pool.vms) {
             const auto index = static_cast<Index>(table.workers.size());
-            spec.workers.push_back(index);
+            if (!isPlaced(placements, vm.name))
+                spec.workers.push_back(index);
             table.workerIndex.emplace(vm.name, index);
             table.workers.push_back(workerOf(vm));
         }
         table.pools.push_back(std::move(spec));
     }
+    for (const auto &placement : placements) {
+        const auto pool = pools.find(placement.pool);
+        const auto worker = table.workerIndex.find(placement.vm);
+        if (pool != pools.end() && worker != table.workerIndex.end())
+            table.pools[pool->second].workers.push_back(worker->second);
+    }
     for (const auto &service : document.services) {
         table.serviceIndex.emplace(service.name, static_cast<Index>(table.services.size()));
         table.services.push_back(serviceOf(service, pools));
--- a/packages/policy/src/wave_planner.cpp
+++ b/packages/policy/src/wave_planner.cpp
@@ -66,6 +66,9 @@
         return {WaveVerdict::Halted, std::to_string(backFailing) + " VMs came back failing", {}};
     const auto pending = pendingInOrder(pool);
     const auto planned = count(pool, isPlanned);
+    const auto lent = count(pool, [](const WaveVm &vm) { return vm.state == WaveVmState::Lent; });
+    if (pending.empty() && planned == 0 && lent > 0)
+        return {WaveVerdict::Wait, std::to_string(lent) + " VMs are lent to other pools", {}};
     if (pending.empty())
         return planned == 0 ? WaveStep{WaveVerdict::Finished, "every VM has been maintained", {}}
                             : WaveStep{WaveVerdict::Wait, "the last VMs are out", {}};
--- a/scripts/checks.sh
+++ b/scripts/checks.sh
@@ -55,8 +55,8 @@
     for ((n = 1; n <= entries; ++n)); do list+="${list:+,}$(caller_address "$n")"; done
     start "load-$1" "$fleet_bin/packages/standins/standin-load" --entries "$list" \
         --health "$admin_list" --workers "$(worker_address 1)" --worker-count $workers \
-        --services "${load_services:-invoice:urgent:keyed,quote:normal}" --rate 150 --surge 1 --lull 1 \
-        --phase-ms $(($2 * 1000 / 3)) --run-ms 30 --deadline-ms 3000 --pool-slots 96 \
+        --services "${load_services:-invoice:urgent:keyed,quote:normal}" --rate "${load_rate:-150}" --surge 1 --lull 1 \
+        --phase-ms $(($2 * 1000 / 3)) --run-ms "${load_run_ms:-30}" --deadline-ms 3000 --pool-slots 96 \
         --seed "$((++load_seed))"
 }
 load_seed=0
