Administration requests are parsed in one place; fleet rows by peers; quotas no request fits

Cause: paths and bodies of the administration API were read where they were used. A quota lower than one request was found out only by its callers. Ruled out: that the process could end by it; the server answers such an exception with 500. Change: admin_request.h names every page and order as typed values, with tests in tables and a fuzzer; such requests get 400 or 404. A quota that no request of a service fits is a finding of the document.

--- /dev/null
+++ b/fuzz/admin_fuzz.cpp
@@ -0,0 +1,19 @@
+// Administration requests: any path and any body is a page or an order, or an error.
+#include "../packages/entry/src/process/admin_request.h"
+
+#include <sassafrasferry/http/json.h>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    using namespace sassafrasferry;
+    const std::string text(reinterpret_cast<const char *>(data), size);
+    const auto target =
+        entry::parseAdminTarget(size % 2 == 0 ? http::Verb::get : http::Verb::post, text);
+    // Names go into answers: one that is not text would end the answer in an exception.
+    (void)http::jsonResponse(http::Status::ok, {{"name", target.name}});
+    const auto change = entry::parseSectionChange("fleet", text);
+    if (change.ok())
+        (void)http::jsonResponse(http::Status::ok, {{"text", change->text}});
+    (void)entry::parseWaveOrder(text);
+    return 0;
+}
--- a/packages/cli/src/fleet_commands.cpp
+++ b/packages/cli/src/fleet_commands.cpp
@@ -28,7 +28,8 @@
         return report(answer.status());
     const auto &body = answer->body;
     std::cout << "entry " << body.value("entry", "") << " in " << body.value("dataCentre", "")
-              << ", revision " << body.value("revision", 0) << ", "
+              << ", revision " << body.value("revision", 0) << ", fleet rows "
+              << body.value("fleetVersion", std::int64_t{0}) << ", "
               << (body.value("healthy", false) ? "healthy" : "not healthy") << " ("
               << body.value("health", "") << "), store "
               << (body.value("storeReachable", false) ? "reachable" : "not reachable")
@@ -39,7 +40,9 @@
         const auto name = peer.value("name", "");
         const bool isLive = std::find(live.begin(), live.end(), name) != live.end();
         std::cout << "peer " << std::left << std::setw(nameWidth) << name << " revision "
-                  << peer.value("revision", 0) << (isLive ? "" : " not live") << "\n";
+                  << peer.value("revision", 0) << ", fleet rows "
+                  << peer.value("fleetVersion", std::int64_t{0}) << (isLive ? "" : ", not live")
+                  << "\n";
     }
     for (const auto &pool : body["pools"])
         std::cout << "pool " << std::left << std::setw(nameWidth) << pool.value("name", "")
--- a/packages/entry/src/process/admin_api.cpp
+++ b/packages/entry/src/process/admin_api.cpp
@@ -9,21 +9,6 @@
 
 using http::Json;
 using http::Status;
-using http::Verb;
-
-constexpr std::string_view requestsPath = "/v1/requests/";
-constexpr std::string_view sectionsPath = "/v1/sections/";
-constexpr std::string_view operationsPath = "/v1/operations/";
-constexpr std::string_view historyPath = "/v1/history/";
-constexpr std::string_view wavesPath = "/v1/waves/";
-
-// What follows a prefix, or nothing.
-std::optional<std::string> after(const std::string &target, std::string_view prefix)
-{
-    if (target.rfind(prefix, 0) != 0)
-        return std::nullopt;
-    return target.substr(prefix.size());
-}
 
 } // namespace
 
@@ -37,44 +22,63 @@
 
 Awaitable<http::Response> AdminApi::handle(http::Request request)
 {
-    const std::string target(request.target());
-    if (const auto name = after(target, sectionsPath); name && request.method() == Verb::post) {
-        auto response = co_await this->apply(*name, std::move(request));
+    const std::string path(request.target());
+    const auto target = parseAdminTarget(request.method(), path);
+    // Pages that ask the store. Their answers are named first: g++ 12 destroys what a co_return of
+    // a co_await holds twice.
+    if (target.page == AdminPage::Apply) {
+        auto response = co_await this->apply(target.name, std::move(request));
         co_return response;
     }
-    if (const auto name = after(target, wavesPath); name && request.method() == Verb::post) {
-        auto response = co_await this->setWave(*name, std::move(request));
+    if (target.page == AdminPage::SetWave) {
+        auto response = co_await this->setWave(target.name, std::move(request));
         co_return response;
     }
-    if (request.method() != Verb::get)
-        co_return http::textResponse(Status::method_not_allowed, "only GET\n");
-    if (const auto id = after(target, operationsPath)) {
-        auto response = co_await this->operation(*id);
+    if (target.page == AdminPage::Operation) {
+        auto response = co_await this->operation(target.name);
         co_return response;
     }
-    if (const auto revision = after(target, historyPath)) {
-        auto response = co_await this->history(*revision);
+    if (target.page == AdminPage::History) {
+        auto response = co_await this->history(target.name);
         co_return response;
     }
-    if (target == "/v1/waves") {
+    if (target.page == AdminPage::Waves) {
         auto response = co_await this->waves();
         co_return response;
     }
-    if (const auto id = after(target, requestsPath))
-        co_return this->explain(*id);
-    if (const auto name = after(target, sectionsPath))
-        co_return this->section(*name);
-    if (target == "/healthz")
-        co_return this->healthz();
-    if (target == "/metrics")
-        co_return this->metrics();
-    if (target == "/v1/status")
-        co_return this->status();
-    if (target == "/v1/upstreams")
-        co_return this->upstreams();
-    if (target == "/v1/document")
-        co_return this->document();
-    co_return http::textResponse(Status::not_found, "no such page\n");
+    co_return this->localPage(target);
+}
+
+http::Response AdminApi::localPage(const AdminTarget &target) const
+{
+    switch (target.page) {
+    case AdminPage::Health:
+        return this->healthz();
+    case AdminPage::Metrics:
+        return this->metrics();
+    case AdminPage::Status:
+        return this->status();
+    case AdminPage::Upstreams:
+        return this->upstreams();
+    case AdminPage::Explain:
+        return this->explain(target.name);
+    case AdminPage::Document:
+        return this->document();
+    case AdminPage::Section:
+        return this->section(target.name);
+    case AdminPage::WrongMethod:
+        return http::textResponse(Status::method_not_allowed, "not with this method\n");
+    case AdminPage::BadName:
+        return http::textResponse(Status::bad_request, "a name must be printable ASCII\n");
+    case AdminPage::Apply:
+    case AdminPage::Operation:
+    case AdminPage::History:
+    case AdminPage::Waves:
+    case AdminPage::SetWave:
+    case AdminPage::Missing:
+        break;
+    }
+    return http::textResponse(Status::not_found, "no such page\n");
 }
 
 http::Response AdminApi::healthz() const
@@ -95,6 +99,7 @@
             const auto state = membership.peer(peer.name);
             peers.push_back({{"name", peer.name},
                              {"revision", state ? state->revision : 0},
+                             {"fleetVersion", state ? state->fleetVersion : 0},
                              {"incarnation", state ? state->incarnation : 0}});
         }
         live = membership.live(now);
@@ -127,6 +132,7 @@
                                            {"healthy", health.isHealthy},
                                            {"health", health.reason},
                                            {"storeReachable", this->control.storeReachable()},
+                                           {"fleetVersion", this->control.fleetVersion()},
                                            {"holdsLease", this->control.holdsLease()},
                                            {"leaseEpoch", this->control.leaseEpoch()},
                                            {"live", live},
--- a/packages/entry/src/process/admin_api.h
+++ b/packages/entry/src/process/admin_api.h
@@ -1,6 +1,7 @@
 // The administration API: health, metrics, status, and the document.
 #pragma once
 
+#include "admin_request.h"
 #include "control.h"
 
 #include <sassafrasferry/http/server.h>
@@ -17,6 +18,8 @@
     Awaitable<http::Response> handle(http::Request request);
 
 private:
+    /// Pages that need no answer of the store.
+    http::Response localPage(const AdminTarget &target) const;
     http::Response healthz() const;
     http::Response metrics() const;
     http::Response status() const;
--- a/packages/entry/src/process/admin_document.cpp
+++ b/packages/entry/src/process/admin_document.cpp
@@ -70,19 +70,12 @@
 
 Awaitable<http::Response> AdminApi::apply(std::string section, http::Request request)
 {
-    platform::SectionChange change;
-    change.section = section;
-    try {
-        const auto body = http::parseJson(request.body());
-        body.at("text").get_to(change.text);
-        body.at("baseRevision").get_to(change.baseRevision);
-        body.at("operationId").get_to(change.operationId);
-        body.at("token").get_to(change.token);
-    } catch (const Json::exception &error) {
-        co_return http::textResponse(Status::bad_request, std::string(error.what()) + "\n");
-    }
-    const auto operationId = change.operationId;
-    const auto result = co_await this->control.apply(std::move(change));
+    auto change = parseSectionChange(section, request.body());
+    if (!change.ok())
+        co_return http::textResponse(Status::bad_request,
+                                     std::string(change.status().message()) + "\n");
+    const auto operationId = change->operationId;
+    const auto result = co_await this->control.apply(std::move(*change));
     this->parts.log.write({"apply",
                            operationId,
                            {{"section", section},
--- a/packages/entry/src/process/admin_waves.cpp
+++ b/packages/entry/src/process/admin_waves.cpp
@@ -80,15 +80,16 @@
 
 Awaitable<http::Response> AdminApi::setWave(std::string name, http::Request request)
 {
-    const auto body = http::parseJson(request.body());
-    const auto action = body.is_object() ? body.value("action", "") : std::string();
-    const bool isKnown = action == "start" || action == "halt" || action == "resume";
+    const auto order = parseWaveOrder(request.body());
+    if (!order.ok())
+        co_return http::textResponse(Status::bad_request,
+                                     std::string(order.status().message()) + "\n");
     const auto &document = this->versions.current()->document;
     const auto wave = std::find_if(document.waves.begin(), document.waves.end(),
                                    [&](const model::Wave &item) { return item.name == name; });
-    if (!isKnown || wave == document.waves.end())
-        co_return http::textResponse(Status::bad_request, "no such wave or action\n");
-    if (!platform::isOwner(document, wave->section, body.value("token", "")))
+    if (wave == document.waves.end())
+        co_return http::textResponse(Status::not_found, "no such wave\n");
+    if (!platform::isOwner(document, wave->section, order->token))
         co_return http::textResponse(Status::forbidden, "not this team's wave\n");
     const auto rows = co_await this->control.fleetRows();
     if (!rows.ok())
@@ -98,14 +99,16 @@
         if (item.name == name)
             row = item;
     }
-    if (action == "start") {
+    if (order->action == WaveAction::Start) {
         row.done.clear();
         row.startedAt = http::unixNow();
     }
-    row.state = action == "halt" ? fleet::WaveState::Halted : fleet::WaveState::Running;
-    row.reason = action == "halt" ? "halted by an operator" : "";
+    const bool isHalt = order->action == WaveAction::Halt;
+    row.state = isHalt ? fleet::WaveState::Halted : fleet::WaveState::Running;
+    row.reason = isHalt ? "halted by an operator" : "";
     const auto commit = co_await this->control.setWave(row);
-    this->parts.log.write({"wave-" + action, "", {{"wave", name}}});
+    this->parts.log.write(
+        {"wave-" + std::string(model::nameOf(order->action)), "", {{"wave", name}}});
     switch (commit.state) {
     case platform::CommitState::Committed:
         co_return http::jsonResponse(Status::ok, {{"state", "accepted"}});
--- a/packages/entry/src/process/control.cpp
+++ b/packages/entry/src/process/control.cpp
@@ -110,6 +110,11 @@
     return this->lease.holds(now());
 }
 
+std::int64_t Control::fleetVersion() const
+{
+    return this->fleetKnown.version;
+}
+
 std::int64_t Control::leaseEpoch() const
 {
     return this->lease.currentEpoch();
--- a/packages/entry/src/process/control.h
+++ b/packages/entry/src/process/control.h
@@ -78,6 +78,8 @@
     bool storeReachable() const;
     bool holdsLease() const;
     std::int64_t leaseEpoch() const;
+    /// Of the fleet's head row, when its rows were last read; 0 if they are not known.
+    std::int64_t fleetVersion() const;
 
 private:
     using Timer = boost::asio::steady_timer;
--- a/packages/fleet/include/sassafrasferry/fleet/vm_lender.h
+++ b/packages/fleet/include/sassafrasferry/fleet/vm_lender.h
@@ -25,16 +25,13 @@
         , log(log)
     {}
 
-    /// One step; true if it changed any row, so that `rows` no longer holds.
+    /// One step; true if it may have changed any row, so that `rows` no longer holds.
     Awaitable<bool> step(const FleetRows &rows, const FleetView &view, platform::Condition fence)
     {
-        bool hasChanged = false;
-        for (const auto &order : ordersOf(rows, view)) {
-            const bool done = co_await this->carryOut(order, rows, view, fence);
-            // One order for each pool rests on what was read; two could rest on the same budget.
-            hasChanged = hasChanged || done;
-        }
-        co_return hasChanged;
+        const auto orders = ordersOf(rows, view);
+        for (const auto &order : orders)
+            co_await this->carryOut(order, rows, view, fence);
+        co_return !orders.empty();
     }
 
 private:
@@ -207,7 +204,8 @@
                      true};
     }
 
-    Awaitable<bool> carryOut(Order order, const FleetRows &rows, const FleetView &view,
+    // What fails is decided again by the next step, on what then stands.
+    Awaitable<void> carryOut(Order order, const FleetRows &rows, const FleetView &view,
                              platform::Condition fence)
     {
         VmRow vm;
@@ -228,11 +226,9 @@
             commit = co_await this->store.setBorrowed(vm, budget, fence);
         else
             commit = co_await this->store.permit(vm, budget, fence);
-        if (commit.state != platform::CommitState::Committed)
-            co_return true; // the next step reads what stands
-        this->log({order.isReturn ? "take-back" : "lend", vm.name,
-                   "from " + order.from + " to " + order.to + ": " + order.reason});
-        co_return true;
+        if (commit.state == platform::CommitState::Committed)
+            this->log({order.isReturn ? "take-back" : "lend", vm.name,
+                       "from " + order.from + " to " + order.to + ": " + order.reason});
     }
 
     FleetStore<Tables> &store;
--- a/packages/fleet/include/sassafrasferry/fleet/vm_mover.h
+++ b/packages/fleet/include/sassafrasferry/fleet/vm_mover.h
@@ -95,30 +95,41 @@
             this->noteOrder(vm.name, co_await this->control.drain(vm.name, vm.order));
             co_return;
         }
-        if (vm.isLoan()) {
-            if (report.phase == VmPhase::Empty)
-                co_await this->changePool(vm, fence);
-            co_return;
-        }
-        if (!vm.target.empty()) {
-            // An entry VM that has not adopted the move yet would still use it in the old pool.
-            const bool isAdopted = view.revisionEverywhere >= vm.revision;
-            if (report.phase == VmPhase::Empty && isAdopted)
-                this->noteOrder(vm.name, co_await this->control.resume(vm.name, vm.order));
-            if (report.phase == VmPhase::Serving && isAdopted)
-                co_await this->giveBack(vm, "moved to " + vm.target, fence);
-            co_return;
-        }
         if (report.phase == VmPhase::Draining)
             co_return;
+        if (vm.isLoan())
+            co_await this->changePool(vm, report, fence);
+        else if (!vm.target.empty())
+            co_await this->endMove(vm, view, report, fence);
+        else
+            co_await this->beginMaintenance(vm, fence);
+    }
+
+    Awaitable<void> beginMaintenance(VmRow vm, platform::Condition fence)
+    {
         vm.state = VmState::InMaintenance;
         const auto commit = co_await this->store.advance(vm, fence);
         if (commit.state == platform::CommitState::Committed)
             this->noteOrder(vm.name, co_await this->control.maintain(vm.name, vm.order));
     }
 
-    Awaitable<void> changePool(VmRow vm, platform::Condition fence)
+    // A move that a change of the document asked for.
+    Awaitable<void> endMove(VmRow vm, const FleetView &view, VmReport report,
+                            platform::Condition fence)
     {
+        // An entry VM that has not adopted the change yet would still use it in the old pool.
+        if (view.revisionEverywhere < vm.revision)
+            co_return;
+        if (report.phase == VmPhase::Empty)
+            this->noteOrder(vm.name, co_await this->control.resume(vm.name, vm.order));
+        if (report.phase == VmPhase::Serving)
+            co_await this->giveBack(vm, "moved to " + vm.target, fence);
+    }
+
+    Awaitable<void> changePool(VmRow vm, VmReport report, platform::Condition fence)
+    {
+        if (report.phase != VmPhase::Empty)
+            co_return;
         vm.pool = std::exchange(vm.target, std::string());
         vm.state = VmState::Arriving;
         const auto commit = co_await this->store.advance(vm, fence);
--- a/packages/model/include/sassafrasferry/model/document.h
+++ b/packages/model/include/sassafrasferry/model/document.h
@@ -44,6 +44,10 @@
     std::int64_t accelerators = 0;
 };
 
+/// Processors that one request holds on a VM: its part of them by slots, rounded up. A VM that
+/// names no processors counts one a slot.
+std::int64_t slotProcessors(const Vm &vm);
+
 /// A pool of VMs. Spare pools take overflow from other pools' services.
 struct Pool
 {
--- a/packages/model/src/document.cpp
+++ b/packages/model/src/document.cpp
@@ -23,6 +23,14 @@
     bool mustBeSpare = false;
 };
 
+// A team's quota, which must be enough for one request of each of its services.
+struct Quota
+{
+    Finding ifTooSmall;
+    std::string team;
+    std::int64_t processors = 0;
+};
+
 struct Parse
 {
     Document document;
@@ -35,6 +43,7 @@
     std::map<std::string, std::string> serviceSections;
     std::map<std::string, std::string> teamSections;
     std::map<std::string, std::string> waveSections;
+    std::vector<Quota> quotas;
 };
 
 void claimName(std::map<std::string, std::string> &owners, const std::string &what,
@@ -149,6 +158,9 @@
     reader.read("processors", team.processors, sizeRange);
     if (!team.tokenHash.empty() && team.tokenHash.size() != hashLength)
         reader.find("tokenHash", "must be a SHA-256 in hexadecimal");
+    if (team.processors > 0)
+        parse.quotas.push_back({reader.findingAt("processors", "is less than one request holds"),
+                                name, team.processors});
     parse.document.teams.push_back(std::move(team));
 }
 
@@ -209,6 +221,36 @@
     }
 }
 
+std::int64_t largestRequest(const Document &document, const std::string &poolName)
+{
+    std::int64_t largest = 0;
+    if (const auto *pool = document.pool(poolName)) {
+        for (const auto &vm : pool->vms)
+            largest = std::max(largest, slotProcessors(vm));
+    }
+    return largest;
+}
+
+// A quota below that would refuse every request of the service, for a reason that only its callers
+// see.
+void checkQuotas(Parse &parse)
+{
+    for (const auto &quota : parse.quotas) {
+        for (const auto &service : parse.document.services) {
+            const auto *section = parse.document.section(service.section);
+            if (!section || section->team != quota.team)
+                continue;
+            const auto needed = std::max(largestRequest(parse.document, service.pool),
+                                         largestRequest(parse.document, service.overflow));
+            if (quota.processors >= needed)
+                continue;
+            auto finding = quota.ifTooSmall;
+            finding.message += " of service \"" + service.name + "\": " + std::to_string(needed);
+            parse.findings.push_back(std::move(finding));
+        }
+    }
+}
+
 template<typename Item>
 const Item *byName(const std::vector<Item> &items, std::string_view name)
 {
@@ -219,6 +261,12 @@
 
 } // namespace
 
+std::int64_t slotProcessors(const Vm &vm)
+{
+    const auto slots = std::max<std::int64_t>(1, vm.slots);
+    return std::max<std::int64_t>(1, (vm.processors + slots - 1) / slots);
+}
+
 const Section *Document::section(std::string_view name) const
 {
     return byName(this->sections, name);
@@ -237,11 +285,12 @@
 Document parseDocument(const std::vector<SectionText> &sections, std::int64_t revision,
                        Findings &findings)
 {
-    Parse parse{{}, findings, {}, {}, {}, {}, {}, {}, {}, {}};
+    Parse parse{{}, findings, {}, {}, {}, {}, {}, {}, {}, {}, {}};
     parse.document.revision = revision;
     for (const auto &section : sections)
         readSectionText(parse, section);
     checkReferences(parse);
+    checkQuotas(parse);
     return std::move(parse.document);
 }
 
--- a/packages/model/src/document_test.cpp
+++ b/packages/model/src/document_test.cpp
@@ -86,6 +86,33 @@
     CHECK(findings[0].place.line > 0);
 }
 
+TEST_CASE("a quota that no request fits is a finding where the quota stands")
+{
+    // Each request of the service would be refused with `quota-too-small`, and only its callers
+    // would see why.
+    struct Row
+    {
+        std::string processors; // of the team
+        std::string vmProcessors;
+        std::size_t findings;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"4", "32", 0}, {"3", "32", 1}, {"1", "0", 0}, {"0", "32", 0}, // no limit
+    }));
+    const auto text = "[sections.one]\nteam = \"ops\"\n[sections.one.teams.ops]\ntokenHash = \""
+                      + std::string(64, '0') + "\"\nprocessors = " + row.processors
+                      + "\n[[sections.one.pools.p.vms]]\nname = \"w\"\naddress = "
+                        "\"127.0.0.1:1\"\ndataCentre = \"a\"\nrack = \"r\"\nprocessors = "
+                      + row.vmProcessors + "\n[sections.one.services.x]\npool = \"p\"\n";
+    Findings findings;
+    parseDocument({{"one", text, 1}}, 1, findings);
+    REQUIRE(findings.size() == row.findings);
+    if (!findings.empty()) {
+        CHECK(findings[0].keyPath == "sections.one.teams.ops.processors");
+        CHECK(findings[0].message == "is less than one request holds of service \"x\": 4");
+    }
+}
+
 TEST_CASE("a team that no section declares is a finding")
 {
     Findings findings;
--- a/packages/policy/src/routing_table.cpp
+++ b/packages/policy/src/routing_table.cpp
@@ -7,14 +7,6 @@
 
 namespace {
 
-// A VM that names no processors counts one a slot.
-std::uint32_t slotProcessorsOf(const model::Vm &vm)
-{
-    const auto slots = std::max<std::int64_t>(1, vm.slots);
-    return static_cast<std::uint32_t>(
-        std::max<std::int64_t>(1, (vm.processors + slots - 1) / slots));
-}
-
 WorkerSpec workerOf(const model::Vm &vm)
 {
     return {vm.name,
@@ -23,7 +15,7 @@
             vm.rack,
             static_cast<std::uint32_t>(vm.slots),
             static_cast<std::uint32_t>(vm.connections),
-            slotProcessorsOf(vm)};
+            static_cast<std::uint32_t>(model::slotProcessors(vm))};
 }
 
 // The most that a request of a pool holds on any of its workers.
