A lease holder that does not hear its peers gives the lease up

A drain now waits until every live entry VM knows of it, which the holder learns from heartbeats; one that is cut off from its peers keeps them as live and hears no news, so every wave would stand as long as the cut lasts. Ruled out: going on without their word (a VM would be drained under an entry VM that uses it).

--- a/packages/entry/src/process/control.h
+++ b/packages/entry/src/process/control.h
@@ -90,6 +90,7 @@
     Awaitable<void> dispatchLoop();
     Awaitable<void> leaseLoop();
     Awaitable<void> demandLoop();
+    Awaitable<void> keepLease();
     Awaitable<void> refreshDocument();
     Awaitable<bool> refreshFleet(std::int64_t fleetVersion);
     Awaitable<void> sweepClaims();
--- a/packages/entry/src/process/control_lease.cpp
+++ b/packages/entry/src/process/control_lease.cpp
@@ -25,7 +25,7 @@
     asio::steady_timer timer(this->context);
     bool held = false;
     while (!this->stopping) {
-        co_await this->lease.step(now);
+        co_await this->keepLease();
         if (this->holdsLease()) {
             auto view = this->fleetView();
             view.wishes = this->demandWishes();
@@ -50,6 +50,20 @@
     }
 }
 
+Awaitable<void> Control::keepLease()
+{
+    const bool isCutOff = this->parts.membership.locked(
+        [](policy::Membership &membership) { return membership.cutOff(now()); });
+    if (!isCutOff) {
+        co_await this->lease.step(now);
+        co_return;
+    }
+    // A holder that does not hear its peers never learns that they know of a drain: every wave
+    // would stand for as long as the cut lasts. One that hears them goes on in its place.
+    if (this->holdsLease())
+        co_await this->lease.release();
+}
+
 Awaitable<void> Control::sweepClaims()
 {
     const auto deleted = co_await this->sweeper.step(unixNow(), this->lease.fence());
--- a/scripts/checks.sh
+++ b/scripts/checks.sh
@@ -34,6 +34,13 @@
     fi
 }
 
+check_within() { # SECONDS WHAT COMMAND...: that the command succeeds in time
+    local seconds=$1 what=$2 happened=yes
+    shift 2
+    wait_for "$seconds" "$@" || happened=no
+    check "$what" "$happened" yes
+}
+
 platform_faults() { curl -sf -o /dev/null -d "$1" "http://$platform_address/standin/faults"; }
 status_of() { curl -sf "http://$(admin_address "$1")/v1/status"; }
 field() { python3 -c 'import json,sys; print(json.load(sys.stdin)[sys.argv[1]])' "$1"; }
