--- a/packages/fleet/src/vm_lender_test.cpp
+++ b/packages/fleet/src/vm_lender_test.cpp
@@ -31,32 +31,16 @@
     // call, while one of two entry VMs reads the rows late. Callers would see a VM work for two
     // pools, or a service with fewer VMs than it promises.
     const auto calls = callsOfAWave();
-    std::size_t runs = 0;
-    std::size_t violations = 0;
-    std::string first;
-    for (const auto &fault : enumNames(CallFault{})) {
-        for (std::size_t call = 0; call < calls; ++call) {
-            for (const std::size_t again : {std::size_t{0}, std::size_t{1}, std::size_t{5}}) {
-                World world;
-                world.startWave();
-                CallFaults faults;
-                faults.faultOf = [&](std::size_t number) {
-                    const bool isDue = number == call || (again > 0 && number == call + again);
-                    return isDue ? fault.value : CallFault::None;
-                };
-                const auto failure = world.finish(faults);
-                ++runs;
-                violations += failure.empty() ? 0 : 1;
-                if (!failure.empty() && first.empty())
-                    first = std::string(fault.name) + " at call " + std::to_string(call) + ": "
-                            + failure;
-            }
-        }
-    }
+    const auto sweep = sweepFaults(calls, 5, [](CallFaults &faults) {
+        World world;
+        world.startWave();
+        return world.finish(faults);
+    });
     std::cout << "loan matrix: " << enumNames(CallFault{}).size() << " faults x " << calls
-              << " calls, once and twice: " << runs << " runs, " << violations << " violations\n";
-    INFO(first);
-    CHECK(violations == 0);
+              << " calls, once and twice: " << sweep.runs << " runs, " << sweep.violations
+              << " violations\n";
+    INFO(sweep.first);
+    CHECK(sweep.violations == 0);
 }
 
 TEST_CASE("demand borrows as many VMs as it lacks, and gives back what it does not need")
--- a/packages/fleet/src/wave_runner_test.cpp
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -59,10 +59,7 @@
     // Another process takes the lease: the fence changes.
     void takeOver()
     {
-        const auto key = platform::LeaseKeeper<FaultyTables>::epochKey();
-        const auto commit =
-            this->tables.commitNow({{}, {{key, Json{{"epoch", ++this->epoch}}}}, {}});
-        this->fence = {key, commit.version};
+        this->fence = takeLease(this->tables, this->epoch);
     }
 
     // One step of a process that believes to hold the lease with this fence.
@@ -168,31 +165,15 @@
 TEST_CASE("every fault at every call of a wave, and twice")
 {
     const auto calls = callsOfAWave();
-    std::size_t runs = 0;
-    std::size_t violations = 0;
-    std::string first;
-    for (const auto &fault : enumNames(CallFault{})) {
-        for (std::size_t call = 0; call < calls; ++call) {
-            for (const std::size_t again : {std::size_t{0}, std::size_t{1}, std::size_t{4}}) {
-                Run run;
-                CallFaults faults;
-                faults.faultOf = [&](std::size_t number) {
-                    const bool isDue = number == call || (again > 0 && number == call + again);
-                    return isDue ? fault.value : CallFault::None;
-                };
-                const auto failure = run.finish(faults);
-                ++runs;
-                violations += failure.empty() ? 0 : 1;
-                if (!failure.empty() && first.empty())
-                    first = std::string(fault.name) + " at call " + std::to_string(call) + ": "
-                            + failure;
-            }
-        }
-    }
+    const auto sweep = sweepFaults(calls, 4, [](CallFaults &faults) {
+        Run run;
+        return run.finish(faults);
+    });
     std::cout << "wave matrix: " << enumNames(CallFault{}).size() << " faults x " << calls
-              << " calls, once and twice: " << runs << " runs, " << violations << " violations\n";
-    INFO(first);
-    CHECK(violations == 0);
+              << " calls, once and twice: " << sweep.runs << " runs, " << sweep.violations
+              << " violations\n";
+    INFO(sweep.first);
+    CHECK(sweep.violations == 0);
 }
 
 TEST_CASE("two processes that both believe to hold the lease cannot overdraw the budget")
--- a/packages/fleet/tests/fleet_world.h
+++ b/packages/fleet/tests/fleet_world.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
 
 namespace sassafrasferry::fleet {
 
@@ -56,6 +57,48 @@
     }
 };
 
+/// What a sweep of faults came to.
+struct FaultSweep
+{
+    std::size_t runs = 0;
+    std::size_t violations = 0;
+    std::string first; ///< the first violation, with its fault and call
+};
+
+/// Every fault at every one of `calls` calls, alone and a second time `again` calls later.
+/// `run(faults)` carries a world through them and returns the first violated promise, or nothing.
+template<typename Run>
+FaultSweep sweepFaults(std::size_t calls, std::size_t again, Run run)
+{
+    FaultSweep sweep;
+    for (const auto &fault : enumNames(CallFault{})) {
+        for (std::size_t call = 0; call < calls; ++call) {
+            for (const std::size_t second : {call, call + 1, call + again}) {
+                CallFaults faults;
+                faults.faultOf = [&](std::size_t number) {
+                    const bool isDue = number == call || number == second;
+                    return isDue ? fault.value : CallFault::None;
+                };
+                const std::string failure = run(faults);
+                ++sweep.runs;
+                sweep.violations += failure.empty() ? 0 : 1;
+                if (!failure.empty() && sweep.first.empty())
+                    sweep.first = std::string(fault.name) + " at call " + std::to_string(call)
+                                  + ": " + failure;
+            }
+        }
+    }
+    return sweep;
+}
+
+/// Another process takes the lease: the fence changes.
+inline platform::Condition takeLease(fakes::MemoryTables &tables, std::int64_t &epoch)
+{
+    const auto key = platform::LeaseKeeper<fakes::MemoryTables>::epochKey();
+    const auto commit = tables.commitNow({{}, {{key, Json{{"epoch", ++epoch}}}}, {}});
+    return {key, commit.version};
+}
+
 /// The table service, seen by one process.
 struct FaultyTables
 {
--- a/packages/fleet/tests/loan_world.h
+++ b/packages/fleet/tests/loan_world.h
@@ -100,10 +100,7 @@
 
     void takeOver()
     {
-        const auto key = platform::LeaseKeeper<FaultyTables>::epochKey();
-        const auto commit =
-            this->tables.commitNow({{}, {{key, Json{{"epoch", ++this->epoch}}}}, {}});
-        this->fence = {key, commit.version};
+        this->fence = takeLease(this->tables, this->epoch);
     }
 
     void step(CallFaults &faults, platform::Condition stepFence)
