--- a/packages/fleet/src/wave_runner_test.cpp
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -74,6 +74,16 @@
         this->check();
     }
 
+    void pass()
+    {
+        this->vms.tick();
+    }
+
+    bool isOver() const
+    {
+        return this->wave()->state == WaveState::Finished;
+    }
+
     // The wave to its end, with the faults of the first process.
     std::string finish(CallFaults &faults)
     {
@@ -85,23 +95,8 @@
                 this->vms.tick();
             }
         };
-        auto *current = &faults;
-        CallFaults none;
-        auto currentFence = this->fence;
-        for (int i = 0; i < mostSteps && !this->isFinished(); ++i) {
-            try {
-                this->step(*current, currentFence);
-            } catch (const HolderKilled &) {
-                this->takeOver();
-                current = &none;
-                currentFence = this->fence;
-            }
-            // A paused holder finds out by its next read of the lease.
-            if (currentFence.version != this->fence.version && i % 3 == 2)
-                currentFence = this->fence;
-            this->vms.tick();
-        }
-        if (this->failure.empty() && !this->isFinished())
+        carryThrough(*this, faults, mostSteps);
+        if (this->failure.empty() && !this->isOver())
             this->failure = "the wave does not finish";
         for (const auto &[name, vm] : this->vms.vms) {
             if (this->failure.empty() && vm.maintained != 1)
@@ -131,11 +126,6 @@
     platform::Condition fence;
 
 private:
-    bool isFinished() const
-    {
-        return this->wave()->state == WaveState::Finished;
-    }
-
     void check()
     {
         constexpr std::size_t limit = 4;
--- a/packages/fleet/tests/fleet_world.h
+++ b/packages/fleet/tests/fleet_world.h
@@ -129,6 +129,29 @@
     }
 };
 
+/// Carries a world on until it is over or `mostSteps` have passed. The first process meets
+/// `faults`; if it is killed another one goes on, and if it was paused it finds out by its next
+/// read of the lease.
+template<typename World>
+void carryThrough(World &world, CallFaults &faults, int mostSteps)
+{
+    auto *current = &faults;
+    CallFaults none;
+    auto fence = world.fence;
+    for (int i = 0; i < mostSteps && !world.isOver(); ++i) {
+        try {
+            world.step(*current, fence);
+        } catch (const HolderKilled &) {
+            world.takeOver();
+            current = &none;
+            fence = world.fence;
+        }
+        if (fence.version != world.fence.version && i % 3 == 2)
+            fence = world.fence;
+        world.pass();
+    }
+}
+
 /// A VM at the platform.
 struct FakeVm
 {
--- a/packages/fleet/tests/loan_world.h
+++ b/packages/fleet/tests/loan_world.h
@@ -139,6 +139,12 @@
         }
     }
 
+    bool isOver() const
+    {
+        const auto wave = this->tables.readNow({waveKey("weekly")});
+        return waveFrom(wave.at(0))->state == WaveState::Finished && this->rows().empty();
+    }
+
     // The wave to its end and every loan home, with the faults of the first process.
     std::string finish(CallFaults &faults)
     {
@@ -146,22 +152,7 @@
             this->takeOver();
             this->steps(4);
         };
-        auto *current = &faults;
-        CallFaults none;
-        auto currentFence = this->fence;
-        for (int i = 0; i < mostSteps && !this->isOver(); ++i) {
-            try {
-                this->step(*current, currentFence);
-            } catch (const HolderKilled &) {
-                this->takeOver();
-                current = &none;
-                currentFence = this->fence;
-            }
-            // A paused holder finds out by its next read of the lease.
-            if (currentFence.version != this->fence.version && i % 3 == 2)
-                currentFence = this->fence;
-            this->pass();
-        }
+        carryThrough(*this, faults, mostSteps);
         if (this->failure.empty() && !this->isOver())
             this->failure = "the wave or its loans do not end";
         return this->failure;
@@ -198,12 +189,6 @@
     std::string failure; // the first violated promise
 
 private:
-    bool isOver() const
-    {
-        const auto wave = this->tables.readNow({waveKey("weekly")});
-        return waveFrom(wave.at(0))->state == WaveState::Finished && this->rows().empty();
-    }
-
     BudgetRow budget(const std::string &name) const
     {
         const auto rows = this->tables.readNow({budgetKey(name)});
--- a/packages/policy/src/capacity_planner_test.cpp
+++ b/packages/policy/src/capacity_planner_test.cpp
@@ -71,3 +71,36 @@
         CHECK(planner.observe(i % 4 < 2 ? 1.1 : 0.9, 1, now) == MoveWish::Stay);
     }
 }
+
+TEST_CASE("how many VMs a pool wants, or can do without")
+{
+    // Fewer than are lacking leave callers refused for another move; more go back and forth.
+    struct Row
+    {
+        std::string title;
+        PoolLoad load;
+        MoveWish wish;
+        std::size_t vms;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"just full", {"p", 80, 80, 8, 0}, MoveWish::Stay, 0},
+        {"a little more", {"p", 81, 80, 8, 0}, MoveWish::Borrow, 1},
+        {"half as much again", {"p", 120, 80, 8, 2}, MoveWish::Borrow, 5},
+        {"comfortable", {"p", 60, 80, 8, 2}, MoveWish::Stay, 0},
+        {"a lull with loans", {"p", 30, 80, 8, 3}, MoveWish::Return, 5},
+        {"a lull without", {"p", 30, 80, 8, 0}, MoveWish::Stay, 0},
+        {"a pool without VMs in service", {"p", 30, 0, 8, 0}, MoveWish::Stay, 0},
+    }));
+    INFO(row.title);
+    DemandPlanner planner(MovePolicy::Outlasting, {});
+    const Instant start{};
+    planner.observe({row.load}, start);
+    CHECK(planner.observe({row.load}, start + 5s).empty()); // not steady yet
+    const auto wishes = planner.observe({row.load}, start + 10s + 1ms);
+    REQUIRE(wishes.size() == (row.wish == MoveWish::Stay ? 0U : 1U));
+    for (const auto &wish : wishes) {
+        CHECK(wish.pool == "p");
+        CHECK(wish.wish == row.wish);
+        CHECK(wish.vms == row.vms);
+    }
+}
