--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -36,6 +36,9 @@
 
 # add_package_tests(NAME SOURCES ... USES ...): one Catch2 program, one ctest entry.
 function(add_package_tests name)
+    if(SASSAFRASFERRY_DEPLOY)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "SOURCES;USES" ${ARGN})
     add_executable(${name}_test ${ARG_SOURCES})
     target_include_directories(${name}_test PRIVATE src)
--- a/fuzz/rows_fuzz.cpp
+++ b/fuzz/rows_fuzz.cpp
@@ -1,7 +1,7 @@
 // Bodies of administration requests and rows of the store: JSON of any shape is an error or a
 // value.
 #include <sassafrasferry/fleet/fleet_rows.h>
-#include <sassafrasferry/platform/claim_rows.h>
+#include <sassafrasferry/store/claim_rows.h>
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
@@ -10,9 +10,9 @@
     const auto json = http::parseJson(text);
     if (json.is_discarded())
         return 0;
-    const platform::Row row{{"t", "k"}, 1, json};
-    const auto claim = platform::claimFrom(row);
-    if (claim.ok() && !platform::claimFrom({row.key, 1, platform::toJson(claim->claim)}).ok())
+    const store::Row row{{"t", "k"}, 1, json};
+    const auto claim = store::claimFrom(row);
+    if (claim.ok() && !store::claimFrom({row.key, 1, store::toJson(claim->claim)}).ok())
         __builtin_trap();
     (void)fleet::vmFrom(row);
     (void)fleet::waveFrom(row);
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -0,0 +1,152 @@
+// Takes jobs and cancellations in: into the store first, many in a transaction, and only then is
+// the caller told.
+#pragma once
+
+#include <sassafrasferry/coordination/job_rows.h>
+#include <sassafrasferry/coordination/timing.h>
+
+#include <sassafrasferry/http/await_callback.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include <glog/logging.h>
+
+namespace sassafrasferry::coordination {
+
+/// What became of a job that was handed in.
+enum class IntakeResult {
+    Stored,
+    Known, ///< it was stored before
+    Refused, ///< nothing was stored, and nothing will be
+    Unknown, ///< it may be stored, now or later
+};
+
+constexpr auto enumNames(IntakeResult)
+{
+    return std::array{
+        model::EnumName{IntakeResult::Stored, "stored"},
+        model::EnumName{IntakeResult::Known, "known"},
+        model::EnumName{IntakeResult::Refused, "refused"},
+        model::EnumName{IntakeResult::Unknown, "unknown"},
+    };
+}
+
+template<store::PartStore Store>
+class Intake
+{
+public:
+    Intake(Store &store, http::asio::any_io_executor executor)
+        : store(store)
+        , executor(std::move(executor))
+    {}
+
+    /// Stores a job unless a row of it exists. Gives up at the deadline.
+    Awaitable<IntakeResult> submit(std::string job, std::string record, Instant deadline)
+    {
+        co_return co_await http::awaitCallback<IntakeResult>([&](auto done) {
+            const auto part = partOf(job);
+            this->queues[part].push_back(
+                {std::move(job), std::move(record), deadline, false, std::move(done)});
+            this->begin(part);
+        });
+    }
+
+private:
+    struct Item
+    {
+        std::string job;
+        std::string record;
+        Instant deadline;
+        bool mayBeStored = false; // a transaction that held it had no answer
+        std::function<void(IntakeResult)> done;
+    };
+
+    // Bounds of a transaction: entries, with three to a job, and bytes.
+    static constexpr std::size_t mostJobs = 30;
+    static constexpr std::size_t mostBytes = 400 * 1024;
+    static constexpr auto retryPause = std::chrono::milliseconds(60);
+
+    void begin(const std::string &part)
+    {
+        if (std::exchange(this->busy[part], true))
+            return;
+        http::asio::co_spawn(
+            this->executor, [this, part] { return this->work(part); }, http::asio::detached);
+    }
+
+    Awaitable<void> work(std::string part)
+    {
+        auto &queue = this->queues[part];
+        while (!queue.empty()) {
+            std::deque<Item> batch;
+            std::size_t bytes = 0;
+            while (!queue.empty() && batch.size() < mostJobs && bytes < mostBytes) {
+                bytes += queue.front().record.size();
+                batch.push_back(std::move(queue.front()));
+                queue.pop_front();
+            }
+            co_await this->commit(part, std::move(batch));
+        }
+        this->busy[part] = false;
+    }
+
+    Awaitable<void> commit(const std::string &part, std::deque<Item> batch)
+    {
+        while (!batch.empty()) {
+            store::PartTransaction transaction;
+            transaction.part = part;
+            for (const auto &item : batch) {
+                transaction.conditions.push_back({table::intake, item.job, store::absent});
+                transaction.conditions.push_back({table::progress, item.job, store::absent});
+                transaction.puts.push_back({table::intake, item.job, item.record});
+            }
+            const auto answer = co_await this->store.commit(std::move(transaction));
+            if (answer.state == store::CommitState::Committed) {
+                for (auto &item : batch)
+                    item.done(IntakeResult::Stored);
+                co_return;
+            }
+            const auto now = bootNow();
+            if (answer.state == store::CommitState::Conflict)
+                this->answerKnown(batch, answer.current);
+            for (auto &item : batch)
+                item.mayBeStored |= answer.state == store::CommitState::Unknown;
+            this->answerLate(batch, now);
+            if (answer.state != store::CommitState::Conflict)
+                co_await pause(retryPause);
+        }
+    }
+
+    void answerKnown(std::deque<Item> &batch, const std::vector<store::PartRow> &rows)
+    {
+        std::erase_if(batch, [&](const Item &item) {
+            const bool exists = std::any_of(rows.begin(), rows.end(), [&](const auto &row) {
+                return row.key == item.job && row.version != store::absent;
+            });
+            if (exists)
+                item.done(IntakeResult::Known);
+            return exists;
+        });
+    }
+
+    void answerLate(std::deque<Item> &batch, Instant now)
+    {
+        std::erase_if(batch, [&](const Item &item) {
+            const bool isLate = now >= item.deadline;
+            if (isLate)
+                item.done(item.mayBeStored ? IntakeResult::Unknown : IntakeResult::Refused);
+            return isLate;
+        });
+    }
+
+    Store &store;
+    http::asio::any_io_executor executor;
+    std::map<std::string, std::deque<Item>> queues; // by part
+    std::map<std::string, bool> busy; // a transaction of the part is under way
+};
+
+} // namespace sassafrasferry::coordination
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/job_desk.h
@@ -0,0 +1,47 @@
+// Questions about jobs between entry VMs: whoever does not lead asks the one that does.
+#pragma once
+
+#include <sassafrasferry/coordination/timing.h>
+#include <sassafrasferry/messages/jobs.pb.h>
+#include <sassafrasferry/peer/message_port.h>
+
+#include <sassafrasferry/http/await_callback.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace sassafrasferry::coordination {
+
+class JobDesk
+{
+public:
+    using Answer = std::optional<messages::JobAnswer>;
+    using OnQuestion = std::function<messages::JobAnswer(const messages::JobQuestion &)>;
+
+    JobDesk(http::asio::io_context &context, model::Endpoint self, OnQuestion onQuestion);
+
+    absl::Status open();
+    /// Asks; nothing if no answer comes in time.
+    Awaitable<Answer> ask(const model::Endpoint &peer, messages::JobQuestion question,
+                          Duration timeout);
+
+private:
+    struct Pending
+    {
+        std::shared_ptr<http::asio::steady_timer> timer;
+        std::function<void(Answer)> done;
+    };
+
+    void receive(std::string_view bytes);
+    void finish(std::uint64_t number, Answer answer);
+
+    http::asio::io_context &context;
+    model::Endpoint self;
+    OnQuestion onQuestion;
+    peer::MessagePort port;
+    std::uint64_t lastNumber = 0;
+    std::map<std::uint64_t, Pending> pending; // by number of the question
+};
+
+} // namespace sassafrasferry::coordination
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -0,0 +1,411 @@
+// The scheduling leader at work: it learns all jobs and workers, plans, orders and records.
+#pragma once
+
+#include <sassafrasferry/coordination/fenced_part.h>
+#include <sassafrasferry/coordination/leadership.h>
+#include <sassafrasferry/coordination/table_follower.h>
+#include <sassafrasferry/coordination/worker_session.h>
+
+#include <sassafrasferry/http/clock.h>
+
+#include <map>
+#include <set>
+
+namespace sassafrasferry::coordination {
+
+/// How a leader is tied to its platform.
+template<typename T>
+concept JobPlatform = requires(std::string text, http::asio::any_io_executor executor,
+                               const model::Endpoint &endpoint)
+{
+    requires store::PartStore<typename T::Store>;
+    requires WorkerCalls<typename T::Worker>;
+    // The table in which workers list themselves.
+    {
+        T::workerTable()
+        } -> std::convertible_to<std::string>;
+    {
+        T::decodeListing(text, text)
+        } -> std::same_as<absl::StatusOr<scheduling::WorkerListing>>;
+};
+
+/// One tenure of the lease. Made anew for each.
+template<JobPlatform Platform>
+class Leader : public std::enable_shared_from_this<Leader<Platform>>
+{
+public:
+    using Store = typename Platform::Store;
+    using Session = WorkerSession<typename Platform::Worker>;
+
+    struct Options
+    {
+        scheduling::SchedulerTimes times;
+        std::function<void(const std::string &why)> onDeposed;
+    };
+
+    Leader(http::asio::any_io_executor executor, Store &store, const Tenure &tenure,
+           Options options, scheduling::Configuration configuration)
+        : executor(executor)
+        , store(store)
+        , tenure(tenure)
+        , options(std::move(options))
+        , scheduler(this->options.times, tenure.term * runsPerTerm, bootNow())
+        , planWake(executor)
+    {
+        this->scheduler.setConfiguration(std::move(configuration));
+        for (const auto &part : allJobParts())
+            this->lanes.push_back(std::make_unique<RecordLane>(store, part, tenure.fence, executor));
+    }
+
+    void begin()
+    {
+        http::asio::co_spawn(
+            this->executor, [self = this->shared_from_this()] { return self->run(); },
+            http::asio::detached);
+    }
+
+    /// Nothing is ordered or recorded any more.
+    void stop()
+    {
+        this->stopped = true;
+        for (auto &entry : this->sessions)
+            entry.second->stop();
+        if (this->intakeFollower)
+            this->intakeFollower->stop();
+        if (this->workerFollower)
+            this->workerFollower->stop();
+        this->sessions.clear();
+        this->planWake.notify();
+        this->wakeRecords();
+    }
+
+    /// True once it knows every job.
+    bool isReady() const
+    {
+        return this->knowsJobs && this->knowsWorkers;
+    }
+
+    void setConfiguration(scheduling::Configuration configuration)
+    {
+        this->scheduler.setConfiguration(std::move(configuration));
+        this->planWake.notify();
+    }
+
+    scheduling::Scheduler &jobs()
+    {
+        return this->scheduler;
+    }
+
+private:
+    // Above all starts of one task in one term, so that no leader's run numbers meet another's.
+    static constexpr std::int64_t runsPerTerm = 1000;
+    static constexpr auto planTick = std::chrono::milliseconds(50);
+    // Ends and answers that come together are planned for together.
+    static constexpr auto planGather = std::chrono::milliseconds(2);
+    static constexpr auto recordGather = std::chrono::milliseconds(15);
+    static constexpr auto recordTick = std::chrono::milliseconds(200);
+    static constexpr auto retryPause = std::chrono::milliseconds(50);
+    static constexpr std::size_t mostRows = 30; // of a write: each takes up to three entries
+    // Workers write their entry every second or two; news of a drain may be this much later.
+    static constexpr std::chrono::milliseconds listPause{250};
+
+    /// The writes to one part.
+    struct RecordLane
+    {
+        RecordLane(Store &store, const std::string &part, std::int64_t fence,
+                   http::asio::any_io_executor executor)
+            : part(store, part, fence)
+            , wake(std::move(executor))
+        {}
+
+        FencedPart<Store> part;
+        Wake wake;
+    };
+
+    void wakeRecords()
+    {
+        for (auto &lane : this->lanes)
+            lane->wake.notify();
+    }
+
+    Awaitable<void> run()
+    {
+        for (auto &lane : this->lanes) {
+            if (!co_await this->until([&] { return lane->part.open(); }))
+                co_return;
+        }
+        if (!co_await this->loadProgress())
+            co_return;
+        auto self = this->shared_from_this();
+        this->intakeFollower = std::make_shared<TableFollower<Store>>(
+            this->store, FollowOptions{table::intake, allJobParts()},
+            [self](const auto &rows, bool) { self->takeIntake(rows); });
+        this->intakeFollower->begin(this->executor);
+        this->workerFollower = std::make_shared<TableFollower<Store>>(
+            this->store,
+            FollowOptions{Platform::workerTable(), {""}, std::chrono::milliseconds(2500),
+                          listPause},
+            [self](const auto &rows, bool isWhole) { self->takeWorkers(rows, isWhole); });
+        this->workerFollower->begin(this->executor);
+        for (auto &lane : this->lanes) {
+            http::asio::co_spawn(
+                this->executor, [self, raw = lane.get()] { return self->recordLoop(*raw); },
+                http::asio::detached);
+        }
+        co_await this->planLoop();
+    }
+
+    /// Repeats a write until it is done; false if this leader is deposed or stopped.
+    template<typename Write>
+    Awaitable<bool> until(Write write)
+    {
+        while (!this->stopped) {
+            const auto result = co_await write();
+            if (this->stopped)
+                break;
+            if (result == WriteResult::Written)
+                co_return true;
+            if (result == WriteResult::Deposed) {
+                this->options.onDeposed("a newer leader holds the jobs");
+                break;
+            }
+            co_await pause(retryPause);
+        }
+        co_return false;
+    }
+
+    Awaitable<bool> loadProgress()
+    {
+        for (const auto &part : allJobParts()) {
+            for (;;) {
+                const store::PartRange range{table::progress, part, "", ""};
+                const auto page = co_await this->store.scan(range);
+                if (this->stopped)
+                    co_return false;
+                if (page.ok()) {
+                    for (const auto &row : page->rows) {
+                        messages::JobProgress progress;
+                        if (progress.ParseFromString(row.value))
+                            this->inherited[row.key] = std::move(progress);
+                        else
+                            LOG(ERROR) << "event=progress-unreadable job=" << row.key;
+                    }
+                    break;
+                }
+                co_await pause(retryPause);
+            }
+        }
+        co_return true;
+    }
+
+    void takeIntake(const std::vector<store::PartRow> &rows)
+    {
+        std::vector<std::string> cancelled;
+        for (const auto &row : rows) {
+            if (row.deleted)
+                continue;
+            const auto key = parseIntakeKey(row.key);
+            if (key.cancels)
+                cancelled.push_back(key.job);
+            else
+                this->takeJob(key.job, row.value);
+        }
+        // What is over has left the intake; its progress row tells how.
+        for (const auto &entry : this->inherited) {
+            const auto state = static_cast<scheduling::JobState>(entry.second.state());
+            if (jobs::isFinal(state))
+                this->addOver(entry.first, state);
+        }
+        this->inherited.clear();
+        for (const auto &job : cancelled) {
+            if (this->scheduler.cancelJob(job))
+                this->cancelled.insert(job);
+        }
+        this->knowsJobs = true;
+        this->planWake.notify();
+        this->wakeRecords();
+    }
+
+    void addOver(const std::string &id, scheduling::JobState state)
+    {
+        auto job = std::make_unique<jobs::Job>(id, jobs::JobSpec{}, jobs::QueueTerms{}, bootNow());
+        job->state = state;
+        this->scheduler.addJob(std::move(job));
+    }
+
+    void takeJob(const std::string &id, const std::string &bytes)
+    {
+        messages::JobRecord record;
+        if (!record.ParseFromString(bytes)) {
+            LOG(ERROR) << "event=job-unreadable job=" << id;
+            return;
+        }
+        jobs::QueueTerms terms;
+        terms.queue = record.queue();
+        terms.service = record.service();
+        terms.priority = record.priority();
+        terms.maxAttempts = record.max_attempts();
+        terms.stretch = record.stretch();
+        terms.target = std::chrono::milliseconds(record.target_milliseconds());
+        // A wall clock that was set back or ahead must not put a job far from its turn.
+        const auto age = std::chrono::milliseconds(
+            std::clamp<std::int64_t>(http::unixNow() - record.accepted_milliseconds(), 0,
+                                     this->knowsJobs ? 5000 : 60000));
+        auto job = std::make_unique<jobs::Job>(id, jobs::specFrom(record), std::move(terms),
+                                               bootNow() - age);
+        job->inherited = !this->knowsJobs;
+        if (const auto at = this->inherited.find(id); at != this->inherited.end()) {
+            job->restore(at->second);
+            job->recordedChanges = job->changes;
+        }
+        this->scheduler.addJob(std::move(job));
+    }
+
+    void takeWorkers(const std::vector<store::PartRow> &rows, bool isWhole)
+    {
+        const auto now = bootNow();
+        std::set<std::string> seen;
+        for (const auto &row : rows) {
+            if (row.deleted) {
+                this->scheduler.unlistWorker(row.key);
+                continue;
+            }
+            seen.insert(row.key);
+            this->takeListing(row, now);
+        }
+        if (isWhole) {
+            std::vector<std::string> gone;
+            for (const auto &entry : this->scheduler.workers()) {
+                if (entry.second.listed && seen.count(entry.first) == 0)
+                    gone.push_back(entry.first);
+            }
+            for (const auto &id : gone)
+                this->scheduler.unlistWorker(id);
+        }
+        this->knowsWorkers = true;
+        this->planWake.notify();
+    }
+
+    void takeListing(const store::PartRow &row, Instant now)
+    {
+        const auto listing = Platform::decodeListing(row.key, row.value);
+        if (!listing.ok()) {
+            LOG(WARNING) << "event=worker-unreadable worker=" << row.key << " version="
+                         << row.version << " error=\"" << listing.status().message() << '"';
+            this->scheduler.unlistWorker(row.key);
+            return;
+        }
+        auto &known = this->addresses[row.key];
+        const bool isNew = this->sessions.count(row.key) == 0 || !(known == listing->address);
+        this->scheduler.listWorker(*listing, now);
+        if (!isNew)
+            return;
+        known = listing->address;
+        if (const auto at = this->sessions.find(row.key); at != this->sessions.end())
+            at->second->stop();
+        auto self = this->shared_from_this();
+        auto session = std::make_shared<Session>(
+            this->executor, this->scheduler, row.key,
+            std::make_unique<typename Platform::Worker>(this->executor, row.key, listing->address),
+            this->tenure.fence,
+            SessionEvents{[self] {
+                              self->planWake.notify();
+                              if (self->scheduler.hasDirty())
+                                  self->wakeRecords();
+                          },
+                          [self](const std::string &why) {
+                              if (!self->stopped)
+                                  self->options.onDeposed(why);
+                          }});
+        this->sessions[row.key] = session;
+        session->begin();
+    }
+
+    Awaitable<void> planLoop()
+    {
+        while (!this->stopped) {
+            co_await this->planWake.wait(planTick);
+            co_await pause(planGather);
+            if (this->stopped)
+                co_return;
+            if (!this->isReady())
+                continue;
+            this->give(this->scheduler.plan(bootNow(), http::unixNow()));
+            for (const auto &note : this->scheduler.takeNotes())
+                LOG(INFO) << "event=" << note.event << " of=" << note.subject << ' ' << note.detail;
+            if (this->scheduler.hasDirty())
+                this->wakeRecords();
+        }
+    }
+
+    void give(scheduling::Orders orders)
+    {
+        this->giveAll(std::move(orders.stops));
+        this->giveAll(std::move(orders.starts));
+        this->giveAll(std::move(orders.paces));
+    }
+
+    template<typename Order>
+    void giveAll(std::vector<Order> orders)
+    {
+        for (auto &order : orders) {
+            const auto at = this->sessions.find(order.worker);
+            if (at != this->sessions.end())
+                at->second->order(std::move(order));
+        }
+    }
+
+    Awaitable<void> recordLoop(RecordLane &lane)
+    {
+        auto &part = lane.part;
+        while (!this->stopped) {
+            co_await lane.wake.wait(recordTick);
+            co_await pause(recordGather);
+            auto rows = this->scheduler.takeDirty(mostRows, [&](const std::string &job) {
+                return partOf(job) == part.name();
+            });
+            if (rows.empty() || this->stopped)
+                continue;
+            std::vector<store::PartPut> puts;
+            std::vector<store::PartDelete> deletes;
+            for (const auto &row : rows) {
+                puts.push_back({table::progress, row.id, row.row.SerializeAsString()});
+                if (!row.final)
+                    continue;
+                deletes.push_back({table::intake, row.id});
+                if (this->cancelled.count(row.id) != 0)
+                    deletes.push_back({table::intake, cancellationKey(row.id)});
+            }
+            if (!co_await this->until([&] { return part.write(puts, deletes); }))
+                co_return;
+            for (const auto &row : rows) {
+                this->scheduler.recorded(row);
+                if (row.final)
+                    this->cancelled.erase(row.id);
+            }
+            for (auto &entry : this->sessions)
+                entry.second->recorded();
+            if (this->scheduler.hasDirty())
+                lane.wake.notify();
+        }
+    }
+
+    http::asio::any_io_executor executor;
+    Store &store;
+    Tenure tenure;
+    Options options;
+    scheduling::Scheduler scheduler;
+    std::vector<std::unique_ptr<RecordLane>> lanes; // one for each part
+    std::map<std::string, messages::JobProgress> inherited; // until the intake is known
+    std::set<std::string> cancelled; // whose cancellation still has a row
+    std::map<std::string, std::shared_ptr<Session>> sessions;
+    std::map<std::string, model::Endpoint> addresses; // of the sessions
+    std::shared_ptr<TableFollower<Store>> intakeFollower;
+    std::shared_ptr<TableFollower<Store>> workerFollower;
+    Wake planWake;
+    bool knowsJobs = false;
+    bool knowsWorkers = false;
+    bool stopped = false;
+};
+
+} // namespace sassafrasferry::coordination
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -0,0 +1,283 @@
+// Which entry VM leads: a lease row in the store.
+#pragma once
+
+#include <sassafrasferry/coordination/job_rows.h>
+#include <sassafrasferry/coordination/timing.h>
+#include <sassafrasferry/messages/jobs.pb.h>
+#include <sassafrasferry/model/settings.h>
+
+#include <functional>
+#include <optional>
+
+#include <glog/logging.h>
+
+namespace sassafrasferry::coordination {
+
+/// Times of the scheduling lease.
+struct LeadershipTimes
+{
+    Duration renew = std::chrono::milliseconds(400);
+    /// A row that stood unchanged for this long is anybody's. For liveness alone: what keeps two
+    /// leaders apart is the fence.
+    Duration term = std::chrono::milliseconds(1600);
+    /// How long a leader goes on giving orders that the store does not confirm. The store may be
+    /// away for some seconds, and the workers' leases must outlast that.
+    Duration orderLimit = std::chrono::milliseconds(6500);
+    Duration heard = std::chrono::milliseconds(600); ///< no look at the row while a leader answers
+    Duration look = std::chrono::milliseconds(200); ///< between looks at the row
+    Duration tick = std::chrono::milliseconds(50);
+};
+
+/// What a new leader has to know of its lease.
+struct Tenure
+{
+    std::int64_t fence = 0; ///< higher than that of every leader before
+    std::int64_t term = 0;
+    /// The leader before is known to have stopped: it gave the lease up, or it was an earlier
+    /// process of this entry VM.
+    bool predecessorStopped = false;
+};
+
+/// Takes, renews and watches the lease.
+template<store::PartStore Store>
+class Leadership
+{
+public:
+    struct Events
+    {
+        std::function<void(const Tenure &)> onLead;
+        std::function<void(const std::string &why)> onLost;
+    };
+
+    Leadership(Store &store, std::string self, model::Endpoint address, std::int64_t incarnation,
+               Events events, LeadershipTimes times = {})
+        : store(store)
+        , self(std::move(self))
+        , address(std::move(address))
+        , incarnation(incarnation)
+        , events(std::move(events))
+        , times(times)
+    {}
+
+    Awaitable<void> run()
+    {
+        while (!this->released) {
+            if (this->leading)
+                co_await this->keep();
+            else if (bootNow() - this->heardAt > this->times.heard)
+                co_await this->watch();
+            co_await pause(this->times.tick);
+        }
+    }
+
+    bool leads() const
+    {
+        return this->leading;
+    }
+
+    /// How long ago the store last confirmed this lease.
+    Duration sinceConfirmed() const
+    {
+        return bootNow() - this->confirmedAt;
+    }
+
+    std::int64_t leaseVersion() const
+    {
+        return this->version;
+    }
+
+    /// Where the leader is asked; nothing while none is known.
+    std::optional<model::Endpoint> leaderAddress() const
+    {
+        return this->leader;
+    }
+
+    /// The leader has answered, with the version of its lease row.
+    void heard(std::int64_t leaseVersion)
+    {
+        this->heardAt = bootNow();
+        this->see(leaseVersion);
+    }
+
+    /// The one asked does not lead, or is about to stop.
+    void denied()
+    {
+        this->heardAt = {};
+    }
+
+    /// A worker has heard a newer leader.
+    void deposed(const std::string &why)
+    {
+        if (!this->leading)
+            return;
+        this->leading = false;
+        LOG(WARNING) << "event=lead-lost fence=" << this->tenure.fence << " why=\"" << why << '"';
+        this->events.onLost(why);
+    }
+
+    /// Gives the lease up for good. Orders must have stopped before.
+    Awaitable<void> release()
+    {
+        this->released = true;
+        if (!this->leading)
+            co_return;
+        this->deposed("released");
+        auto record = this->record();
+        record.clear_holder();
+        const auto transaction = this->transaction(record);
+        const auto commit = co_await this->store.commit(transaction);
+        if (commit.state != store::CommitState::Committed)
+            LOG(WARNING) << "event=lease-not-released";
+    }
+
+private:
+    messages::LeaseRecord record() const
+    {
+        messages::LeaseRecord record;
+        record.set_holder(this->self);
+        record.set_address(model::toString(this->address));
+        record.set_incarnation(this->incarnation);
+        record.set_term(this->tenure.term);
+        return record;
+    }
+
+    store::PartTransaction transaction(const messages::LeaseRecord &record) const
+    {
+        return {table::lease,
+                {{table::lease, table::lease, this->version}},
+                {{table::lease, table::lease, record.SerializeAsString()}},
+                {}};
+    }
+
+    void see(std::int64_t seenVersion)
+    {
+        if (seenVersion == this->version && this->hasSeen)
+            return;
+        this->hasSeen = true;
+        this->version = seenVersion;
+        this->seenSince = bootNow();
+    }
+
+    /// Reads the row; false if the store did not answer.
+    Awaitable<bool> look(messages::LeaseRecord &record)
+    {
+        const store::PartRange range{table::lease, table::lease, "", ""};
+        const auto page = co_await this->store.scan(range);
+        if (!page.ok())
+            co_return false;
+        if (page->rows.empty()) {
+            this->see(store::absent);
+            co_return true;
+        }
+        if (!record.ParseFromString(page->rows.front().value))
+            LOG(ERROR) << "event=lease-unreadable version=" << page->rows.front().version;
+        this->see(page->rows.front().version);
+        co_return true;
+    }
+
+    bool isMine(const messages::LeaseRecord &record) const
+    {
+        return record.holder() == this->self && record.incarnation() == this->incarnation;
+    }
+
+    Awaitable<void> watch()
+    {
+        const auto now = bootNow();
+        if (now - this->lookedAt < this->times.look)
+            co_return;
+        this->lookedAt = now;
+        messages::LeaseRecord record;
+        if (!co_await this->look(record))
+            co_return;
+        if (this->isMine(record)) {
+            // The take of this lease was applied, though its answer was lost.
+            this->tenure.term = record.term();
+            this->lead(this->version, now, this->takesStopped);
+            co_return;
+        }
+        this->leader = model::parseEndpoint(record.address());
+        const bool isFree = record.holder().empty();
+        const bool isOwnPast = record.holder() == this->self;
+        const bool isOver = bootNow() - this->seenSince > this->times.term;
+        if (isFree || isOwnPast || isOver)
+            co_await this->take(record.term(), isFree || isOwnPast);
+    }
+
+    Awaitable<void> take(std::int64_t lastTerm, bool predecessorStopped)
+    {
+        const auto begin = bootNow();
+        this->tenure.term = lastTerm + 1;
+        this->takesStopped = predecessorStopped;
+        const auto transaction = this->transaction(this->record());
+        const auto commit = co_await this->store.commit(transaction);
+        if (commit.state == store::CommitState::Committed && !this->released)
+            this->lead(commit.version, begin, predecessorStopped);
+    }
+
+    void lead(std::int64_t fence, Instant confirmed, bool predecessorStopped)
+    {
+        this->tenure.fence = fence;
+        this->tenure.predecessorStopped = predecessorStopped;
+        this->version = fence;
+        this->confirmedAt = confirmed;
+        this->renewedAt = confirmed;
+        this->leading = true;
+        this->leader = this->address;
+        LOG(INFO) << "event=lead fence=" << fence << " term=" << this->tenure.term
+                  << " predecessor-stopped=" << predecessorStopped;
+        this->events.onLead(this->tenure);
+    }
+
+    Awaitable<void> keep()
+    {
+        const auto begin = bootNow();
+        if (begin - this->confirmedAt > this->times.orderLimit) {
+            this->deposed("the store does not confirm the lease");
+            co_return;
+        }
+        if (begin - this->renewedAt < this->times.renew)
+            co_return;
+        this->renewedAt = begin;
+        const auto transaction = this->transaction(this->record());
+        const auto commit = co_await this->store.commit(transaction);
+        if (!this->leading)
+            co_return;
+        if (commit.state == store::CommitState::Committed) {
+            this->version = commit.version;
+            this->confirmedAt = begin;
+            co_return;
+        }
+        if (commit.state == store::CommitState::NotApplied)
+            co_return;
+        // An earlier renewal may have been applied late, which moves the version on.
+        messages::LeaseRecord record;
+        const auto asked = bootNow();
+        if (!co_await this->look(record) || !this->leading)
+            co_return;
+        if (this->isMine(record))
+            this->confirmedAt = asked;
+        else
+            this->deposed("the lease was taken by " + record.holder());
+    }
+
+    Store &store;
+    std::string self;
+    model::Endpoint address;
+    std::int64_t incarnation;
+    Events events;
+    LeadershipTimes times;
+    Tenure tenure;
+    bool leading = false;
+    bool released = false;
+    bool takesStopped = false; // of the take that is under way
+    bool hasSeen = false;
+    std::int64_t version = store::absent; // of the row, as last seen or written
+    Instant seenSince{}; // when the row was first seen at this version
+    Instant confirmedAt{}; // when the last confirmed renewal was sent
+    Instant renewedAt{};
+    Instant heardAt{};
+    Instant lookedAt{};
+    std::optional<model::Endpoint> leader;
+};
+
+} // namespace sassafrasferry::coordination
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/timing.h
@@ -0,0 +1,67 @@
+// Clocks and pauses of what does the I/O.
+#pragma once
+
+#include <sassafrasferry/http/types.h>
+#include <sassafrasferry/policy/time.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <ctime>
+
+namespace sassafrasferry::coordination {
+
+using http::Awaitable;
+using policy::Duration;
+using policy::Instant;
+
+/// The time since the machine started, with the time during which it was suspended. The steady
+/// clock leaves that out, so that a leader that was frozen past its lease would not notice.
+inline Instant bootNow()
+{
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return Instant(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+/// Suspends the coroutine for a while.
+inline Awaitable<void> pause(Duration duration)
+{
+    http::asio::steady_timer timer(co_await http::asio::this_coro::executor, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(http::asio::redirect_error(http::asio::use_awaitable, ignored));
+}
+
+/// Wakes one waiting coroutine before its time.
+class Wake
+{
+public:
+    explicit Wake(http::asio::any_io_executor executor)
+        : timer(std::move(executor))
+    {}
+
+    /// Returns after the duration, or soon after `notify`; at once if that came before.
+    Awaitable<void> wait(Duration duration)
+    {
+        if (!this->notified) {
+            this->timer.expires_after(duration);
+            boost::system::error_code ignored;
+            co_await this->timer.async_wait(
+                http::asio::redirect_error(http::asio::use_awaitable, ignored));
+        }
+        this->notified = false;
+    }
+
+    void notify()
+    {
+        this->notified = true;
+        this->timer.cancel();
+    }
+
+private:
+    http::asio::steady_timer timer;
+    bool notified = false;
+};
+
+} // namespace sassafrasferry::coordination
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -0,0 +1,217 @@
+// The leader's talk with one worker: a hold that is always under way, and orders beside it.
+#pragma once
+
+#include <sassafrasferry/coordination/worker_calls.h>
+#include <sassafrasferry/scheduling/scheduler.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <variant>
+
+#include <glog/logging.h>
+
+namespace sassafrasferry::coordination {
+
+/// What a session tells its leader.
+struct SessionEvents
+{
+    std::function<void()> onChange; ///< the scheduler has something to plan for
+    std::function<void(const std::string &why)> onFenced; ///< a newer leader is about
+};
+
+template<WorkerCalls Worker>
+class WorkerSession : public std::enable_shared_from_this<WorkerSession<Worker>>
+{
+public:
+    WorkerSession(http::asio::any_io_executor executor, scheduling::Scheduler &scheduler,
+                  std::string id, std::unique_ptr<Worker> calls, std::int64_t fence,
+                  SessionEvents events)
+        : executor(executor)
+        , scheduler(scheduler)
+        , id(std::move(id))
+        , calls(std::move(calls))
+        , fence(fence)
+        , events(std::move(events))
+        , nudge(executor)
+    {}
+
+    void begin()
+    {
+        http::asio::co_spawn(
+            this->executor, [self = this->shared_from_this()] { return self->holdLoop(); },
+            http::asio::detached);
+    }
+
+    /// Nothing is sent any more, and the scheduler is not touched.
+    void stop()
+    {
+        this->stopped = true;
+        this->nudge.notify();
+    }
+
+    void order(scheduling::StartOrder order)
+    {
+        this->push(std::move(order));
+    }
+
+    void order(scheduling::StopOrder order)
+    {
+        this->push(std::move(order));
+    }
+
+    void order(scheduling::PaceOrder order)
+    {
+        this->push(std::move(order));
+    }
+
+    /// Ends of this worker have been recorded.
+    void recorded()
+    {
+        if (this->awaitsRecord)
+            this->nudge.notify();
+    }
+
+private:
+    using Order = std::variant<scheduling::StartOrder, scheduling::StopOrder, scheduling::PaceOrder>;
+
+    static constexpr std::chrono::milliseconds holdWait{1000};
+    static constexpr auto retryPause = std::chrono::milliseconds(100);
+    // A hold answers at once while an end is not acknowledged, so it waits for the record.
+    static constexpr auto recordWait = std::chrono::milliseconds(80);
+    static constexpr std::size_t mostOrdersAtOnce = 2;
+
+    Awaitable<void> holdLoop()
+    {
+        while (!this->stopped) {
+            const auto *worker = this->scheduler.findWorker(this->id);
+            if (!worker)
+                co_return;
+            const bool isSurvey = !worker->surveyed;
+            const auto asked = bootNow();
+            HoldRequest request;
+            request.fence = this->fence;
+            request.acknowledged = this->scheduler.acknowledged(this->id);
+            request.until = this->scheduler.leaseUntil(this->id, asked);
+            if (!isSurvey)
+                request.wait = holdWait;
+            auto answer = co_await this->calls->hold(request);
+            if (this->stopped)
+                co_return;
+            co_await this->take(std::move(answer), asked);
+        }
+    }
+
+    Awaitable<void> take(HoldAnswer answer, Instant asked)
+    {
+        if (answer.answer == scheduling::OrderAnswer::Accepted) {
+            this->noteReach(true, answer.answer);
+            this->scheduler.report(answer.report, asked, bootNow());
+            this->events.onChange();
+            const auto *worker = this->scheduler.findWorker(this->id);
+            if (worker && worker->endsSeen > worker->endsRecorded) {
+                this->awaitsRecord = true;
+                co_await this->nudge.wait(recordWait);
+                this->awaitsRecord = false;
+            }
+            co_return;
+        }
+        this->noteReach(false, answer.answer);
+        if (answer.answer == scheduling::OrderAnswer::Fenced) {
+            this->events.onFenced("worker " + this->id + " has heard a newer leader");
+            co_return;
+        }
+        if (answer.answer == scheduling::OrderAnswer::OtherLife) {
+            this->scheduler.lifeEnded(this->id, bootNow());
+            this->events.onChange();
+        }
+        co_await pause(retryPause);
+    }
+
+    void noteReach(bool reached, scheduling::OrderAnswer answer)
+    {
+        if (reached == this->reachable)
+            return;
+        this->reachable = reached;
+        LOG(WARNING) << "event=worker-" << (reached ? "regained" : "lost") << " worker=" << this->id
+                     << " answer=" << model::nameOf(answer);
+    }
+
+    void push(Order order)
+    {
+        this->orders.push_back(std::move(order));
+        if (this->busy >= mostOrdersAtOnce)
+            return;
+        ++this->busy;
+        http::asio::co_spawn(
+            this->executor, [self = this->shared_from_this()] { return self->work(); },
+            http::asio::detached);
+    }
+
+    Awaitable<void> work()
+    {
+        while (!this->orders.empty() && !this->stopped) {
+            auto order = std::move(this->orders.front());
+            this->orders.pop_front();
+            if (auto *start = std::get_if<scheduling::StartOrder>(&order))
+                co_await this->send(*start);
+            else if (auto *stop = std::get_if<scheduling::StopOrder>(&order))
+                co_await this->send(*stop);
+            else
+                co_await this->send(std::get<scheduling::PaceOrder>(order));
+        }
+        --this->busy;
+    }
+
+    Awaitable<void> send(const scheduling::StartOrder &order)
+    {
+        const auto now = bootNow();
+        auto answer = scheduling::OrderAnswer::NotSent;
+        const auto until = this->scheduler.leaseUntil(this->id, now);
+        if (until && now < order.expires)
+            answer = co_await this->calls->start(order, *until, this->fence);
+        if (this->stopped)
+            co_return;
+        this->scheduler.startAnswered(order, answer, bootNow());
+        this->answered(answer);
+    }
+
+    Awaitable<void> send(const scheduling::StopOrder &order)
+    {
+        const auto answer = co_await this->calls->stop(order, this->fence);
+        if (this->stopped)
+            co_return;
+        this->scheduler.stopAnswered(order, answer, bootNow());
+        this->answered(answer);
+    }
+
+    Awaitable<void> send(const scheduling::PaceOrder &order)
+    {
+        const auto answer = co_await this->calls->pace(order, this->fence);
+        if (!this->stopped)
+            this->answered(answer);
+    }
+
+    void answered(scheduling::OrderAnswer answer)
+    {
+        if (answer == scheduling::OrderAnswer::Fenced)
+            this->events.onFenced("worker " + this->id + " has heard a newer leader");
+        else if (answer != scheduling::OrderAnswer::Accepted)
+            this->events.onChange();
+    }
+
+    http::asio::any_io_executor executor;
+    scheduling::Scheduler &scheduler; // outlives every call made before `stop`
+    std::string id;
+    std::unique_ptr<Worker> calls;
+    std::int64_t fence;
+    SessionEvents events;
+    Wake nudge;
+    std::deque<Order> orders;
+    std::size_t busy = 0; // coroutines that send orders
+    bool awaitsRecord = false;
+    bool reachable = true;
+    bool stopped = false;
+};
+
+} // namespace sassafrasferry::coordination
--- /dev/null
+++ b/packages/coordination/src/job_desk.cpp
@@ -0,0 +1,73 @@
+// Questions and answers, matched by their numbers.
+#include <sassafrasferry/coordination/job_desk.h>
+
+#include <glog/logging.h>
+
+namespace sassafrasferry::coordination {
+
+JobDesk::JobDesk(http::asio::io_context &context, model::Endpoint self, OnQuestion onQuestion)
+    : context(context)
+    , self(std::move(self))
+    , onQuestion(std::move(onQuestion))
+    , port(context, peer::Unconnected::Queue,
+           [this](std::string_view bytes) { this->receive(bytes); })
+{}
+
+absl::Status JobDesk::open()
+{
+    return this->port.open(this->self);
+}
+
+Awaitable<JobDesk::Answer> JobDesk::ask(const model::Endpoint &peer,
+                                        messages::JobQuestion question, Duration timeout)
+{
+    co_return co_await http::awaitCallback<Answer>([&](auto done) {
+        const auto number = ++this->lastNumber;
+        question.set_number(number);
+        question.set_address(model::toString(this->self));
+        auto timer = std::make_shared<http::asio::steady_timer>(this->context, timeout);
+        this->pending[number] = {timer, done};
+        timer->async_wait([this, number](const boost::system::error_code &error) {
+            if (!error)
+                this->finish(number, std::nullopt);
+        });
+        messages::JobEnvelope envelope;
+        *envelope.mutable_question() = std::move(question);
+        if (!this->port.send(peer, envelope.SerializeAsString()))
+            this->finish(number, std::nullopt);
+    });
+}
+
+void JobDesk::finish(std::uint64_t number, Answer answer)
+{
+    const auto at = this->pending.find(number);
+    if (at == this->pending.end())
+        return;
+    const auto done = std::move(at->second.done);
+    at->second.timer->cancel();
+    this->pending.erase(at);
+    done(std::move(answer));
+}
+
+void JobDesk::receive(std::string_view bytes)
+{
+    messages::JobEnvelope envelope;
+    if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        LOG(WARNING) << "event=message-unreadable bytes=" << bytes.size();
+        return;
+    }
+    if (envelope.has_answer()) {
+        this->finish(envelope.answer().number(), envelope.answer());
+        return;
+    }
+    const auto &question = envelope.question();
+    const auto address = model::parseEndpoint(question.address());
+    if (!address)
+        return;
+    messages::JobEnvelope reply;
+    *reply.mutable_answer() = this->onQuestion(question);
+    reply.mutable_answer()->set_number(question.number());
+    this->port.send(*address, reply.SerializeAsString());
+}
+
+} // namespace sassafrasferry::coordination
--- a/packages/entry/src/connection/traffic_environment.cpp
+++ b/packages/entry/src/connection/traffic_environment.cpp
@@ -243,13 +243,13 @@
     co_return word;
 }
 
-Awaitable<absl::StatusOr<platform::VersionedClaim>> TrafficEnvironment::readClaim(std::string key)
+Awaitable<absl::StatusOr<store::VersionedClaim>> TrafficEnvironment::readClaim(std::string key)
 {
     return this->parts.store.readClaim(std::move(key));
 }
 
-Awaitable<platform::WriteResult> TrafficEnvironment::writeClaim(policy::Claim claim,
-                                                                std::int64_t version)
+Awaitable<store::WriteResult> TrafficEnvironment::writeClaim(policy::Claim claim,
+                                                             std::int64_t version)
 {
     return this->parts.store.writeClaim(std::move(claim), version);
 }
@@ -277,7 +277,7 @@
 void TrafficEnvironment::leaveOver(policy::Claim claim, std::int64_t version, LeftOver leftOver)
 {
     ++this->parts.leftOvers;
-    platform::VersionedClaim left;
+    store::VersionedClaim left;
     left.claim = std::move(claim);
     left.version = version;
     asio::co_spawn(
--- a/packages/entry/src/connection/traffic_environment.h
+++ b/packages/entry/src/connection/traffic_environment.h
@@ -53,8 +53,8 @@
                                SendOptions options, Cancellation &cancellation);
     Awaitable<policy::WorkerWord> askWorker(std::string address, std::string operationId);
 
-    Awaitable<absl::StatusOr<platform::VersionedClaim>> readClaim(std::string key);
-    Awaitable<platform::WriteResult> writeClaim(policy::Claim claim, std::int64_t version);
+    Awaitable<absl::StatusOr<store::VersionedClaim>> readClaim(std::string key);
+    Awaitable<store::WriteResult> writeClaim(policy::Claim claim, std::int64_t version);
     Awaitable<absl::Status> putObject(std::string name, std::string body);
     Awaitable<absl::StatusOr<std::string>> getObject(std::string name);
 
--- a/packages/entry/src/process/admin_document.cpp
+++ b/packages/entry/src/process/admin_document.cpp
@@ -12,20 +12,20 @@
 using http::Json;
 using http::Status;
 
-Status statusOf(platform::ChangeState state)
+Status statusOf(store::ChangeState state)
 {
     switch (state) {
-    case platform::ChangeState::Accepted:
+    case store::ChangeState::Accepted:
         return Status::ok;
-    case platform::ChangeState::Refused:
+    case store::ChangeState::Refused:
         return Status::unprocessable_entity;
-    case platform::ChangeState::Conflict:
+    case store::ChangeState::Conflict:
         return Status::conflict;
-    case platform::ChangeState::Forbidden:
+    case store::ChangeState::Forbidden:
         return Status::forbidden;
-    case platform::ChangeState::Unavailable:
+    case store::ChangeState::Unavailable:
         return Status::service_unavailable;
-    case platform::ChangeState::Unknown:
+    case store::ChangeState::Unknown:
         return Status::bad_gateway;
     }
     return Status::internal_server_error;
--- a/packages/entry/src/process/admin_request.cpp
+++ b/packages/entry/src/process/admin_request.cpp
@@ -88,17 +88,17 @@
     return result;
 }
 
-absl::StatusOr<platform::SectionChange> parseSectionChange(const std::string &section,
-                                                           const std::string &body)
+absl::StatusOr<store::SectionChange> parseSectionChange(const std::string &section,
+                                                        const std::string &body)
 {
-    return readBody<platform::SectionChange>(
-        body, [&](const Json &json, platform::SectionChange &change) {
-            change.section = section;
-            json.at("text").get_to(change.text);
-            json.at("baseRevision").get_to(change.baseRevision);
-            json.at("operationId").get_to(change.operationId);
-            json.at("token").get_to(change.token);
-        });
+    return readBody<store::SectionChange>(body,
+                                          [&](const Json &json, store::SectionChange &change) {
+                                              change.section = section;
+                                              json.at("text").get_to(change.text);
+                                              json.at("baseRevision").get_to(change.baseRevision);
+                                              json.at("operationId").get_to(change.operationId);
+                                              json.at("token").get_to(change.token);
+                                          });
 }
 
 absl::StatusOr<WaveOrder> parseWaveOrder(const std::string &body)
--- a/packages/entry/src/process/admin_request.h
+++ b/packages/entry/src/process/admin_request.h
@@ -4,7 +4,7 @@
 
 #include <sassafrasferry/http/types.h>
 #include <sassafrasferry/model/names.h>
-#include <sassafrasferry/platform/documents.h>
+#include <sassafrasferry/store/documents.h>
 
 #include <absl/status/statusor.h>
 
@@ -84,8 +84,8 @@
 AdminTarget parseAdminTarget(http::Verb method, std::string_view target);
 
 /// The change in the body of an apply request: `text`, `baseRevision`, `operationId`, `token`.
-absl::StatusOr<platform::SectionChange> parseSectionChange(const std::string &section,
-                                                           const std::string &body);
+absl::StatusOr<store::SectionChange> parseSectionChange(const std::string &section,
+                                                        const std::string &body);
 
 /// The order in the body of a wave request: `action`, `token`.
 absl::StatusOr<WaveOrder> parseWaveOrder(const std::string &body);
--- a/packages/entry/src/process/admin_waves.cpp
+++ b/packages/entry/src/process/admin_waves.cpp
@@ -89,12 +89,12 @@
                                    [&](const model::Wave &item) { return item.name == name; });
     if (wave == document.waves.end())
         co_return http::textResponse(Status::not_found, "no such wave\n");
-    if (!platform::isOwner(document, wave->section, order->token))
+    if (!store::isOwner(document, wave->section, order->token))
         co_return http::textResponse(Status::forbidden, "not this team's wave\n");
     const auto rows = co_await this->control.fleetRows();
     if (!rows.ok())
         co_return http::textResponse(Status::service_unavailable, "the store is down\n");
-    fleet::WaveRow row{name, fleet::WaveState::Running, "", {}, 0, platform::absent};
+    fleet::WaveRow row{name, fleet::WaveState::Running, "", {}, 0, store::absent};
     for (const auto &item : rows->waves) {
         if (item.name == name)
             row = item;
@@ -110,13 +110,13 @@
     this->parts.log.write(
         {"wave-" + std::string(model::nameOf(order->action)), "", {{"wave", name}}});
     switch (commit.state) {
-    case platform::CommitState::Committed:
+    case store::CommitState::Committed:
         co_return http::jsonResponse(Status::ok, {{"state", "accepted"}});
-    case platform::CommitState::Conflict:
+    case store::CommitState::Conflict:
         co_return http::jsonResponse(Status::conflict, {{"state", "conflict"}});
-    case platform::CommitState::NotApplied:
+    case store::CommitState::NotApplied:
         co_return http::jsonResponse(Status::service_unavailable, {{"state", "unavailable"}});
-    case platform::CommitState::Unknown:
+    case store::CommitState::Unknown:
         break;
     }
     co_return http::jsonResponse(Status::bad_gateway, {{"state", "unknown"}});
--- a/packages/entry/src/process/control.h
+++ b/packages/entry/src/process/control.h
@@ -7,11 +7,11 @@
 #include <sassafrasferry/fleet/vm_control_client.h>
 #include <sassafrasferry/fleet/wave_runner.h>
 #include <sassafrasferry/peer/peer_link.h>
-#include <sassafrasferry/platform/claim_sweeper.h>
-#include <sassafrasferry/platform/document_store.h>
-#include <sassafrasferry/platform/lease_keeper.h>
-#include <sassafrasferry/platform/vm_list_client.h>
 #include <sassafrasferry/policy/demand.h>
+#include <sassafrasferry/store/claim_sweeper.h>
+#include <sassafrasferry/store/document_store.h>
+#include <sassafrasferry/store/lease_keeper.h>
+#include <sassafrasferry/store/vm_list_client.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -43,7 +43,7 @@
 {
     std::set<std::string> out; ///< VMs that get no new work
     std::vector<policy::Placement> placements; ///< lent VMs, sorted
-    std::int64_t version = platform::absent; ///< of the fleet's head row, when they were read
+    std::int64_t version = store::absent; ///< of the fleet's head row, when they were read
 };
 
 /// Runs on the control thread only, but for what is said to be thread-safe.
@@ -62,13 +62,13 @@
 
     Health health() const;
     /// Applies a change of one section through the store.
-    Awaitable<platform::ChangeResult> apply(platform::SectionChange change);
+    Awaitable<store::ChangeResult> apply(store::SectionChange change);
     Awaitable<absl::StatusOr<std::int64_t>> operation(std::string operationId);
-    Awaitable<absl::StatusOr<std::vector<platform::HistoryEntry>>> history(std::int64_t after);
+    Awaitable<absl::StatusOr<std::vector<store::HistoryEntry>>> history(std::int64_t after);
 
     Awaitable<absl::StatusOr<fleet::FleetRows>> fleetRows();
     /// An operator starts, halts or resumes a wave.
-    Awaitable<platform::Commit> setWave(fleet::WaveRow wave);
+    Awaitable<store::Commit> setWave(fleet::WaveRow wave);
     /// What the wave planner sees.
     fleet::FleetView fleetView();
 
@@ -129,13 +129,13 @@
     ProcessParts &parts;
     VersionHolder &versions;
     peer::PeerLink peers;
-    platform::DocumentStore<platform::TableClient> documents;
-    platform::VmListClient list;
-    platform::LeaseKeeper<platform::TableClient> lease;
-    fleet::FleetStore<platform::TableClient> fleetStore;
+    store::DocumentStore<store::TableClient> documents;
+    store::VmListClient list;
+    store::LeaseKeeper<store::TableClient> lease;
+    fleet::FleetStore<store::TableClient> fleetStore;
     fleet::VmControlClient vmControl;
-    fleet::WaveRunner<platform::TableClient, fleet::VmControlClient> waves;
-    platform::ClaimSweeper<platform::TableClient, platform::ObjectClient> sweeper;
+    fleet::WaveRunner<store::TableClient, fleet::VmControlClient> waves;
+    store::ClaimSweeper<store::TableClient, store::ObjectClient> sweeper;
     Timer documentTimer; // cancelled to read the document at once
     bool stopping = false;
     bool gone = false; // said to the peers
--- a/packages/entry/src/process/control_document.cpp
+++ b/packages/entry/src/process/control_document.cpp
@@ -52,7 +52,7 @@
         co_return;
     }
     // A change may have come between the two readings, and moved VMs of its own.
-    if (texts->revision != heads->revision && !co_await this->refreshFleet(platform::absent))
+    if (texts->revision != heads->revision && !co_await this->refreshFleet(store::absent))
         co_return;
     auto version = makeVersion(*texts);
     if (!version.ok()) {
@@ -146,7 +146,7 @@
         for (const auto &move : fleet::movesBetween(before->document, version->document))
             names.insert(move.vm);
         this->markDraining(std::move(names));
-        this->fleetKnown.version = platform::absent;
+        this->fleetKnown.version = store::absent;
     }
     this->parts.log.write({"revision",
                            "",
@@ -192,20 +192,20 @@
     }
 }
 
-Awaitable<platform::ChangeResult> Control::apply(platform::SectionChange change)
+Awaitable<store::ChangeResult> Control::apply(store::SectionChange change)
 {
-    using Documents = platform::DocumentStore<platform::TableClient>;
+    using Documents = store::DocumentStore<store::TableClient>;
     const Documents::ExtraRowsOf moves = [](const model::Document &current,
                                             const model::Document &changed) {
         Documents::ExtraRows rows;
         rows.fresh = fleet::moveRows(current, changed, http::unixNow());
         if (!rows.fresh.empty())
-            rows.touched.push_back({fleet::fleetHeadKey(), platform::Json::object()});
+            rows.touched.push_back({fleet::fleetHeadKey(), store::Json::object()});
         return rows;
     };
     auto result =
         co_await this->documents.apply(std::move(change), this->versions.current()->texts, moves);
-    if (result.state == platform::ChangeState::Accepted)
+    if (result.state == store::ChangeState::Accepted)
         this->documentTimer.cancel();
     co_return result;
 }
@@ -215,7 +215,7 @@
     return this->documents.operation(std::move(operationId));
 }
 
-Awaitable<absl::StatusOr<std::vector<platform::HistoryEntry>>> Control::history(std::int64_t after)
+Awaitable<absl::StatusOr<std::vector<store::HistoryEntry>>> Control::history(std::int64_t after)
 {
     return this->documents.history(after);
 }
--- a/packages/entry/src/process/control_lease.cpp
+++ b/packages/entry/src/process/control_lease.cpp
@@ -80,7 +80,7 @@
     return this->fleetStore.load();
 }
 
-Awaitable<platform::Commit> Control::setWave(fleet::WaveRow wave)
+Awaitable<store::Commit> Control::setWave(fleet::WaveRow wave)
 {
     return this->fleetStore.setWave(std::move(wave), nullptr);
 }
--- a/packages/entry/src/process/control_store.cpp
+++ b/packages/entry/src/process/control_store.cpp
@@ -33,27 +33,27 @@
         });
 }
 
-Awaitable<absl::StatusOr<platform::VersionedClaim>> ControlStore::readClaim(std::string key)
+Awaitable<absl::StatusOr<store::VersionedClaim>> ControlStore::readClaim(std::string key)
 {
-    using Result = absl::StatusOr<platform::VersionedClaim>;
+    using Result = absl::StatusOr<store::VersionedClaim>;
     return this->onControl<Result>([this, key = std::move(key)]() -> Awaitable<Result> {
-        const auto row = co_await this->batcher.read(platform::claimKey(key));
+        const auto row = co_await this->batcher.read(store::claimKey(key));
         if (!row.ok())
             co_return row.status();
-        co_return platform::claimFrom(*row);
+        co_return store::claimFrom(*row);
     });
 }
 
-Awaitable<platform::WriteResult> ControlStore::writeClaim(policy::Claim claim, std::int64_t version)
+Awaitable<store::WriteResult> ControlStore::writeClaim(policy::Claim claim, std::int64_t version)
 {
-    platform::RowWrite write;
-    write.key = platform::claimKey(claim.key);
+    store::RowWrite write;
+    write.key = store::claimKey(claim.key);
     write.expectedVersion = version;
-    write.value = platform::toJson(claim);
+    write.value = store::toJson(claim);
     write.writeId = this->incarnationName + "." + std::to_string(++this->lastWriteId);
     if (claim.state == policy::ClaimState::Claimed)
         write.expiresAt = claim.claimedAt + this->claimRetention.count();
-    using Result = platform::WriteResult;
+    using Result = store::WriteResult;
     return this->onControl<Result>([this, write = std::move(write)]() -> Awaitable<Result> {
         co_return co_await this->batcher.write(write);
     });
@@ -81,12 +81,12 @@
     this->batcher.setEntries(entries);
 }
 
-platform::TableClient &ControlStore::tables()
+store::TableClient &ControlStore::tables()
 {
     return this->tableClient;
 }
 
-platform::ObjectClient &ControlStore::objectStore()
+store::ObjectClient &ControlStore::objectStore()
 {
     return this->objects;
 }
--- a/packages/entry/src/request/caller_handler.cpp
+++ b/packages/entry/src/request/caller_handler.cpp
@@ -5,7 +5,7 @@
 #include "keyed_flow.h"
 
 #include <sassafrasferry/http/json.h>
-#include <sassafrasferry/platform/digest.h>
+#include <sassafrasferry/store/digest.h>
 
 #include <cmath>
 
@@ -107,7 +107,7 @@
     if (!fault.message.empty())
         return fault;
     request.fingerprint =
-        platform::sha256(request.method + "\n" + request.target + "\n" + request.body);
+        store::sha256(request.method + "\n" + request.target + "\n" + request.body);
     request.job = std::strtoull(request.fingerprint.substr(0, fingerprintHexDigits).c_str(),
                                 nullptr, fingerprintHexDigits);
     return {};
--- a/packages/entry/src/request/claim_settler.h
+++ b/packages/entry/src/request/claim_settler.h
@@ -37,10 +37,10 @@
     {
         policy::Settlement settlement = policy::Settlement::Open;
         policy::WorkerWord word;
-        platform::VersionedClaim current; ///< as written, if it was settled
+        store::VersionedClaim current; ///< as written, if it was settled
     };
 
-    Awaitable<Settled> settle(platform::VersionedClaim existing)
+    Awaitable<Settled> settle(store::VersionedClaim existing)
     {
         Settled settled;
         settled.current = existing;
@@ -62,7 +62,7 @@
             claim.settle(policy::ClaimState::NotRun, this->environment.unixNow());
         }
         const auto written = co_await this->environment.writeClaim(claim, existing.version);
-        if (written.state == platform::WriteState::Written)
+        if (written.state == store::WriteState::Written)
             settled.current.version = written.version;
         else
             settled.settlement = policy::Settlement::Open;
@@ -90,7 +90,7 @@
 /// Goes on with a claim after its request has been answered, until it is settled or `rounds` tries
 /// have been made. What stays open is settled by the next request with the same key.
 template<RequestEnvironment Environment>
-Awaitable<bool> finishLeftOver(Environment &environment, platform::VersionedClaim left,
+Awaitable<bool> finishLeftOver(Environment &environment, store::VersionedClaim left,
                                LeftOver leftOver, int rounds)
 {
     constexpr std::chrono::milliseconds firstPause{100};
@@ -116,16 +116,16 @@
                 left.claim.settle(policy::ClaimState::NotRun, environment.unixNow());
             }
             const auto written = co_await environment.writeClaim(left.claim, left.version);
-            if (written.state == platform::WriteState::Written)
+            if (written.state == store::WriteState::Written)
                 co_return true;
-            if (written.state != platform::WriteState::Conflict)
+            if (written.state != store::WriteState::Conflict)
                 continue;
         }
         // The row has moved on: by our own unanswered write, or by another entry VM.
         const auto current = co_await environment.readClaim(left.claim.key);
         if (!current.ok())
             continue;
-        const bool isOurs = current->version != platform::absent
+        const bool isOurs = current->version != store::absent
                             && current->claim.operationId == left.claim.operationId
                             && current->claim.state == policy::ClaimState::Claimed;
         if (current->version != left.version && !isOurs)
--- a/packages/entry/src/request/environment.h
+++ b/packages/entry/src/request/environment.h
@@ -6,8 +6,8 @@
 #include "request_step.h"
 #include "request_types.h"
 
-#include <sassafrasferry/platform/claim_rows.h>
-#include <sassafrasferry/platform/row_batcher.h>
+#include <sassafrasferry/store/claim_rows.h>
+#include <sassafrasferry/store/row_batcher.h>
 
 #include <concepts>
 
@@ -71,10 +71,10 @@
     // The store.
     {
         environment.readClaim(text)
-        } -> std::same_as<Awaitable<absl::StatusOr<platform::VersionedClaim>>>;
+        } -> std::same_as<Awaitable<absl::StatusOr<store::VersionedClaim>>>;
     {
         environment.writeClaim(claim, version)
-        } -> std::same_as<Awaitable<platform::WriteResult>>;
+        } -> std::same_as<Awaitable<store::WriteResult>>;
     {
         environment.putObject(text, text)
         } -> std::same_as<Awaitable<absl::Status>>;
--- a/packages/entry/src/request/keyed_flow.h
+++ b/packages/entry/src/request/keyed_flow.h
@@ -50,7 +50,7 @@
                                     this->comeBack());
             this->environment.reached(this->request, RequestStep::ClaimRead);
             this->version = existing->version;
-            if (existing->version != platform::absent) {
+            if (existing->version != store::absent) {
                 auto answer = co_await this->answerExisting(*existing);
                 if (answer)
                     co_return std::move(*answer);
@@ -73,7 +73,7 @@
     }
 
     // An answer; or none, and the key may be claimed on `version`, or must be read again.
-    Awaitable<MaybeAnswer> answerExisting(platform::VersionedClaim existing)
+    Awaitable<MaybeAnswer> answerExisting(store::VersionedClaim existing)
     {
         this->mustReadAgain = false;
         const bool isActive = this->environment.mayBeActive(existing.claim);
@@ -125,7 +125,7 @@
         co_return std::nullopt;
     }
 
-    Awaitable<MaybeAnswer> settle(platform::VersionedClaim existing)
+    Awaitable<MaybeAnswer> settle(store::VersionedClaim existing)
     {
         ClaimSettler<Environment> settler(this->environment);
         const auto settled = co_await settler.settle(existing);
@@ -205,7 +205,7 @@
     Awaitable<MaybeAnswer> runOn(policy::Grant grant)
     {
         const auto written = co_await this->environment.writeClaim(this->claim, this->version);
-        if (written.state != platform::WriteState::Written) {
+        if (written.state != store::WriteState::Written) {
             finishRun(this->environment, this->request, grant, policy::RunResult::Cancelled,
                       this->environment.now());
             co_return this->afterFailedClaim(written);
@@ -253,21 +253,21 @@
         co_return answer;
     }
 
-    MaybeAnswer afterFailedClaim(const platform::WriteResult &written)
+    MaybeAnswer afterFailedClaim(const store::WriteResult &written)
     {
         switch (written.state) {
-        case platform::WriteState::Conflict:
+        case store::WriteState::Conflict:
             this->hasClaim = false; // the row is another request's now
             this->mustReadAgain = true;
             return std::nullopt;
-        case platform::WriteState::NotApplied:
+        case store::WriteState::NotApplied:
             // This request has not run, but while the store cannot be asked nobody knows whether
             // a resend has, through another entry VM.
             this->markNotRun();
             return ownAnswer(model::Outcome::Unknown, AnswerReason::StoreUnavailable,
                              this->comeBack());
-        case platform::WriteState::Unknown:
-        case platform::WriteState::Written:
+        case store::WriteState::Unknown:
+        case store::WriteState::Written:
             break;
         }
         // Nothing was sent, but the claim may stand in the store and hold off a resend.
@@ -309,11 +309,11 @@
         auto settled = this->claim;
         settled.settle(policy::ClaimState::NotRun, this->environment.unixNow());
         const auto written = co_await this->environment.writeClaim(settled, this->version);
-        if (written.state == platform::WriteState::Written) {
+        if (written.state == store::WriteState::Written) {
             this->hasClaim = false;
             co_return answer;
         }
-        if (written.state == platform::WriteState::Conflict) {
+        if (written.state == store::WriteState::Conflict) {
             this->hasClaim = false;
             this->mustReadAgain = true;
             co_return std::nullopt;
@@ -342,8 +342,8 @@
             this->environment.reached(this->request, RequestStep::AnswerStored);
             const auto written = co_await this->environment.writeClaim(this->claim, this->version);
             // In a conflict another entry VM has settled the claim with the worker's own answer.
-            if (written.state == platform::WriteState::Written
-                || written.state == platform::WriteState::Conflict) {
+            if (written.state == store::WriteState::Written
+                || written.state == store::WriteState::Conflict) {
                 this->environment.reached(this->request, RequestStep::ClaimCompleted);
                 co_return answer;
             }
@@ -358,7 +358,7 @@
     Awaitable<MaybeAnswer> afterBroken()
     {
         ClaimSettler<Environment> settler(this->environment);
-        platform::VersionedClaim own;
+        store::VersionedClaim own;
         own.claim = this->claim;
         own.version = this->version;
         while (this->environment.now() + this->poll < this->request.deadline) {
@@ -383,7 +383,7 @@
     Cancellation &cancellation;
     policy::Submission submission;
     policy::Claim claim; // as last written, or about to be
-    std::int64_t version = platform::absent; // of the claim's row
+    std::int64_t version = store::absent; // of the claim's row
     bool hasClaim = false; // the row holds `claim` in state claimed, and nothing runs it
     bool mustReadAgain = false;
     int notRunTries = 0;
--- a/packages/entry/src/version/version.cpp
+++ b/packages/entry/src/version/version.cpp
@@ -3,7 +3,7 @@
 
 namespace sassafrasferry::entry {
 
-absl::StatusOr<VersionPointer> makeVersion(platform::DocumentTexts texts)
+absl::StatusOr<VersionPointer> makeVersion(store::DocumentTexts texts)
 {
     model::Findings findings;
     auto document = model::parseDocument(texts.sections, texts.revision, findings);
--- a/packages/entry/src/version/version.h
+++ b/packages/entry/src/version/version.h
@@ -2,8 +2,8 @@
 // began with, however many come after.
 #pragma once
 
-#include <sassafrasferry/platform/documents.h>
 #include <sassafrasferry/policy/routing_table.h>
+#include <sassafrasferry/store/documents.h>
 
 #include <absl/status/statusor.h>
 
@@ -15,7 +15,7 @@
 /// A document revision, parsed and compiled.
 struct Version
 {
-    platform::DocumentTexts texts;
+    store::DocumentTexts texts;
     model::Document document;
     policy::RoutingTable table;
 };
@@ -23,7 +23,7 @@
 using VersionPointer = std::shared_ptr<const Version>;
 
 /// Parses and compiles texts; an error with all findings if they are not sound.
-absl::StatusOr<VersionPointer> makeVersion(platform::DocumentTexts texts);
+absl::StatusOr<VersionPointer> makeVersion(store::DocumentTexts texts);
 
 /// The version in force. The control thread sets it, traffic threads take it.
 class VersionHolder
--- a/packages/entry/src/version/version_test.cpp
+++ b/packages/entry/src/version/version_test.cpp
@@ -10,7 +10,7 @@
 
 VersionPointer versionOf(std::int64_t revision)
 {
-    platform::DocumentTexts texts;
+    store::DocumentTexts texts;
     texts.revision = revision;
     return *makeVersion(texts);
 }
@@ -31,7 +31,7 @@
 
 TEST_CASE("texts with findings make no version")
 {
-    platform::DocumentTexts texts;
+    store::DocumentTexts texts;
     texts.revision = 1;
     texts.sections = {{"a", "[sections.a]\nteam = \"nobody\"\n", 1}};
     CHECK_FALSE(makeVersion(texts).ok());
--- a/packages/entry/tests/fault_world.h
+++ b/packages/entry/tests/fault_world.h
@@ -100,7 +100,7 @@
     Hook hook; ///< called at each step; may throw `Killed`
     std::set<RequestStep> seen;
     int slotsHeld = 0;
-    std::vector<platform::VersionedClaim> left; ///< claims to be finished later
+    std::vector<store::VersionedClaim> left; ///< claims to be finished later
     std::vector<LeftOver> leftWhat;
 
     policy::Instant now() const
@@ -239,27 +239,27 @@
         co_return word;
     }
 
-    Awaitable<absl::StatusOr<platform::VersionedClaim>> readClaim(std::string key)
+    Awaitable<absl::StatusOr<store::VersionedClaim>> readClaim(std::string key)
     {
         if (this->world.sabotage == Sabotage::StaleReads && this->firstRead)
             co_return *this->firstRead;
-        const std::vector<platform::RowKey> keys{platform::claimKey(key)};
+        const std::vector<store::RowKey> keys{store::claimKey(key)};
         const auto rows = co_await this->world.tables.read(keys);
         if (!rows.ok())
             co_return rows.status();
-        platform::Row row;
+        store::Row row;
         row.key = keys.front();
-        if (const auto *found = platform::findRow(*rows, keys.front()))
+        if (const auto *found = store::findRow(*rows, keys.front()))
             row = *found;
-        this->firstRead = *platform::claimFrom(row);
+        this->firstRead = *store::claimFrom(row);
         co_return *this->firstRead;
     }
 
-    Awaitable<platform::WriteResult> writeClaim(policy::Claim claim, std::int64_t version)
+    Awaitable<store::WriteResult> writeClaim(policy::Claim claim, std::int64_t version)
     {
-        platform::WriteResult result;
+        store::WriteResult result;
         if (this->world.sabotage == Sabotage::ClaimsSkipped) {
-            result.state = platform::WriteState::Written;
+            result.state = store::WriteState::Written;
             co_return result;
         }
         if (this->world.sabotage == Sabotage::ClaimsUnconditional)
@@ -267,14 +267,14 @@
         boost::asio::io_context context(1);
         // Unanswered writes are pursued for a few milliseconds of real time; whether that was
         // enough changes what is said, and nothing that is checked.
-        platform::RowBatcher<fakes::MemoryTables> batcher(
-            context.get_executor(), this->world.tables,
-            {policy::WritePace(1e6, 1), std::chrono::milliseconds(3),
-             std::chrono::milliseconds(1)});
-        platform::RowWrite write;
-        write.key = platform::claimKey(claim.key);
+        store::RowBatcher<fakes::MemoryTables> batcher(context.get_executor(), this->world.tables,
+                                                       {policy::WritePace(1e6, 1),
+                                                        std::chrono::milliseconds(3),
+                                                        std::chrono::milliseconds(1)});
+        store::RowWrite write;
+        write.key = store::claimKey(claim.key);
         write.expectedVersion = version;
-        write.value = platform::toJson(claim);
+        write.value = store::toJson(claim);
         write.writeId = this->newOperationId();
         result = fakes::run(context, batcher.write(write));
         co_return result;
@@ -312,7 +312,7 @@
 
     void leaveOver(policy::Claim claim, std::int64_t version, LeftOver leftOver)
     {
-        platform::VersionedClaim item;
+        store::VersionedClaim item;
         item.claim = std::move(claim);
         item.version = version;
         this->left.push_back(std::move(item));
@@ -322,15 +322,15 @@
 private:
     std::int64_t versionOf(const std::string &key) const
     {
-        const auto rows = this->world.tables.readNow({platform::claimKey(key)});
-        return rows.empty() ? platform::absent : rows.front().version;
+        const auto rows = this->world.tables.readNow({store::claimKey(key)});
+        return rows.empty() ? store::absent : rows.front().version;
     }
 
     World &world;
     std::string name;
     std::set<std::string> active;
     int jobFailures = 0;
-    std::optional<platform::VersionedClaim> firstRead;
+    std::optional<store::VersionedClaim> firstRead;
 };
 
 static_assert(RequestEnvironment<FakeEntry>);
--- a/packages/fakes/include/sassafrasferry/fakes/memory_tables.h
+++ b/packages/fakes/include/sassafrasferry/fakes/memory_tables.h
@@ -1,14 +1,14 @@
 // The table service in memory, with switches for its faults.
 #pragma once
 
-#include <sassafrasferry/platform/rows.h>
+#include <sassafrasferry/store/rows.h>
 
 #include <cstddef>
 #include <map>
 
 namespace sassafrasferry::fakes {
 
-using platform::Awaitable;
+using store::Awaitable;
 
 /// Faults of the table service. Counts are used up by one call each.
 struct TableFaults
@@ -19,26 +19,26 @@
     std::size_t failedReads = 0;
 };
 
-/// Keeps rows in memory. Fulfils `platform::TableService`, without waiting.
+/// Keeps rows in memory. Fulfils `store::TableService`, without waiting.
 class MemoryTables
 {
 public:
-    Awaitable<platform::Commit> commit(platform::Transaction transaction);
-    Awaitable<absl::StatusOr<std::vector<platform::Row>>> read(std::vector<platform::RowKey> keys);
-    Awaitable<absl::StatusOr<std::vector<platform::Row>>> scan(platform::ScanRange range);
+    Awaitable<store::Commit> commit(store::Transaction transaction);
+    Awaitable<absl::StatusOr<std::vector<store::Row>>> read(std::vector<store::RowKey> keys);
+    Awaitable<absl::StatusOr<std::vector<store::Row>>> scan(store::ScanRange range);
 
     /// Commits at once, past all faults.
-    platform::Commit commitNow(const platform::Transaction &transaction);
-    std::vector<platform::Row> readNow(const std::vector<platform::RowKey> &keys) const;
-    std::vector<platform::Row> scanNow(const platform::ScanRange &range) const;
+    store::Commit commitNow(const store::Transaction &transaction);
+    std::vector<store::Row> readNow(const std::vector<store::RowKey> &keys) const;
+    std::vector<store::Row> scanNow(const store::ScanRange &range) const;
 
     TableFaults faults;
     std::size_t commits = 0; ///< transactions asked for
     std::size_t reads = 0;
 
 private:
-    std::map<platform::RowKey, platform::Row> rows;
-    std::int64_t lastVersion = platform::absent;
+    std::map<store::RowKey, store::Row> rows;
+    std::int64_t lastVersion = store::absent;
 };
 
 } // namespace sassafrasferry::fakes
--- a/packages/fakes/src/memory_tables.cpp
+++ b/packages/fakes/src/memory_tables.cpp
@@ -5,11 +5,11 @@
 
 namespace sassafrasferry::fakes {
 
-using platform::Commit;
-using platform::CommitState;
-using platform::Row;
-using platform::RowKey;
-using platform::Transaction;
+using store::Commit;
+using store::CommitState;
+using store::Row;
+using store::RowKey;
+using store::Transaction;
 
 namespace {
 
@@ -25,11 +25,11 @@
 
 Commit MemoryTables::commitNow(const Transaction &transaction)
 {
-    Commit commit{CommitState::Conflict, platform::absent, {}};
+    Commit commit{CommitState::Conflict, store::absent, {}};
     for (std::size_t i = 0; i < transaction.conditions.size(); ++i) {
         const auto &condition = transaction.conditions[i];
         const auto at = this->rows.find(condition.key);
-        const auto version = at == this->rows.end() ? platform::absent : at->second.version;
+        const auto version = at == this->rows.end() ? store::absent : at->second.version;
         if (version != condition.version)
             commit.failed.push_back(i);
     }
@@ -54,11 +54,11 @@
     return found;
 }
 
-std::vector<Row> MemoryTables::scanNow(const platform::ScanRange &range) const
+std::vector<Row> MemoryTables::scanNow(const store::ScanRange &range) const
 {
     std::vector<Row> found;
     const auto limit =
-        range.limit == platform::ScanRange::everything ? this->rows.size() : range.limit;
+        range.limit == store::ScanRange::everything ? this->rows.size() : range.limit;
     for (auto at = this->rows.upper_bound({range.table, range.after}); at != this->rows.end();
          ++at) {
         if (at->first.table != range.table || found.size() == limit)
@@ -72,12 +72,12 @@
 {
     ++this->commits;
     if (this->faults.down)
-        co_return Commit{CommitState::NotApplied, platform::absent, {}};
+        co_return Commit{CommitState::NotApplied, store::absent, {}};
     if (use(this->faults.lostCalls))
-        co_return Commit{CommitState::Unknown, platform::absent, {}};
+        co_return Commit{CommitState::Unknown, store::absent, {}};
     auto commit = this->commitNow(transaction);
     if (use(this->faults.lostAnswers))
-        co_return Commit{CommitState::Unknown, platform::absent, {}};
+        co_return Commit{CommitState::Unknown, store::absent, {}};
     co_return commit;
 }
 
@@ -89,7 +89,7 @@
     co_return this->readNow(keys);
 }
 
-Awaitable<absl::StatusOr<std::vector<Row>>> MemoryTables::scan(platform::ScanRange range)
+Awaitable<absl::StatusOr<std::vector<Row>>> MemoryTables::scan(store::ScanRange range)
 {
     ++this->reads;
     if (this->faults.down || use(this->faults.failedReads))
--- a/packages/fleet/include/sassafrasferry/fleet/fleet_rows.h
+++ b/packages/fleet/include/sassafrasferry/fleet/fleet_rows.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <sassafrasferry/model/names.h>
-#include <sassafrasferry/platform/rows.h>
+#include <sassafrasferry/store/rows.h>
 
 #include <cstdint>
 #include <string>
@@ -11,9 +11,9 @@
 
 namespace sassafrasferry::fleet {
 
-using platform::Awaitable;
-using platform::Json;
-using platform::RowKey;
+using store::Awaitable;
+using store::Json;
+using store::RowKey;
 
 /// Where a VM stands that is not in service.
 enum class VmState {
@@ -47,7 +47,7 @@
     VmState state = VmState::Draining;
     std::int64_t order = 0; ///< sent with every order to the platform, which ignores older ones
     std::int64_t revision = 0; ///< the document revision that it was decided by
-    std::int64_t version = platform::absent;
+    std::int64_t version = store::absent;
 
     bool isLoan() const;
     /// A loan: the pool that has the VM or awaits it; empty once it is back at home.
@@ -75,7 +75,7 @@
     std::string reason; ///< why it waits or has halted
     std::vector<std::string> done; ///< VMs that are back in service
     std::int64_t startedAt = 0; ///< Unix milliseconds
-    std::int64_t version = platform::absent;
+    std::int64_t version = store::absent;
 };
 
 /// What a pool's availability budget is charged with.
@@ -84,7 +84,7 @@
     std::string pool;
     std::vector<std::string> out; ///< VMs of the pool that are out on permits, lent ones included
     std::vector<std::string> borrowed; ///< VMs lent to the pool and in service there
-    std::int64_t version = platform::absent;
+    std::int64_t version = store::absent;
 };
 
 /// All rows of the fleet, as read.
@@ -108,8 +108,8 @@
 Json toJson(const VmRow &row);
 Json toJson(const WaveRow &row);
 Json toJson(const BudgetRow &row);
-absl::StatusOr<VmRow> vmFrom(const platform::Row &row);
-absl::StatusOr<WaveRow> waveFrom(const platform::Row &row);
-absl::StatusOr<BudgetRow> budgetFrom(const platform::Row &row);
+absl::StatusOr<VmRow> vmFrom(const store::Row &row);
+absl::StatusOr<WaveRow> waveFrom(const store::Row &row);
+absl::StatusOr<BudgetRow> budgetFrom(const store::Row &row);
 
 } // namespace sassafrasferry::fleet
--- a/packages/fleet/include/sassafrasferry/fleet/fleet_store.h
+++ b/packages/fleet/include/sassafrasferry/fleet/fleet_store.h
@@ -10,7 +10,7 @@
 namespace sassafrasferry::fleet {
 
 /// The fleet rows in the table service.
-template<platform::TableService Tables>
+template<store::TableService Tables>
 class FleetStore
 {
 public:
@@ -21,11 +21,11 @@
     Awaitable<absl::StatusOr<FleetRows>> load()
     {
         FleetRows rows;
-        const platform::ScanRange allVms{"vms", ""};
+        const store::ScanRange allVms{"vms", ""};
         const auto vms = co_await this->tables.scan(allVms);
-        const platform::ScanRange allWaves{"waves", ""};
+        const store::ScanRange allWaves{"waves", ""};
         const auto waves = co_await this->tables.scan(allWaves);
-        const platform::ScanRange allBudgets{"budgets", ""};
+        const store::ScanRange allBudgets{"budgets", ""};
         const auto budgets = co_await this->tables.scan(allBudgets);
         for (const auto *part : {&vms, &waves, &budgets}) {
             if (!part->ok())
@@ -42,11 +42,11 @@
 
     /// Takes a VM out of service for a wave or a loan: the permit. Fails in a conflict if the
     /// budget row has changed since it was read, or the VM has a row already.
-    Awaitable<platform::Commit> permit(VmRow vm, BudgetRow budget, platform::Condition fence)
+    Awaitable<store::Commit> permit(VmRow vm, BudgetRow budget, store::Condition fence)
     {
         budget.out.push_back(vm.name);
-        platform::Transaction transaction = fenced(fence);
-        transaction.conditions.push_back({vmKey(vm.name), platform::absent});
+        store::Transaction transaction = fenced(fence);
+        transaction.conditions.push_back({vmKey(vm.name), store::absent});
         transaction.conditions.push_back({budgetKey(budget.pool), budget.version});
         transaction.puts.push_back({vmKey(vm.name), toJson(vm)});
         transaction.puts.push_back({budgetKey(budget.pool), toJson(budget)});
@@ -54,9 +54,9 @@
     }
 
     /// Writes a VM's next state.
-    Awaitable<platform::Commit> advance(VmRow vm, platform::Condition fence)
+    Awaitable<store::Commit> advance(VmRow vm, store::Condition fence)
     {
-        platform::Transaction transaction = fenced(fence);
+        store::Transaction transaction = fenced(fence);
         transaction.conditions.push_back({vmKey(vm.name), vm.version});
         transaction.puts.push_back({vmKey(vm.name), toJson(vm)});
         return this->tables.commit(std::move(transaction));
@@ -65,12 +65,12 @@
     /// A lent VM is in service with its borrower, or leaves it: its next state, and the borrower's
     /// budget with the VM among the borrowed or not. On the budget's version, since a permit that
     /// rests on the borrowed VM and is still on its way must not pass once the VM goes.
-    Awaitable<platform::Commit> setBorrowed(VmRow vm, BudgetRow borrower, platform::Condition fence)
+    Awaitable<store::Commit> setBorrowed(VmRow vm, BudgetRow borrower, store::Condition fence)
     {
         std::erase(borrower.borrowed, vm.name);
         if (vm.state == VmState::Lent)
             borrower.borrowed.push_back(vm.name);
-        platform::Transaction transaction = fenced(fence);
+        store::Transaction transaction = fenced(fence);
         transaction.conditions.push_back({vmKey(vm.name), vm.version});
         transaction.conditions.push_back({budgetKey(borrower.pool), borrower.version});
         transaction.puts.push_back({vmKey(vm.name), toJson(vm)});
@@ -79,10 +79,10 @@
     }
 
     /// A VM that the document no longer has: its row goes, and so do its names in the budgets.
-    Awaitable<platform::Commit> forget(VmRow vm, std::vector<BudgetRow> budgets,
-                                       platform::Condition fence)
+    Awaitable<store::Commit> forget(VmRow vm, std::vector<BudgetRow> budgets,
+                                    store::Condition fence)
     {
-        platform::Transaction transaction = fenced(fence);
+        store::Transaction transaction = fenced(fence);
         transaction.conditions.push_back({vmKey(vm.name), vm.version});
         transaction.deletes.push_back(vmKey(vm.name));
         for (auto &budget : budgets) {
@@ -98,10 +98,10 @@
 
     /// A VM is in service again: its row goes, the budget gets its permit back, and its wave, if
     /// any, counts it as done.
-    Awaitable<platform::Commit> returned(VmRow vm, BudgetRow budget, const WaveRow *wave,
-                                         platform::Condition fence)
+    Awaitable<store::Commit> returned(VmRow vm, BudgetRow budget, const WaveRow *wave,
+                                      store::Condition fence)
     {
-        platform::Transaction transaction = fenced(fence);
+        store::Transaction transaction = fenced(fence);
         transaction.conditions.push_back({vmKey(vm.name), vm.version});
         transaction.deletes.push_back(vmKey(vm.name));
         if (std::erase(budget.out, vm.name) > 0) {
@@ -118,9 +118,9 @@
     }
 
     /// Writes a wave's state. Operators' orders carry no fence.
-    Awaitable<platform::Commit> setWave(WaveRow wave, const platform::Condition *fence)
+    Awaitable<store::Commit> setWave(WaveRow wave, const store::Condition *fence)
     {
-        platform::Transaction transaction;
+        store::Transaction transaction;
         if (fence)
             transaction = fenced(*fence);
         else
@@ -131,21 +131,21 @@
     }
 
 private:
-    static platform::Put bump()
+    static store::Put bump()
     {
         return {fleetHeadKey(), Json::object()};
     }
 
-    static platform::Transaction fenced(const platform::Condition &fence)
+    static store::Transaction fenced(const store::Condition &fence)
     {
-        platform::Transaction transaction;
+        store::Transaction transaction;
         transaction.conditions.push_back(fence);
         transaction.puts.push_back(bump());
         return transaction;
     }
 
     template<typename T, typename From>
-    static void take(const std::vector<platform::Row> &rows, std::vector<T> &into, From from,
+    static void take(const std::vector<store::Row> &rows, std::vector<T> &into, From from,
                      absl::Status &status)
     {
         for (const auto &row : rows) {
--- a/packages/fleet/include/sassafrasferry/fleet/move_rows.h
+++ b/packages/fleet/include/sassafrasferry/fleet/move_rows.h
@@ -21,7 +21,7 @@
 /// change's own transaction: at no moment does a VM serve in two pools, since it belongs to the old
 /// one until it is empty. Entry VMs read them with every new revision. `order` numbers the orders
 /// to the platform.
-std::vector<platform::Put> moveRows(const model::Document &current, const model::Document &changed,
-                                    std::int64_t order);
+std::vector<store::Put> moveRows(const model::Document &current, const model::Document &changed,
+                                 std::int64_t order);
 
 } // namespace sassafrasferry::fleet
--- a/packages/fleet/include/sassafrasferry/fleet/vm_control.h
+++ b/packages/fleet/include/sassafrasferry/fleet/vm_control.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <sassafrasferry/model/names.h>
-#include <sassafrasferry/platform/rows.h>
+#include <sassafrasferry/store/rows.h>
 
 #include <absl/status/statusor.h>
 
@@ -11,7 +11,7 @@
 
 namespace sassafrasferry::fleet {
 
-using platform::Awaitable;
+using store::Awaitable;
 
 /// What the platform says a VM is at.
 enum class VmPhase { Serving, Draining, Empty, Maintaining };
--- a/packages/fleet/include/sassafrasferry/fleet/vm_lender.h
+++ b/packages/fleet/include/sassafrasferry/fleet/vm_lender.h
@@ -16,7 +16,7 @@
 /// A pool borrows from the spare pools that its services overflow to. A loan is charged to the
 /// spare pool's availability budget from its first row to its last, by the same permit as a wave's
 /// drain, so that neither can overdraw what the other has left.
-template<platform::TableService Tables>
+template<store::TableService Tables>
 class VmLender
 {
 public:
@@ -26,7 +26,7 @@
     {}
 
     /// One step; true if it may have changed any row, so that `rows` no longer holds.
-    Awaitable<bool> step(const FleetRows &rows, const FleetView &view, platform::Condition fence)
+    Awaitable<bool> step(const FleetRows &rows, const FleetView &view, store::Condition fence)
     {
         const auto orders = ordersOf(rows, view);
         for (const auto &order : orders)
@@ -206,7 +206,7 @@
 
     // What fails is decided again by the next step, on what then stands.
     Awaitable<void> carryOut(Order order, const FleetRows &rows, const FleetView &view,
-                             platform::Condition fence)
+                             store::Condition fence)
     {
         VmRow vm;
         if (const auto *row = rows.vm(order.vm))
@@ -221,12 +221,12 @@
         vm.revision = view.document.revision;
         const auto budget = rows.budget(order.from);
         // Not a conditional expression: g++ 12 destroys its co_await operands twice.
-        platform::Commit commit;
+        store::Commit commit;
         if (order.isReturn)
             commit = co_await this->store.setBorrowed(vm, budget, fence);
         else
             commit = co_await this->store.permit(vm, budget, fence);
-        if (commit.state == platform::CommitState::Committed)
+        if (commit.state == store::CommitState::Committed)
             this->log({order.isReturn ? "take-back" : "lend", vm.name,
                        "from " + order.from + " to " + order.to + ": " + order.reason});
     }
--- a/packages/fleet/include/sassafrasferry/fleet/vm_mover.h
+++ b/packages/fleet/include/sassafrasferry/fleet/vm_mover.h
@@ -11,7 +11,7 @@
 ///
 /// A VM is drained by the platform only when every entry VM knows that it is out: one that does not
 /// would go on sending to it, and the platform's "empty" would be true for a moment only.
-template<platform::TableService Tables, VmControl Control>
+template<store::TableService Tables, VmControl Control>
 class VmMover
 {
 public:
@@ -22,7 +22,7 @@
     {}
 
     /// What is due for a VM. `fence`: the control lease's condition.
-    Awaitable<void> advance(VmRow vm, const FleetView &view, platform::Condition fence)
+    Awaitable<void> advance(VmRow vm, const FleetView &view, store::Condition fence)
     {
         if (isGone(vm, view)) {
             co_await this->forget(vm, fence);
@@ -69,13 +69,13 @@
         return view.fleetVersionEverywhere >= vm.version;
     }
 
-    Awaitable<void> forget(VmRow vm, platform::Condition fence)
+    Awaitable<void> forget(VmRow vm, store::Condition fence)
     {
         const auto fresh = co_await this->store.load();
         if (!fresh.ok())
             co_return;
         const auto commit = co_await this->store.forget(vm, fresh->budgets, fence);
-        if (commit.state == platform::CommitState::Committed)
+        if (commit.state == store::CommitState::Committed)
             this->log({"vm-gone", vm.name, "the document no longer has it"});
     }
 
@@ -87,7 +87,7 @@
     }
 
     Awaitable<void> advanceDraining(VmRow vm, const FleetView &view, VmReport report,
-                                    platform::Condition fence)
+                                    store::Condition fence)
     {
         if (!isKnown(vm, view) || view.busy.contains(vm.name))
             co_return;
@@ -105,17 +105,17 @@
             co_await this->beginMaintenance(vm, fence);
     }
 
-    Awaitable<void> beginMaintenance(VmRow vm, platform::Condition fence)
+    Awaitable<void> beginMaintenance(VmRow vm, store::Condition fence)
     {
         vm.state = VmState::InMaintenance;
         const auto commit = co_await this->store.advance(vm, fence);
-        if (commit.state == platform::CommitState::Committed)
+        if (commit.state == store::CommitState::Committed)
             this->noteOrder(vm.name, co_await this->control.maintain(vm.name, vm.order));
     }
 
     // A move that a change of the document asked for.
     Awaitable<void> endMove(VmRow vm, const FleetView &view, VmReport report,
-                            platform::Condition fence)
+                            store::Condition fence)
     {
         // An entry VM that has not adopted the change yet would still use it in the old pool.
         if (view.revisionEverywhere < vm.revision)
@@ -126,19 +126,19 @@
             co_await this->giveBack(vm, "moved to " + vm.target, fence);
     }
 
-    Awaitable<void> changePool(VmRow vm, VmReport report, platform::Condition fence)
+    Awaitable<void> changePool(VmRow vm, VmReport report, store::Condition fence)
     {
         if (report.phase != VmPhase::Empty)
             co_return;
         vm.pool = std::exchange(vm.target, std::string());
         vm.state = VmState::Arriving;
         const auto commit = co_await this->store.advance(vm, fence);
-        if (commit.state == platform::CommitState::Committed)
+        if (commit.state == store::CommitState::Committed)
             this->log({"vm-changed-pool", vm.name, "is empty, now of " + vm.pool});
     }
 
     Awaitable<void> advanceArriving(VmRow vm, const FleetView &view, VmReport report,
-                                    platform::Condition fence)
+                                    store::Condition fence)
     {
         // An entry VM that does not know yet would use it in the pool that it has left.
         if (!isKnown(vm, view))
@@ -156,11 +156,11 @@
             co_return;
         vm.state = VmState::Lent;
         const auto commit = co_await this->store.setBorrowed(vm, fresh->budget(vm.pool), fence);
-        if (commit.state == platform::CommitState::Committed)
+        if (commit.state == store::CommitState::Committed)
             this->log({"vm-lent", vm.name, "serves in " + vm.pool});
     }
 
-    Awaitable<void> advanceMaintenance(VmRow vm, VmReport report, platform::Condition fence)
+    Awaitable<void> advanceMaintenance(VmRow vm, VmReport report, store::Condition fence)
     {
         if (report.maintainedOrder < vm.order) {
             if (report.phase != VmPhase::Maintaining)
@@ -174,12 +174,12 @@
         } else if (vm.state != VmState::BackFailing) {
             vm.state = VmState::BackFailing;
             const auto commit = co_await this->store.advance(vm, fence);
-            if (commit.state == platform::CommitState::Committed)
+            if (commit.state == store::CommitState::Committed)
                 this->log({"vm-back-failing", vm.name, "its check fails after maintenance"});
         }
     }
 
-    Awaitable<void> giveBack(VmRow vm, std::string why, platform::Condition fence)
+    Awaitable<void> giveBack(VmRow vm, std::string why, store::Condition fence)
     {
         // Rows may have changed since they were read, by the returns before this one.
         const auto fresh = co_await this->store.load();
@@ -192,7 +192,7 @@
         }
         const auto budget = fresh->budget(vm.pool);
         const auto commit = co_await this->store.returned(vm, budget, wave, fence);
-        if (commit.state == platform::CommitState::Committed)
+        if (commit.state == store::CommitState::Committed)
             this->log({"vm-in-service", vm.name, why});
     }
 
--- a/packages/fleet/include/sassafrasferry/fleet/wave_runner.h
+++ b/packages/fleet/include/sassafrasferry/fleet/wave_runner.h
@@ -14,7 +14,7 @@
 namespace sassafrasferry::fleet {
 
 /// Runs waves, moves and loans.
-template<platform::TableService Tables, VmControl Control>
+template<store::TableService Tables, VmControl Control>
 class WaveRunner
 {
 public:
@@ -29,7 +29,7 @@
     WaveRunner &operator=(const WaveRunner &) = delete;
 
     /// One step. `fence`: the control lease's condition.
-    Awaitable<absl::Status> step(const FleetView &view, platform::Condition fence)
+    Awaitable<absl::Status> step(const FleetView &view, store::Condition fence)
     {
         auto rows = co_await this->store.load();
         if (!rows.ok())
@@ -51,7 +51,7 @@
 
 private:
     Awaitable<void> plan(WaveRow row, const FleetRows &rows, const FleetView &view,
-                         platform::Condition fence)
+                         store::Condition fence)
     {
         const auto &waves = view.document.waves;
         const auto wave = std::find_if(waves.begin(), waves.end(), [&](const model::Wave &item) {
@@ -82,12 +82,12 @@
             co_return;
         row.reason = reason;
         const auto commit = co_await this->store.setWave(row, &fence);
-        if (commit.state == platform::CommitState::Committed)
+        if (commit.state == store::CommitState::Committed)
             this->log({"wave-" + std::string(model::nameOf(row.state)), row.name, reason});
     }
 
     Awaitable<void> drain(std::vector<std::string> names, std::string pool, WaveRow wave,
-                          const FleetRows &rows, const FleetView &view, platform::Condition fence)
+                          const FleetRows &rows, const FleetView &view, store::Condition fence)
     {
         auto budget = rows.budget(pool);
         for (const auto &name : names) {
@@ -98,7 +98,7 @@
             vm.order = view.now;
             vm.revision = view.document.revision;
             const auto commit = co_await this->store.permit(vm, budget, fence);
-            if (commit.state != platform::CommitState::Committed)
+            if (commit.state != store::CommitState::Committed)
                 co_return; // the next step reads what stands
             budget.out.push_back(name);
             budget.version = commit.version;
--- a/packages/fleet/src/fleet_rows.cpp
+++ b/packages/fleet/src/fleet_rows.cpp
@@ -16,7 +16,7 @@
 
 // Turns a row that is not of its kind into a status.
 template<typename T, typename Read>
-absl::StatusOr<T> guarded(const platform::Row &row, Read read)
+absl::StatusOr<T> guarded(const store::Row &row, Read read)
 {
     try {
         T result;
@@ -62,7 +62,7 @@
         if (row.pool == pool)
             return row;
     }
-    return {pool, {}, {}, platform::absent};
+    return {pool, {}, {}, store::absent};
 }
 
 RowKey fleetHeadKey()
@@ -109,7 +109,7 @@
     return {{"out", row.out}, {"borrowed", row.borrowed}};
 }
 
-absl::StatusOr<VmRow> vmFrom(const platform::Row &row)
+absl::StatusOr<VmRow> vmFrom(const store::Row &row)
 {
     return guarded<VmRow>(row, [&](const Json &json, VmRow &result) {
         result.name = row.key.key;
@@ -123,7 +123,7 @@
     });
 }
 
-absl::StatusOr<WaveRow> waveFrom(const platform::Row &row)
+absl::StatusOr<WaveRow> waveFrom(const store::Row &row)
 {
     return guarded<WaveRow>(row, [&](const Json &json, WaveRow &result) {
         result.name = row.key.key;
@@ -134,7 +134,7 @@
     });
 }
 
-absl::StatusOr<BudgetRow> budgetFrom(const platform::Row &row)
+absl::StatusOr<BudgetRow> budgetFrom(const store::Row &row)
 {
     return guarded<BudgetRow>(row, [&](const Json &json, BudgetRow &result) {
         result.pool = row.key.key;
--- a/packages/fleet/src/move_rows.cpp
+++ b/packages/fleet/src/move_rows.cpp
@@ -31,10 +31,10 @@
     return moves;
 }
 
-std::vector<platform::Put> moveRows(const model::Document &current, const model::Document &changed,
-                                    std::int64_t order)
+std::vector<store::Put> moveRows(const model::Document &current, const model::Document &changed,
+                                 std::int64_t order)
 {
-    std::vector<platform::Put> puts;
+    std::vector<store::Put> puts;
     for (const auto &move : movesBetween(current, changed)) {
         VmRow row;
         row.name = move.vm;
--- a/packages/fleet/src/move_rows_test.cpp
+++ b/packages/fleet/src/move_rows_test.cpp
@@ -4,16 +4,16 @@
 #include <sassafrasferry/fakes/memory_tables.h>
 #include <sassafrasferry/fakes/run.h>
 #include <sassafrasferry/fleet/fleet_rows.h>
-#include <sassafrasferry/platform/digest.h>
-#include <sassafrasferry/platform/document_store.h>
+#include <sassafrasferry/store/digest.h>
+#include <sassafrasferry/store/document_store.h>
 
 #include <catch2/catch.hpp>
 
 using namespace sassafrasferry;
 using namespace sassafrasferry::fleet;
 using fakes::MemoryTables;
-using platform::ChangeState;
-using platform::DocumentStore;
+using store::ChangeState;
+using store::DocumentStore;
 
 namespace {
 
@@ -22,7 +22,7 @@
 {
     std::string text =
         "[sections.fleet]\nteam = \"ops\"\n[sections.fleet.teams.ops]\ntokenHash = \""
-        + platform::sha256("token") + "\"\n";
+        + store::sha256("token") + "\"\n";
     for (std::size_t i = 0; i < pools.size(); ++i) {
         const auto number = std::to_string(i);
         text += "[[sections.fleet.pools." + pools[i] + ".vms]]\nname = \"w" + number
@@ -43,7 +43,7 @@
     DocumentStore<MemoryTables> store{tables};
     int operations = 0;
 
-    platform::ChangeResult apply(const std::vector<std::string> &pools, std::int64_t base)
+    store::ChangeResult apply(const std::vector<std::string> &pools, std::int64_t base)
     {
         const DocumentStore<MemoryTables>::ExtraRowsOf moves = [](const model::Document &current,
                                                                   const model::Document &changed) {
@@ -52,12 +52,12 @@
             rows.touched.push_back({fleetHeadKey(), Json::object()});
             return rows;
         };
-        const platform::SectionChange change{"fleet", textOf(pools), base,
-                                             "op" + std::to_string(++this->operations), "token"};
+        const store::SectionChange change{"fleet", textOf(pools), base,
+                                          "op" + std::to_string(++this->operations), "token"};
         return fakes::run(this->context, this->store.apply(change, {}, moves));
     }
 
-    std::vector<platform::Row> rows(const RowKey &key)
+    std::vector<store::Row> rows(const RowKey &key)
     {
         return this->tables.readNow({key});
     }
--- a/packages/fleet/src/vm_lender_test.cpp
+++ b/packages/fleet/src/vm_lender_test.cpp
@@ -170,20 +170,20 @@
     lent.pool = "p";
     lent.home = "reserve";
     lent.state = VmState::Lent;
-    const BudgetRow none{"p", {}, {}, platform::absent};
+    const BudgetRow none{"p", {}, {}, store::absent};
     const auto arrived = fakes::run(context, store.setBorrowed(lent, none, world.fence));
-    REQUIRE(arrived.state == platform::CommitState::Committed);
+    REQUIRE(arrived.state == store::CommitState::Committed);
     const BudgetRow asRead{"p", {}, {"reserve0"}, arrived.version};
     lent.version = arrived.version;
     lent.state = VmState::Draining;
     lent.target = "reserve";
     const auto goes = fakes::run(context, store.setBorrowed(lent, asRead, world.fence));
-    CHECK(goes.state == platform::CommitState::Committed);
+    CHECK(goes.state == store::CommitState::Committed);
     VmRow late;
     late.name = "p0";
     late.pool = "p";
     const auto permit = fakes::run(context, store.permit(late, asRead, world.fence));
-    CHECK(permit.state == platform::CommitState::Conflict);
+    CHECK(permit.state == store::CommitState::Conflict);
     CHECK(world.rows().size() == 1);
 }
 
--- a/packages/fleet/src/wave_runner_test.cpp
+++ b/packages/fleet/src/wave_runner_test.cpp
@@ -63,7 +63,7 @@
     }
 
     // One step of a process that believes to hold the lease with this fence.
-    void step(CallFaults &faults, platform::Condition stepFence)
+    void step(CallFaults &faults, store::Condition stepFence)
     {
         FaultyTables tablesSeen{this->tables, faults};
         FaultyVms vmsSeen{this->vms, faults};
@@ -123,7 +123,7 @@
     FakeVms vms;
     std::set<std::string> failed;
     model::Document fleet = document();
-    platform::Condition fence;
+    store::Condition fence;
 
 private:
     void check()
@@ -281,19 +281,18 @@
     // Two processes have read that one more VM may go out, and each has chosen another one. Callers
     // of the service would find two gone.
     fakes::MemoryTables tables;
-    const auto key = platform::LeaseKeeper<fakes::MemoryTables>::epochKey();
-    const platform::Condition fence{key,
-                                    tables.commitNow({{}, {{key, Json::object()}}, {}}).version};
+    const auto key = store::LeaseKeeper<fakes::MemoryTables>::epochKey();
+    const store::Condition fence{key, tables.commitNow({{}, {{key, Json::object()}}, {}}).version};
     FleetStore<fakes::MemoryTables> store(tables);
     boost::asio::io_context context(1);
     const auto permit = [&](const std::string &name) {
         VmRow vm;
         vm.name = name;
         vm.pool = "p";
-        const BudgetRow asRead{"p", {}, {}, platform::absent};
+        const BudgetRow asRead{"p", {}, {}, store::absent};
         return fakes::run(context, store.permit(vm, asRead, fence)).state;
     };
-    CHECK(permit("w0") == platform::CommitState::Committed);
-    CHECK(permit("w1") == platform::CommitState::Conflict);
+    CHECK(permit("w0") == store::CommitState::Committed);
+    CHECK(permit("w1") == store::CommitState::Conflict);
     CHECK(tables.scanNow({"vms", ""}).size() == 1);
 }
--- a/packages/fleet/tests/fleet_world.h
+++ b/packages/fleet/tests/fleet_world.h
@@ -4,7 +4,7 @@
 #include <sassafrasferry/fakes/memory_tables.h>
 #include <sassafrasferry/fleet/vm_control.h>
 #include <sassafrasferry/fleet/wave_runner.h>
-#include <sassafrasferry/platform/lease_keeper.h>
+#include <sassafrasferry/store/lease_keeper.h>
 
 #include <functional>
 #include <map>
@@ -92,9 +92,9 @@
 }
 
 /// Another process takes the lease: the fence changes.
-inline platform::Condition takeLease(fakes::MemoryTables &tables, std::int64_t &epoch)
+inline store::Condition takeLease(fakes::MemoryTables &tables, std::int64_t &epoch)
 {
-    const auto key = platform::LeaseKeeper<fakes::MemoryTables>::epochKey();
+    const auto key = store::LeaseKeeper<fakes::MemoryTables>::epochKey();
     const auto commit = tables.commitNow({{}, {{key, Json{{"epoch", ++epoch}}}}, {}});
     return {key, commit.version};
 }
@@ -105,11 +105,11 @@
     fakes::MemoryTables &tables;
     CallFaults &faults;
 
-    Awaitable<platform::Commit> commit(platform::Transaction transaction)
+    Awaitable<store::Commit> commit(store::Transaction transaction)
     {
         const auto fault = this->faults.next();
         if (fault == CallFault::CallLost)
-            co_return platform::Commit{};
+            co_return store::Commit{};
         auto commit = this->tables.commitNow(transaction);
         if (fault == CallFault::CallTwice)
             commit = this->tables.commitNow(transaction);
@@ -118,12 +118,12 @@
         co_return commit;
     }
 
-    Awaitable<absl::StatusOr<std::vector<platform::Row>>> read(std::vector<RowKey> keys)
+    Awaitable<absl::StatusOr<std::vector<store::Row>>> read(std::vector<RowKey> keys)
     {
         return this->tables.read(std::move(keys));
     }
 
-    Awaitable<absl::StatusOr<std::vector<platform::Row>>> scan(platform::ScanRange range)
+    Awaitable<absl::StatusOr<std::vector<store::Row>>> scan(store::ScanRange range)
     {
         return this->tables.scan(std::move(range));
     }
--- a/packages/fleet/tests/loan_world.h
+++ b/packages/fleet/tests/loan_world.h
@@ -60,7 +60,7 @@
 /// The pools in which an entry VM uses VMs, by the rows as it read them last.
 struct Entry
 {
-    std::int64_t version = platform::absent;
+    std::int64_t version = store::absent;
     std::vector<VmRow> rows;
 
     // Empty if it does not use the VM.
@@ -103,7 +103,7 @@
         this->fence = takeLease(this->tables, this->epoch);
     }
 
-    void step(CallFaults &faults, platform::Condition stepFence)
+    void step(CallFaults &faults, store::Condition stepFence)
     {
         FaultyTables tablesSeen{this->tables, faults};
         FaultyVms vmsSeen{this->vms, faults};
@@ -179,7 +179,7 @@
     fakes::MemoryTables tables;
     FakeVms vms;
     model::Document fleet = lendingDocument();
-    platform::Condition fence;
+    store::Condition fence;
     std::set<std::string> failed;
     std::set<std::string> busy;
     std::vector<policy::PoolWish> wishes;
--- /dev/null
+++ b/packages/jobs/src/job.cpp
@@ -0,0 +1,191 @@
+// The states of a job and of its tasks.
+#include <sassafrasferry/jobs/job.h>
+
+#include <algorithm>
+
+namespace sassafrasferry::jobs {
+
+Job::Job(std::string id, JobSpec jobSpec, QueueTerms terms, Instant acceptedAt)
+    : id(std::move(id))
+    , spec(std::move(jobSpec))
+    , terms(std::move(terms))
+    , acceptedAt(acceptedAt)
+{
+    for (const auto &step : this->spec.steps) {
+        this->firstOfStep.push_back(this->perOccurrence);
+        this->perOccurrence += step.count;
+    }
+    const auto occurrences = this->spec.occurrences();
+    this->tasks.resize(this->perOccurrence * occurrences);
+    for (std::size_t i = 0; i < occurrences; ++i) {
+        for (const auto &step : this->spec.steps)
+            this->left.push_back(step.count);
+    }
+    this->stepsLeft = this->left.size();
+    for (auto &task : this->tasks)
+        task.idleSince = acceptedAt;
+}
+
+std::size_t Job::placeOf(std::size_t occurrence, std::size_t step, std::size_t index) const
+{
+    return occurrence * this->perOccurrence + this->firstOfStep[step] + index;
+}
+
+Task &Job::at(std::size_t occurrence, std::size_t step, std::size_t index)
+{
+    return this->tasks[this->placeOf(occurrence, step, index)];
+}
+
+Task *Job::find(const TaskId &id)
+{
+    if (id.occurrence >= this->spec.occurrences() || id.step >= this->spec.steps.size()
+        || id.index >= this->spec.steps[id.step].count)
+        return nullptr;
+    return &this->at(id.occurrence, id.step, id.index);
+}
+
+bool Job::isOpen(std::size_t occurrence, std::size_t step, UnixMilliseconds now) const
+{
+    if (this->spec.repetitions > 0
+        && now < this->spec.firstDue
+                     + static_cast<std::int64_t>(occurrence) * this->spec.interval.count())
+        return false;
+    const auto &after = this->spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](std::size_t before) {
+        return this->tasksLeft(occurrence, before) == 0;
+    });
+}
+
+std::size_t Job::tasksLeft(std::size_t occurrence, std::size_t step) const
+{
+    return this->left[occurrence * this->spec.steps.size() + step];
+}
+
+void Job::markDone(std::size_t occurrence, std::size_t step, std::size_t index)
+{
+    auto &task = this->at(occurrence, step, index);
+    if (task.done)
+        return;
+    task.done = true;
+    auto &count = this->left[occurrence * this->spec.steps.size() + step];
+    --count;
+    if (count == 0)
+        --this->stepsLeft;
+}
+
+EndEffect Job::noteEnd(const TaskId &id, std::int64_t run, RunEnd end,
+                       const std::string &checkpoint)
+{
+    auto *task = this->find(id);
+    if (!task || task->done)
+        return EndEffect::None;
+    const auto &step = this->spec.steps[id.step];
+    if (end == RunEnd::Done && !step.lasting) {
+        if (step.gang) {
+            for (std::size_t i = 0; i < step.count; ++i)
+                this->markDone(id.occurrence, id.step, i);
+        } else {
+            this->markDone(id.occurrence, id.step, id.index);
+        }
+        ++this->changes;
+        if (this->stepsLeft > 0 || isFinal(this->state))
+            return EndEffect::TaskDone;
+        this->state = JobState::Completed;
+        return EndEffect::JobDone;
+    }
+    auto effect = EndEffect::None;
+    if (!checkpoint.empty() && checkpoint != task->checkpoint) {
+        // Members of a gang go on from the same point.
+        for (std::size_t i = 0; step.gang && i < step.count; ++i)
+            this->at(id.occurrence, id.step, i).checkpoint = checkpoint;
+        task->checkpoint = checkpoint;
+        effect = EndEffect::Recorded;
+    }
+    if (end == RunEnd::Failed && !step.lasting && run > task->failedRun) {
+        ++task->failures;
+        task->failedRun = run;
+        effect = EndEffect::Recorded;
+        if (task->failures >= this->terms.maxAttempts && !isFinal(this->state)) {
+            this->state = JobState::Failed;
+            effect = EndEffect::JobFailed;
+        }
+    }
+    if (effect != EndEffect::None)
+        ++this->changes;
+    return effect;
+}
+
+void Job::cancel()
+{
+    if (isFinal(this->state))
+        return;
+    this->state = JobState::Cancelled;
+    ++this->changes;
+}
+
+bool Job::hasRuns() const
+{
+    return std::any_of(this->tasks.begin(), this->tasks.end(),
+                       [](const Task &task) { return !task.runs.empty(); });
+}
+
+Milliseconds Job::chainLeft() const
+{
+    return longestChain(this->spec,
+                        [this](std::size_t step) { return this->tasksLeft(0, step) > 0; });
+}
+
+Instant Job::objective() const
+{
+    const auto chain = longestChain(this->spec, [](std::size_t) { return true; });
+    return this->acceptedAt + this->terms.target
+           + policy::fromSeconds(policy::seconds(chain) * this->terms.stretch);
+}
+
+messages::JobProgress Job::progress() const
+{
+    messages::JobProgress row;
+    row.set_state(static_cast<std::uint32_t>(this->state));
+    row.set_queue(this->terms.queue);
+    if (isFinal(this->state))
+        return row;
+    std::string bits((this->tasks.size() + 7) / 8, '\0');
+    for (std::size_t i = 0; i < this->tasks.size(); ++i) {
+        const auto &task = this->tasks[i];
+        if (task.done)
+            bits[i / 8] = static_cast<char>(bits[i / 8] | (1 << (i % 8)));
+        if (task.done || (task.failures == 0 && task.checkpoint.empty()))
+            continue;
+        auto &entry = *row.add_tasks();
+        entry.set_task(static_cast<std::uint32_t>(i));
+        entry.set_failures(task.failures);
+        entry.set_checkpoint(task.checkpoint);
+        entry.set_failed_run(task.failedRun);
+    }
+    row.set_done(bits);
+    return row;
+}
+
+void Job::restore(const messages::JobProgress &row)
+{
+    this->state = static_cast<JobState>(row.state());
+    for (const auto &entry : row.tasks()) {
+        if (entry.task() >= this->tasks.size())
+            continue;
+        this->tasks[entry.task()].failures = entry.failures();
+        this->tasks[entry.task()].checkpoint = entry.checkpoint();
+        this->tasks[entry.task()].failedRun = entry.failed_run();
+    }
+    const auto &bits = row.done();
+    for (std::size_t occurrence = 0; occurrence < this->spec.occurrences(); ++occurrence) {
+        for (std::size_t step = 0; step < this->spec.steps.size(); ++step) {
+            for (std::size_t i = 0; i < this->spec.steps[step].count; ++i) {
+                const auto place = this->placeOf(occurrence, step, i);
+                if (place / 8 < bits.size() && (bits[place / 8] >> (place % 8) & 1) != 0)
+                    this->markDone(occurrence, step, i);
+            }
+        }
+    }
+}
+
+} // namespace sassafrasferry::jobs
--- a/packages/peer/include/sassafrasferry/peer/peer_link.h
+++ b/packages/peer/include/sassafrasferry/peer/peer_link.h
@@ -2,26 +2,15 @@
 #pragma once
 
 #include <sassafrasferry/messages/peer.pb.h>
-#include <sassafrasferry/model/settings.h>
+#include <sassafrasferry/peer/message_port.h>
 
-#include <absl/status/status.h>
-
-#include <boost/asio/io_context.hpp>
-
-#include <cstdint>
 #include <functional>
-#include <memory>
+#include <map>
 #include <string>
+#include <vector>
 
 namespace sassafrasferry::peer {
 
-/// Bytes and messages of one direction.
-struct Traffic
-{
-    std::uint64_t messages = 0;
-    std::uint64_t bytes = 0;
-};
-
 /// Sends to peers and receives from them. Nothing is queued for a peer that is not connected: a
 /// message that is late by a reconnection would tell of a state that has passed.
 class PeerLink
@@ -31,9 +20,6 @@
 
     PeerLink(boost::asio::io_context &context, std::string self,
              std::vector<model::PeerSettings> peers, Receive receive);
-    ~PeerLink();
-    PeerLink(const PeerLink &) = delete;
-    PeerLink &operator=(const PeerLink &) = delete;
 
     /// Binds the own endpoint and starts connecting to the peers.
     absl::Status open(const model::Endpoint &own);
@@ -46,17 +32,9 @@
     Traffic received() const;
 
 private:
-    struct Sockets;
-
-    void waitReadable();
-    void drain();
-
     std::string self;
     std::vector<model::PeerSettings> peers;
-    Receive receive;
-    std::unique_ptr<Sockets> sockets;
-    Traffic sentTraffic;
-    Traffic receivedTraffic;
+    MessagePort port;
 };
 
 } // namespace sassafrasferry::peer
--- /dev/null
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -0,0 +1,166 @@
+// The scheduling leader's memory of jobs and workers, and what it decides. Pure: events and the
+// time are handed in, orders are taken out; nothing here waits, sends or asks a clock.
+#pragma once
+
+#include <sassafrasferry/scheduling/orders.h>
+#include <sassafrasferry/scheduling/queue.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace sassafrasferry::scheduling {
+
+using jobs::Job;
+using jobs::JobState;
+
+/// Times of leases at workers.
+struct SchedulerTimes
+{
+    Duration workerLease = std::chrono::milliseconds(4000); ///< of each hold and start
+    double clockDrift = 0.02; ///< by how much a worker's clock may be slow
+    Duration leaseMargin = std::chrono::milliseconds(150); ///< for the bounds of what was heard
+    Duration silence = std::chrono::milliseconds(600); ///< no starts after this without an answer
+    Duration roomBackOff = std::chrono::milliseconds(150);
+    Duration healthBackOff = std::chrono::milliseconds(500);
+    /// How long after a takeover a worker that nobody reaches may still run what the last leader
+    /// ordered: the time for which that one may order without the store, and a lease.
+    Duration inheritedLease = std::chrono::milliseconds(10500);
+    Duration startExpiry = std::chrono::milliseconds(1500); ///< an order unsent for longer is void
+};
+
+/// A task whose state is wanted in the store.
+struct DirtyJob
+{
+    std::string id;
+    std::uint64_t changes = 0; ///< of the job, when its row was made
+    messages::JobProgress row;
+    bool final = false;
+};
+
+/// One line about a decision, for the log.
+struct DecisionNote
+{
+    std::string event;
+    std::string subject; ///< a task, job or worker
+    std::string detail;
+};
+
+/// Counts since the start, for metrics.
+struct SchedulerCounts
+{
+    std::uint64_t starts = 0;
+    std::uint64_t stops = 0;
+    std::uint64_t done = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t lapsed = 0;
+    std::uint64_t roomRefusals = 0;
+    std::uint64_t unanswered = 0;
+};
+
+class Scheduler
+{
+public:
+    /// Run numbers of this leader begin above `runBase`, so that none of an earlier one returns.
+    Scheduler(SchedulerTimes times, std::int64_t runBase, Instant tookOverAt);
+
+    void setConfiguration(Configuration configuration);
+    const Configuration &configuration() const;
+
+    // Jobs.
+    void addJob(std::unique_ptr<Job> job);
+    /// False if no such job is under way.
+    bool cancelJob(const std::string &id);
+    JobState stateOf(const std::string &id) const;
+    std::size_t pendingOf(const std::string &queue) const;
+    Job *findJob(const std::string &id);
+    std::size_t jobCount() const;
+    /// The rows to write, of jobs that changed since and are wanted.
+    template<typename IsWanted>
+    std::vector<DirtyJob> takeDirty(std::size_t most, IsWanted isWanted)
+    {
+        std::vector<DirtyJob> result;
+        for (auto at = this->dirty.begin(); at != this->dirty.end() && result.size() < most;) {
+            if (!isWanted(*at)) {
+                ++at;
+                continue;
+            }
+            if (const auto *job = this->findJob(*at))
+                result.push_back({*at, job->changes, job->progress(), jobs::isFinal(job->state)});
+            at = this->dirty.erase(at);
+        }
+        return result;
+    }
+    /// The row of a job as of `changes` is in the store.
+    void recorded(const DirtyJob &job);
+    bool hasDirty() const;
+
+    // Workers.
+    void listWorker(const WorkerListing &listing, Instant now);
+    void unlistWorker(const std::string &id);
+    /// What a worker answered to a hold that was sent at `askedAt`.
+    void report(const WorkerReport &report, Instant askedAt, Instant now);
+    /// Another life answers at the worker's address: what ran there is gone.
+    void lifeEnded(const std::string &id, Instant now);
+    /// Until when a hold or start sent now lets the worker run, by its clock; nothing if its clock
+    /// is not known.
+    std::optional<std::int64_t> leaseUntil(const std::string &id, Instant now);
+    /// The ends up to this number are in the store.
+    std::int64_t acknowledged(const std::string &id) const;
+    const std::map<std::string, Worker> &workers() const;
+    Worker *findWorker(const std::string &id);
+
+    // Orders.
+    Orders plan(Instant now, UnixMilliseconds unixNow);
+    void startAnswered(const StartOrder &order, OrderAnswer answer, Instant now);
+    void stopAnswered(const StopOrder &order, OrderAnswer answer, Instant now);
+    /// Orders the stop of a run in the next plan.
+    void requestStop(const std::string &worker, const RunKey &run, std::string reason);
+
+    std::vector<DecisionNote> takeNotes();
+    const SchedulerCounts &counts() const;
+
+private:
+    struct Place
+    {
+        Worker *worker = nullptr;
+        double score = 0;
+    };
+    struct Round;
+
+    void takeEnd(Worker &worker, const ListedEnd &end, Instant now);
+    void takeRunning(Worker &worker, const ListedRun &listed, Instant askedAt, Instant now);
+    void dropMissingRuns(Worker &worker, const WorkerReport &report, Instant askedAt, Instant now);
+    void dropRun(Worker &worker, const RunKey &key, Instant now);
+    void dropAllRuns(Worker &worker, Instant now);
+    void writeOffSilent(Instant now);
+    void stopRunsOf(Job &job, const std::string &reason);
+    void markDirty(Job &job);
+    void settleEnds(Worker &worker);
+    bool isSettled(const std::string &service, Instant now) const;
+    bool takesWork(const Worker &worker, Instant now) const;
+    Instant surelyDeadAt(const Worker &worker) const;
+    std::string serviceOf(const Job &job) const;
+    void planService(const std::string &service, std::vector<Job *> &queue, Round &round);
+    void planStep(Job &job, std::size_t occurrence, std::size_t step, Round &round);
+    void planGang(Job &job, std::size_t occurrence, std::size_t step, Round &round);
+    Worker *choose(const Job &job, std::size_t occurrence, std::size_t step, Round &round);
+    void start(Job &job, const TaskId &id, Worker &worker, Round &round);
+    void note(std::string event, std::string subject, std::string detail);
+
+    SchedulerTimes times;
+    std::int64_t runBase;
+    Instant tookOverAt;
+    Configuration config;
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobs; // under way
+    std::unordered_map<std::string, JobState> finished; // recorded in the store
+    std::map<std::string, Worker> workerTable;
+    std::set<std::string> dirty; // jobs whose row is behind
+    std::vector<StopOrder> wantedStops;
+    std::vector<DecisionNote> notes;
+    SchedulerCounts counters;
+    std::set<std::string> settledServices; // nothing unknown runs there any more
+};
+
+} // namespace sassafrasferry::scheduling
--- /dev/null
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -0,0 +1,104 @@
+// A worker as the scheduling leader knows it: what it offers, what it runs, and how long what runs
+// there may live without another word from the leader.
+#pragma once
+
+#include <sassafrasferry/jobs/job.h>
+#include <sassafrasferry/model/settings.h>
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace sassafrasferry::scheduling {
+
+using jobs::Duration;
+using jobs::Instant;
+using jobs::Resources;
+using jobs::TaskId;
+using jobs::UnixMilliseconds;
+
+/// What a worker says of itself.
+struct WorkerListing
+{
+    std::string id;
+    std::int64_t born = 0; ///< Unix milliseconds of its start; another value is another life
+    model::Endpoint address;
+    std::string service;
+    std::string zone;
+    std::string kind;
+    std::string rack;
+    std::vector<std::string> labels;
+    Resources capacity;
+    bool draining = false;
+};
+
+/// A run that a worker lists.
+struct ListedRun
+{
+    TaskId task;
+    std::int64_t run = 0;
+    std::string checkpoint;
+    std::int64_t percent = 0; ///< of its full share
+    std::int64_t load = 0; ///< tail in milliseconds if it serves, else millicores in use
+};
+
+/// An end that a worker lists until it is acknowledged.
+struct ListedEnd
+{
+    std::int64_t number = 0; ///< rises from 1 in each life of the worker
+    TaskId task;
+    std::int64_t run = 0;
+    jobs::RunEnd end = jobs::RunEnd::Done;
+    std::string checkpoint;
+};
+
+/// A worker's answer to a hold.
+struct WorkerReport
+{
+    std::string worker;
+    std::int64_t born = 0; ///< 0: the answer did not say
+    std::int64_t clock = 0; ///< the worker's clock, milliseconds
+    std::vector<ListedRun> running;
+    std::vector<ListedEnd> ended;
+};
+
+/// Names a run on a worker.
+struct RunKey
+{
+    TaskId task;
+    std::int64_t number = 0;
+
+    auto operator<=>(const RunKey &) const = default;
+};
+
+/// What the leader believes of a worker.
+struct Worker
+{
+    WorkerListing listing;
+    bool listed = true; ///< in the platform's list
+    bool surveyed = false; ///< has answered this leader, in this life
+    bool evacuating = false; ///< gets no more work, since it is to be moved or maintained
+    Instant lastAnswer{}; ///< of a hold
+    Instant backOffUntil{}; ///< it refused a start
+    Instant fullUntil{}; ///< it had no room for what seemed to fit
+    std::int64_t clock = 0; ///< of the worker, as last heard
+    Instant clockAt{}; ///< when it was heard
+    std::int64_t lastUntil = 0; ///< the latest end of a lease that was sent, by its clock
+    Resources used; ///< by the runs below
+    std::map<RunKey, Resources> runs; ///< each takes room until its end is listed
+    std::int64_t endsSeen = 0; ///< the highest number of an end that was taken in
+    std::int64_t endsRecorded = 0; ///< the highest whose effect is in the store
+
+    /// Ends taken in whose effect is not yet in the store, with the change of the job.
+    struct PendingEnd
+    {
+        std::int64_t number = 0;
+        std::string job;
+        std::uint64_t change = 0;
+    };
+    std::deque<PendingEnd> pendingEnds;
+
+    Resources room() const;
+};
+
+} // namespace sassafrasferry::scheduling
--- /dev/null
+++ b/packages/scheduling/src/scheduler.cpp
@@ -0,0 +1,171 @@
+// Jobs of the scheduling leader: from the row of a job to the row of its end.
+#include <sassafrasferry/scheduling/scheduler.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace sassafrasferry::scheduling {
+
+Resources Worker::room() const
+{
+    auto room = this->listing.capacity;
+    room -= this->used;
+    return room;
+}
+
+Scheduler::Scheduler(SchedulerTimes times, std::int64_t runBase, Instant tookOverAt)
+    : times(times)
+    , runBase(runBase)
+    , tookOverAt(tookOverAt)
+{}
+
+void Scheduler::setConfiguration(Configuration configuration)
+{
+    if (configuration.version < this->config.version)
+        return;
+    this->config = std::move(configuration);
+    for (auto &entry : this->jobs) {
+        auto &job = *entry.second;
+        if (const auto *queue = this->config.findQueue(job.terms.queue))
+            job.terms = queue->terms;
+    }
+}
+
+const Configuration &Scheduler::configuration() const
+{
+    return this->config;
+}
+
+void Scheduler::addJob(std::unique_ptr<Job> job)
+{
+    if (this->jobs.count(job->id) != 0 || this->finished.count(job->id) != 0)
+        return;
+    if (jobs::isFinal(job->state) && job->changes == job->recordedChanges) {
+        this->finished[job->id] = job->state;
+        return;
+    }
+    if (const auto *queue = this->config.findQueue(job->terms.queue))
+        job->terms = queue->terms;
+    this->note("job", job->id,
+               absl::StrCat("queue=", job->terms.queue, " service=", job->terms.service,
+                            " steps=", job->spec.steps.size(),
+                            " tasks=", job->spec.tasksPerOccurrence(),
+                            " lasting=", job->spec.isLasting() ? 1 : 0));
+    this->jobs.emplace(job->id, std::move(job));
+}
+
+bool Scheduler::cancelJob(const std::string &id)
+{
+    auto *job = this->findJob(id);
+    if (!job || jobs::isFinal(job->state))
+        return job != nullptr;
+    job->cancel();
+    this->note("cancel", id, "");
+    this->markDirty(*job);
+    this->stopRunsOf(*job, "cancelled");
+    return true;
+}
+
+JobState Scheduler::stateOf(const std::string &id) const
+{
+    if (const auto at = this->finished.find(id); at != this->finished.end())
+        return at->second;
+    const auto at = this->jobs.find(id);
+    if (at == this->jobs.end())
+        return JobState::Unknown;
+    const auto &job = *at->second;
+    // An end that is not in the store yet could be unknown to the next leader. A cancellation was
+    // in the store before this leader heard of it.
+    const bool isTold = job.recordedChanges >= job.changes || job.state == JobState::Cancelled;
+    if (jobs::isFinal(job.state) && !isTold)
+        return JobState::Running;
+    return job.state;
+}
+
+std::size_t Scheduler::pendingOf(const std::string &queue) const
+{
+    std::size_t count = 0;
+    for (const auto &entry : this->jobs) {
+        const auto &job = *entry.second;
+        if (job.terms.queue == queue && job.state == JobState::Queued && job.spec.repetitions == 0)
+            ++count;
+    }
+    return count;
+}
+
+Job *Scheduler::findJob(const std::string &id)
+{
+    const auto at = this->jobs.find(id);
+    return at == this->jobs.end() ? nullptr : at->second.get();
+}
+
+std::size_t Scheduler::jobCount() const
+{
+    return this->jobs.size();
+}
+
+void Scheduler::markDirty(Job &job)
+{
+    this->dirty.insert(job.id);
+}
+
+bool Scheduler::hasDirty() const
+{
+    return !this->dirty.empty();
+}
+
+void Scheduler::recorded(const DirtyJob &row)
+{
+    auto *job = this->findJob(row.id);
+    if (!job)
+        return;
+    job->recordedChanges = std::max(job->recordedChanges, row.changes);
+    const bool isOver = jobs::isFinal(job->state) && job->recordedChanges >= job->changes;
+    if (isOver)
+        this->note("job-end", job->id, std::string(model::nameOf(job->state)));
+    if (isOver && !job->hasRuns()) {
+        this->finished[job->id] = job->state;
+        this->jobs.erase(job->id);
+    }
+    for (auto &entry : this->workerTable)
+        this->settleEnds(entry.second);
+}
+
+void Scheduler::stopRunsOf(Job &job, const std::string &reason)
+{
+    for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+        for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+            for (std::size_t i = 0; i < job.spec.steps[step].count; ++i) {
+                for (const auto &run : job.at(occurrence, step, i).runs)
+                    this->requestStop(run.worker, {{job.id, occurrence, step, i}, run.number},
+                                      reason);
+            }
+        }
+    }
+}
+
+void Scheduler::requestStop(const std::string &worker, const RunKey &run, std::string reason)
+{
+    this->wantedStops.push_back({worker, run.task, run.number, std::move(reason)});
+}
+
+void Scheduler::note(std::string event, std::string subject, std::string detail)
+{
+    this->notes.push_back({std::move(event), std::move(subject), std::move(detail)});
+}
+
+std::vector<DecisionNote> Scheduler::takeNotes()
+{
+    return std::exchange(this->notes, {});
+}
+
+const SchedulerCounts &Scheduler::counts() const
+{
+    return this->counters;
+}
+
+std::string Scheduler::serviceOf(const Job &job) const
+{
+    return job.terms.service;
+}
+
+} // namespace sassafrasferry::scheduling
--- /dev/null
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -0,0 +1,364 @@
+// Which task starts where: the order of jobs, and the choice of a worker.
+#include <sassafrasferry/scheduling/scheduler.h>
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace sassafrasferry::scheduling {
+
+namespace {
+
+// Weights of the choice of a worker. Each outweighs all below it.
+constexpr double dataRackWeight = 1000;
+constexpr double gangRackWeight = 500;
+constexpr double spreadVmWeight = 200;
+constexpr double spreadRackWeight = 50;
+constexpr double fitWeight = 10;
+// Workers kept free, a round, for tasks that come first and found no room.
+constexpr std::size_t mostReserved = 2;
+
+/// Where a job stands in its service's line: the smaller one is served first.
+struct Rank
+{
+    bool hopeless = false; ///< can't be on time any more, and so pushes nobody out
+    std::int64_t priority = 0;
+    Instant objective{};
+
+    auto operator<=>(const Rank &) const = default;
+};
+
+Rank rankOf(const Job &job, Instant now)
+{
+    if (job.spec.isLasting())
+        return {false, job.terms.priority, job.acceptedAt};
+    const auto objective = job.objective();
+    return {now + job.chainLeft() > objective, job.terms.priority, objective};
+}
+
+std::size_t runsOfStep(const Worker &worker, const TaskId &step)
+{
+    std::size_t count = 0;
+    const RunKey first{{step.job, step.occurrence, step.step, 0}, 0};
+    for (auto at = worker.runs.lower_bound(first); at != worker.runs.end(); ++at) {
+        const auto &task = at->first.task;
+        if (task.job != step.job || task.occurrence != step.occurrence || task.step != step.step)
+            break;
+        ++count;
+    }
+    return count;
+}
+
+double cpuShare(const Resources &room, const Resources &capacity)
+{
+    return capacity.cpu > 0 ? static_cast<double>(room.cpu) / static_cast<double>(capacity.cpu) : 0;
+}
+
+} // namespace
+
+struct Scheduler::Round
+{
+    Instant now;
+    UnixMilliseconds unixNow = 0;
+    Orders orders;
+    std::vector<Worker *> workers; // of the service at hand, that take work
+    std::set<const Worker *> reserved; // for tasks that came first and found no room
+};
+
+bool Scheduler::takesWork(const Worker &worker, Instant now) const
+{
+    return worker.listed && worker.surveyed && !worker.listing.draining && !worker.evacuating
+           && now - worker.lastAnswer < 3 * this->times.silence && now >= worker.backOffUntil
+           && now >= worker.fullUntil;
+}
+
+bool Scheduler::isSettled(const std::string &service, Instant now) const
+{
+    if (this->settledServices.count(service) != 0)
+        return true;
+    if (now > this->tookOverAt + this->times.inheritedLease)
+        return true;
+    return std::all_of(this->workerTable.begin(), this->workerTable.end(), [&](const auto &entry) {
+        return entry.second.listing.service != service || entry.second.surveyed;
+    });
+}
+
+Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
+{
+    this->writeOffSilent(now);
+    Round round{now, unixNow, {}, {}, {}};
+    std::map<std::string, std::vector<Job *>> queues;
+    for (auto &entry : this->jobs) {
+        if (!jobs::isFinal(entry.second->state))
+            queues[this->serviceOf(*entry.second)].push_back(entry.second.get());
+    }
+    for (auto &entry : queues) {
+        if (this->isSettled(entry.first, now))
+            this->settledServices.insert(entry.first);
+        this->planService(entry.first, entry.second, round);
+    }
+    for (auto &stop : std::exchange(this->wantedStops, {})) {
+        auto *job = this->findJob(stop.task.job);
+        auto *task = job ? job->find(stop.task) : nullptr;
+        if (task) {
+            for (auto &run : task->runs) {
+                if (run.worker == stop.worker && run.number == stop.run) {
+                    run.state = jobs::RunState::Stopping;
+                    run.stopAskedAt = now;
+                }
+            }
+        }
+        ++this->counters.stops;
+        round.orders.stops.push_back(std::move(stop));
+    }
+    return std::move(round.orders);
+}
+
+void Scheduler::planService(const std::string &service, std::vector<Job *> &queue, Round &round)
+{
+    round.workers.clear();
+    round.reserved.clear();
+    for (auto &entry : this->workerTable) {
+        if (entry.second.listing.service == service && this->takesWork(entry.second, round.now))
+            round.workers.push_back(&entry.second);
+    }
+    if (round.workers.empty())
+        return;
+    struct Ranked
+    {
+        Rank rank;
+        Job *job;
+    };
+    std::vector<Ranked> line;
+    line.reserve(queue.size());
+    for (auto *job : queue)
+        line.push_back({rankOf(*job, round.now), job});
+    std::stable_sort(line.begin(), line.end(),
+                     [](const Ranked &a, const Ranked &b) { return a.rank < b.rank; });
+    for (const auto &ranked : line) {
+        auto &job = *ranked.job;
+        for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+            for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+                if (job.tasksLeft(occurrence, step) == 0
+                    || !job.isOpen(occurrence, step, round.unixNow))
+                    continue;
+                if (job.spec.steps[step].gang)
+                    this->planGang(job, occurrence, step, round);
+                else
+                    this->planStep(job, occurrence, step, round);
+            }
+        }
+    }
+}
+
+void Scheduler::planStep(Job &job, std::size_t occurrence, std::size_t step, Round &round)
+{
+    const auto &spec = job.spec.steps[step];
+    const bool mayRunUnseen =
+        job.inherited && this->settledServices.count(this->serviceOf(job)) == 0;
+    if (mayRunUnseen)
+        return;
+    for (std::size_t i = 0; i < spec.count; ++i) {
+        auto &task = job.at(occurrence, step, i);
+        if (task.done || !task.runs.empty())
+            continue;
+        auto *worker = this->choose(job, occurrence, step, round);
+        if (!worker) {
+            // Kept free, or small tasks of later jobs would take each bit of room that ends here.
+            if (round.reserved.size() < mostReserved && spec.lasting) {
+                const auto best = std::max_element(
+                    round.workers.begin(), round.workers.end(),
+                    [&](const Worker *a, const Worker *b) {
+                        return std::make_pair(round.reserved.count(a) == 0, a->room().cpu)
+                               < std::make_pair(round.reserved.count(b) == 0, b->room().cpu);
+                    });
+                round.reserved.insert(*best);
+            }
+            return;
+        }
+        this->start(job, {job.id, occurrence, step, i}, *worker, round);
+    }
+}
+
+void Scheduler::planGang(Job &job, std::size_t occurrence, std::size_t step, Round &round)
+{
+    const auto &spec = job.spec.steps[step];
+    if (job.inherited && this->settledServices.count(this->serviceOf(job)) == 0)
+        return;
+    std::int64_t number = this->runBase + 1;
+    for (std::size_t i = 0; i < spec.count; ++i) {
+        const auto &task = job.at(occurrence, step, i);
+        if (!task.runs.empty())
+            return;
+        number = std::max(number, task.lastRun + 1);
+    }
+    // All or none: members that wait for one without room would hold theirs for nothing.
+    struct Taken
+    {
+        Worker *worker;
+        RunKey key;
+    };
+    std::vector<Taken> taken;
+    const auto need = spec.footprint();
+    for (std::size_t i = 0; i < spec.count; ++i) {
+        auto *worker = this->choose(job, occurrence, step, round);
+        if (!worker)
+            break;
+        const RunKey key{{job.id, occurrence, step, i}, number};
+        worker->runs[key] = need;
+        worker->used += need;
+        taken.push_back({worker, key});
+    }
+    for (const auto &member : taken) {
+        member.worker->runs.erase(member.key);
+        member.worker->used -= need;
+    }
+    if (taken.size() < spec.count)
+        return;
+    for (const auto &member : taken) {
+        job.at(occurrence, step, member.key.task.index).lastRun = number - 1;
+        this->start(job, member.key.task, *member.worker, round);
+    }
+}
+
+Worker *Scheduler::choose(const Job &job, std::size_t occurrence, std::size_t step, Round &round)
+{
+    const auto &spec = job.spec.steps[step];
+    const auto need = spec.footprint();
+    const TaskId any{job.id, occurrence, step, 0};
+    std::map<std::string, std::size_t> onRack;
+    if (spec.lasting || spec.sameRack) {
+        for (const auto *worker : round.workers)
+            onRack[worker->listing.rack] += runsOfStep(*worker, any);
+    }
+    Place best;
+    for (auto *worker : round.workers) {
+        if (round.reserved.count(worker) != 0 && !spec.lasting)
+            continue;
+        const auto room = worker->room();
+        if (!need.fitsIn(room))
+            continue;
+        const auto &listing = worker->listing;
+        const auto &labels = listing.labels;
+        if (!spec.requiredLabel.empty()
+            && std::find(labels.begin(), labels.end(), spec.requiredLabel) == labels.end())
+            continue;
+        const bool counts = spec.perVmLimit > 0 || spec.lasting;
+        const auto here = counts ? runsOfStep(*worker, any) : 0;
+        if (spec.perVmLimit > 0 && here >= spec.perVmLimit)
+            continue;
+        double score = fitWeight * (1 - cpuShare(room, listing.capacity));
+        if (!spec.dataRack.empty() && listing.rack == spec.dataRack)
+            score += dataRackWeight;
+        if (spec.sameRack)
+            score += gangRackWeight * static_cast<double>(onRack[listing.rack] > 0);
+        // Lasting tasks apart: one rack or worker lost must not take a whole step away.
+        if (spec.lasting)
+            score = fitWeight * cpuShare(room, listing.capacity)
+                    - spreadVmWeight * static_cast<double>(here)
+                    - spreadRackWeight * static_cast<double>(onRack[listing.rack]);
+        if (!best.worker || score > best.score)
+            best = {worker, score};
+    }
+    return best.worker;
+}
+
+void Scheduler::start(Job &job, const TaskId &id, Worker &worker, Round &round)
+{
+    auto &task = *job.find(id);
+    const auto need = job.spec.steps[id.step].footprint();
+    jobs::Run run;
+    run.worker = worker.listing.id;
+    run.number = std::max(task.lastRun, this->runBase) + 1;
+    run.orderedAt = round.now;
+    task.lastRun = run.number;
+    task.runs.push_back(run);
+    worker.runs[{id, run.number}] = need;
+    worker.used += need;
+    ++this->counters.starts;
+    this->note("start", jobs::toString(id),
+               absl::StrCat("run=", run.number, " worker=", worker.listing.id,
+                            " room=", worker.room().cpu, " left=", job.tasksLeft(id.occurrence, id.step)));
+    round.orders.starts.push_back({worker.listing.id, id, run.number, job.spec.payload,
+                                   task.checkpoint, "", round.now + this->times.startExpiry});
+}
+
+void Scheduler::startAnswered(const StartOrder &order, OrderAnswer answer, Instant now)
+{
+    auto *worker = this->findWorker(order.worker);
+    auto *job = this->findJob(order.task.job);
+    auto *task = job ? job->find(order.task) : nullptr;
+    const RunKey key{order.task, order.run};
+    jobs::Run *run = nullptr;
+    for (std::size_t i = 0; task && i < task->runs.size(); ++i) {
+        if (task->runs[i].worker == order.worker && task->runs[i].number == order.run)
+            run = &task->runs[i];
+    }
+    if (answer != OrderAnswer::Accepted) {
+        this->note("start-refused", jobs::toString(order.task),
+                   absl::StrCat("run=", order.run, " worker=", order.worker,
+                                " why=", std::string(model::nameOf(answer))));
+    }
+    if (!worker)
+        return;
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        if (run) {
+            if (run->state != jobs::RunState::Stopping)
+                run->state = jobs::RunState::Confirmed;
+            run->settledAt = std::min(run->settledAt, now);
+        }
+        if (job && job->state == JobState::Queued)
+            job->state = JobState::Running;
+        return;
+    case OrderAnswer::NoAnswer:
+        ++this->counters.unanswered;
+        if (run && run->state == jobs::RunState::Ordered)
+            run->state = jobs::RunState::Unanswered;
+        return;
+    case OrderAnswer::Fenced:
+        return;
+    case OrderAnswer::NoRoom:
+        ++this->counters.roomRefusals;
+        worker->fullUntil = now + this->times.roomBackOff;
+        break;
+    case OrderAnswer::Unhealthy:
+        worker->backOffUntil = now + this->times.healthBackOff;
+        break;
+    case OrderAnswer::Superseded:
+        // A higher number has ended there; one well above all of this leader's follows.
+        if (task)
+            task->lastRun += 100;
+        break;
+    case OrderAnswer::OtherLife:
+        this->lifeEnded(order.worker, now);
+        worker->listed = false;
+        break;
+    case OrderAnswer::Malformed:
+        worker->backOffUntil = now + this->times.healthBackOff;
+        break;
+    case OrderAnswer::NoTicket:
+    case OrderAnswer::Expired:
+    case OrderAnswer::NotSent:
+        break;
+    }
+    this->dropRun(*worker, key, now);
+}
+
+void Scheduler::stopAnswered(const StopOrder &order, OrderAnswer answer, Instant now)
+{
+    auto *job = this->findJob(order.task.job);
+    auto *task = job ? job->find(order.task) : nullptr;
+    if (answer == OrderAnswer::OtherLife) {
+        this->lifeEnded(order.worker, now);
+        return;
+    }
+    if (!task || answer != OrderAnswer::Accepted)
+        return;
+    for (auto &run : task->runs) {
+        if (run.worker == order.worker && run.number == order.run)
+            run.settledAt = std::min(run.settledAt, now);
+    }
+}
+
+} // namespace sassafrasferry::scheduling
--- a/packages/standins/src/platform_contract_test.cpp
+++ b/packages/standins/src/platform_contract_test.cpp
@@ -2,9 +2,9 @@
 #include <sassafrasferry/standins/platform_standin.h>
 
 #include <sassafrasferry/fakes/run.h>
-#include <sassafrasferry/platform/object_client.h>
-#include <sassafrasferry/platform/table_client.h>
-#include <sassafrasferry/platform/vm_list_client.h>
+#include <sassafrasferry/store/object_client.h>
+#include <sassafrasferry/store/table_client.h>
+#include <sassafrasferry/store/vm_list_client.h>
 
 #include <catch2/catch.hpp>
 
@@ -12,8 +12,8 @@
 using namespace sassafrasferry::standins;
 using namespace std::chrono_literals;
 using http::Awaitable;
-using platform::CommitState;
-using platform::Transaction;
+using store::CommitState;
+using store::Transaction;
 
 namespace {
 
@@ -33,7 +33,7 @@
         this->tables.emplace(this->context.get_executor(), this->endpoint, 10s);
     }
 
-    platform::Commit commit(const Transaction &transaction)
+    store::Commit commit(const Transaction &transaction)
     {
         return fakes::run(this->context, this->tables->commit(transaction));
     }
@@ -49,7 +49,7 @@
     std::optional<PlatformStandin> standin;
     std::shared_ptr<http::Server> server;
     model::Endpoint endpoint;
-    std::optional<platform::TableClient> tables;
+    std::optional<store::TableClient> tables;
 };
 
 Transaction put(std::int64_t version)
@@ -70,9 +70,9 @@
 TEST_CASE("a transaction happens as a whole, on its conditions")
 {
     Fixture fixture;
-    const auto first = fixture.commit(put(platform::absent));
+    const auto first = fixture.commit(put(store::absent));
     CHECK(first.state == CommitState::Committed);
-    const auto second = fixture.commit(put(platform::absent));
+    const auto second = fixture.commit(put(store::absent));
     CHECK(second.state == CommitState::Conflict);
     CHECK(second.failed == std::vector<std::size_t>{0});
     const auto third = fixture.commit(put(first.version));
@@ -95,7 +95,7 @@
     INFO(row.title);
     Fixture fixture;
     fixture.post("/standin/faults", row.faults);
-    CHECK(fixture.commit(put(platform::absent)).state == row.expected);
+    CHECK(fixture.commit(put(store::absent)).state == row.expected);
     fixture.post("/standin/faults", http::Json::object());
     CHECK(fakes::run(fixture.context, fixture.tables->scan({"t", ""}))->size() == row.rows);
 }
@@ -117,7 +117,7 @@
 TEST_CASE("objects are kept whole, and the list names the VMs that leave")
 {
     Fixture fixture;
-    platform::ObjectClient objects(fixture.context.get_executor(), fixture.endpoint, 10s);
+    store::ObjectClient objects(fixture.context.get_executor(), fixture.endpoint, 10s);
     const std::string body(100000, 'x');
     CHECK(fakes::run(fixture.context, objects.put("o", body)).ok());
     CHECK(*fakes::run(fixture.context, objects.get("o")) == body);
@@ -126,7 +126,7 @@
     CHECK(fakes::run(fixture.context, objects.remove("o")).ok());
     CHECK(fakes::run(fixture.context, objects.remove("o")).ok());
     CHECK_FALSE(fakes::run(fixture.context, objects.get("o")).ok());
-    platform::VmListClient list(fixture.context.get_executor(), fixture.endpoint, 10s);
+    store::VmListClient list(fixture.context.get_executor(), fixture.endpoint, 10s);
     CHECK(fakes::run(fixture.context, list.leaving())->empty());
     fixture.post("/standin/vms", {{"vm", "w1"}, {"leaving", true}});
     CHECK(*fakes::run(fixture.context, list.leaving()) == std::vector<std::string>{"w1"});
--- a/packages/standins/src/platform_standin.cpp
+++ b/packages/standins/src/platform_standin.cpp
@@ -11,17 +11,17 @@
 using http::Json;
 using http::Status;
 using http::Verb;
-using platform::CommitState;
-using platform::ScanRange;
+using store::CommitState;
+using store::ScanRange;
 
 const std::string objectsPath = "/v1/objects/";
 const std::string vmsPath = "/v1/vms/";
 
-http::Response rowsResponse(const std::vector<platform::Row> &rows)
+http::Response rowsResponse(const std::vector<store::Row> &rows)
 {
     auto list = Json::array();
     for (const auto &row : rows)
-        list.push_back(platform::toJson(row));
+        list.push_back(store::toJson(row));
     return http::jsonResponse(Status::ok, {{"rows", std::move(list)}});
 }
 
@@ -85,7 +85,7 @@
 Awaitable<http::Response> PlatformStandin::transact(http::Request request)
 {
     const auto commit =
-        co_await this->tables.commit(platform::transactionFrom(Json::parse(request.body())));
+        co_await this->tables.commit(store::transactionFrom(Json::parse(request.body())));
     switch (commit.state) {
     case CommitState::Committed:
         co_return http::jsonResponse(Status::ok, {{"version", commit.version}});
@@ -101,10 +101,10 @@
 
 http::Response PlatformStandin::read(const http::Request &request)
 {
-    std::vector<platform::RowKey> keys;
+    std::vector<store::RowKey> keys;
     const auto body = Json::parse(request.body());
     for (const auto &key : body.at("keys"))
-        keys.push_back(platform::rowKeyFrom(key));
+        keys.push_back(store::rowKeyFrom(key));
     return rowsResponse(this->tables.readNow(keys));
 }
 
--- a/packages/platform/include/sassafrasferry/platform/claim_rows.h
+++ b/packages/store/include/sassafrasferry/store/claim_rows.h
@@ -1,10 +1,10 @@
 // Claims as rows of the table service.
 #pragma once
 
-#include <sassafrasferry/platform/rows.h>
 #include <sassafrasferry/policy/claim.h>
+#include <sassafrasferry/store/rows.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// A claim and the version of its row; version `absent`: there is no claim.
 struct VersionedClaim
@@ -19,4 +19,4 @@
 /// The claim in a row; an error if the row does not hold one.
 absl::StatusOr<VersionedClaim> claimFrom(const Row &row);
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/claim_sweeper.h
+++ b/packages/store/include/sassafrasferry/store/claim_sweeper.h
@@ -3,15 +3,15 @@
 // keys under the time at which they may go, and only lists that are due are read.
 #pragma once
 
-#include <sassafrasferry/platform/claim_rows.h>
-#include <sassafrasferry/platform/expiry_lists.h>
+#include <sassafrasferry/store/claim_rows.h>
+#include <sassafrasferry/store/expiry_lists.h>
 
 #include <concepts>
 #include <set>
 #include <utility>
 #include <vector>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// A client of the object store that can remove objects.
 template<typename T>
@@ -153,4 +153,4 @@
     policy::UnixMilliseconds retention;
 };
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/digest.h
+++ b/packages/store/include/sassafrasferry/store/digest.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// The SHA-256 of a text, in hexadecimal.
 std::string sha256(std::string_view text);
@@ -12,4 +12,4 @@
 /// Compares in time that does not depend on where two texts differ.
 bool equalInConstantTime(std::string_view a, std::string_view b);
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/document_store.h
+++ b/packages/store/include/sassafrasferry/store/document_store.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include <sassafrasferry/model/sections.h>
-#include <sassafrasferry/platform/documents.h>
+#include <sassafrasferry/store/documents.h>
 
 #include <functional>
 #include <utility>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// Reads and changes the document.
 ///
@@ -328,4 +328,4 @@
     Tables &tables;
 };
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/documents.h
+++ b/packages/store/include/sassafrasferry/store/documents.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include <sassafrasferry/model/document.h>
-#include <sassafrasferry/platform/rows.h>
+#include <sassafrasferry/store/rows.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// The texts of all sections at one revision.
 struct DocumentTexts
@@ -82,4 +82,4 @@
 bool mayChange(const model::Document &current, const model::Document &changed,
                const SectionChange &change);
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/expiry_lists.h
+++ b/packages/store/include/sassafrasferry/store/expiry_lists.h
@@ -1,14 +1,14 @@
 // Lists of rows that may be deleted after a time, kept as rows in the order of that time.
 #pragma once
 
-#include <sassafrasferry/platform/rows.h>
 #include <sassafrasferry/policy/time.h>
+#include <sassafrasferry/store/rows.h>
 
 #include <set>
 #include <string>
 #include <vector>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// The table of the lists.
 inline const std::string expiryTable = "expiry";
@@ -22,4 +22,4 @@
 /// The rows on a list.
 std::set<RowKey> listedKeys(const Row &list);
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/lease_keeper.h
+++ b/packages/store/include/sassafrasferry/store/lease_keeper.h
@@ -1,13 +1,13 @@
 // The control lease: one entry VM at a time plans waves and moves.
 #pragma once
 
-#include <sassafrasferry/platform/rows.h>
 #include <sassafrasferry/policy/time.h>
+#include <sassafrasferry/store/rows.h>
 
 #include <string>
 #include <utility>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// Times of the lease.
 struct LeaseTimes
@@ -141,4 +141,4 @@
     policy::Instant renewAt{};
 };
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/object_client.h
+++ b/packages/store/include/sassafrasferry/store/object_client.h
@@ -5,7 +5,7 @@
 
 #include <absl/status/statusor.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// A client of the object store; for use on one executor.
 class ObjectClient
@@ -24,4 +24,4 @@
     std::chrono::milliseconds timeout;
 };
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/row_batcher.h
+++ b/packages/store/include/sassafrasferry/store/row_batcher.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include <sassafrasferry/http/await_callback.h>
-#include <sassafrasferry/platform/expiry_lists.h>
-#include <sassafrasferry/platform/rows.h>
 #include <sassafrasferry/policy/write_pace.h>
+#include <sassafrasferry/store/expiry_lists.h>
+#include <sassafrasferry/store/rows.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,7 +20,7 @@
 #include <utility>
 #include <vector>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// One conditional write.
 struct RowWrite
@@ -298,4 +298,4 @@
     std::size_t sent = 0;
 };
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/rows.h
+++ b/packages/store/include/sassafrasferry/store/rows.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 using http::Awaitable;
 using http::Json;
@@ -111,4 +111,4 @@
 Row rowFrom(const Json &json);
 Transaction transactionFrom(const Json &json);
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/table_client.h
+++ b/packages/store/include/sassafrasferry/store/table_client.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include <sassafrasferry/http/client.h>
-#include <sassafrasferry/platform/rows.h>
+#include <sassafrasferry/store/rows.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// A client of the table service; for use on one executor.
 class TableClient
@@ -28,4 +28,4 @@
     std::chrono::milliseconds timeout;
 };
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/include/sassafrasferry/platform/vm_list_client.h
+++ b/packages/store/include/sassafrasferry/store/vm_list_client.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 /// A client of the list; for use on one executor.
 class VmListClient
@@ -29,4 +29,4 @@
     std::chrono::milliseconds timeout;
 };
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/src/claim_rows.cpp
+++ b/packages/store/src/claim_rows.cpp
@@ -1,7 +1,7 @@
 // Claims to rows and back.
-#include <sassafrasferry/platform/claim_rows.h>
+#include <sassafrasferry/store/claim_rows.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 using policy::Claim;
 using policy::ClaimState;
@@ -70,4 +70,4 @@
     return result;
 }
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/src/claim_rows_test.cpp
+++ b/packages/store/src/claim_rows_test.cpp
@@ -1,10 +1,10 @@
 // A claim survives its way into a row and back.
-#include <sassafrasferry/platform/claim_rows.h>
+#include <sassafrasferry/store/claim_rows.h>
 
 #include <catch2/catch.hpp>
 
 using namespace sassafrasferry;
-using namespace sassafrasferry::platform;
+using namespace sassafrasferry::store;
 
 TEST_CASE("a claim is the same after a round through its row")
 {
--- a/packages/platform/src/claim_sweeper_test.cpp
+++ b/packages/store/src/claim_sweeper_test.cpp
@@ -1,6 +1,6 @@
 // Deleting old claims under the faults of the store, and against claims that are still needed.
-#include <sassafrasferry/platform/claim_sweeper.h>
-#include <sassafrasferry/platform/row_batcher.h>
+#include <sassafrasferry/store/claim_sweeper.h>
+#include <sassafrasferry/store/row_batcher.h>
 
 #include <sassafrasferry/fakes/memory_tables.h>
 #include <sassafrasferry/fakes/run.h>
@@ -8,7 +8,7 @@
 #include <catch2/catch.hpp>
 
 using namespace sassafrasferry;
-using namespace sassafrasferry::platform;
+using namespace sassafrasferry::store;
 using namespace std::chrono_literals;
 using fakes::MemoryTables;
 using policy::ClaimState;
--- a/packages/platform/src/digest.cpp
+++ b/packages/store/src/digest.cpp
@@ -1,12 +1,12 @@
 // SHA-256 by OpenSSL.
-#include <sassafrasferry/platform/digest.h>
+#include <sassafrasferry/store/digest.h>
 
 #include <array>
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 std::string sha256(std::string_view text)
 {
@@ -27,4 +27,4 @@
     return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/src/document_store_test.cpp
+++ b/packages/store/src/document_store_test.cpp
@@ -1,14 +1,14 @@
 // Applying sections: races of operators, lost answers, outages.
-#include <sassafrasferry/platform/document_store.h>
+#include <sassafrasferry/store/document_store.h>
 
 #include <sassafrasferry/fakes/memory_tables.h>
 #include <sassafrasferry/fakes/run.h>
-#include <sassafrasferry/platform/digest.h>
+#include <sassafrasferry/store/digest.h>
 
 #include <catch2/catch.hpp>
 
 using namespace sassafrasferry;
-using namespace sassafrasferry::platform;
+using namespace sassafrasferry::store;
 using fakes::MemoryTables;
 
 namespace {
--- a/packages/platform/src/documents.cpp
+++ b/packages/store/src/documents.cpp
@@ -1,11 +1,11 @@
 // Keys of the document's rows, and who may change what.
-#include <sassafrasferry/platform/documents.h>
+#include <sassafrasferry/store/documents.h>
 
-#include <sassafrasferry/platform/digest.h>
+#include <sassafrasferry/store/digest.h>
 
 #include <algorithm>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 namespace {
 
@@ -82,4 +82,4 @@
     return created && isTokenOf(current, created->team, change.token);
 }
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/src/expiry_lists.cpp
+++ b/packages/store/src/expiry_lists.cpp
@@ -1,11 +1,11 @@
 // Keys and values of expiry lists.
-#include <sassafrasferry/platform/expiry_lists.h>
+#include <sassafrasferry/store/expiry_lists.h>
 
 #include <cstdlib>
 
 #include <absl/strings/str_format.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 Put expiryList(policy::UnixMilliseconds expiresAt, const std::string &suffix,
                const std::vector<RowKey> &rows)
@@ -35,4 +35,4 @@
     return keys;
 }
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/src/lease_keeper_test.cpp
+++ b/packages/store/src/lease_keeper_test.cpp
@@ -1,5 +1,5 @@
 // The control lease when its holder is paused, dies, or does not hear an answer.
-#include <sassafrasferry/platform/lease_keeper.h>
+#include <sassafrasferry/store/lease_keeper.h>
 
 #include <sassafrasferry/fakes/memory_tables.h>
 #include <sassafrasferry/fakes/run.h>
@@ -7,7 +7,7 @@
 #include <catch2/catch.hpp>
 
 using namespace sassafrasferry;
-using namespace sassafrasferry::platform;
+using namespace sassafrasferry::store;
 using namespace std::chrono_literals;
 using fakes::MemoryTables;
 using Keeper = LeaseKeeper<MemoryTables>;
--- a/packages/platform/src/object_client.cpp
+++ b/packages/store/src/object_client.cpp
@@ -1,7 +1,7 @@
 // The object store's HTTP protocol, as a client.
-#include <sassafrasferry/platform/object_client.h>
+#include <sassafrasferry/store/object_client.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 namespace {
 
@@ -50,4 +50,4 @@
     co_return isGone ? absl::OkStatus() : statusOf(exchange);
 }
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/src/row_batcher_test.cpp
+++ b/packages/store/src/row_batcher_test.cpp
@@ -1,5 +1,5 @@
 // Group commit under the faults of the store.
-#include <sassafrasferry/platform/row_batcher.h>
+#include <sassafrasferry/store/row_batcher.h>
 
 #include <sassafrasferry/fakes/memory_tables.h>
 #include <sassafrasferry/fakes/run.h>
@@ -7,7 +7,7 @@
 #include <catch2/catch.hpp>
 
 using namespace sassafrasferry;
-using namespace sassafrasferry::platform;
+using namespace sassafrasferry::store;
 using namespace std::chrono_literals;
 using fakes::MemoryTables;
 
--- a/packages/platform/src/rows.cpp
+++ b/packages/store/src/rows.cpp
@@ -1,7 +1,7 @@
 // Rows as JSON, the form in which the table service takes and gives them.
-#include <sassafrasferry/platform/rows.h>
+#include <sassafrasferry/store/rows.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 const Row *findRow(const std::vector<Row> &rows, const RowKey &key)
 {
@@ -70,4 +70,4 @@
     return transaction;
 }
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/src/table_client.cpp
+++ b/packages/store/src/table_client.cpp
@@ -1,7 +1,7 @@
 // The table service's HTTP protocol, as a client.
-#include <sassafrasferry/platform/table_client.h>
+#include <sassafrasferry/store/table_client.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 namespace {
 
@@ -93,4 +93,4 @@
     co_return rowsFrom(*answer);
 }
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
--- a/packages/platform/src/vm_list_client.cpp
+++ b/packages/store/src/vm_list_client.cpp
@@ -1,10 +1,10 @@
 // The VM list's HTTP protocol, as a client. Only VMs that leave are listed, so that a poll costs
 // the same whatever the fleet's size.
-#include <sassafrasferry/platform/vm_list_client.h>
+#include <sassafrasferry/store/vm_list_client.h>
 
 #include <sassafrasferry/http/json.h>
 
-namespace sassafrasferry::platform {
+namespace sassafrasferry::store {
 
 VmListClient::VmListClient(http::asio::any_io_executor executor, const model::Endpoint &endpoint,
                            std::chrono::milliseconds timeout)
@@ -28,4 +28,4 @@
     co_return names;
 }
 
-} // namespace sassafrasferry::platform
+} // namespace sassafrasferry::store
