Workers are asked only once all jobs are known

Ruled out: the fence and the wait for unreachable workers, both worked. Change: the list of workers is followed only after the intake is known.

--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -140,6 +140,14 @@
         this->intakeFollower = std::make_shared<TableFollower<Store>>(
             this->store, FollowOptions{table::intake, allJobParts()},
             [self](const auto &rows, bool) { self->takeIntake(rows); });
+        // Workers are asked only once all jobs are known: a run or an end of a job that this leader
+        // does not know would be stopped, or acknowledged and so forgotten.
+        while (!this->knowsJobs && !this->stopped) {
+            if (!co_await this->intakeFollower->refresh())
+                co_await pause(retryPause);
+        }
+        if (this->stopped)
+            co_return;
         this->intakeFollower->begin(this->executor);
         this->workerFollower = std::make_shared<TableFollower<Store>>(
             this->store,
