Waves are carried out, and VMs move to the pool whose turn it is

Change: fleet planner (pure): wanted VMs of a pool from its lasting tasks, its ready work and the rate at which work arrives; moves from the standby pool, from pools with more than they want, and back to standby, where VMs cost nothing; waves take VMs that are empty first and empty others at the pace that the time left asks for, never a lasting task beyond what its step may miss.

--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
@@ -0,0 +1,218 @@
+// The leader's hand on VMs: it lists them, carries out what the fleet planner decides, and records
+// how far waves have come.
+#pragma once
+
+#include <sassafrasferry/coordination/job_rows.h>
+#include <sassafrasferry/coordination/timing.h>
+#include <sassafrasferry/scheduling/fleet_planner.h>
+
+#include <sassafrasferry/http/clock.h>
+
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+
+#include <functional>
+#include <memory>
+
+#include <glog/logging.h>
+
+namespace sassafrasferry::coordination {
+
+/// A client of the platform's calls for VMs.
+template<typename T>
+concept CloudCalls = requires(T &cloud, scheduling::FleetOrder order, std::int64_t fence)
+{
+    {
+        cloud.list()
+        } -> std::same_as<Awaitable<absl::StatusOr<std::vector<scheduling::Vm>>>>;
+    {
+        cloud.give(order, fence)
+        } -> std::same_as<Awaitable<scheduling::FleetAnswer>>;
+};
+
+/// Where the state of a wave is told to operators.
+struct WaveStatusRow
+{
+    std::string table;
+    std::string key;
+    std::string value;
+};
+
+template<store::PartStore Store, CloudCalls Cloud>
+class FleetKeeper : public std::enable_shared_from_this<FleetKeeper<Store, Cloud>>
+{
+public:
+    struct Options
+    {
+        std::int64_t fence = 0;
+        std::function<bool()> mayOrder; ///< this entry VM may give orders about VMs now
+        std::function<WaveStatusRow(std::int64_t wave, bool completed)> statusRow;
+        std::function<void()> onChange; ///< the scheduler has something to plan for
+    };
+
+    FleetKeeper(http::asio::any_io_executor executor, Store &store, Cloud &cloud,
+                scheduling::Scheduler &scheduler, Options options)
+        : executor(executor)
+        , store(store)
+        , cloud(cloud)
+        , scheduler(scheduler)
+        , options(std::move(options))
+        , planner(scheduling::FleetTerms{})
+    {}
+
+    void begin()
+    {
+        http::asio::co_spawn(
+            this->executor, [self = this->shared_from_this()] { return self->run(); },
+            http::asio::detached);
+    }
+
+    void stop()
+    {
+        this->stopped = true;
+    }
+
+    void addWave(const scheduling::Wave &wave)
+    {
+        this->newWaves.push_back(wave);
+    }
+
+private:
+    static constexpr auto tick = std::chrono::milliseconds(60);
+    static constexpr auto listPause = std::chrono::milliseconds(2500);
+    static constexpr auto busyListPause = std::chrono::milliseconds(1000);
+    static constexpr auto retryPause = std::chrono::milliseconds(200);
+
+    Awaitable<void> run()
+    {
+        while (!this->stopped) {
+            co_await pause(tick);
+            if (this->stopped || !this->options.mayOrder())
+                continue;
+            co_await this->learnWaves();
+            co_await this->list();
+            if (this->stopped || !this->hasListed)
+                continue;
+            for (auto &order :
+                 this->planner.plan(this->scheduler, bootNow(), http::unixNow()))
+                this->give(std::move(order));
+            this->tell();
+            co_await this->recordWaves();
+        }
+    }
+
+    // Which of a wave's VMs an earlier leader has maintained.
+    Awaitable<void> learnWaves()
+    {
+        while (!this->newWaves.empty() && !this->stopped) {
+            const auto wave = this->newWaves.front();
+            const store::PartRange range{table::waves, table::waves, "", ""};
+            const auto page = co_await this->store.scan(range);
+            if (!page.ok() || this->stopped)
+                co_return;
+            std::set<std::string> done;
+            bool isCompleted = false;
+            for (const auto &row : page->rows) {
+                if (row.key != std::to_string(wave.number))
+                    continue;
+                for (const auto &vm : absl::StrSplit(row.value, ',', absl::SkipEmpty()))
+                    done.insert(std::string(vm));
+                isCompleted = done.erase(completedMark) != 0;
+            }
+            this->newWaves.erase(this->newWaves.begin());
+            if (!isCompleted)
+                this->planner.addWave(wave, std::move(done), bootNow());
+        }
+    }
+
+    Awaitable<void> list()
+    {
+        const auto asked = bootNow();
+        const auto wanted = this->planner.isBusy() ? busyListPause : listPause;
+        if (this->hasListed && asked - this->listedAt < wanted)
+            co_return;
+        const auto vms = co_await this->cloud.list();
+        if (!vms.ok()) {
+            LOG(WARNING) << "event=vms-unlisted error=\"" << vms.status().message() << '"';
+            this->listedAt = asked;
+            co_return;
+        }
+        this->listedAt = asked;
+        this->hasListed = true;
+        this->planner.listVms(*vms, asked);
+    }
+
+    void give(scheduling::FleetOrder order)
+    {
+        http::asio::co_spawn(
+            this->executor,
+            [self = this->shared_from_this(), order = std::move(order)] {
+                return self->call(order);
+            },
+            http::asio::detached);
+    }
+
+    Awaitable<void> call(scheduling::FleetOrder order)
+    {
+        const auto answer = co_await this->cloud.give(order, this->options.fence);
+        if (this->stopped)
+            co_return;
+        this->planner.answered(order, answer, this->scheduler, bootNow());
+        this->tell();
+        this->options.onChange();
+    }
+
+    void tell()
+    {
+        for (const auto &note : this->planner.takeNotes())
+            LOG(INFO) << "event=" << note.event << " of=" << note.subject << ' ' << note.detail;
+    }
+
+    Awaitable<void> recordWaves()
+    {
+        // A copy: orders that end meanwhile change the planner's.
+        const auto waves = this->planner.waves();
+        for (const auto &entry : waves) {
+            const auto &progress = entry.second;
+            auto &recorded = this->recordedChanges[entry.first];
+            if (recorded >= progress.changes || this->stopped)
+                continue;
+            auto done = absl::StrJoin(progress.done, ",");
+            if (progress.completed)
+                done += std::string(",") + completedMark;
+            store::PartTransaction transaction;
+            transaction.part = table::waves;
+            transaction.puts.push_back({table::waves, std::to_string(entry.first), done});
+            const auto commit = co_await this->store.commit(transaction);
+            const auto row = this->options.statusRow(entry.first, progress.completed);
+            store::PartTransaction status;
+            status.puts.push_back({row.table, row.key, row.value});
+            auto told = store::CommitState::Committed;
+            if (recorded == 0 || progress.completed) {
+                const auto answer = co_await this->store.commit(status);
+                told = answer.state;
+            }
+            if (commit.state == store::CommitState::Committed
+                && told == store::CommitState::Committed)
+                recorded = progress.changes;
+            else
+                co_await pause(retryPause);
+        }
+    }
+
+    static constexpr const char *completedMark = "completed";
+
+    http::asio::any_io_executor executor;
+    Store &store;
+    Cloud &cloud;
+    scheduling::Scheduler &scheduler; // not touched once stopped
+    Options options;
+    scheduling::FleetPlanner planner;
+    std::vector<scheduling::Wave> newWaves;
+    std::map<std::int64_t, std::uint64_t> recordedChanges; // of each wave
+    Instant listedAt{};
+    bool hasListed = false;
+    bool stopped = false;
+};
+
+} // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -20,6 +20,7 @@
     std::string name;
     model::Endpoint peer; ///< its peer port
     scheduling::SchedulerTimes times;
+    Duration turn = std::chrono::milliseconds(3000); ///< between two leaders' orders about a VM
     Duration stopWithin = std::chrono::milliseconds(5000); ///< from the stop signal to the end
 };
 
@@ -28,11 +29,13 @@
 {
 public:
     using Store = typename Platform::Store;
+    using Cloud = typename Platform::Cloud;
 
-    JobNode(http::asio::io_context &context, Store &store, NodeOptions options)
+    JobNode(http::asio::io_context &context, Store &store, Cloud &cloud, NodeOptions options)
         : context(context)
         , executor(context.get_executor())
         , store(store)
+        , cloud(cloud)
         , options(std::move(options))
         , intake(store, this->executor)
         , desk(context, this->options.peer,
@@ -108,6 +111,8 @@
 private:
     // A feed of the operators' table answers at least this often while the store is there.
     static constexpr auto storeSilence = std::chrono::milliseconds(4500);
+    // A leader that the store does not confirm may miss jobs that were accepted elsewhere.
+    static constexpr auto countFreshness = std::chrono::milliseconds(1500);
     static constexpr auto helloPeriod = std::chrono::milliseconds(250);
     static constexpr auto askTimeout = std::chrono::milliseconds(400);
     static constexpr auto retryPause = std::chrono::milliseconds(100);
@@ -273,13 +278,14 @@
 
     Awaitable<http::Response> pending(const scheduling::Queue &queue)
     {
-        if (this->leader && this->leader->isReady())
+        if (this->leader && this->leader->isReady()
+            && this->leadership.sinceConfirmed() < countFreshness)
             co_return pendingResponse(this->leader->jobs().pendingOf(queue.terms.queue));
         if (const auto address = this->otherLeader()) {
             messages::JobQuestion question;
             question.set_queue(queue.terms.queue);
             const auto answer = co_await this->desk.ask(*address, question, askTimeout);
-            if (answer && answer->leads() && answer->ready())
+            if (answer && answer->leads() && answer->counts())
                 co_return pendingResponse(answer->pending());
         }
         co_return retryLater("the queue's leader can't be asked now");
@@ -307,6 +313,7 @@
         answer.set_ready(this->leader && this->leader->isReady());
         if (!answer.ready())
             return answer;
+        answer.set_counts(this->leadership.sinceConfirmed() < countFreshness);
         auto &jobs = this->leader->jobs();
         if (!question.job().empty())
             answer.set_state(static_cast<std::uint32_t>(jobs.stateOf(question.job())));
@@ -335,7 +342,23 @@
         for (const auto &row : rows) {
             if (!row.deleted && row.key == Platform::configurationKey())
                 this->takeConfiguration(row);
+            else if (!row.deleted && Platform::isWaveKey(row.key))
+                this->takeWave(row);
+        }
+    }
+
+    void takeWave(const store::PartRow &row)
+    {
+        const auto wave = Platform::decodeWave(row.value);
+        if (!wave.ok()) {
+            LOG(ERROR) << "event=wave-unreadable version=" << row.version << " error=\""
+                       << wave.status().message() << '"';
+            return;
         }
+        if (!this->waves.emplace(wave->number, *wave).second)
+            return;
+        if (this->leader)
+            this->leader->addWave(*wave);
     }
 
     void takeConfiguration(const store::PartRow &row)
@@ -359,10 +382,14 @@
     {
         typename Leader<Platform>::Options leaderOptions;
         leaderOptions.times = this->options.times;
+        leaderOptions.turn = this->options.turn;
+        leaderOptions.sinceConfirmed = [this] { return this->leadership.sinceConfirmed(); };
         leaderOptions.onDeposed = [this](const std::string &why) { this->leadership.deposed(why); };
-        this->leader = std::make_shared<Leader<Platform>>(this->executor, this->store, tenure,
+        this->leader = std::make_shared<Leader<Platform>>(this->executor, this->store, this->cloud, tenure,
                                                           std::move(leaderOptions),
                                                           this->configuration);
+        for (const auto &wave : this->waves)
+            this->leader->addWave(wave.second);
         this->leader->begin();
     }
 
@@ -377,12 +404,14 @@
     http::asio::io_context &context;
     http::asio::any_io_executor executor;
     Store &store;
+    Cloud &cloud;
     NodeOptions options;
     Intake<Store> intake;
     JobDesk desk;
     Leadership<Store> leadership;
     std::shared_ptr<TableFollower<Store>> operators; // their table of the store
     std::shared_ptr<Leader<Platform>> leader; // while this entry VM leads
+    std::map<std::int64_t, scheduling::Wave> waves; // by number, all that operators ordered
     scheduling::Configuration configuration; // never goes back
     bool stopping = false;
 };
--- a/packages/coordination/include/sassafrasferry/coordination/job_rows.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_rows.h
@@ -14,6 +14,7 @@
 constexpr const char *intake = "intake"; ///< accepted jobs and cancellations, by the entry VMs
 constexpr const char *progress = "progress"; ///< what became of jobs, by the leader
 constexpr const char *chain = "chain"; ///< one row a part: the leader's fence
+constexpr const char *waves = "waves"; ///< VMs that waves have maintained, by the leader
 constexpr const char *lease = "lease"; ///< one row: who leads
 } // namespace table
 
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/fenced_part.h>
+#include <sassafrasferry/coordination/fleet_keeper.h>
 #include <sassafrasferry/coordination/leadership.h>
 #include <sassafrasferry/coordination/table_follower.h>
 #include <sassafrasferry/coordination/worker_session.h>
@@ -20,6 +21,7 @@
 {
     requires store::PartStore<typename T::Store>;
     requires WorkerCalls<typename T::Worker>;
+    requires CloudCalls<typename T::Cloud>;
     // The table in which workers list themselves.
     {
         T::workerTable()
@@ -35,19 +37,25 @@
 {
 public:
     using Store = typename Platform::Store;
+    using Cloud = typename Platform::Cloud;
     using Session = WorkerSession<typename Platform::Worker>;
 
     struct Options
     {
         scheduling::SchedulerTimes times;
         std::function<void(const std::string &why)> onDeposed;
+        std::function<Duration()> sinceConfirmed; ///< how long ago the store confirmed the lease
+        /// Between the last order about a VM of one leader and the first of the next.
+        Duration turn = std::chrono::milliseconds(3000);
     };
 
-    Leader(http::asio::any_io_executor executor, Store &store, const Tenure &tenure,
+    Leader(http::asio::any_io_executor executor, Store &store, Cloud &cloud, const Tenure &tenure,
            Options options, scheduling::Configuration configuration)
         : executor(executor)
         , store(store)
+        , cloud(cloud)
         , tenure(tenure)
+        , tookOverAt(bootNow())
         , options(std::move(options))
         , scheduler(this->options.times, tenure.term * runsPerTerm, bootNow())
         , planWake(executor)
@@ -75,6 +83,8 @@
         if (this->workerFollower)
             this->workerFollower->stop();
         this->sessions.clear();
+        if (this->fleet)
+            this->fleet->stop();
         this->planWake.notify();
         this->wakeRecords();
     }
@@ -91,6 +101,13 @@
         this->planWake.notify();
     }
 
+    void addWave(const scheduling::Wave &wave)
+    {
+        this->waves.push_back(wave);
+        if (this->fleet)
+            this->fleet->addWave(wave);
+    }
+
     scheduling::Scheduler &jobs()
     {
         return this->scheduler;
@@ -99,6 +116,9 @@
 private:
     // Above all starts of one task in one term, so that no leader's run numbers meet another's.
     static constexpr std::int64_t runsPerTerm = 1000;
+    // Orders about VMs are given only under a lease that was confirmed this lately.
+    static constexpr Duration vmOrderLimit = std::chrono::milliseconds(1000);
+    static constexpr auto loadPeriod = std::chrono::seconds(1);
     static constexpr auto planTick = std::chrono::milliseconds(50);
     // Ends and answers that come together are planned for together.
     static constexpr auto planGather = std::chrono::milliseconds(2);
@@ -160,9 +180,33 @@
                 this->executor, [self, raw = lane.get()] { return self->recordLoop(*raw); },
                 http::asio::detached);
         }
+        this->beginFleet();
         co_await this->planLoop();
     }
 
+    void beginFleet()
+    {
+        auto self = this->shared_from_this();
+        typename FleetKeeper<Store, Cloud>::Options fleetOptions;
+        fleetOptions.fence = this->tenure.fence;
+        fleetOptions.mayOrder = [self] { return self->mayOrderVms(); };
+        fleetOptions.statusRow = &Platform::waveStatus;
+        fleetOptions.onChange = [self] { self->planWake.notify(); };
+        this->fleet = std::make_shared<FleetKeeper<Store, Cloud>>(
+            this->executor, this->store, this->cloud, this->scheduler, std::move(fleetOptions));
+        for (const auto &wave : this->waves)
+            this->fleet->addWave(wave);
+        this->fleet->begin();
+    }
+
+    // The leader before may have sent an order just before the store stopped confirming its lease.
+    bool mayOrderVms() const
+    {
+        const auto wait = this->tenure.isFirst ? Duration::zero() : this->options.turn + vmOrderLimit;
+        return this->isReady() && this->options.sinceConfirmed() < vmOrderLimit
+               && bootNow() - this->tookOverAt > wait;
+    }
+
     /// Repeats a write until it is done; false if this leader is deposed or stopped.
     template<typename Write>
     Awaitable<bool> until(Write write)
@@ -343,6 +387,25 @@
                 LOG(INFO) << "event=" << note.event << " of=" << note.subject << ' ' << note.detail;
             if (this->scheduler.hasDirty())
                 this->wakeRecords();
+            this->tellLoads();
+        }
+    }
+
+    // One line a second for each service: what it has to do, and with what.
+    void tellLoads()
+    {
+        const auto now = bootNow();
+        if (now - this->loadsToldAt < loadPeriod)
+            return;
+        this->loadsToldAt = now;
+        for (const auto &entry : this->scheduler.loads(now, http::unixNow())) {
+            const auto &load = entry.second;
+            LOG(INFO) << "event=load service=" << entry.first << " workers=" << load.workers
+                      << " jobs=" << load.jobs << " cpu=" << load.capacity.cpu
+                      << " free=" << load.room.cpu << " lasting=" << load.lasting.cpu
+                      << " running=" << load.running.cpu << " ready=" << load.ready.cpu
+                      << " ready-core-s=" << load.readySeconds
+                      << " hopeful-core-s=" << load.hopefulSeconds;
         }
     }
 
@@ -400,7 +463,9 @@
 
     http::asio::any_io_executor executor;
     Store &store;
+    Cloud &cloud;
     Tenure tenure;
+    Instant tookOverAt;
     Options options;
     scheduling::Scheduler scheduler;
     std::vector<std::unique_ptr<RecordLane>> lanes; // one for each part
@@ -408,9 +473,12 @@
     std::set<std::string> cancelled; // whose cancellation still has a row
     std::map<std::string, std::shared_ptr<Session>> sessions;
     std::map<std::string, model::Endpoint> addresses; // of the sessions
+    std::vector<scheduling::Wave> waves;
+    std::shared_ptr<FleetKeeper<Store, Cloud>> fleet;
     std::shared_ptr<TableFollower<Store>> intakeFollower;
     std::shared_ptr<TableFollower<Store>> workerFollower;
     Wake planWake;
+    Instant loadsToldAt{};
     bool knowsJobs = false;
     bool knowsWorkers = false;
     bool stopped = false;
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -36,6 +36,7 @@
     /// The leader before is known to have stopped: it gave the lease up, or it was an earlier
     /// process of this entry VM.
     bool predecessorStopped = false;
+    bool isFirst = false; ///< nobody led before, or an earlier process of this entry VM
 };
 
 /// Takes, renews and watches the lease.
@@ -64,7 +65,7 @@
         while (!this->released) {
             if (this->leading)
                 co_await this->keep();
-            else if (bootNow() - this->heardAt > this->times.heard)
+            else if (this->mustLook())
                 co_await this->watch();
             co_await pause(this->times.tick);
         }
@@ -175,6 +176,14 @@
         co_return true;
     }
 
+    // A leader that answers but does not renew has lost the store, and can record nothing.
+    bool mustLook() const
+    {
+        const auto now = bootNow();
+        return now - this->heardAt > this->times.heard || !this->hasSeen
+               || now - this->seenSince > this->times.term;
+    }
+
     bool isMine(const messages::LeaseRecord &record) const
     {
         return record.holder() == this->self && record.incarnation() == this->incarnation;
@@ -191,40 +200,43 @@
             co_return;
         if (this->isMine(record)) {
             // The take of this lease was applied, though its answer was lost.
-            this->tenure.term = record.term();
-            this->lead(this->version, now, this->takesStopped);
+            this->lead(this->version, now, this->takes);
             co_return;
         }
         this->leader = model::parseEndpoint(record.address());
         const bool isFree = record.holder().empty();
         const bool isOwnPast = record.holder() == this->self;
         const bool isOver = bootNow() - this->seenSince > this->times.term;
+        Tenure next;
+        next.term = record.term() + 1;
+        next.predecessorStopped = isFree || isOwnPast;
+        next.isFirst = record.term() == 0 || isOwnPast;
         if (isFree || isOwnPast || isOver)
-            co_await this->take(record.term(), isFree || isOwnPast);
+            co_await this->take(next);
     }
 
-    Awaitable<void> take(std::int64_t lastTerm, bool predecessorStopped)
+    Awaitable<void> take(Tenure next)
     {
         const auto begin = bootNow();
-        this->tenure.term = lastTerm + 1;
-        this->takesStopped = predecessorStopped;
+        this->takes = next;
+        this->tenure.term = next.term;
         const auto transaction = this->transaction(this->record());
         const auto commit = co_await this->store.commit(transaction);
         if (commit.state == store::CommitState::Committed && !this->released)
-            this->lead(commit.version, begin, predecessorStopped);
+            this->lead(commit.version, begin, next);
     }
 
-    void lead(std::int64_t fence, Instant confirmed, bool predecessorStopped)
+    void lead(std::int64_t fence, Instant confirmed, const Tenure &next)
     {
+        this->tenure = next;
         this->tenure.fence = fence;
-        this->tenure.predecessorStopped = predecessorStopped;
         this->version = fence;
         this->confirmedAt = confirmed;
         this->renewedAt = confirmed;
         this->leading = true;
         this->leader = this->address;
         LOG(INFO) << "event=lead fence=" << fence << " term=" << this->tenure.term
-                  << " predecessor-stopped=" << predecessorStopped;
+                  << " predecessor-stopped=" << next.predecessorStopped;
         this->events.onLead(this->tenure);
     }
 
@@ -269,7 +281,7 @@
     Tenure tenure;
     bool leading = false;
     bool released = false;
-    bool takesStopped = false; // of the take that is under way
+    Tenure takes; // of the take that is under way
     bool hasSeen = false;
     std::int64_t version = store::absent; // of the row, as last seen or written
     Instant seenSince{}; // when the row was first seen at this version
--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -91,10 +91,9 @@
 struct Task
 {
     bool done = false;
-    std::uint32_t failures = 0;
-    /// The last run that counts among the failures: an end that is listed again, to another
-    /// leader, must not count twice.
-    std::int64_t failedRun = 0;
+    /// Runs that count among its attempts. By number, since an end may be listed again to another
+    /// leader, and the ends of one task may come from several workers in any order.
+    std::vector<std::int64_t> failedRuns;
     std::int64_t lastRun = 0; ///< highest run number given out
     std::string checkpoint; ///< where the next run goes on; empty: from the start
     std::vector<Run> runs;
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -101,11 +101,12 @@
         task->checkpoint = checkpoint;
         effect = EndEffect::Recorded;
     }
-    if (end == RunEnd::Failed && !step.lasting && run > task->failedRun) {
-        ++task->failures;
-        task->failedRun = run;
+    auto &failed = task->failedRuns;
+    const bool isKnown = std::find(failed.begin(), failed.end(), run) != failed.end();
+    if (end == RunEnd::Failed && !step.lasting && !isKnown) {
+        failed.push_back(run);
         effect = EndEffect::Recorded;
-        if (task->failures >= this->terms.maxAttempts && !isFinal(this->state)) {
+        if (failed.size() >= this->terms.maxAttempts && !isFinal(this->state)) {
             this->state = JobState::Failed;
             effect = EndEffect::JobFailed;
         }
@@ -154,13 +155,13 @@
         const auto &task = this->tasks[i];
         if (task.done)
             bits[i / 8] = static_cast<char>(bits[i / 8] | (1 << (i % 8)));
-        if (task.done || (task.failures == 0 && task.checkpoint.empty()))
+        if (task.done || (task.failedRuns.empty() && task.checkpoint.empty()))
             continue;
         auto &entry = *row.add_tasks();
         entry.set_task(static_cast<std::uint32_t>(i));
-        entry.set_failures(task.failures);
+        for (const auto run : task.failedRuns)
+            entry.add_failed_runs(run);
         entry.set_checkpoint(task.checkpoint);
-        entry.set_failed_run(task.failedRun);
     }
     row.set_done(bits);
     return row;
@@ -172,9 +173,9 @@
     for (const auto &entry : row.tasks()) {
         if (entry.task() >= this->tasks.size())
             continue;
-        this->tasks[entry.task()].failures = entry.failures();
+        this->tasks[entry.task()].failedRuns.assign(entry.failed_runs().begin(),
+                                                    entry.failed_runs().end());
         this->tasks[entry.task()].checkpoint = entry.checkpoint();
-        this->tasks[entry.task()].failedRun = entry.failed_run();
     }
     const auto &bits = row.done();
     for (std::size_t occurrence = 0; occurrence < this->spec.occurrences(); ++occurrence) {
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -47,6 +47,21 @@
     std::string detail;
 };
 
+/// What a service has to do, and what it has for it.
+struct ServiceLoad
+{
+    std::size_t workers = 0; ///< that take work
+    Resources room; ///< free at these
+    Resources capacity; ///< of these
+    Resources lasting; ///< taken by lasting tasks
+    Resources running; ///< taken by other tasks
+    Resources ready; ///< that tasks need which wait for nothing but room
+    double readySeconds = 0; ///< core-seconds of these tasks
+    double hopefulSeconds = 0; ///< of these, of jobs that can still be on time
+    double laterSeconds = 0; ///< core-seconds of tasks that wait for other steps
+    std::size_t jobs = 0; ///< under way
+};
+
 /// Counts since the start, for metrics.
 struct SchedulerCounts
 {
@@ -118,6 +133,17 @@
     /// Orders the stop of a run in the next plan.
     void requestStop(const std::string &worker, const RunKey &run, std::string reason);
 
+    /// Takes a worker's tasks away, as far as its lasting steps allow for, and gives it no more.
+    /// `hurry`: tasks that keep no checkpoint are stopped too. True once nothing runs there.
+    bool evacuate(const std::string &worker, bool hurry, Instant now);
+    /// The worker may be given work again.
+    void keepWorker(const std::string &worker);
+    /// Work and room of each service with workers or jobs.
+    std::map<std::string, ServiceLoad> loads(Instant now, UnixMilliseconds unixNow);
+
+    /// Core-seconds of the jobs that came to each service since the last call.
+    std::map<std::string, double> takeArrivals();
+
     std::vector<DecisionNote> takeNotes();
     const SchedulerCounts &counts() const;
 
@@ -135,6 +161,9 @@
     void dropRun(Worker &worker, const RunKey &key, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
     void writeOffSilent(Instant now);
+    void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
+                 bool isHopeful, UnixMilliseconds unixNow);
+    bool mayTakeAway(Job &job, const TaskId &id) const;
     void stopRunsOf(Job &job, const std::string &reason);
     void markDirty(Job &job);
     void settleEnds(Worker &worker);
@@ -158,6 +187,7 @@
     std::map<std::string, Worker> workerTable;
     std::set<std::string> dirty; // jobs whose row is behind
     std::vector<StopOrder> wantedStops;
+    std::map<std::string, double> arrivals; // core-seconds, by service
     std::vector<DecisionNote> notes;
     SchedulerCounts counters;
     std::set<std::string> settledServices; // nothing unknown runs there any more
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -23,6 +23,7 @@
     std::string id;
     std::int64_t born = 0; ///< Unix milliseconds of its start; another value is another life
     model::Endpoint address;
+    std::string vm; ///< the VM whose life this worker is
     std::string service;
     std::string zone;
     std::string kind;
@@ -78,6 +79,7 @@
     bool listed = true; ///< in the platform's list
     bool surveyed = false; ///< has answered this leader, in this life
     bool evacuating = false; ///< gets no more work, since it is to be moved or maintained
+    bool leavingSoon = false; ///< a wave waits for its VM: lasting tasks would have to move again
     Instant lastAnswer{}; ///< of a hold
     Instant backOffUntil{}; ///< it refused a start
     Instant fullUntil{}; ///< it had no room for what seemed to fit
--- /dev/null
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -0,0 +1,389 @@
+// Moves by need, and waves in the gaps.
+#include <sassafrasferry/scheduling/fleet_planner.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include <absl/strings/str_cat.h>
+
+namespace sassafrasferry::scheduling {
+
+struct FleetPlanner::Round
+{
+    Scheduler &scheduler;
+    Instant now;
+    UnixMilliseconds unixNow = 0;
+    std::map<std::string, Pool> pools;
+    std::map<std::string, Worker *> workers; // by the name of their VM
+    std::set<std::string> waiting; // VMs that a wave has yet to maintain
+    std::vector<FleetOrder> orders;
+};
+
+FleetPlanner::FleetPlanner(FleetTerms terms)
+    : terms(terms)
+{}
+
+void FleetPlanner::listVms(const std::vector<Vm> &list, Instant askedAt)
+{
+    for (auto &entry : this->vms)
+        entry.second.listed = false;
+    for (const auto &vm : list) {
+        auto &entry = this->vms[vm.name];
+        entry.listed = true;
+        if (entry.changedAt <= askedAt)
+            entry.vm = vm;
+    }
+}
+
+void FleetPlanner::addWave(const Wave &wave, std::set<std::string> done, Instant now)
+{
+    if (this->waveTable.count(wave.number) != 0)
+        return;
+    WaveProgress progress;
+    progress.wave = wave;
+    progress.seenAt = now;
+    progress.done = std::move(done);
+    progress.changes = 1;
+    this->waveTable.emplace(wave.number, std::move(progress));
+    this->notes.push_back({"wave", absl::StrCat(wave.number),
+                           absl::StrCat("vms=", wave.vms.size(), " at-once=", wave.atOnce,
+                                        " within-s=", policy::seconds(wave.within))});
+}
+
+const std::map<std::int64_t, WaveProgress> &FleetPlanner::waves() const
+{
+    return this->waveTable;
+}
+
+std::vector<DecisionNote> FleetPlanner::takeNotes()
+{
+    return std::exchange(this->notes, {});
+}
+
+bool FleetPlanner::isBusy() const
+{
+    return std::any_of(this->vms.begin(), this->vms.end(), [](const auto &entry) {
+        return entry.second.vm.state != VmState::Up || entry.second.ordered;
+    });
+}
+
+bool FleetPlanner::isFree(const Entry &entry, const Round &round) const
+{
+    return entry.listed && entry.vm.state == VmState::Up && !entry.ordered
+           && round.now >= entry.waitUntil;
+}
+
+std::vector<FleetOrder> FleetPlanner::plan(Scheduler &scheduler, Instant now,
+                                           UnixMilliseconds unixNow)
+{
+    Round round{scheduler, now, unixNow, {}, {}, {}, {}};
+    for (const auto &entry : scheduler.workers()) {
+        if (entry.second.listed)
+            round.workers[entry.second.listing.vm] = scheduler.findWorker(entry.first);
+    }
+    for (auto &entry : this->vms) {
+        auto &pool = round.pools[entry.second.vm.pool];
+        if (!entry.second.listed)
+            continue;
+        // Its new life has listed itself: the move or the maintenance is over.
+        const auto worker = round.workers.find(entry.first);
+        if (worker != round.workers.end() && worker->second->surveyed && !entry.second.ordered
+            && entry.second.vm.state != VmState::Up
+            && worker->second->listing.service == entry.second.vm.pool)
+            entry.second.vm.state = VmState::Up;
+        if (entry.second.vm.state != VmState::Down)
+            ++pool.count;
+        if (entry.second.vm.state == VmState::Up)
+            pool.up.push_back(&entry.second);
+    }
+    for (auto &entry : this->waveTable) {
+        for (const auto &vm : entry.second.wave.vms) {
+            if (!entry.second.completed && entry.second.done.count(vm) == 0)
+                round.waiting.insert(vm);
+        }
+    }
+    for (const auto &worker : round.workers)
+        worker.second->leavingSoon = round.waiting.count(worker.first) != 0;
+    this->measure(round);
+    for (auto &entry : this->waveTable)
+        this->planWave(entry.second, round);
+    this->moveToNeed(round);
+    this->moveToStandby(round);
+    return std::move(round.orders);
+}
+
+void FleetPlanner::measure(Round &round)
+{
+    const auto passed = policy::seconds(round.now - this->ratesAt);
+    this->ratesAt = round.now;
+    const auto memory = policy::seconds(this->terms.rateMemory);
+    for (auto &rate : this->rates)
+        rate.second *= std::exp(-passed / memory);
+    for (const auto &arrived : round.scheduler.takeArrivals())
+        this->rates[arrived.first] += arrived.second / memory;
+    for (const auto &service : round.scheduler.configuration().services)
+        round.pools[service.name].standby = service.standby;
+    const auto loads = round.scheduler.loads(round.now, round.unixNow);
+    for (auto &entry : round.pools) {
+        auto &pool = entry.second;
+        const auto at = loads.find(entry.first);
+        if (pool.standby || at == loads.end())
+            continue;
+        const auto &load = at->second;
+        const double hopelessShare =
+            load.readySeconds > 0 ? 1 - load.hopefulSeconds / load.readySeconds : 0;
+        const double ready = static_cast<double>(load.ready.cpu) / 1000
+                             * (1 - hopelessShare * (1 - this->terms.hopelessWeight));
+        const double busy = static_cast<double>(load.running.cpu) / 1000 + ready;
+        const double need = static_cast<double>(load.lasting.cpu) / 1000
+                            + std::max(busy, this->rates[entry.first]);
+        auto &peak = this->peaks[entry.first];
+        if (need >= peak.cores || round.now - peak.at > this->terms.peakMemory)
+            peak = {need, round.now};
+        double vmCores = 0;
+        for (const auto *vm : pool.up)
+            vmCores = std::max(vmCores, static_cast<double>(vm->vm.capacity.cpu) / 1000);
+        if (vmCores > 0)
+            pool.wanted = static_cast<std::size_t>(
+                std::ceil(peak.cores * this->terms.headroom / vmCores));
+        pool.wanted = std::max<std::size_t>(pool.wanted, 1);
+    }
+}
+
+void FleetPlanner::order(Entry &entry, FleetOrder order, Round &round)
+{
+    entry.ordered = true;
+    if (const auto at = round.workers.find(entry.vm.name); at != round.workers.end())
+        at->second->evacuating = true;
+    this->notes.push_back({order.action == FleetAction::Move ? "move" : "maintain", entry.vm.name,
+                           absl::StrCat("from=", entry.vm.pool, " to=", order.pool,
+                                        " wave=", order.wave)});
+    round.orders.push_back(std::move(order));
+}
+
+// A VM that a pool can do without now: of the standby pool, or one with nothing on it.
+FleetPlanner::Entry *FleetPlanner::spareFor(const std::string &target, Round &round)
+{
+    Entry *best = nullptr;
+    bool bestIsStandby = false;
+    for (auto &entry : round.pools) {
+        auto &pool = entry.second;
+        if (entry.first == target || (!pool.standby && pool.count <= pool.wanted))
+            continue;
+        for (auto *vm : pool.up) {
+            const auto worker = round.workers.find(vm->vm.name);
+            const bool isEmpty =
+                pool.standby || (worker != round.workers.end() && worker->second->runs.empty());
+            if (!isEmpty || !this->isFree(*vm, round) || vm->leavingFor != 0
+                || vm->vm.pool != entry.first
+                || this->impossible.count(vm->vm.kind + " " + target) != 0)
+                continue;
+            // A VM of a standby pool that waits for maintenance is maintained there.
+            if (pool.standby && round.waiting.count(vm->vm.name) != 0)
+                continue;
+            if (!best || (pool.standby && !bestIsStandby)) {
+                best = vm;
+                bestIsStandby = pool.standby;
+            }
+        }
+    }
+    return best;
+}
+
+void FleetPlanner::moveToNeed(Round &round)
+{
+    struct Need
+    {
+        std::string pool;
+        std::size_t missing;
+    };
+    std::vector<Need> needs;
+    for (const auto &entry : round.pools) {
+        if (!entry.second.standby && entry.second.wanted > entry.second.count)
+            needs.push_back({entry.first, entry.second.wanted - entry.second.count});
+    }
+    std::sort(needs.begin(), needs.end(),
+              [](const Need &a, const Need &b) { return a.missing > b.missing; });
+    for (const auto &need : needs) {
+        for (std::size_t i = 0; i < need.missing; ++i) {
+            if (round.orders.size() >= this->terms.mostOrders)
+                return;
+            auto *vm = this->spareFor(need.pool, round);
+            if (!vm)
+                return;
+            --round.pools[vm->vm.pool].count;
+            ++round.pools[need.pool].count;
+            this->order(*vm, {FleetAction::Move, vm->vm.name, need.pool, 0}, round);
+        }
+    }
+}
+
+// VMs of a standby pool cost nothing.
+void FleetPlanner::moveToStandby(Round &round)
+{
+    const auto standby = std::find_if(round.pools.begin(), round.pools.end(),
+                                      [](const auto &entry) { return entry.second.standby; });
+    if (standby == round.pools.end())
+        return;
+    for (auto &entry : round.pools) {
+        auto &pool = entry.second;
+        if (pool.standby)
+            continue;
+        for (auto *vm : pool.up) {
+            if (pool.count <= pool.wanted || round.orders.size() >= this->terms.mostOrders)
+                break;
+            const auto worker = round.workers.find(vm->vm.name);
+            if (worker == round.workers.end() || !worker->second->runs.empty()
+                || !this->isFree(*vm, round) || vm->leavingFor != 0
+                || this->impossible.count(vm->vm.kind + " " + standby->first) != 0)
+                continue;
+            --pool.count;
+            this->order(*vm, {FleetAction::Move, vm->vm.name, standby->first, 0}, round);
+        }
+    }
+}
+
+std::size_t FleetPlanner::underMaintenance(const WaveProgress &progress) const
+{
+    std::size_t count = 0;
+    for (const auto &name : progress.wave.vms) {
+        const auto at = this->vms.find(name);
+        if (at == this->vms.end())
+            continue;
+        const auto &entry = at->second;
+        count += entry.vm.state == VmState::Maintenance || (entry.ordered && entry.leavingFor != 0);
+    }
+    return count;
+}
+
+void FleetPlanner::planWave(WaveProgress &progress, Round &round)
+{
+    if (progress.completed)
+        return;
+    const auto &wave = progress.wave;
+    std::vector<Entry *> left;
+    for (const auto &name : wave.vms) {
+        const auto at = this->vms.find(name);
+        if (at != this->vms.end() && at->second.listed && progress.done.count(name) == 0)
+            left.push_back(&at->second);
+    }
+    if (left.empty() && !this->vms.empty()) {
+        this->finishWave(progress);
+        return;
+    }
+    // VMs with nothing on them first, then those whose worker is emptied.
+    auto under = this->underMaintenance(progress);
+    std::size_t leaving = 0;
+    std::map<std::string, std::size_t> leavingOf;
+    for (auto *entry : left) {
+        const auto worker = round.workers.find(entry->vm.name);
+        if (entry->leavingFor != 0 && !entry->ordered) {
+            ++leaving;
+            ++leavingOf[entry->vm.pool];
+        }
+        const bool hasWorker = worker != round.workers.end();
+        bool isEmpty = round.pools[entry->vm.pool].standby
+                       || (hasWorker && worker->second->runs.empty());
+        if (entry->leavingFor != 0 && hasWorker) {
+            const bool hurry = round.now - entry->leavingSince > this->terms.evacuationPatience;
+            isEmpty = round.scheduler.evacuate(worker->second->listing.id, hurry, round.now);
+        }
+        if (!isEmpty || !this->isFree(*entry, round) || under >= wave.atOnce
+            || round.orders.size() >= this->terms.mostOrders)
+            continue;
+        ++under;
+        entry->leavingFor = wave.number;
+        this->order(*entry, {FleetAction::Maintain, entry->vm.name, "", wave.number}, round);
+    }
+    const double timeLeft = std::max(
+        policy::seconds(progress.seenAt - round.now) + policy::seconds(wave.within) * this->terms.waveShare,
+        policy::seconds(this->terms.maintenanceTurn));
+    const auto pace = static_cast<std::size_t>(
+        std::ceil(static_cast<double>(left.size()) * policy::seconds(this->terms.maintenanceTurn)
+                  / timeLeft));
+    const auto most = std::min(wave.atOnce, std::max<std::size_t>(pace, 1));
+    std::sort(left.begin(), left.end(), [&](const Entry *a, const Entry *b) {
+        const auto used = [&](const Entry *entry) {
+            const auto at = round.workers.find(entry->vm.name);
+            return at == round.workers.end() ? 0 : at->second->used.cpu;
+        };
+        return used(a) < used(b);
+    });
+    for (auto *entry : left) {
+        if (leaving + under >= most)
+            break;
+        const auto worker = round.workers.find(entry->vm.name);
+        auto &pool = round.pools[entry->vm.pool];
+        const auto bound = std::max<std::size_t>(
+            1, static_cast<std::size_t>(static_cast<double>(pool.up.size()) * this->terms.mostOfPool));
+        if (entry->leavingFor != 0 || worker == round.workers.end() || !this->isFree(*entry, round)
+            || leavingOf[entry->vm.pool] >= bound)
+            continue;
+        entry->leavingFor = wave.number;
+        entry->leavingSince = round.now;
+        ++leaving;
+        ++leavingOf[entry->vm.pool];
+        round.scheduler.evacuate(worker->second->listing.id, false, round.now);
+        this->notes.push_back({"evacuate", entry->vm.name,
+                               absl::StrCat("worker=", worker->second->listing.id,
+                                            " runs=", worker->second->runs.size(),
+                                            " wave=", wave.number)});
+    }
+}
+
+void FleetPlanner::finishWave(WaveProgress &progress)
+{
+    progress.completed = true;
+    ++progress.changes;
+    this->notes.push_back({"wave-completed", absl::StrCat(progress.wave.number),
+                           absl::StrCat("vms=", progress.done.size())});
+}
+
+void FleetPlanner::answered(const FleetOrder &order, FleetAnswer answer, Scheduler &scheduler,
+                            Instant now)
+{
+    auto &entry = this->vms[order.vm];
+    entry.ordered = false;
+    const bool isMove = order.action == FleetAction::Move;
+    if (answer != FleetAnswer::Accepted)
+        this->notes.push_back({"fleet-refused", order.vm,
+                               absl::StrCat("pool=", order.pool, " wave=", order.wave,
+                                            " why=", std::string(model::nameOf(answer)))});
+    std::string worker;
+    for (const auto &known : scheduler.workers()) {
+        if (known.second.listed && known.second.listing.vm == order.vm)
+            worker = known.first;
+    }
+    if (answer == FleetAnswer::Accepted) {
+        entry.vm.state = isMove ? VmState::Moving : VmState::Maintenance;
+        entry.changedAt = now;
+        entry.leavingFor = 0;
+        if (isMove)
+            entry.vm.pool = order.pool;
+        if (!worker.empty()) {
+            scheduler.lifeEnded(worker, now);
+            scheduler.unlistWorker(worker);
+        }
+    } else {
+        entry.waitUntil = now + this->terms.retry;
+        if (isMove && !worker.empty())
+            scheduler.keepWorker(worker);
+    }
+    if (isMove) {
+        if (answer == FleetAnswer::Impossible)
+            this->impossible.insert(entry.vm.kind + " " + order.pool);
+        return;
+    }
+    const auto at = this->waveTable.find(order.wave);
+    const bool isOver = answer == FleetAnswer::Accepted || answer == FleetAnswer::NotInWave
+                        || answer == FleetAnswer::Impossible;
+    if (at != this->waveTable.end() && isOver) {
+        at->second.done.insert(order.vm);
+        ++at->second.changes;
+        entry.leavingFor = 0;
+        if (answer != FleetAnswer::Accepted && !worker.empty())
+            scheduler.keepWorker(worker);
+    }
+}
+
+} // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -50,6 +50,13 @@
                             " steps=", job->spec.steps.size(),
                             " tasks=", job->spec.tasksPerOccurrence(),
                             " lasting=", job->spec.isLasting() ? 1 : 0));
+    double work = 0;
+    for (const auto &step : job->spec.steps) {
+        if (!step.lasting)
+            work += static_cast<double>(step.count) * static_cast<double>(step.footprint().cpu) / 1000
+                    * policy::seconds(Duration(step.estimate));
+    }
+    this->arrivals[this->serviceOf(*job)] += work;
     this->jobs.emplace(job->id, std::move(job));
 }
 
@@ -153,6 +160,11 @@
     this->notes.push_back({std::move(event), std::move(subject), std::move(detail)});
 }
 
+std::map<std::string, double> Scheduler::takeArrivals()
+{
+    return std::exchange(this->arrivals, {});
+}
+
 std::vector<DecisionNote> Scheduler::takeNotes()
 {
     return std::exchange(this->notes, {});
--- /dev/null
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -0,0 +1,116 @@
+// The scheduler's part in moves and maintenance: emptying workers, and how loaded services are.
+#include <sassafrasferry/scheduling/scheduler.h>
+
+#include <algorithm>
+
+namespace sassafrasferry::scheduling {
+
+// A task that was taken away, or that is just starting, is away; so is one that the worker does not
+// report at its full share. Counting more as away than the platform does errs on the safe side.
+bool Scheduler::mayTakeAway(Job &job, const TaskId &id) const
+{
+    const auto &step = job.spec.steps[id.step];
+    if (step.maxUnavailable == 0)
+        return true;
+    std::size_t away = 0;
+    for (std::size_t i = 0; i < step.count; ++i) {
+        if (i == id.index)
+            continue;
+        const auto &runs = job.at(id.occurrence, id.step, i).runs;
+        const bool isAtWork = std::any_of(runs.begin(), runs.end(), [](const jobs::Run &run) {
+            return run.atWork && run.state == jobs::RunState::Confirmed;
+        });
+        away += isAtWork ? 0 : 1;
+    }
+    return away < step.maxUnavailable;
+}
+
+bool Scheduler::evacuate(const std::string &id, bool hurry, Instant now)
+{
+    auto *worker = this->findWorker(id);
+    if (!worker)
+        return true;
+    worker->evacuating = true;
+    for (const auto &entry : worker->runs) {
+        const auto &key = entry.first;
+        auto *job = this->findJob(key.task.job);
+        auto *task = job ? job->find(key.task) : nullptr;
+        if (!task)
+            continue;
+        for (auto &run : task->runs) {
+            const bool isHere = run.worker == id && run.number == key.number;
+            if (!isHere || run.state != jobs::RunState::Confirmed)
+                continue;
+            const auto &step = job->spec.steps[key.task.step];
+            const bool mayStop = step.lasting ? this->mayTakeAway(*job, key.task)
+                                              : (step.checkpointing || hurry);
+            if (!mayStop)
+                continue;
+            run.state = jobs::RunState::Stopping;
+            run.stopAskedAt = now;
+            this->requestStop(id, key, "evacuation");
+        }
+    }
+    return worker->runs.empty();
+}
+
+void Scheduler::keepWorker(const std::string &id)
+{
+    if (auto *worker = this->findWorker(id))
+        worker->evacuating = false;
+}
+
+std::map<std::string, ServiceLoad> Scheduler::loads(Instant now, UnixMilliseconds unixNow)
+{
+    std::map<std::string, ServiceLoad> loads;
+    for (const auto &entry : this->workerTable) {
+        const auto &worker = entry.second;
+        if (!this->takesWork(worker, now))
+            continue;
+        auto &load = loads[worker.listing.service];
+        ++load.workers;
+        load.room += worker.room();
+        load.capacity += worker.listing.capacity;
+    }
+    for (auto &entry : this->jobs) {
+        auto &job = *entry.second;
+        if (jobs::isFinal(job.state))
+            continue;
+        auto &load = loads[this->serviceOf(job)];
+        ++load.jobs;
+        const bool isHopeful = now + job.chainLeft() <= job.objective();
+        for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+            for (std::size_t step = 0; step < job.spec.steps.size(); ++step)
+                this->addLoad(load, job, occurrence, step, isHopeful, unixNow);
+        }
+    }
+    return loads;
+}
+
+void Scheduler::addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
+                        bool isHopeful, UnixMilliseconds unixNow)
+{
+    const auto &spec = job.spec.steps[step];
+    if (job.tasksLeft(occurrence, step) == 0)
+        return;
+    const bool isOpen = job.isOpen(occurrence, step, unixNow);
+    const auto need = spec.footprint();
+    const auto coreSeconds =
+        static_cast<double>(need.cpu) / 1000 * policy::seconds(Duration(spec.estimate));
+    for (std::size_t i = 0; i < spec.count; ++i) {
+        const auto &task = job.at(occurrence, step, i);
+        if (task.done)
+            continue;
+        if (!task.runs.empty()) {
+            (spec.lasting ? load.lasting : load.running) += need;
+        } else if (!isOpen) {
+            load.laterSeconds += coreSeconds;
+        } else {
+            load.ready += need;
+            load.readySeconds += coreSeconds;
+            load.hopefulSeconds += isHopeful ? coreSeconds : 0;
+        }
+    }
+}
+
+} // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -14,6 +14,7 @@
 constexpr double gangRackWeight = 500;
 constexpr double spreadVmWeight = 200;
 constexpr double spreadRackWeight = 50;
+constexpr double soonWeight = 30;
 constexpr double fitWeight = 10;
 // Workers kept free, a round, for tasks that come first and found no room.
 constexpr std::size_t mostReserved = 2;
@@ -252,9 +253,11 @@
             score += dataRackWeight;
         if (spec.sameRack)
             score += gangRackWeight * static_cast<double>(onRack[listing.rack] > 0);
-        // Lasting tasks apart: one rack or worker lost must not take a whole step away.
+        // Lasting tasks apart: one rack or worker lost must not take a whole step away. Those of
+        // several jobs together: a VM with one on it can't be moved.
         if (spec.lasting)
-            score = fitWeight * cpuShare(room, listing.capacity)
+            score = fitWeight * (1 - cpuShare(room, listing.capacity))
+                    - soonWeight * static_cast<double>(worker->leavingSoon)
                     - spreadVmWeight * static_cast<double>(here)
                     - spreadRackWeight * static_cast<double>(onRack[listing.rack]);
         if (!best.worker || score > best.score)
