--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -59,6 +59,7 @@
     double readySeconds = 0; ///< core-seconds of these tasks
     double hopefulSeconds = 0; ///< of these, of jobs that can still be on time
     double laterSeconds = 0; ///< core-seconds of tasks that wait for other steps
+    std::size_t spread = 0; ///< workers that the widest lasting step needs, since it may not share
     std::size_t jobs = 0; ///< under way
 };
 
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -146,7 +146,8 @@
         if (vmCores > 0)
             pool.wanted = static_cast<std::size_t>(
                 std::ceil(peak.cores * this->terms.headroom / vmCores));
-        pool.wanted = std::max<std::size_t>(pool.wanted, 1);
+        // One more than the widest lasting step needs, so that its tasks can be moved off a VM.
+        pool.wanted = std::max<std::size_t>(pool.wanted, load.spread + 1);
     }
 }
 
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -94,6 +94,9 @@
     if (job.tasksLeft(occurrence, step) == 0)
         return;
     const bool isOpen = job.isOpen(occurrence, step, unixNow);
+    if (spec.lasting && spec.perVmLimit > 0)
+        load.spread = std::max(load.spread,
+                               (spec.count + spec.perVmLimit - 1) / spec.perVmLimit);
     const auto need = spec.footprint();
     const auto coreSeconds =
         static_cast<double>(need.cpu) / 1000 * policy::seconds(Duration(spec.estimate));
