Workers that only the list of VMs tells of are waited for after a takeover

By reading: a worker whose entry has lapsed in the store but that lives was unknown to a new leader, which started its tasks elsewhere at once; a leader woken from a freeze planned before it noticed that its lease was over; a start on its way to a life that ended was forgotten. Change: the list of VMs names all lives at a takeover; orders need a lease confirmed within the limit; a pool does not count what is being emptied, and gets one VM more while a lasting task waits.

--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -383,6 +383,7 @@
         typename Leader<Platform>::Options leaderOptions;
         leaderOptions.times = this->options.times;
         leaderOptions.turn = this->options.turn;
+        leaderOptions.orderLimit = LeadershipTimes{}.orderLimit;
         leaderOptions.sinceConfirmed = [this] { return this->leadership.sinceConfirmed(); };
         leaderOptions.onDeposed = [this](const std::string &why) { this->leadership.deposed(why); };
         this->leader = std::make_shared<Leader<Platform>>(this->executor, this->store, this->cloud, tenure,
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -45,6 +45,7 @@
         scheduling::SchedulerTimes times;
         std::function<void(const std::string &why)> onDeposed;
         std::function<Duration()> sinceConfirmed; ///< how long ago the store confirmed the lease
+        Duration orderLimit{}; ///< no order is given that long after
         /// Between the last order about a VM of one leader and the first of the next.
         Duration turn = std::chrono::milliseconds(3000);
     };
@@ -174,7 +175,15 @@
             FollowOptions{Platform::workerTable(), {""}, std::chrono::milliseconds(2500),
                           listPause},
             [self](const auto &rows, bool isWhole) { self->takeWorkers(rows, isWhole); });
+        while (!this->knowsWorkers && !this->stopped) {
+            if (!co_await this->workerFollower->refresh())
+                co_await pause(retryPause);
+        }
+        if (this->stopped)
+            co_return;
         this->workerFollower->begin(this->executor);
+        http::asio::co_spawn(
+            this->executor, [self] { return self->learnVms(); }, http::asio::detached);
         for (auto &lane : this->lanes) {
             http::asio::co_spawn(
                 this->executor, [self, raw = lane.get()] { return self->recordLoop(*raw); },
@@ -184,6 +193,30 @@
         co_await this->planLoop();
     }
 
+    // A worker that is cut off from the store is in the platform's list of VMs alone.
+    Awaitable<void> learnVms()
+    {
+        while (!this->tenure.isFirst && !this->stopped) {
+            const auto vms = co_await this->cloud.list();
+            if (vms.ok() && !this->stopped) {
+                for (const auto &vm : *vms) {
+                    if (!vm.worker.empty())
+                        this->scheduler.expectWorker(vm.worker, vm.pool);
+                }
+                break;
+            }
+            co_await pause(retryPause);
+        }
+        this->scheduler.knowsAllWorkers();
+        this->planWake.notify();
+    }
+
+    // Woken after a freeze, it must not order by what it believed before.
+    bool mayOrder() const
+    {
+        return this->options.sinceConfirmed() < this->options.orderLimit;
+    }
+
     void beginFleet()
     {
         auto self = this->shared_from_this();
@@ -368,7 +401,8 @@
                           [self](const std::string &why) {
                               if (!self->stopped)
                                   self->options.onDeposed(why);
-                          }});
+                          },
+                          [self] { return self->mayOrder(); }});
         this->sessions[row.key] = session;
         session->begin();
     }
@@ -380,7 +414,7 @@
             co_await pause(planGather);
             if (this->stopped)
                 co_return;
-            if (!this->isReady())
+            if (!this->isReady() || !this->mayOrder())
                 continue;
             this->give(this->scheduler.plan(bootNow(), http::unixNow()));
             for (const auto &note : this->scheduler.takeNotes())
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -18,6 +18,7 @@
 {
     std::function<void()> onChange; ///< the scheduler has something to plan for
     std::function<void(const std::string &why)> onFenced; ///< a newer leader is about
+    std::function<bool()> mayOrder; ///< the lease was confirmed lately enough
 };
 
 template<WorkerCalls Worker>
@@ -87,6 +88,10 @@
             const auto *worker = this->scheduler.findWorker(this->id);
             if (!worker)
                 co_return;
+            if (!this->events.mayOrder()) {
+                co_await pause(retryPause);
+                continue;
+            }
             const bool isSurvey = !worker->surveyed;
             const auto asked = bootNow();
             HoldRequest request;
@@ -168,7 +173,7 @@
         const auto now = bootNow();
         auto answer = scheduling::OrderAnswer::NotSent;
         const auto until = this->scheduler.leaseUntil(this->id, now);
-        if (until && now < order.expires)
+        if (until && now < order.expires && this->events.mayOrder())
             answer = co_await this->calls->start(order, *until, this->fence);
         if (this->stopped)
             co_return;
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -26,6 +26,7 @@
     std::string kind;
     std::string rack;
     Resources capacity;
+    std::string worker; ///< the id of its present life; empty: none
 };
 
 /// A maintenance wave as operators order it.
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -27,6 +27,7 @@
     /// How long after a takeover a worker that nobody reaches may still run what the last leader
     /// ordered: the time for which that one may order without the store, and a lease.
     Duration inheritedLease = std::chrono::milliseconds(10500);
+    Duration starvation = std::chrono::milliseconds(900); ///< a lasting task may wait for room
     Duration startExpiry = std::chrono::milliseconds(1500); ///< an order unsent for longer is void
 };
 
@@ -60,6 +61,7 @@
     double hopefulSeconds = 0; ///< of these, of jobs that can still be on time
     double laterSeconds = 0; ///< core-seconds of tasks that wait for other steps
     std::size_t spread = 0; ///< workers that the widest lasting step needs, since it may not share
+    bool starves = false; ///< a task waits for long, though room may be there in bits
     std::size_t jobs = 0; ///< under way
 };
 
@@ -115,6 +117,11 @@
     // Workers.
     void listWorker(const WorkerListing &listing, Instant now);
     void unlistWorker(const std::string &id);
+    /// There is such a worker, though it does not list itself: it may run what an earlier leader
+    /// ordered.
+    void expectWorker(const std::string &id, const std::string &service);
+    /// All workers that may run something inherited are known by now.
+    void knowsAllWorkers();
     /// What a worker answered to a hold that was sent at `askedAt`.
     void report(const WorkerReport &report, Instant askedAt, Instant now);
     /// Another life answers at the worker's address: what ran there is gone.
@@ -163,7 +170,7 @@
     void dropAllRuns(Worker &worker, Instant now);
     void writeOffSilent(Instant now);
     void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
-                 bool isHopeful, UnixMilliseconds unixNow);
+                 bool isHopeful, Instant now, UnixMilliseconds unixNow);
     bool mayTakeAway(Job &job, const TaskId &id) const;
     void stopRunsOf(Job &job, const std::string &reason);
     void markDirty(Job &job);
@@ -191,6 +198,7 @@
     std::map<std::string, double> arrivals; // core-seconds, by service
     std::vector<DecisionNote> notes;
     SchedulerCounts counters;
+    bool allWorkersKnown = false;
     std::set<std::string> settledServices; // nothing unknown runs there any more
 };
 
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -85,6 +85,8 @@
     Instant fullUntil{}; ///< it had no room for what seemed to fit
     std::int64_t clock = 0; ///< of the worker, as last heard
     Instant clockAt{}; ///< when it was heard
+    /// Until when it may run, unseen, what was ordered before this leader or in an earlier life.
+    Instant inheritedUntil{};
     std::int64_t lastUntil = 0; ///< the latest end of a lease that was sent, by its clock
     Resources used; ///< by the runs below
     std::map<RunKey, Resources> runs; ///< each takes room until its end is listed
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -91,7 +91,9 @@
             && entry.second.vm.state != VmState::Up
             && worker->second->listing.service == entry.second.vm.pool)
             entry.second.vm.state = VmState::Up;
-        if (entry.second.vm.state != VmState::Down)
+        // One that is emptied for a wave gives its pool no room any more.
+        const bool isLeaving = entry.second.leavingFor != 0;
+        if (entry.second.vm.state != VmState::Down && !isLeaving)
             ++pool.count;
         if (entry.second.vm.state == VmState::Up)
             pool.up.push_back(&entry.second);
@@ -148,6 +150,8 @@
                 std::ceil(peak.cores * this->terms.headroom / vmCores));
         // One more than the widest lasting step needs, so that its tasks can be moved off a VM.
         pool.wanted = std::max<std::size_t>(pool.wanted, load.spread + 1);
+        if (load.starves)
+            pool.wanted = std::max(pool.wanted, pool.count + 1);
     }
 }
 
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -81,14 +81,14 @@
         const bool isHopeful = now + job.chainLeft() <= job.objective();
         for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
             for (std::size_t step = 0; step < job.spec.steps.size(); ++step)
-                this->addLoad(load, job, occurrence, step, isHopeful, unixNow);
+                this->addLoad(load, job, occurrence, step, isHopeful, now, unixNow);
         }
     }
     return loads;
 }
 
 void Scheduler::addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
-                        bool isHopeful, UnixMilliseconds unixNow)
+                        bool isHopeful, Instant now, UnixMilliseconds unixNow)
 {
     const auto &spec = job.spec.steps[step];
     if (job.tasksLeft(occurrence, step) == 0)
@@ -110,6 +110,7 @@
             load.laterSeconds += coreSeconds;
         } else {
             load.ready += need;
+            load.starves |= spec.lasting && now - task.idleSince > this->times.starvation;
             load.readySeconds += coreSeconds;
             load.hopefulSeconds += isHopeful ? coreSeconds : 0;
         }
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -79,9 +79,12 @@
         return true;
     if (now > this->tookOverAt + this->times.inheritedLease)
         return true;
-    return std::all_of(this->workerTable.begin(), this->workerTable.end(), [&](const auto &entry) {
-        return entry.second.listing.service != service || entry.second.surveyed;
-    });
+    const auto isKnown = [&](const auto &entry) {
+        const auto &worker = entry.second;
+        return worker.listing.service != service || worker.surveyed || now > worker.inheritedUntil;
+    };
+    return this->allWorkersKnown
+           && std::all_of(this->workerTable.begin(), this->workerTable.end(), isKnown);
 }
 
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -33,6 +33,12 @@
     if (listing.born != worker.listing.born && worker.listing.born != 0)
         this->lifeEnded(listing.id, now);
     const bool isNew = worker.listing.born == 0;
+    // A life that began after the takeover runs nothing of earlier leaders; but clocks differ, so
+    // only a life that is new to this leader's list counts as such.
+    if (isNew && worker.inheritedUntil == Instant{})
+        worker.inheritedUntil = this->allWorkersKnown
+                                    ? now
+                                    : this->tookOverAt + this->times.inheritedLease;
     const bool wasDraining = worker.listing.draining;
     worker.listing = listing;
     worker.listed = true;
@@ -52,6 +58,23 @@
     this->note("worker-unlisted", id, absl::StrCat("runs=", at->second.runs.size()));
 }
 
+void Scheduler::expectWorker(const std::string &id, const std::string &service)
+{
+    if (this->workerTable.count(id) != 0)
+        return;
+    auto &worker = this->workerTable[id];
+    worker.listing.id = id;
+    worker.listing.service = service;
+    worker.listed = false;
+    worker.inheritedUntil = this->tookOverAt + this->times.inheritedLease;
+    this->note("worker-expected", id, absl::StrCat("service=", service));
+}
+
+void Scheduler::knowsAllWorkers()
+{
+    this->allWorkersKnown = true;
+}
+
 void Scheduler::lifeEnded(const std::string &id, Instant now)
 {
     const auto at = this->workerTable.find(id);
@@ -59,6 +82,8 @@
         return;
     auto &worker = at->second;
     this->note("worker-ended", id, absl::StrCat("runs=", worker.runs.size()));
+    // Starts may be on their way to the next life.
+    worker.inheritedUntil = this->surelyDeadAt(worker);
     this->dropAllRuns(worker, now);
     worker.surveyed = false;
     worker.clock = 0;
@@ -302,7 +327,7 @@
 Instant Scheduler::surelyDeadAt(const Worker &worker) const
 {
     if (!worker.surveyed || worker.clock == 0)
-        return this->tookOverAt + this->times.inheritedLease;
+        return worker.inheritedUntil;
     const auto lease = std::chrono::milliseconds(worker.lastUntil - worker.clock);
     const auto slowest = policy::fromSeconds(policy::seconds(lease) * (1 + this->times.clockDrift));
     return worker.clockAt + std::max(slowest, Duration::zero()) + this->times.leaseMargin;
