--- a/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
@@ -93,8 +93,7 @@
             co_await this->list();
             if (this->stopped || !this->hasListed)
                 continue;
-            for (auto &order :
-                 this->planner.plan(this->scheduler, bootNow(), http::unixNow()))
+            for (auto &order : this->planner.plan(this->scheduler, bootNow(), http::unixNow()))
                 this->give(std::move(order));
             this->tell();
             co_await this->recordWaves();
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -42,7 +42,9 @@
                [this](const auto &question) { return this->answer(question); })
         , leadership(store, this->options.name, this->options.peer, http::unixNow(),
                      {[this](const Tenure &tenure) { this->lead(tenure); },
-                      [this](const std::string &) { this->dropLeader(); }})
+                      [this](const std::string &) {
+                          this->dropLeader();
+                      }})
     {}
 
     absl::Status begin()
@@ -238,7 +240,8 @@
         for (const auto &row : taken->rows) {
             const auto key = parseIntakeKey(row.key);
             if (key.job == job && state != scheduling::JobState::Cancelled)
-                state = key.cancels ? scheduling::JobState::Cancelled : scheduling::JobState::Queued;
+                state =
+                    key.cancels ? scheduling::JobState::Cancelled : scheduling::JobState::Queued;
         }
         for (const auto &row : page->rows) {
             messages::JobProgress progress;
@@ -384,11 +387,15 @@
         leaderOptions.times = this->options.times;
         leaderOptions.turn = this->options.turn;
         leaderOptions.orderLimit = LeadershipTimes{}.orderLimit;
-        leaderOptions.sinceConfirmed = [this] { return this->leadership.sinceConfirmed(); };
-        leaderOptions.onDeposed = [this](const std::string &why) { this->leadership.deposed(why); };
-        this->leader = std::make_shared<Leader<Platform>>(this->executor, this->store, this->cloud, tenure,
-                                                          std::move(leaderOptions),
-                                                          this->configuration);
+        leaderOptions.sinceConfirmed = [this] {
+            return this->leadership.sinceConfirmed();
+        };
+        leaderOptions.onDeposed = [this](const std::string &why) {
+            this->leadership.deposed(why);
+        };
+        this->leader =
+            std::make_shared<Leader<Platform>>(this->executor, this->store, this->cloud, tenure,
+                                               std::move(leaderOptions), this->configuration);
         for (const auto &wave : this->waves)
             this->leader->addWave(wave.second);
         this->leader->begin();
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -58,12 +58,13 @@
         , tenure(tenure)
         , tookOverAt(bootNow())
         , options(std::move(options))
-        , scheduler(this->options.times, tenure.term * runsPerTerm, bootNow())
+        , scheduler(timesFor(this->options, tenure), tenure.term * runsPerTerm, bootNow())
         , planWake(executor)
     {
         this->scheduler.setConfiguration(std::move(configuration));
         for (const auto &part : allJobParts())
-            this->lanes.push_back(std::make_unique<RecordLane>(store, part, tenure.fence, executor));
+            this->lanes.push_back(
+                std::make_unique<RecordLane>(store, part, tenure.fence, executor));
     }
 
     void begin()
@@ -115,6 +116,19 @@
     }
 
 private:
+    static scheduling::SchedulerTimes timesFor(const Options &options, const Tenure &tenure)
+    {
+        auto times = options.times;
+        // What a leader that has stopped had sent lives for one lease; another may go on ordering
+        // until it gives up by itself.
+        times.inheritedLease =
+            policy::fromSeconds(policy::seconds(times.workerLease) * (1 + times.clockDrift))
+            + times.leaseMargin;
+        if (!tenure.predecessorStopped)
+            times.inheritedLease += options.orderLimit;
+        return times;
+    }
+
     // Above all starts of one task in one term, so that no leader's run numbers meet another's.
     static constexpr std::int64_t runsPerTerm = 1000;
     // Orders about VMs are given only under a lease that was confirmed this lately.
@@ -172,8 +186,8 @@
         this->intakeFollower->begin(this->executor);
         this->workerFollower = std::make_shared<TableFollower<Store>>(
             this->store,
-            FollowOptions{Platform::workerTable(), {""}, std::chrono::milliseconds(2500),
-                          listPause},
+            FollowOptions{
+                Platform::workerTable(), {""}, std::chrono::milliseconds(2500), listPause},
             [self](const auto &rows, bool isWhole) { self->takeWorkers(rows, isWhole); });
         while (!this->knowsWorkers && !this->stopped) {
             if (!co_await this->workerFollower->refresh())
@@ -222,9 +236,13 @@
         auto self = this->shared_from_this();
         typename FleetKeeper<Store, Cloud>::Options fleetOptions;
         fleetOptions.fence = this->tenure.fence;
-        fleetOptions.mayOrder = [self] { return self->mayOrderVms(); };
+        fleetOptions.mayOrder = [self] {
+            return self->mayOrderVms();
+        };
         fleetOptions.statusRow = &Platform::waveStatus;
-        fleetOptions.onChange = [self] { self->planWake.notify(); };
+        fleetOptions.onChange = [self] {
+            self->planWake.notify();
+        };
         this->fleet = std::make_shared<FleetKeeper<Store, Cloud>>(
             this->executor, this->store, this->cloud, this->scheduler, std::move(fleetOptions));
         for (const auto &wave : this->waves)
@@ -235,7 +253,8 @@
     // The leader before may have sent an order just before the store stopped confirming its lease.
     bool mayOrderVms() const
     {
-        const auto wait = this->tenure.isFirst ? Duration::zero() : this->options.turn + vmOrderLimit;
+        const auto wait =
+            this->tenure.isFirst ? Duration::zero() : this->options.turn + vmOrderLimit;
         return this->isReady() && this->options.sinceConfirmed() < vmOrderLimit
                && bootNow() - this->tookOverAt > wait;
     }
@@ -333,9 +352,8 @@
         terms.stretch = record.stretch();
         terms.target = std::chrono::milliseconds(record.target_milliseconds());
         // A wall clock that was set back or ahead must not put a job far from its turn.
-        const auto age = std::chrono::milliseconds(
-            std::clamp<std::int64_t>(http::unixNow() - record.accepted_milliseconds(), 0,
-                                     this->knowsJobs ? 5000 : 60000));
+        const auto age = std::chrono::milliseconds(std::clamp<std::int64_t>(
+            http::unixNow() - record.accepted_milliseconds(), 0, this->knowsJobs ? 5000 : 60000));
         auto job = std::make_unique<jobs::Job>(id, jobs::specFrom(record), std::move(terms),
                                                bootNow() - age);
         job->inherited = !this->knowsJobs;
@@ -375,8 +393,9 @@
     {
         const auto listing = Platform::decodeListing(row.key, row.value);
         if (!listing.ok()) {
-            LOG(WARNING) << "event=worker-unreadable worker=" << row.key << " version="
-                         << row.version << " error=\"" << listing.status().message() << '"';
+            LOG(WARNING) << "event=worker-unreadable worker=" << row.key
+                         << " version=" << row.version << " error=\"" << listing.status().message()
+                         << '"';
             this->scheduler.unlistWorker(row.key);
             return;
         }
@@ -402,7 +421,9 @@
                               if (!self->stopped)
                                   self->options.onDeposed(why);
                           },
-                          [self] { return self->mayOrder(); }});
+                          [self] {
+                              return self->mayOrder();
+                          }});
         this->sessions[row.key] = session;
         session->begin();
     }
@@ -466,9 +487,8 @@
         while (!this->stopped) {
             co_await lane.wake.wait(recordTick);
             co_await pause(recordGather);
-            auto rows = this->scheduler.takeDirty(mostRows, [&](const std::string &job) {
-                return partOf(job) == part.name();
-            });
+            auto rows = this->scheduler.takeDirty(
+                mostRows, [&](const std::string &job) { return partOf(job) == part.name(); });
             if (rows.empty() || this->stopped)
                 continue;
             std::vector<store::PartPut> puts;
--- a/packages/coordination/include/sassafrasferry/coordination/table_follower.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_follower.h
@@ -88,8 +88,8 @@
                 }
                 continue;
             }
-            auto page = co_await this->store.feed(this->options.table, this->version,
-                                                  this->options.wait);
+            auto page =
+                co_await this->store.feed(this->options.table, this->version, this->options.wait);
             if (this->stopped)
                 co_return;
             this->noteReach(page.ok());
--- a/packages/coordination/include/sassafrasferry/coordination/worker_calls.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_calls.h
@@ -26,8 +26,8 @@
 
 template<typename T>
 concept WorkerCalls = requires(T &worker, HoldRequest hold, const scheduling::StartOrder &start,
-                               const scheduling::StopOrder &stop,
-                               const scheduling::PaceOrder &pace, std::int64_t number)
+                               const scheduling::StopOrder &stop, const scheduling::PaceOrder &pace,
+                               std::int64_t number)
 {
     {
         worker.hold(hold)
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -74,7 +74,8 @@
     }
 
 private:
-    using Order = std::variant<scheduling::StartOrder, scheduling::StopOrder, scheduling::PaceOrder>;
+    using Order =
+        std::variant<scheduling::StartOrder, scheduling::StopOrder, scheduling::PaceOrder>;
 
     static constexpr std::chrono::milliseconds holdWait{1000};
     static constexpr auto retryPause = std::chrono::milliseconds(100);
--- a/packages/coordination/src/job_desk.cpp
+++ b/packages/coordination/src/job_desk.cpp
@@ -18,8 +18,8 @@
     return this->port.open(this->self);
 }
 
-Awaitable<JobDesk::Answer> JobDesk::ask(const model::Endpoint &peer,
-                                        messages::JobQuestion question, Duration timeout)
+Awaitable<JobDesk::Answer> JobDesk::ask(const model::Endpoint &peer, messages::JobQuestion question,
+                                        Duration timeout)
 {
     co_return co_await http::awaitCallback<Answer>([&](auto done) {
         const auto number = ++this->lastNumber;
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -88,7 +88,8 @@
 struct FleetTerms
 {
     Duration rateMemory = std::chrono::milliseconds(500); ///< over which arriving work is averaged
-    Duration peakMemory = std::chrono::milliseconds(1200); ///< a pool keeps what it needed so long ago
+    Duration peakMemory =
+        std::chrono::milliseconds(1200); ///< a pool keeps what it needed so long ago
     double headroom = 1.15; ///< room wanted for each core needed, since tasks do not fill a VM
     double hopelessWeight = 0.3; ///< of work that is late anyhow, in what a pool needs
     std::size_t mostOrders = 12; ///< a round; the platform bounds calls a second
@@ -122,6 +123,8 @@
         Instant changedAt{}; ///< when an order changed what the list says
         Instant waitUntil{}; ///< no order before this
         bool ordered = false; ///< a call is under way
+        /// A call that had no answer, and so may be carried out yet: given again until it has one.
+        std::optional<FleetOrder> unanswered;
         bool listed = true;
         std::int64_t leavingFor = 0; ///< the wave for which its worker is emptied; 0: none
         Instant leavingSince{};
@@ -138,6 +141,7 @@
 
     struct Round;
 
+    void repeatUnanswered(Round &round);
     void measure(Round &round);
     void moveToNeed(Round &round);
     void moveToStandby(Round &round);
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -26,7 +26,7 @@
     Duration healthBackOff = std::chrono::milliseconds(500);
     /// How long after a takeover a worker that nobody reaches may still run what the last leader
     /// ordered: the time for which that one may order without the store, and a lease.
-    Duration inheritedLease = std::chrono::milliseconds(10500);
+    Duration inheritedLease = std::chrono::milliseconds(10700);
     Duration starvation = std::chrono::milliseconds(900); ///< a lasting task may wait for room
     Duration startExpiry = std::chrono::milliseconds(1500); ///< an order unsent for longer is void
 };
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -69,7 +69,7 @@
 
 bool FleetPlanner::isFree(const Entry &entry, const Round &round) const
 {
-    return entry.listed && entry.vm.state == VmState::Up && !entry.ordered
+    return entry.listed && entry.vm.state == VmState::Up && !entry.ordered && !entry.unanswered
            && round.now >= entry.waitUntil;
 }
 
@@ -107,6 +107,7 @@
     for (const auto &worker : round.workers)
         worker.second->leavingSoon = round.waiting.count(worker.first) != 0;
     this->measure(round);
+    this->repeatUnanswered(round);
     for (auto &entry : this->waveTable)
         this->planWave(entry.second, round);
     this->moveToNeed(round);
@@ -114,6 +115,19 @@
     return std::move(round.orders);
 }
 
+// Work given to a VM whose order may be carried out yet would end with it, so the VM stays empty
+// and the same order is given again: one that was carried out is answered so.
+void FleetPlanner::repeatUnanswered(Round &round)
+{
+    for (auto &entry : this->vms) {
+        auto &vm = entry.second;
+        if (!vm.unanswered || vm.ordered || round.now < vm.waitUntil)
+            continue;
+        const auto order = *vm.unanswered;
+        this->order(vm, order, round);
+    }
+}
+
 void FleetPlanner::measure(Round &round)
 {
     const auto passed = policy::seconds(round.now - this->ratesAt);
@@ -137,8 +151,8 @@
         const double ready = static_cast<double>(load.ready.cpu) / 1000
                              * (1 - hopelessShare * (1 - this->terms.hopelessWeight));
         const double busy = static_cast<double>(load.running.cpu) / 1000 + ready;
-        const double need = static_cast<double>(load.lasting.cpu) / 1000
-                            + std::max(busy, this->rates[entry.first]);
+        const double need =
+            static_cast<double>(load.lasting.cpu) / 1000 + std::max(busy, this->rates[entry.first]);
         auto &peak = this->peaks[entry.first];
         if (need >= peak.cores || round.now - peak.at > this->terms.peakMemory)
             peak = {need, round.now};
@@ -146,8 +160,8 @@
         for (const auto *vm : pool.up)
             vmCores = std::max(vmCores, static_cast<double>(vm->vm.capacity.cpu) / 1000);
         if (vmCores > 0)
-            pool.wanted = static_cast<std::size_t>(
-                std::ceil(peak.cores * this->terms.headroom / vmCores));
+            pool.wanted =
+                static_cast<std::size_t>(std::ceil(peak.cores * this->terms.headroom / vmCores));
         // One more than the widest lasting step needs, so that its tasks can be moved off a VM.
         pool.wanted = std::max<std::size_t>(pool.wanted, load.spread + 1);
         if (load.starves)
@@ -160,9 +174,9 @@
     entry.ordered = true;
     if (const auto at = round.workers.find(entry.vm.name); at != round.workers.end())
         at->second->evacuating = true;
-    this->notes.push_back({order.action == FleetAction::Move ? "move" : "maintain", entry.vm.name,
-                           absl::StrCat("from=", entry.vm.pool, " to=", order.pool,
-                                        " wave=", order.wave)});
+    this->notes.push_back(
+        {order.action == FleetAction::Move ? "move" : "maintain", entry.vm.name,
+         absl::StrCat("from=", entry.vm.pool, " to=", order.pool, " wave=", order.wave)});
     round.orders.push_back(std::move(order));
 }
 
@@ -287,8 +301,8 @@
             ++leavingOf[entry->vm.pool];
         }
         const bool hasWorker = worker != round.workers.end();
-        bool isEmpty = round.pools[entry->vm.pool].standby
-                       || (hasWorker && worker->second->runs.empty());
+        bool isEmpty =
+            round.pools[entry->vm.pool].standby || (hasWorker && worker->second->runs.empty());
         if (entry->leavingFor != 0 && hasWorker) {
             const bool hurry = round.now - entry->leavingSince > this->terms.evacuationPatience;
             isEmpty = round.scheduler.evacuate(worker->second->listing.id, hurry, round.now);
@@ -300,9 +314,9 @@
         entry->leavingFor = wave.number;
         this->order(*entry, {FleetAction::Maintain, entry->vm.name, "", wave.number}, round);
     }
-    const double timeLeft = std::max(
-        policy::seconds(progress.seenAt - round.now) + policy::seconds(wave.within) * this->terms.waveShare,
-        policy::seconds(this->terms.maintenanceTurn));
+    const double timeLeft = std::max(policy::seconds(progress.seenAt - round.now)
+                                         + policy::seconds(wave.within) * this->terms.waveShare,
+                                     policy::seconds(this->terms.maintenanceTurn));
     const auto pace = static_cast<std::size_t>(
         std::ceil(static_cast<double>(left.size()) * policy::seconds(this->terms.maintenanceTurn)
                   / timeLeft));
@@ -319,8 +333,9 @@
             break;
         const auto worker = round.workers.find(entry->vm.name);
         auto &pool = round.pools[entry->vm.pool];
-        const auto bound = std::max<std::size_t>(
-            1, static_cast<std::size_t>(static_cast<double>(pool.up.size()) * this->terms.mostOfPool));
+        const auto bound =
+            std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(pool.up.size())
+                                                              * this->terms.mostOfPool));
         if (entry->leavingFor != 0 || worker == round.workers.end() || !this->isFree(*entry, round)
             || leavingOf[entry->vm.pool] >= bound)
             continue;
@@ -330,9 +345,8 @@
         ++leavingOf[entry->vm.pool];
         round.scheduler.evacuate(worker->second->listing.id, false, round.now);
         this->notes.push_back({"evacuate", entry->vm.name,
-                               absl::StrCat("worker=", worker->second->listing.id,
-                                            " runs=", worker->second->runs.size(),
-                                            " wave=", wave.number)});
+                               absl::StrCat("worker=", worker->second->listing.id, " runs=",
+                                            worker->second->runs.size(), " wave=", wave.number)});
     }
 }
 
@@ -349,6 +363,7 @@
 {
     auto &entry = this->vms[order.vm];
     entry.ordered = false;
+    entry.unanswered.reset();
     const bool isMove = order.action == FleetAction::Move;
     if (answer != FleetAnswer::Accepted)
         this->notes.push_back({"fleet-refused", order.vm,
@@ -371,6 +386,10 @@
         }
     } else {
         entry.waitUntil = now + this->terms.retry;
+        if (answer == FleetAnswer::NoAnswer) {
+            entry.unanswered = order;
+            return;
+        }
         if (isMove && !worker.empty())
             scheduler.keepWorker(worker);
     }
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -46,15 +46,14 @@
     if (const auto *queue = this->config.findQueue(job->terms.queue))
         job->terms = queue->terms;
     this->note("job", job->id,
-               absl::StrCat("queue=", job->terms.queue, " service=", job->terms.service,
-                            " steps=", job->spec.steps.size(),
-                            " tasks=", job->spec.tasksPerOccurrence(),
+               absl::StrCat("queue=", job->terms.queue, " service=", job->terms.service, " steps=",
+                            job->spec.steps.size(), " tasks=", job->spec.tasksPerOccurrence(),
                             " lasting=", job->spec.isLasting() ? 1 : 0));
     double work = 0;
     for (const auto &step : job->spec.steps) {
         if (!step.lasting)
-            work += static_cast<double>(step.count) * static_cast<double>(step.footprint().cpu) / 1000
-                    * policy::seconds(Duration(step.estimate));
+            work += static_cast<double>(step.count) * static_cast<double>(step.footprint().cpu)
+                    / 1000 * policy::seconds(Duration(step.estimate));
     }
     this->arrivals[this->serviceOf(*job)] += work;
     this->jobs.emplace(job->id, std::move(job));
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -42,8 +42,8 @@
             if (!isHere || run.state != jobs::RunState::Confirmed)
                 continue;
             const auto &step = job->spec.steps[key.task.step];
-            const bool mayStop = step.lasting ? this->mayTakeAway(*job, key.task)
-                                              : (step.checkpointing || hurry);
+            const bool mayStop =
+                step.lasting ? this->mayTakeAway(*job, key.task) : (step.checkpointing || hurry);
             if (!mayStop)
                 continue;
             run.state = jobs::RunState::Stopping;
@@ -95,8 +95,7 @@
         return;
     const bool isOpen = job.isOpen(occurrence, step, unixNow);
     if (spec.lasting && spec.perVmLimit > 0)
-        load.spread = std::max(load.spread,
-                               (spec.count + spec.perVmLimit - 1) / spec.perVmLimit);
+        load.spread = std::max(load.spread, (spec.count + spec.perVmLimit - 1) / spec.perVmLimit);
     const auto need = spec.footprint();
     const auto coreSeconds =
         static_cast<double>(need.cpu) / 1000 * policy::seconds(Duration(spec.estimate));
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -113,6 +113,9 @@
             }
         }
         ++this->counters.stops;
+        this->note(
+            "stop", jobs::toString(stop.task),
+            absl::StrCat("run=", stop.run, " worker=", stop.worker, " why=\"", stop.reason, "\""));
         round.orders.stops.push_back(std::move(stop));
     }
     return std::move(round.orders);
@@ -283,8 +286,8 @@
     worker.used += need;
     ++this->counters.starts;
     this->note("start", jobs::toString(id),
-               absl::StrCat("run=", run.number, " worker=", worker.listing.id,
-                            " room=", worker.room().cpu, " left=", job.tasksLeft(id.occurrence, id.step)));
+               absl::StrCat("run=", run.number, " worker=", worker.listing.id, " room=",
+                            worker.room().cpu, " left=", job.tasksLeft(id.occurrence, id.step)));
     round.orders.starts.push_back({worker.listing.id, id, run.number, job.spec.payload,
                                    task.checkpoint, "", round.now + this->times.startExpiry});
 }
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -36,9 +36,8 @@
     // A life that began after the takeover runs nothing of earlier leaders; but clocks differ, so
     // only a life that is new to this leader's list counts as such.
     if (isNew && worker.inheritedUntil == Instant{})
-        worker.inheritedUntil = this->allWorkersKnown
-                                    ? now
-                                    : this->tookOverAt + this->times.inheritedLease;
+        worker.inheritedUntil =
+            this->allWorkersKnown ? now : this->tookOverAt + this->times.inheritedLease;
     const bool wasDraining = worker.listing.draining;
     worker.listing = listing;
     worker.listed = true;
@@ -192,8 +191,7 @@
     if (effect != jobs::EndEffect::None)
         this->markDirty(*job);
     worker.pendingEnds.push_back({end.number, job->id, changes});
-    const bool isOver =
-        effect == jobs::EndEffect::JobDone || effect == jobs::EndEffect::JobFailed;
+    const bool isOver = effect == jobs::EndEffect::JobDone || effect == jobs::EndEffect::JobFailed;
     auto *task = job->find(end.task);
     // Copies of a task that is done, and all that is left of a job that is over.
     if (task && task->done) {
@@ -280,9 +278,9 @@
         }
         // A start without an answer may still be carried out. A stop that the worker has answered
         // rules that out, so the task waits for that.
-        const bool isOpen = run->state == jobs::RunState::Unanswered
-                            || (run->state == jobs::RunState::Stopping
-                                && now - run->stopAskedAt > stopRetry);
+        const bool isOpen =
+            run->state == jobs::RunState::Unanswered
+            || (run->state == jobs::RunState::Stopping && now - run->stopAskedAt > stopRetry);
         if (isOpen && run->orderedAt < askedAt)
             this->requestStop(worker.listing.id, entry.first, "unanswered start");
     }
