--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -20,6 +20,7 @@
     std::string name;
     model::Endpoint peer; ///< its peer port
     scheduling::SchedulerTimes times;
+    LeadershipTimes leadership;
     Duration turn = std::chrono::milliseconds(3000); ///< between two leaders' orders about a VM
     Duration stopWithin = std::chrono::milliseconds(5000); ///< from the stop signal to the end
 };
@@ -44,7 +45,8 @@
                      {[this](const Tenure &tenure) { this->lead(tenure); },
                       [this](const std::string &) {
                           this->dropLeader();
-                      }})
+                      }},
+                     this->options.leadership)
     {}
 
     absl::Status begin()
@@ -386,7 +388,7 @@
         typename Leader<Platform>::Options leaderOptions;
         leaderOptions.times = this->options.times;
         leaderOptions.turn = this->options.turn;
-        leaderOptions.orderLimit = LeadershipTimes{}.orderLimit;
+        leaderOptions.orderLimit = this->options.leadership.orderLimit;
         leaderOptions.sinceConfirmed = [this] {
             return this->leadership.sinceConfirmed();
         };
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -12,6 +12,8 @@
 #include <map>
 #include <set>
 
+#include <absl/strings/str_cat.h>
+
 namespace sassafrasferry::coordination {
 
 /// How a leader is tied to its platform.
@@ -137,6 +139,8 @@
     static constexpr auto planTick = std::chrono::milliseconds(50);
     // Ends and answers that come together are planned for together.
     static constexpr auto planGather = std::chrono::milliseconds(2);
+    // Planning takes at most this part of the time, so that answers are still taken in.
+    static constexpr int planShare = 4;
     static constexpr auto recordGather = std::chrono::milliseconds(15);
     static constexpr auto recordTick = std::chrono::milliseconds(200);
     static constexpr auto retryPause = std::chrono::milliseconds(50);
@@ -432,20 +436,36 @@
     {
         while (!this->stopped) {
             co_await this->planWake.wait(planTick);
-            co_await pause(planGather);
+            co_await pause(std::max<Duration>(planGather, planShare * this->planTook));
             if (this->stopped)
                 co_return;
             if (!this->isReady() || !this->mayOrder())
                 continue;
-            this->give(this->scheduler.plan(bootNow(), http::unixNow()));
-            for (const auto &note : this->scheduler.takeNotes())
-                LOG(INFO) << "event=" << note.event << " of=" << note.subject << ' ' << note.detail;
+            const auto begin = bootNow();
+            this->give(this->scheduler.plan(begin, http::unixNow()));
+            this->planTook = bootNow() - begin;
+            this->tellNotes(begin);
             if (this->scheduler.hasDirty())
                 this->wakeRecords();
             this->tellLoads();
         }
     }
 
+    // The notes of a round go out as one record of many lines: a record each costs the leader more
+    // than the decisions themselves.
+    void tellNotes(Instant at)
+    {
+        const auto notes = this->scheduler.takeNotes();
+        if (notes.empty())
+            return;
+        const auto time = at.time_since_epoch() / std::chrono::milliseconds(1);
+        std::string lines = "event=round notes=" + std::to_string(notes.size());
+        for (const auto &note : notes)
+            absl::StrAppend(&lines, "\nt=", time, " event=", note.event, " of=", note.subject, " ",
+                            note.detail);
+        LOG(INFO) << lines;
+    }
+
     // One line a second for each service: what it has to do, and with what.
     void tellLoads()
     {
@@ -533,6 +553,7 @@
     std::shared_ptr<TableFollower<Store>> workerFollower;
     Wake planWake;
     Instant loadsToldAt{};
+    Duration planTook{}; // the last time
     bool knowsJobs = false;
     bool knowsWorkers = false;
     bool stopped = false;
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -26,6 +26,8 @@
     Duration heard = std::chrono::milliseconds(600); ///< no look at the row while a leader answers
     Duration look = std::chrono::milliseconds(200); ///< between looks at the row
     Duration tick = std::chrono::milliseconds(50);
+    /// Before a free lease is taken, so that entry VMs with more processor come first.
+    Duration takeDelay = std::chrono::milliseconds(0);
 };
 
 /// What a new leader has to know of its lease.
@@ -192,7 +194,8 @@
     Awaitable<void> watch()
     {
         const auto now = bootNow();
-        if (now - this->lookedAt < this->times.look)
+        const bool isWaiting = this->freeSince != Instant{};
+        if (now - this->lookedAt < (isWaiting ? this->times.tick : this->times.look))
             co_return;
         this->lookedAt = now;
         messages::LeaseRecord record;
@@ -211,7 +214,13 @@
         next.term = record.term() + 1;
         next.predecessorStopped = isFree || isOwnPast;
         next.isFirst = record.term() == 0 || isOwnPast;
-        if (isFree || isOwnPast || isOver)
+        if (!isFree && !isOwnPast && !isOver) {
+            this->freeSince = {};
+            co_return;
+        }
+        if (this->freeSince == Instant{})
+            this->freeSince = now;
+        if (isOwnPast || now - this->freeSince >= this->times.takeDelay)
             co_await this->take(next);
     }
 
@@ -289,6 +298,7 @@
     Instant renewedAt{};
     Instant heardAt{};
     Instant lookedAt{};
+    Instant freeSince{}; // when the lease was first seen free
     std::optional<model::Endpoint> leader;
 };
 
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -81,6 +81,9 @@
     static constexpr auto retryPause = std::chrono::milliseconds(100);
     // A hold answers at once while an end is not acknowledged, so it waits for the record.
     static constexpr auto recordWait = std::chrono::milliseconds(80);
+    // Ends of a worker are gathered for as long as keeps the answers of all workers bearable.
+    static constexpr auto gatherPerWorker = std::chrono::microseconds(200);
+    static constexpr Duration mostGather = std::chrono::milliseconds(100);
     static constexpr std::size_t mostOrdersAtOnce = 2;
 
     Awaitable<void> holdLoop()
@@ -114,6 +117,11 @@
             this->noteReach(true, answer.answer);
             this->scheduler.report(answer.report, asked, bootNow());
             this->events.onChange();
+            const auto gather = this->scheduler.workers().size() * gatherPerWorker;
+            if (!answer.report.ended.empty())
+                co_await pause(std::min<Duration>(gather, mostGather));
+            if (this->stopped)
+                co_return;
             const auto *worker = this->scheduler.findWorker(this->id);
             if (worker && worker->endsSeen > worker->endsRecorded) {
                 this->awaitsRecord = true;
--- a/packages/http/include/sassafrasferry/http/client.h
+++ b/packages/http/include/sassafrasferry/http/client.h
@@ -75,13 +75,19 @@
 private:
     using Stream = beast::tcp_stream;
 
+    struct Idle
+    {
+        std::unique_ptr<Stream> stream; // no answer is owed on it
+        std::chrono::steady_clock::time_point since{};
+    };
+
     std::unique_ptr<Stream> takeIdle();
 
     asio::any_io_executor executor;
     model::Endpoint address;
     Options options;
     ClientTraffic moved;
-    std::vector<std::unique_ptr<Stream>> idle; // no answer is owed on any of them
+    std::vector<Idle> idle;
 };
 
 } // namespace sassafrasferry::http
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -32,6 +32,10 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// The other side has hardly closed a connection that it answered on this lately; the look costs a
+// system call for each request.
+constexpr auto freshness = std::chrono::milliseconds(200);
+
 } // namespace
 
 void Abort::abort()
@@ -65,10 +69,10 @@
 std::unique_ptr<Client::Stream> Client::takeIdle()
 {
     while (!this->idle.empty()) {
-        auto stream = std::move(this->idle.back());
+        auto entry = std::move(this->idle.back());
         this->idle.pop_back();
-        if (isQuiet(*stream))
-            return stream;
+        if (Clock::now() - entry.since < freshness || isQuiet(*entry.stream))
+            return std::move(entry.stream);
     }
     return nullptr;
 }
@@ -132,7 +136,7 @@
     result.state = ExchangeState::Answered;
     if (reusable && this->idle.size() < this->options.idleConnections) {
         stream->expires_never();
-        this->idle.push_back(std::move(stream));
+        this->idle.push_back({std::move(stream), Clock::now()});
     }
     co_return result;
 }
--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -81,7 +81,7 @@
     /// proves that it is not there and never will be.
     Instant settledAt = Instant::max();
     Instant stopAskedAt{}; ///< when a stop was last ordered
-    bool atWork = false; ///< at its full share, of a lasting task
+    Instant atWorkSince = Instant::max(); ///< of a lasting task: reported at its full share
     int pace = 100; ///< percent of its full speed that was last ordered
     std::int64_t load = 0; ///< as the worker says: tail in milliseconds if it serves
     Instant overTargetSince = Instant::max(); ///< of a serving task whose tail is too long
@@ -169,6 +169,8 @@
     std::vector<Task> tasks; // by occurrence, step and index
     std::vector<std::size_t> left; // not done, by occurrence and step
     std::size_t stepsLeft = 0; // with a task that is not done
+    Milliseconds wholeChain{0}; // of all steps
+    Milliseconds openChain{0}; // of the steps with a task that is not done
 };
 
 } // namespace sassafrasferry::jobs
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -22,6 +22,8 @@
             this->left.push_back(step.count);
     }
     this->stepsLeft = this->left.size();
+    this->wholeChain = longestChain(this->spec, [](std::size_t) { return true; });
+    this->openChain = this->wholeChain;
     for (auto &task : this->tasks)
         task.idleSince = acceptedAt;
 }
@@ -69,8 +71,11 @@
     task.done = true;
     auto &count = this->left[occurrence * this->spec.steps.size() + step];
     --count;
-    if (count == 0)
-        --this->stepsLeft;
+    if (count != 0)
+        return;
+    --this->stepsLeft;
+    this->openChain =
+        longestChain(this->spec, [this](std::size_t open) { return this->tasksLeft(0, open) > 0; });
 }
 
 EndEffect Job::noteEnd(const TaskId &id, std::int64_t run, RunEnd end,
@@ -132,15 +137,13 @@
 
 Milliseconds Job::chainLeft() const
 {
-    return longestChain(this->spec,
-                        [this](std::size_t step) { return this->tasksLeft(0, step) > 0; });
+    return this->openChain;
 }
 
 Instant Job::objective() const
 {
-    const auto chain = longestChain(this->spec, [](std::size_t) { return true; });
     return this->acceptedAt + this->terms.target
-           + policy::fromSeconds(policy::seconds(chain) * this->terms.stretch);
+           + policy::fromSeconds(policy::seconds(this->wholeChain) * this->terms.stretch);
 }
 
 messages::JobProgress Job::progress() const
--- a/packages/scheduling/src/job_world_test.cpp
+++ b/packages/scheduling/src/job_world_test.cpp
@@ -43,8 +43,14 @@
     {"late orders across takeovers", {.lateOrder = 0.1, .leaderLoss = 0.3, .storeCut = 0.2}},
     {"cuts across takeovers", {.cut = 0.15, .leaderLoss = 0.3, .storeCut = 0.3}},
     {"all",
-     {.lostAnswer = 0.05, .lateOrder = 0.05, .crash = 0.05, .dark = 0.02, .cut = 0.1,
-      .leaderLoss = 0.1, .storeCut = 0.1, .failure = 0.1}},
+     {.lostAnswer = 0.05,
+      .lateOrder = 0.05,
+      .crash = 0.05,
+      .dark = 0.02,
+      .cut = 0.1,
+      .leaderLoss = 0.1,
+      .storeCut = 0.1,
+      .failure = 0.1}},
 };
 
 // More seeds by hand: WORLD_SEEDS=1000.
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -6,8 +6,9 @@
 namespace sassafrasferry::scheduling {
 
 // A task that was taken away, or that is just starting, is away; so is one that the worker does not
-// report at its full share. Counting more as away than the platform does errs on the safe side.
-bool Scheduler::mayTakeAway(Job &job, const TaskId &id) const
+// report at its full share, or has just begun to: the report rounds up. Counting more as away than
+// the platform does errs on the safe side.
+bool Scheduler::mayTakeAway(Job &job, const TaskId &id, Instant now) const
 {
     const auto &step = job.spec.steps[id.step];
     if (step.maxUnavailable == 0)
@@ -17,8 +18,9 @@
         if (i == id.index)
             continue;
         const auto &runs = job.at(id.occurrence, id.step, i).runs;
-        const bool isAtWork = std::any_of(runs.begin(), runs.end(), [](const jobs::Run &run) {
-            return run.atWork && run.state == jobs::RunState::Confirmed;
+        const bool isAtWork = std::any_of(runs.begin(), runs.end(), [&](const jobs::Run &run) {
+            return run.state == jobs::RunState::Confirmed && run.atWorkSince < now
+                   && now - run.atWorkSince > this->times.settling;
         });
         away += isAtWork ? 0 : 1;
     }
@@ -42,8 +44,8 @@
             if (!isHere || run.state != jobs::RunState::Confirmed)
                 continue;
             const auto &step = job->spec.steps[key.task.step];
-            const bool mayStop =
-                step.lasting ? this->mayTakeAway(*job, key.task) : (step.checkpointing || hurry);
+            const bool mayStop = step.lasting ? this->mayTakeAway(*job, key.task, now)
+                                              : (step.checkpointing || hurry);
             if (!mayStop)
                 continue;
             run.state = jobs::RunState::Stopping;
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -64,6 +64,15 @@
     Orders orders;
     std::vector<Worker *> workers; // of the service at hand, that take work
     std::set<const Worker *> reserved; // for tasks that came first and found no room
+    /// Needs that found no room: room only shrinks in a round, so a need as large finds none
+    /// either.
+    std::vector<Resources> refused;
+
+    bool wasRefused(const Resources &need) const
+    {
+        return std::any_of(this->refused.begin(), this->refused.end(),
+                           [&](const Resources &small) { return small.fitsIn(need); });
+    }
 };
 
 bool Scheduler::takesWork(const Worker &worker, Instant now) const
@@ -90,7 +99,7 @@
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
 {
     this->writeOffSilent(now);
-    Round round{now, unixNow, {}, {}, {}};
+    Round round{now, unixNow, {}, {}, {}, {}};
     std::map<std::string, std::vector<Job *>> queues;
     for (auto &entry : this->jobs) {
         if (!jobs::isFinal(entry.second->state))
@@ -125,6 +134,7 @@
 {
     round.workers.clear();
     round.reserved.clear();
+    round.refused.clear();
     for (auto &entry : this->workerTable) {
         if (entry.second.listing.service == service && this->takesWork(entry.second, round.now))
             round.workers.push_back(&entry.second);
@@ -232,6 +242,8 @@
 {
     const auto &spec = job.spec.steps[step];
     const auto need = spec.footprint();
+    if (!spec.lasting && round.wasRefused(need))
+        return nullptr;
     const TaskId any{job.id, occurrence, step, 0};
     std::map<std::string, std::size_t> onRack;
     if (spec.lasting || spec.sameRack) {
@@ -269,6 +281,9 @@
         if (!best.worker || score > best.score)
             best = {worker, score};
     }
+    const bool isPlain = !spec.lasting && spec.requiredLabel.empty() && spec.perVmLimit == 0;
+    if (!best.worker && isPlain)
+        round.refused.push_back(need);
     return best.worker;
 }
 
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -191,18 +191,19 @@
     if (effect != jobs::EndEffect::None)
         this->markDirty(*job);
     worker.pendingEnds.push_back({end.number, job->id, changes});
+    this->dropRun(worker, {end.task, end.run}, now);
+    job = this->findJob(end.task.job);
+    if (!job)
+        return;
     const bool isOver = effect == jobs::EndEffect::JobDone || effect == jobs::EndEffect::JobFailed;
     auto *task = job->find(end.task);
     // Copies of a task that is done, and all that is left of a job that is over.
     if (task && task->done) {
-        for (const auto &run : task->runs) {
-            if (run.worker != worker.listing.id || run.number != end.run)
-                this->requestStop(run.worker, {end.task, run.number}, "task done");
-        }
+        for (const auto &run : task->runs)
+            this->requestStop(run.worker, {end.task, run.number}, "task done");
     }
     if (isOver)
         this->stopRunsOf(*job, "job over");
-    this->dropRun(worker, {end.task, end.run}, now);
 }
 
 void Scheduler::takeRunning(Worker &worker, const ListedRun &listed, Instant askedAt, Instant now)
@@ -253,7 +254,10 @@
         this->requestStop(worker.listing.id, key, "still running");
     if (job->state == JobState::Queued)
         job->state = JobState::Running;
-    run->atWork = listed.percent >= 100;
+    if (listed.percent < 100)
+        run->atWorkSince = Instant::max();
+    else
+        run->atWorkSince = std::min(run->atWorkSince, now);
     run->load = listed.load;
     if (!listed.checkpoint.empty())
         task->checkpoint = listed.checkpoint;
--- /dev/null
+++ b/packages/scheduling/src/scheduling_measure.cpp
@@ -0,0 +1,159 @@
+// Processor time of the leader's decisions at a given size: workers that do what they are told at
+// once, jobs that come by turns, holds at a given rate. Prints CSV: one line a run.
+#include <sassafrasferry/scheduling/fleet_planner.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <random>
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::scheduling;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int services = 4;
+constexpr Duration step = 10ms;
+
+double processorSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+struct Totals
+{
+    double report = 0;
+    double plan = 0;
+    double fleet = 0;
+    std::size_t starts = 0;
+};
+
+struct RunningTask
+{
+    RunKey key;
+    Instant endsAt;
+};
+
+struct SimWorker
+{
+    std::vector<RunningTask> running;
+    std::vector<ListedEnd> ends;
+    std::int64_t lastEnd = 0;
+};
+
+jobs::JobSpec someJob(std::mt19937_64 &random)
+{
+    jobs::StepSpec first;
+    first.count = 2 + random() % 12;
+    first.need = {static_cast<std::int64_t>(1000 + random() % 5000), 3000, 0};
+    first.estimate = 1s;
+    auto second = first;
+    second.after = {0};
+    return {"payload", {first, second}, 0, 0, 0ms};
+}
+
+std::string serviceName(std::size_t index)
+{
+    return "s" + std::to_string(index % services);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto workerCount = static_cast<std::size_t>(argc > 1 ? std::atoi(argv[1]) : 48);
+    const double jobsPerSecond = argc > 2 ? std::atof(argv[2]) : 20;
+    const double seconds = argc > 3 ? std::atof(argv[3]) : 20;
+    std::mt19937_64 random(1);
+    Instant now(1h);
+    Scheduler scheduler({}, 0, now);
+    FleetPlanner fleet({});
+    Configuration configuration;
+    configuration.version = 1;
+    std::vector<Vm> vms;
+    for (int i = 0; i < services; ++i) {
+        Queue queue;
+        queue.terms = {"q" + std::to_string(i), serviceName(i), 0, 3, 1.6, 600ms};
+        configuration.queues.push_back(queue);
+        configuration.services.push_back({serviceName(i), true, false});
+    }
+    scheduler.setConfiguration(configuration);
+    std::map<std::string, SimWorker> workers;
+    for (std::size_t i = 0; i < workerCount; ++i) {
+        WorkerListing listing;
+        listing.id = "w" + std::to_string(i);
+        listing.vm = "m" + std::to_string(i);
+        listing.born = 1;
+        listing.service = serviceName(i);
+        listing.rack = "r" + std::to_string(i / 12);
+        listing.capacity = {32000, 131072, 0};
+        scheduler.listWorker(listing, now);
+        workers[listing.id];
+        vms.push_back({listing.vm, listing.service, VmState::Up, "a", listing.rack,
+                       listing.capacity, listing.id});
+    }
+    scheduler.knowsAllWorkers();
+    fleet.listVms(vms, now);
+    Totals totals;
+    const auto end = now + policy::fromSeconds(seconds);
+    double owed = 0;
+    std::size_t jobCount = 0;
+    for (std::size_t tick = 0; now < end; ++tick, now += step) {
+        owed += jobsPerSecond * policy::seconds(step);
+        for (; owed >= 1; owed -= 1) {
+            const auto turn = (tick / 400) % services;
+            auto job = std::make_unique<Job>("job" + std::to_string(jobCount++), someJob(random),
+                                             configuration.queues[turn].terms, now);
+            scheduler.addJob(std::move(job));
+        }
+        for (auto &entry : workers) {
+            auto &worker = entry.second;
+            std::erase_if(worker.running, [&](const RunningTask &task) {
+                if (task.endsAt > now)
+                    return false;
+                worker.ends.push_back({++worker.lastEnd, task.key.task, task.key.number,
+                                       jobs::RunEnd::Done, ""});
+                return true;
+            });
+        }
+        auto begin = processorSeconds();
+        for (auto &entry : workers) {
+            auto &worker = entry.second;
+            const bool isDue = !worker.ends.empty() || (tick + entry.first.size()) % 100 == 0;
+            if (!isDue || (tick + std::hash<std::string>()(entry.first)) % 5 != 0)
+                continue;
+            const auto acknowledged = scheduler.acknowledged(entry.first);
+            std::erase_if(worker.ends,
+                          [&](const ListedEnd &done) { return done.number <= acknowledged; });
+            WorkerReport report{entry.first, 1, now.time_since_epoch() / 1ms, {}, worker.ends};
+            for (const auto &task : worker.running)
+                report.running.push_back({task.key.task, task.key.number, "", 50, 0});
+            scheduler.leaseUntil(entry.first, now);
+            scheduler.report(report, now, now);
+        }
+        for (const auto &row : scheduler.takeDirty(1000, [](const std::string &) { return true; }))
+            scheduler.recorded(row);
+        totals.report += processorSeconds() - begin;
+        begin = processorSeconds();
+        const auto orders = scheduler.plan(now, 0);
+        scheduler.takeNotes();
+        totals.plan += processorSeconds() - begin;
+        for (const auto &start : orders.starts) {
+            ++totals.starts;
+            workers[start.worker].running.push_back(
+                {{start.task, start.run}, now + 500ms + std::chrono::milliseconds(random() % 1000)});
+            scheduler.startAnswered(start, OrderAnswer::Accepted, now);
+        }
+        if (tick % 6 != 0)
+            continue;
+        begin = processorSeconds();
+        for (const auto &order : fleet.plan(scheduler, now, 0))
+            fleet.answered(order, FleetAnswer::Refused, scheduler, now);
+        totals.fleet += processorSeconds() - begin;
+    }
+    std::printf("workers,jobs_per_s,starts,open_jobs,report_ms_per_s,plan_ms_per_s,fleet_ms_per_s\n");
+    std::printf("%zu,%.0f,%zu,%zu,%.2f,%.2f,%.2f\n", workerCount, jobsPerSecond, totals.starts,
+                scheduler.jobCount(), totals.report * 1000 / seconds, totals.plan * 1000 / seconds,
+                totals.fleet * 1000 / seconds);
+}
--- a/packages/scheduling/tests/job_world.h
+++ b/packages/scheduling/tests/job_world.h
@@ -265,8 +265,8 @@
     void checkStart(const SimWorker &worker, const RunKey &key)
     {
         ++this->starts;
-        const auto name = jobs::toString(key.task) + " run " + std::to_string(key.number) + " on "
-                          + worker.id;
+        const auto name =
+            jobs::toString(key.task) + " run " + std::to_string(key.number) + " on " + worker.id;
         for (const auto &other : this->workers) {
             if (!other.alive)
                 continue;
