Calls to workers go through relays, many to a message; a VM with an order under way gets no work

Cause: the leader of 349 workers spent 11.6 of its 19 core-seconds on charged system calls. Change: entry VMs that say hello serve as relays; each worker falls to one by rendezvous; calls and answers are gathered for 2 ms. What a call means stays: late or unanswered calls were allowed for.

--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/call_relay.h
@@ -0,0 +1,274 @@
+// Calls to workers through other entry VMs. A leader with hundreds of workers can't talk to each of
+// them by itself on a small entry VM; it hands its calls out, many to a message, and gets the answers
+// back the same way. What a call means does not change by that: it may be late, or have no answer,
+// and the fence and the end of the lease that it carries bound it wherever it is made.
+#pragma once
+
+#include <sassafrasferry/coordination/timing.h>
+#include <sassafrasferry/coordination/worker_calls.h>
+#include <sassafrasferry/messages/jobs.pb.h>
+#include <sassafrasferry/model/settings.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace sassafrasferry::coordination {
+
+messages::WorkerCall holdCall(const HoldRequest &request);
+messages::WorkerCall startCall(const scheduling::StartOrder &order, std::int64_t until,
+                               std::int64_t fence);
+messages::WorkerCall stopCall(const scheduling::StopOrder &order, std::int64_t fence);
+messages::WorkerCall paceCall(const scheduling::PaceOrder &order, std::int64_t fence);
+HoldAnswer holdAnswerFrom(const std::string &worker, const messages::WorkerCallAnswer &answer);
+messages::WorkerCallAnswer answerRecord(const HoldAnswer &answer);
+
+/// The leader's end: sends calls to relays and hands the answers back.
+class CallRelay
+{
+public:
+    using Send = std::function<bool(const model::Endpoint &, const messages::JobEnvelope &)>;
+
+    CallRelay(http::asio::any_io_executor executor, model::Endpoint self, Send send);
+
+    /// An entry VM has been heard; it serves as a relay for a while.
+    void heard(const model::Endpoint &peer);
+    /// Makes a call by the relay that falls to the worker. No answer in time counts as none: the
+    /// call may be made yet.
+    Awaitable<messages::WorkerCallAnswer> call(messages::WorkerCall call,
+                                               std::chrono::milliseconds timeout);
+    void take(const messages::WorkerCallAnswers &answers);
+    /// True if there are relays enough to be worth the detour.
+    bool isOpen() const;
+
+private:
+    struct Pending
+    {
+        std::function<void(messages::WorkerCallAnswer)> done;
+        Instant expires{};
+    };
+
+    const std::string *relayFor(const std::string &worker) const;
+    Awaitable<void> flushSoon();
+    Awaitable<void> expireLoop();
+    void flush();
+    void expire(Instant now);
+    void finish(std::uint64_t number, messages::WorkerCallAnswer answer);
+
+    http::asio::any_io_executor executor;
+    model::Endpoint self;
+    Send send;
+    std::map<std::string, Instant> relays; // by address: when it was last heard
+    std::map<std::string, messages::WorkerCalls> batches; // by address of the relay
+    std::map<std::uint64_t, Pending> pending; // by number of the call
+    std::uint64_t lastNumber = 0;
+    bool flushing = false; // a flush is about to come
+    bool expiring = false; // calls without an answer are looked for
+};
+
+/// The relay's end: makes calls for a leader.
+template<WorkerCalls Worker>
+class CallAgent : public std::enable_shared_from_this<CallAgent<Worker>>
+{
+public:
+    CallAgent(http::asio::any_io_executor executor, CallRelay::Send send)
+        : executor(executor)
+        , send(std::move(send))
+    {}
+
+    void take(const messages::WorkerCalls &calls)
+    {
+        const auto leader = model::parseEndpoint(calls.address());
+        if (!leader)
+            return;
+        for (const auto &call : calls.calls()) {
+            auto worker = this->clientFor(call);
+            if (!worker)
+                continue;
+            http::asio::co_spawn(
+                this->executor,
+                [self = this->shared_from_this(), worker, call, leader = *leader] {
+                    return self->make(worker, call, leader);
+                },
+                http::asio::detached);
+        }
+    }
+
+private:
+    // Workers come and go; clients of those that are not called any more go first.
+    static constexpr std::size_t mostClients = 200;
+    static constexpr auto gather = std::chrono::milliseconds(2);
+
+    struct Client
+    {
+        std::string address;
+        std::shared_ptr<Worker> worker;
+        Instant usedAt{};
+    };
+
+    std::shared_ptr<Worker> clientFor(const messages::WorkerCall &call)
+    {
+        const auto address = model::parseEndpoint(call.address());
+        if (!address)
+            return nullptr;
+        auto &client = this->clients[call.worker()];
+        client.usedAt = bootNow();
+        if (client.address != call.address()) {
+            client.address = call.address();
+            client.worker = std::make_shared<Worker>(this->executor, call.worker(), *address);
+        }
+        auto worker = client.worker;
+        if (this->clients.size() > mostClients) {
+            const auto oldest = std::min_element(
+                this->clients.begin(), this->clients.end(), [](const auto &a, const auto &b) {
+                    return a.second.usedAt < b.second.usedAt;
+                });
+            this->clients.erase(oldest);
+        }
+        return worker;
+    }
+
+    Awaitable<void> make(std::shared_ptr<Worker> worker, messages::WorkerCall call,
+                         model::Endpoint leader)
+    {
+        messages::WorkerCallAnswer answer;
+        const auto task = jobs::parseTaskId(call.task());
+        auto result = scheduling::OrderAnswer::Malformed;
+        if (call.kind() == messages::WorkerCall::HOLD) {
+            HoldRequest request;
+            request.fence = call.fence();
+            request.acknowledged = call.acknowledged();
+            if (call.until() != 0)
+                request.until = call.until();
+            request.wait = std::chrono::milliseconds(call.wait_milliseconds());
+            const auto hold = co_await worker->hold(request);
+            answer = answerRecord(hold);
+            result = hold.answer;
+        } else if (task && call.kind() == messages::WorkerCall::START) {
+            scheduling::StartOrder order;
+            order.worker = call.worker();
+            order.task = *task;
+            order.run = call.run();
+            order.payload = call.payload();
+            order.checkpoint = call.checkpoint();
+            order.ticket = call.ticket();
+            result = co_await worker->start(order, call.until(), call.fence());
+        } else if (task && call.kind() == messages::WorkerCall::STOP) {
+            scheduling::StopOrder order;
+            order.worker = call.worker();
+            order.task = *task;
+            order.run = call.run();
+            result = co_await worker->stop(order, call.fence());
+        } else if (task) {
+            scheduling::PaceOrder order;
+            order.worker = call.worker();
+            order.task = *task;
+            order.run = call.run();
+            order.percent = static_cast<int>(call.percent());
+            result = co_await worker->pace(order, call.fence());
+        }
+        answer.set_number(call.number());
+        answer.set_answer(static_cast<std::uint32_t>(result));
+        this->reply(leader, std::move(answer));
+    }
+
+    void reply(const model::Endpoint &leader, messages::WorkerCallAnswer answer)
+    {
+        auto &batch = this->batches[model::toString(leader)];
+        *batch.add_answers() = std::move(answer);
+        if (batch.answers_size() > 1)
+            return;
+        http::asio::co_spawn(
+            this->executor,
+            [self = this->shared_from_this(), leader] { return self->flush(leader); },
+            http::asio::detached);
+    }
+
+    Awaitable<void> flush(model::Endpoint leader)
+    {
+        co_await pause(gather);
+        messages::JobEnvelope envelope;
+        envelope.mutable_call_answers()->Swap(&this->batches[model::toString(leader)]);
+        this->batches.erase(model::toString(leader));
+        this->send(leader, envelope);
+    }
+
+    http::asio::any_io_executor executor;
+    CallRelay::Send send;
+    std::map<std::string, Client> clients; // by worker
+    std::map<std::string, messages::WorkerCallAnswers> batches; // by address of the leader
+};
+
+/// A worker that is called through relays once there are many, and directly else.
+template<WorkerCalls Worker>
+class RelayedWorker
+{
+public:
+    RelayedWorker(http::asio::any_io_executor executor, std::string id,
+                  const model::Endpoint &endpoint, std::function<CallRelay *()> relay)
+        : id(id)
+        , address(model::toString(endpoint))
+        , direct(std::move(executor), std::move(id), endpoint)
+        , relay(std::move(relay))
+    {}
+
+    Awaitable<HoldAnswer> hold(HoldRequest request)
+    {
+        auto *detour = this->relay();
+        if (!detour)
+            co_return co_await this->direct.hold(request);
+        auto call = this->addressed(holdCall(request));
+        const auto answer = co_await detour->call(std::move(call), request.wait + callTimeout);
+        co_return holdAnswerFrom(this->id, answer);
+    }
+
+    Awaitable<scheduling::OrderAnswer> start(const scheduling::StartOrder &order,
+                                             std::int64_t until, std::int64_t fence)
+    {
+        if (!this->relay())
+            co_return co_await this->direct.start(order, until, fence);
+        auto call = this->addressed(startCall(order, until, fence));
+        co_return co_await this->ask(std::move(call));
+    }
+
+    Awaitable<scheduling::OrderAnswer> stop(const scheduling::StopOrder &order, std::int64_t fence)
+    {
+        if (!this->relay())
+            co_return co_await this->direct.stop(order, fence);
+        auto call = this->addressed(stopCall(order, fence));
+        co_return co_await this->ask(std::move(call));
+    }
+
+    Awaitable<scheduling::OrderAnswer> pace(const scheduling::PaceOrder &order, std::int64_t fence)
+    {
+        if (!this->relay())
+            co_return co_await this->direct.pace(order, fence);
+        auto call = this->addressed(paceCall(order, fence));
+        co_return co_await this->ask(std::move(call));
+    }
+
+private:
+    // The relay's own time-out of an order, and the way there and back.
+    static constexpr std::chrono::milliseconds callTimeout{1100};
+
+    messages::WorkerCall addressed(messages::WorkerCall call) const
+    {
+        call.set_worker(this->id);
+        call.set_address(this->address);
+        return call;
+    }
+
+    Awaitable<scheduling::OrderAnswer> ask(messages::WorkerCall call)
+    {
+        const auto answer = co_await this->relay()->call(std::move(call), callTimeout);
+        co_return static_cast<scheduling::OrderAnswer>(answer.answer());
+    }
+
+    std::string id;
+    std::string address;
+    Worker direct;
+    std::function<CallRelay *()> relay; // nullptr: call directly
+};
+
+} // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/job_desk.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_desk.h
@@ -18,14 +18,19 @@
 public:
     using Answer = std::optional<messages::JobAnswer>;
     using OnQuestion = std::function<messages::JobAnswer(const messages::JobQuestion &)>;
+    using OnEnvelope = std::function<void(const messages::JobEnvelope &)>;
 
-    JobDesk(http::asio::io_context &context, model::Endpoint self, OnQuestion onQuestion);
+    /// `onOther` takes what is neither a question nor an answer.
+    JobDesk(http::asio::io_context &context, model::Endpoint self, OnQuestion onQuestion,
+            OnEnvelope onOther);
 
     absl::Status open();
     /// Asks; nothing if no answer comes in time.
     Awaitable<Answer> ask(const model::Endpoint &peer, messages::JobQuestion question,
                           Duration timeout);
 
+    bool send(const model::Endpoint &peer, const messages::JobEnvelope &envelope);
+
 private:
     struct Pending
     {
@@ -39,6 +44,7 @@
     http::asio::io_context &context;
     model::Endpoint self;
     OnQuestion onQuestion;
+    OnEnvelope onOther;
     peer::MessagePort port;
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, Pending> pending; // by number of the question
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -39,8 +39,18 @@
         , cloud(cloud)
         , options(std::move(options))
         , intake(store, this->executor)
-        , desk(context, this->options.peer,
-               [this](const auto &question) { return this->answer(question); })
+        , desk(
+              context, this->options.peer,
+              [this](const auto &question) { return this->answer(question); },
+              [this](const auto &envelope) { this->takeOther(envelope); })
+        , relay(this->executor, this->options.peer,
+                [this](const auto &peer, const auto &envelope) {
+                    return this->desk.send(peer, envelope);
+                })
+        , agent(std::make_shared<CallAgent<typename Platform::Worker>>(
+              this->executor, [this](const auto &peer, const auto &envelope) {
+                  return this->desk.send(peer, envelope);
+              }))
         , leadership(store, this->options.name, this->options.peer, http::unixNow(),
                      {[this](const Tenure &tenure) { this->lead(tenure); },
                       [this](const std::string &) {
@@ -312,6 +322,8 @@
     messages::JobAnswer answer(const messages::JobQuestion &question)
     {
         messages::JobAnswer answer;
+        if (const auto peer = model::parseEndpoint(question.address()))
+            this->relay.heard(*peer);
         answer.set_leads(this->leadership.leads());
         answer.set_leaving(this->stopping);
         answer.set_lease_version(this->leadership.leaseVersion());
@@ -342,6 +354,14 @@
         }
     }
 
+    void takeOther(const messages::JobEnvelope &envelope)
+    {
+        if (envelope.has_calls())
+            this->agent->take(envelope.calls());
+        else if (envelope.has_call_answers())
+            this->relay.take(envelope.call_answers());
+    }
+
     void takeOperatorRows(const std::vector<store::PartRow> &rows)
     {
         for (const auto &row : rows) {
@@ -388,6 +408,7 @@
         typename Leader<Platform>::Options leaderOptions;
         leaderOptions.times = this->options.times;
         leaderOptions.turn = this->options.turn;
+        leaderOptions.relay = &this->relay;
         leaderOptions.orderLimit = this->options.leadership.orderLimit;
         leaderOptions.sinceConfirmed = [this] {
             return this->leadership.sinceConfirmed();
@@ -418,6 +439,8 @@
     NodeOptions options;
     Intake<Store> intake;
     JobDesk desk;
+    CallRelay relay;
+    std::shared_ptr<CallAgent<typename Platform::Worker>> agent;
     Leadership<Store> leadership;
     std::shared_ptr<TableFollower<Store>> operators; // their table of the store
     std::shared_ptr<Leader<Platform>> leader; // while this entry VM leads
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -1,6 +1,7 @@
 // The scheduling leader at work: it learns all jobs and workers, plans, orders and records.
 #pragma once
 
+#include <sassafrasferry/coordination/call_relay.h>
 #include <sassafrasferry/coordination/fenced_part.h>
 #include <sassafrasferry/coordination/fleet_keeper.h>
 #include <sassafrasferry/coordination/leadership.h>
@@ -40,13 +41,15 @@
 public:
     using Store = typename Platform::Store;
     using Cloud = typename Platform::Cloud;
-    using Session = WorkerSession<typename Platform::Worker>;
+    using Worker = RelayedWorker<typename Platform::Worker>;
+    using Session = WorkerSession<Worker>;
 
     struct Options
     {
         scheduling::SchedulerTimes times;
         std::function<void(const std::string &why)> onDeposed;
         std::function<Duration()> sinceConfirmed; ///< how long ago the store confirmed the lease
+        CallRelay *relay = nullptr; ///< through which workers are called once there are many
         Duration orderLimit{}; ///< no order is given that long after
         /// Between the last order about a VM of one leader and the first of the next.
         Duration turn = std::chrono::milliseconds(3000);
@@ -229,6 +232,15 @@
         this->planWake.notify();
     }
 
+    // Below this many workers the leader calls them itself: the detour costs a few milliseconds.
+    static constexpr std::size_t fewestRelayed = 100;
+
+    CallRelay *relay() const
+    {
+        const bool isMany = this->scheduler.workers().size() >= fewestRelayed;
+        return isMany && this->options.relay->isOpen() ? this->options.relay : nullptr;
+    }
+
     // Woken after a freeze, it must not order by what it believed before.
     bool mayOrder() const
     {
@@ -414,7 +426,8 @@
         auto self = this->shared_from_this();
         auto session = std::make_shared<Session>(
             this->executor, this->scheduler, row.key,
-            std::make_unique<typename Platform::Worker>(this->executor, row.key, listing->address),
+            std::make_unique<Worker>(this->executor, row.key, listing->address,
+                                     [self] { return self->relay(); }),
             this->tenure.fence,
             SessionEvents{[self] {
                               self->planWake.notify();
--- a/packages/coordination/src/job_desk.cpp
+++ b/packages/coordination/src/job_desk.cpp
@@ -5,10 +5,12 @@
 
 namespace sassafrasferry::coordination {
 
-JobDesk::JobDesk(http::asio::io_context &context, model::Endpoint self, OnQuestion onQuestion)
+JobDesk::JobDesk(http::asio::io_context &context, model::Endpoint self, OnQuestion onQuestion,
+                 OnEnvelope onOther)
     : context(context)
     , self(std::move(self))
     , onQuestion(std::move(onQuestion))
+    , onOther(std::move(onOther))
     , port(context, peer::Unconnected::Queue,
            [this](std::string_view bytes) { this->receive(bytes); })
 {}
@@ -38,6 +40,11 @@
     });
 }
 
+bool JobDesk::send(const model::Endpoint &peer, const messages::JobEnvelope &envelope)
+{
+    return this->port.send(peer, envelope.SerializeAsString());
+}
+
 void JobDesk::finish(std::uint64_t number, Answer answer)
 {
     const auto at = this->pending.find(number);
@@ -60,6 +67,10 @@
         this->finish(envelope.answer().number(), envelope.answer());
         return;
     }
+    if (!envelope.has_question()) {
+        this->onOther(envelope);
+        return;
+    }
     const auto &question = envelope.question();
     const auto address = model::parseEndpoint(question.address());
     if (!address)
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -148,6 +148,10 @@
     bool evacuate(const std::string &worker, bool hurry, Instant now);
     /// The worker may be given work again.
     void keepWorker(const std::string &worker);
+    /// While an order about a VM may be carried out, no life of it is given work: one that lists
+    /// itself meanwhile would lose what it was given.
+    void holdVm(const std::string &vm);
+    void releaseVm(const std::string &vm);
     /// Work and room of each service with workers or jobs.
     std::map<std::string, ServiceLoad> loads(Instant now, UnixMilliseconds unixNow);
 
@@ -201,6 +205,7 @@
     std::vector<DecisionNote> notes;
     SchedulerCounts counters;
     bool allWorkersKnown = false;
+    std::set<std::string> heldVms; // with an order that may be carried out
     std::set<std::string> settledServices; // nothing unknown runs there any more
 };
 
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -172,6 +172,7 @@
 void FleetPlanner::order(Entry &entry, FleetOrder order, Round &round)
 {
     entry.ordered = true;
+    round.scheduler.holdVm(entry.vm.name);
     if (const auto at = round.workers.find(entry.vm.name); at != round.workers.end())
         at->second->evacuating = true;
     this->notes.push_back(
@@ -375,6 +376,7 @@
             worker = known.first;
     }
     if (answer == FleetAnswer::Accepted) {
+        scheduler.releaseVm(order.vm);
         entry.vm.state = isMove ? VmState::Moving : VmState::Maintenance;
         entry.changedAt = now;
         entry.leavingFor = 0;
@@ -390,6 +392,7 @@
             entry.unanswered = order;
             return;
         }
+        scheduler.releaseVm(order.vm);
         if (isMove && !worker.empty())
             scheduler.keepWorker(worker);
     }
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -62,6 +62,16 @@
         worker->evacuating = false;
 }
 
+void Scheduler::holdVm(const std::string &vm)
+{
+    this->heldVms.insert(vm);
+}
+
+void Scheduler::releaseVm(const std::string &vm)
+{
+    this->heldVms.erase(vm);
+}
+
 std::map<std::string, ServiceLoad> Scheduler::loads(Instant now, UnixMilliseconds unixNow)
 {
     std::map<std::string, ServiceLoad> loads;
