An entry of a VM's earlier life is not taken for the present one

The entry of the VM's life before had been listed again by a heartbeat that came late; that life ran nothing, so the VM seemed empty. Ruled out: the count of tasks at work, the stops were all allowed. Change: one present life for a VM, the one born last; an older entry is passed over, and a newer one ends what ran before. A start without an answer for 3 s counts as unanswered; one that is on its way is not written off with its worker. Test: seen failing before (no such look-up).

--- a/packages/coordination/include/sassafrasferry/coordination/call_relay.h
+++ b/packages/coordination/include/sassafrasferry/coordination/call_relay.h
@@ -1,7 +1,7 @@
 // Calls to workers through other entry VMs. A leader with hundreds of workers can't talk to each of
-// them by itself on a small entry VM; it hands its calls out, many to a message, and gets the answers
-// back the same way. What a call means does not change by that: it may be late, or have no answer,
-// and the fence and the end of the lease that it carries bound it wherever it is made.
+// them by itself on a small entry VM; it hands its calls out, many to a message, and gets the
+// answers back the same way. What a call means does not change by that: it may be late, or have no
+// answer, and the fence and the end of the lease that it carries bound it wherever it is made.
 #pragma once
 
 #include <sassafrasferry/coordination/timing.h>
@@ -121,9 +121,8 @@
         auto worker = client.worker;
         if (this->clients.size() > mostClients) {
             const auto oldest = std::min_element(
-                this->clients.begin(), this->clients.end(), [](const auto &a, const auto &b) {
-                    return a.second.usedAt < b.second.usedAt;
-                });
+                this->clients.begin(), this->clients.end(),
+                [](const auto &a, const auto &b) { return a.second.usedAt < b.second.usedAt; });
             this->clients.erase(oldest);
         }
         return worker;
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -48,7 +48,8 @@
                     return this->desk.send(peer, envelope);
                 })
         , agent(std::make_shared<CallAgent<typename Platform::Worker>>(
-              this->executor, [this](const auto &peer, const auto &envelope) {
+              this->executor,
+              [this](const auto &peer, const auto &envelope) {
                   return this->desk.send(peer, envelope);
               }))
         , leadership(store, this->options.name, this->options.peer, http::unixNow(),
--- a/packages/coordination/src/call_relay.cpp
+++ b/packages/coordination/src/call_relay.cpp
@@ -87,8 +87,7 @@
     for (const auto &row : record.ended()) {
         if (const auto task = jobs::parseTaskId(row.task()))
             answer.report.ended.push_back({row.number(), *task, row.run(),
-                                           static_cast<jobs::RunEnd>(row.end()),
-                                           row.checkpoint()});
+                                           static_cast<jobs::RunEnd>(row.end()), row.checkpoint()});
     }
     return answer;
 }
@@ -131,9 +130,9 @@
 bool CallRelay::isOpen() const
 {
     const auto now = bootNow();
-    const auto live = std::count_if(this->relays.begin(), this->relays.end(), [&](const auto &relay) {
-        return now - relay.second < relayMemory;
-    });
+    const auto live =
+        std::count_if(this->relays.begin(), this->relays.end(),
+                      [&](const auto &relay) { return now - relay.second < relayMemory; });
     return static_cast<std::size_t>(live) >= fewestRelays;
 }
 
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -31,6 +31,7 @@
     /// How long a lasting task counts as away after the first report that it is at work.
     Duration settling = std::chrono::milliseconds(200);
     Duration startExpiry = std::chrono::milliseconds(1500); ///< an order unsent for longer is void
+    Duration longestOrder = std::chrono::milliseconds(3000); ///< until it is answered or given up
 };
 
 /// A task whose state is wanted in the store.
@@ -135,6 +136,8 @@
     std::int64_t acknowledged(const std::string &id) const;
     const std::map<std::string, Worker> &workers() const;
     Worker *findWorker(const std::string &id);
+    /// The present life of a VM; nullptr if none lists itself.
+    Worker *workerOf(const std::string &vm);
 
     // Orders.
     Orders plan(Instant now, UnixMilliseconds unixNow);
@@ -174,6 +177,8 @@
     void dropMissingRuns(Worker &worker, const WorkerReport &report, Instant askedAt, Instant now);
     void dropRun(Worker &worker, const RunKey &key, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
+    bool isPresentLife(const WorkerListing &listing, Instant now);
+    bool isOnItsWay(const RunKey &key, Instant now);
     void writeOffSilent(Instant now);
     void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
                  bool isHopeful, Instant now, UnixMilliseconds unixNow);
@@ -205,6 +210,7 @@
     std::vector<DecisionNote> notes;
     SchedulerCounts counters;
     bool allWorkersKnown = false;
+    std::map<std::string, std::string> lives; // the worker that is the present life of a VM
     std::set<std::string> heldVms; // with an order that may be carried out
     std::set<std::string> settledServices; // nothing unknown runs there any more
 };
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -77,9 +77,9 @@
                                            UnixMilliseconds unixNow)
 {
     Round round{scheduler, now, unixNow, {}, {}, {}, {}};
-    for (const auto &entry : scheduler.workers()) {
-        if (entry.second.listed)
-            round.workers[entry.second.listing.vm] = scheduler.findWorker(entry.first);
+    for (const auto &entry : this->vms) {
+        if (auto *worker = scheduler.workerOf(entry.first))
+            round.workers[entry.first] = worker;
     }
     for (auto &entry : this->vms) {
         auto &pool = round.pools[entry.second.vm.pool];
@@ -370,11 +370,8 @@
         this->notes.push_back({"fleet-refused", order.vm,
                                absl::StrCat("pool=", order.pool, " wave=", order.wave,
                                             " why=", std::string(model::nameOf(answer)))});
-    std::string worker;
-    for (const auto &known : scheduler.workers()) {
-        if (known.second.listed && known.second.listing.vm == order.vm)
-            worker = known.first;
-    }
+    const auto *life = scheduler.workerOf(order.vm);
+    const auto worker = life ? life->listing.id : std::string();
     if (answer == FleetAnswer::Accepted) {
         scheduler.releaseVm(order.vm);
         entry.vm.state = isMove ? VmState::Moving : VmState::Maintenance;
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -25,8 +25,30 @@
 
 } // namespace
 
+// A VM is one worker at a time. An entry of an earlier life may still stand, or come late; taken
+// for the present one, its VM would seem to run nothing.
+bool Scheduler::isPresentLife(const WorkerListing &listing, Instant now)
+{
+    if (listing.vm.empty())
+        return true;
+    auto &present = this->lives[listing.vm];
+    if (present == listing.id)
+        return true;
+    auto *known = this->findWorker(present);
+    if (known && known->listing.born > listing.born)
+        return false;
+    if (known) {
+        this->lifeEnded(present, now);
+        known->listed = false;
+    }
+    present = listing.id;
+    return true;
+}
+
 void Scheduler::listWorker(const WorkerListing &listing, Instant now)
 {
+    if (!this->isPresentLife(listing, now))
+        return;
     auto &worker = this->workerTable[listing.id];
     if (listing.born < worker.listing.born)
         return;
@@ -284,6 +306,8 @@
         // rules that out, so the task waits for that.
         const bool isOpen =
             run->state == jobs::RunState::Unanswered
+            || (run->state == jobs::RunState::Ordered
+                && now - run->orderedAt > this->times.longestOrder)
             || (run->state == jobs::RunState::Stopping && now - run->stopAskedAt > stopRetry);
         if (isOpen && run->orderedAt < askedAt)
             this->requestStop(worker.listing.id, entry.first, "unanswered start");
@@ -335,6 +359,17 @@
     return worker.clockAt + std::max(slowest, Duration::zero()) + this->times.leaseMargin;
 }
 
+// The lease that comes with a start is not known before it is sent.
+bool Scheduler::isOnItsWay(const RunKey &key, Instant now)
+{
+    auto *job = this->findJob(key.task.job);
+    auto *task = job ? job->find(key.task) : nullptr;
+    return task && std::any_of(task->runs.begin(), task->runs.end(), [&](const jobs::Run &run) {
+               return run.number == key.number && run.state == jobs::RunState::Ordered
+                      && now - run.orderedAt <= this->times.longestOrder;
+           });
+}
+
 void Scheduler::writeOffSilent(Instant now)
 {
     for (auto &entry : this->workerTable) {
@@ -343,8 +378,10 @@
             continue;
         this->note("worker-lapsed", entry.first, absl::StrCat("runs=", worker.runs.size()));
         std::vector<RunKey> keys;
-        for (const auto &run : worker.runs)
-            keys.push_back(run.first);
+        for (const auto &run : worker.runs) {
+            if (!this->isOnItsWay(run.first, now))
+                keys.push_back(run.first);
+        }
         for (const auto &key : keys)
             this->dropRun(worker, key, now);
     }
@@ -355,6 +392,13 @@
     return this->workerTable;
 }
 
+Worker *Scheduler::workerOf(const std::string &vm)
+{
+    const auto at = this->lives.find(vm);
+    auto *worker = at == this->lives.end() ? nullptr : this->findWorker(at->second);
+    return worker && worker->listed ? worker : nullptr;
+}
+
 Worker *Scheduler::findWorker(const std::string &id)
 {
     const auto at = this->workerTable.find(id);
--- /dev/null
+++ b/packages/scheduling/src/scheduler_test.cpp
@@ -0,0 +1,512 @@
+// The leader's memory, one event after the other.
+#include <sassafrasferry/scheduling/scheduler.h>
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::scheduling;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start(1h);
+
+jobs::StepSpec stepOf(std::size_t count, std::int64_t cpu = 1000)
+{
+    jobs::StepSpec step;
+    step.count = count;
+    step.need = {cpu, 100, 0};
+    step.estimate = 1s;
+    return step;
+}
+
+jobs::StepSpec lastingStep(std::size_t count, std::size_t maxUnavailable)
+{
+    auto step = stepOf(count);
+    step.lasting = true;
+    step.maxUnavailable = maxUnavailable;
+    return step;
+}
+
+/// A scheduler with workers `w0`, `w1`, ... on racks of two, and a clock.
+struct Bench
+{
+    explicit Bench(std::size_t workerCount, std::int64_t cpu = 4000, bool hasPredecessor = false)
+        : scheduler(SchedulerTimes{}, hasPredecessor ? 1000 : 0, start)
+    {
+        Configuration configuration;
+        configuration.version = 1;
+        Queue queue;
+        queue.terms = {"q", "s", 0, 3, 2, 600ms};
+        configuration.queues.push_back(queue);
+        this->scheduler.setConfiguration(configuration);
+        for (std::size_t i = 0; i < workerCount; ++i)
+            this->list("w" + std::to_string(i), 1, cpu, "r" + std::to_string(i / 2));
+        if (!hasPredecessor)
+            this->scheduler.knowsAllWorkers();
+    }
+
+    void list(const std::string &id, std::int64_t born, std::int64_t cpu, const std::string &rack)
+    {
+        WorkerListing listing;
+        listing.id = id;
+        listing.vm = "vm-" + id;
+        listing.born = born;
+        listing.service = "s";
+        listing.rack = rack;
+        listing.labels = {"a", rack};
+        listing.capacity = {cpu, 100000, 0};
+        this->scheduler.listWorker(listing, this->now);
+    }
+
+    void add(const std::string &id, std::vector<jobs::StepSpec> steps, bool inherited = false)
+    {
+        auto job = std::make_unique<Job>(id, jobs::JobSpec{"text", std::move(steps), 0, 0, 0ms},
+                                         this->scheduler.configuration().queues[0].terms, this->now);
+        job->inherited = inherited;
+        this->scheduler.addJob(std::move(job));
+    }
+
+    /// A worker answers a hold that was sent just now.
+    void report(const std::string &id, std::vector<ListedRun> running = {},
+                std::vector<ListedEnd> ended = {}, std::int64_t born = 1)
+    {
+        this->scheduler.leaseUntil(id, this->now);
+        const auto clock = 1000 + (this->now - start) / 1ms;
+        this->scheduler.report({id, born, clock, std::move(running), std::move(ended)}, this->now,
+                               this->now);
+    }
+
+    void reportAll(std::size_t workerCount)
+    {
+        for (std::size_t i = 0; i < workerCount; ++i)
+            this->report("w" + std::to_string(i));
+    }
+
+    Orders plan()
+    {
+        return this->scheduler.plan(this->now, 0);
+    }
+
+    void acceptAll(const Orders &orders)
+    {
+        for (const auto &order : orders.starts)
+            this->scheduler.startAnswered(order, OrderAnswer::Accepted, this->now);
+    }
+
+    void record()
+    {
+        for (const auto &row :
+             this->scheduler.takeDirty(100, [](const std::string &) { return true; }))
+            this->scheduler.recorded(row);
+    }
+
+    Instant now = start;
+    Scheduler scheduler;
+};
+
+ListedEnd endOf(const StartOrder &order, std::int64_t number, jobs::RunEnd end)
+{
+    return {number, order.task, order.run, end, ""};
+}
+
+} // namespace
+
+TEST_CASE("a job is completed for callers once its last end is in the store")
+{
+    Bench bench(1);
+    bench.report("w0");
+    bench.add("j", {stepOf(1)});
+    const auto orders = bench.plan();
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(bench.scheduler.stateOf("j") == JobState::Queued);
+    CHECK(bench.scheduler.pendingOf("q") == 1);
+    bench.acceptAll(orders);
+    CHECK(bench.scheduler.stateOf("j") == JobState::Running);
+    CHECK(bench.scheduler.pendingOf("q") == 0);
+    bench.report("w0", {}, {endOf(orders.starts[0], 1, jobs::RunEnd::Done)});
+    CHECK(bench.scheduler.stateOf("j") == JobState::Running);
+    CHECK(bench.scheduler.acknowledged("w0") == 0);
+    bench.record();
+    CHECK(bench.scheduler.stateOf("j") == JobState::Completed);
+    CHECK(bench.scheduler.acknowledged("w0") == 1);
+    CHECK(bench.scheduler.stateOf("other") == JobState::Unknown);
+}
+
+// The caller gets a bill twice: the start had no answer, the task was started elsewhere, and then
+// the first worker carried its order out.
+TEST_CASE("a task whose start had no answer runs elsewhere only after a stop was answered")
+{
+    Bench bench(2);
+    bench.reportAll(2);
+    bench.add("j", {stepOf(1)});
+    const auto first = bench.plan().starts.at(0);
+    bench.scheduler.leaseUntil(first.worker, bench.now);
+    bench.now += 800ms;
+    bench.scheduler.startAnswered(first, OrderAnswer::NoAnswer, bench.now);
+    CHECK(bench.plan().starts.empty());
+    bench.now += 100ms;
+    bench.report(first.worker);
+    const auto stops = bench.plan().stops;
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == first.run);
+    bench.now += 10ms;
+    bench.report(first.worker);
+    CHECK(bench.plan().starts.empty());
+    bench.scheduler.stopAnswered(stops[0], OrderAnswer::Accepted, bench.now);
+    bench.now += 10ms;
+    bench.report(first.worker);
+    const auto again = bench.plan().starts;
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run > first.run);
+}
+
+TEST_CASE("a start that had no answer and is listed goes on")
+{
+    Bench bench(2);
+    bench.reportAll(2);
+    bench.add("j", {stepOf(1)});
+    const auto first = bench.plan().starts.at(0);
+    bench.scheduler.startAnswered(first, OrderAnswer::NoAnswer, bench.now);
+    bench.now += 100ms;
+    bench.report(first.worker, {{first.task, first.run, "", 30, 0}});
+    const auto orders = bench.plan();
+    CHECK(orders.stops.empty());
+    CHECK(orders.starts.empty());
+    CHECK(bench.scheduler.stateOf("j") == JobState::Running);
+}
+
+// A worker goes dark with a task on it. The task may run on until the worker's lease ends by the
+// worker's own slow clock, so nothing is started before that; and it is not longer than needed.
+TEST_CASE("tasks of a silent worker wait for the end of its lease and no longer")
+{
+    Bench bench(2);
+    bench.reportAll(2);
+    bench.add("j", {stepOf(1)});
+    const auto first = bench.plan().starts.at(0);
+    bench.scheduler.leaseUntil(first.worker, bench.now);
+    bench.scheduler.startAnswered(first, OrderAnswer::Accepted, bench.now);
+    const auto other = first.worker == "w0" ? "w1" : "w0";
+    const auto lease = SchedulerTimes{}.workerLease;
+    for (const auto end = bench.now + lease + lease / 50; bench.now < end; bench.now += 100ms) {
+        bench.report(other);
+        CHECK(bench.plan().starts.empty());
+    }
+    bench.now += 400ms;
+    bench.report(other);
+    const auto again = bench.plan().starts;
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].worker == other);
+}
+
+// The leader that asks a silent worker again and again must not lengthen its lease by that.
+TEST_CASE("a silent worker's lease is not lengthened")
+{
+    Bench bench(1);
+    bench.report("w0");
+    CHECK(bench.scheduler.leaseUntil("w0", bench.now).has_value());
+    CHECK(bench.scheduler.leaseUntil("w0", bench.now + 1s).has_value());
+    CHECK_FALSE(bench.scheduler.leaseUntil("w0", bench.now + 5s).has_value());
+}
+
+// Two bills again: the new leader started a task that still ran on a worker it had not heard yet.
+TEST_CASE("after a takeover tasks wait for the workers that may run them")
+{
+    struct Case
+    {
+        const char *name;
+        bool secondAnswers;
+        Duration later;
+        std::size_t starts;
+    };
+    const std::vector<Case> cases{
+        {"one worker has not answered", false, 0ms, 0},
+        {"both have answered", true, 0ms, 1},
+        {"one is silent for less than it may run", false, SchedulerTimes{}.inheritedLease - 100ms, 0},
+        {"one is silent for longer", false, SchedulerTimes{}.inheritedLease + 100ms, 1},
+    };
+    for (const auto &row : cases) {
+        INFO(row.name);
+        Bench bench(2, 4000, true);
+        bench.scheduler.knowsAllWorkers();
+        bench.add("j", {stepOf(1)}, true);
+        bench.now += row.later;
+        bench.report("w0");
+        if (row.secondAnswers)
+            bench.report("w1");
+        CHECK(bench.plan().starts.size() == row.starts);
+    }
+}
+
+TEST_CASE("a job that came after the takeover does not wait")
+{
+    Bench bench(2, 4000, true);
+    bench.add("j", {stepOf(1)}, false);
+    bench.report("w0");
+    CHECK(bench.plan().starts.size() == 1);
+}
+
+// A worker that is cut off from the store is in no list of workers; only the list of VMs names it.
+TEST_CASE("a worker that does not list itself is waited for after a takeover")
+{
+    Bench bench(1, 4000, true);
+    bench.report("w0");
+    bench.add("j", {stepOf(1)}, true);
+    CHECK(bench.plan().starts.empty()); // the list of VMs is not known
+    bench.scheduler.expectWorker("ghost", "s");
+    bench.scheduler.knowsAllWorkers();
+    CHECK(bench.plan().starts.empty());
+    bench.now += SchedulerTimes{}.inheritedLease + 100ms;
+    bench.report("w0");
+    CHECK(bench.plan().starts.size() == 1);
+}
+
+TEST_CASE("a run that a worker lists is taken over, an unwanted one is stopped")
+{
+    Bench bench(1, 4000, true);
+    bench.scheduler.knowsAllWorkers();
+    bench.add("j", {stepOf(1)}, true);
+    bench.report("w0", {{{"j", 0, 0, 0}, 7, "", 10, 0}, {{"gone", 0, 0, 0}, 3, "", 10, 0}});
+    const auto orders = bench.plan();
+    CHECK(orders.starts.empty());
+    REQUIRE(orders.stops.size() == 1);
+    CHECK(orders.stops[0].task.job == "gone");
+    bench.report("w0", {}, {{1, {"j", 0, 0, 0}, 7, jobs::RunEnd::Done, ""}});
+    bench.record();
+    CHECK(bench.scheduler.stateOf("j") == JobState::Completed);
+}
+
+TEST_CASE("run numbers of two leaders never meet")
+{
+    Bench bench(1, 4000, true);
+    bench.report("w0");
+    bench.add("j", {stepOf(1)});
+    CHECK(bench.plan().starts.at(0).run > 1000);
+}
+
+// A job is shown as failed that failed once: the end was listed to the leader before as well, and
+// ends of one task come from several workers in any order.
+TEST_CASE("a failed run counts once, in whatever order ends are listed")
+{
+    const std::vector<std::vector<std::int64_t>> orders{{1, 2}, {2, 1}, {1, 1}, {2, 1, 2}};
+    for (const auto &runs : orders) {
+        Job job("j", {"", {stepOf(1)}, 0, 0, 0ms}, {"q", "s", 0, 3, 1, 0ms}, start);
+        std::set<std::int64_t> distinct;
+        for (const auto run : runs) {
+            job.noteEnd({"j", 0, 0, 0}, run, jobs::RunEnd::Failed, "");
+            distinct.insert(run);
+        }
+        Job next("j", job.spec, job.terms, start);
+        next.restore(job.progress());
+        next.noteEnd({"j", 0, 0, 0}, runs.front(), jobs::RunEnd::Failed, "");
+        CHECK(next.find({"j", 0, 0, 0})->failedRuns.size() == distinct.size());
+        CHECK(next.state != JobState::Failed);
+        next.noteEnd({"j", 0, 0, 0}, 77, jobs::RunEnd::Failed, "");
+        next.noteEnd({"j", 0, 0, 0}, 78, jobs::RunEnd::Failed, "");
+        CHECK(next.state == JobState::Failed);
+    }
+}
+
+TEST_CASE("a cancelled job's runs are stopped, and it is over at once")
+{
+    Bench bench(1);
+    bench.report("w0");
+    bench.add("j", {stepOf(2)});
+    const auto orders = bench.plan();
+    bench.acceptAll(orders);
+    CHECK(bench.scheduler.cancelJob("j"));
+    CHECK(bench.scheduler.stateOf("j") == JobState::Cancelled);
+    CHECK(bench.plan().stops.size() == 2);
+    CHECK(bench.plan().starts.empty());
+    CHECK_FALSE(bench.scheduler.cancelJob("none"));
+}
+
+TEST_CASE("a worker's next life runs nothing of the one before")
+{
+    Bench bench(1);
+    bench.report("w0");
+    bench.add("j", {stepOf(1)});
+    bench.acceptAll(bench.plan());
+    bench.now += 100ms;
+    bench.report("w0", {}, {}, 2);
+    CHECK(bench.plan().starts.size() == 1);
+}
+
+// A start on its way may reach the worker's next life under the same id, so it is not forgotten.
+TEST_CASE("a start on its way outlives the end of a worker's life")
+{
+    Bench bench(2);
+    bench.reportAll(2);
+    bench.add("j", {stepOf(1)});
+    const auto first = bench.plan().starts.at(0);
+    bench.scheduler.lifeEnded(first.worker, bench.now);
+    CHECK(bench.plan().starts.empty());
+}
+
+TEST_CASE("where a task may run")
+{
+    struct Case
+    {
+        const char *name;
+        jobs::StepSpec step;
+        std::size_t starts;
+    };
+    auto labelled = stepOf(1);
+    labelled.requiredLabel = "r1";
+    auto unknown = stepOf(1);
+    unknown.requiredLabel = "r9";
+    auto apart = stepOf(5);
+    apart.perVmLimit = 1;
+    auto gang = stepOf(9);
+    gang.gang = true;
+    auto smallGang = stepOf(8);
+    smallGang.gang = true;
+    auto filler = stepOf(20);
+    filler.filler = true;
+    const std::vector<Case> cases{
+        {"as many as fit", stepOf(20), 16},
+        {"too large for any", stepOf(1, 5000), 0},
+        {"only with its label", labelled, 1},
+        {"no worker has its label", unknown, 0},
+        {"one on a worker", apart, 4},
+        {"a gang that does not fit is not started in part", gang, 9},
+        {"a gang", smallGang, 8},
+        {"the processors of fillers do not count", filler, 20},
+    };
+    for (const auto &row : cases) {
+        INFO(row.name);
+        Bench bench(4);
+        bench.reportAll(4);
+        bench.add("j", {row.step});
+        CHECK(bench.plan().starts.size() == row.starts);
+    }
+    Bench bench(4);
+    bench.reportAll(4);
+    auto large = stepOf(17);
+    large.gang = true;
+    bench.add("j", {large});
+    CHECK(bench.plan().starts.empty());
+}
+
+TEST_CASE("members of a gang share their run number")
+{
+    Bench bench(2);
+    bench.reportAll(2);
+    auto gang = stepOf(6);
+    gang.gang = true;
+    bench.add("j", {gang});
+    const auto starts = bench.plan().starts;
+    REQUIRE(starts.size() == 6);
+    for (const auto &order : starts)
+        CHECK(order.run == starts[0].run);
+}
+
+TEST_CASE("lasting tasks are spread over racks")
+{
+    Bench bench(4);
+    bench.reportAll(4);
+    bench.add("j", {lastingStep(2, 1)});
+    const auto starts = bench.plan().starts;
+    REQUIRE(starts.size() == 2);
+    const auto rackOf = [&](const StartOrder &order) {
+        return bench.scheduler.findWorker(order.worker)->listing.rack;
+    };
+    CHECK(rackOf(starts[0]) != rackOf(starts[1]));
+}
+
+// Late jobs earn little and push nobody out, and yet they end.
+TEST_CASE("a job that can be on time goes before one that can't")
+{
+    Bench bench(1, 1000);
+    bench.add("late", {stepOf(1)});
+    bench.now += 10s;
+    bench.add("hopeful", {stepOf(1)});
+    bench.report("w0");
+    CHECK(bench.plan().starts.at(0).task.job == "hopeful");
+}
+
+// An availability budget of one: of two workers to be emptied only one task may be away at a time,
+// and it is away until it has been at work again for a moment.
+TEST_CASE("evacuation keeps the tasks that a lasting step must have at work")
+{
+    Bench bench(3);
+    bench.reportAll(3);
+    bench.add("j", {lastingStep(2, 1)});
+    const auto orders = bench.plan();
+    bench.acceptAll(orders);
+    const auto atWork = [&](const StartOrder &order) {
+        bench.report(order.worker, {{order.task, order.run, "", 100, 0}});
+    };
+    bench.now += 1s;
+    atWork(orders.starts[0]);
+    atWork(orders.starts[1]);
+    CHECK_FALSE(bench.scheduler.evacuate(orders.starts[0].worker, false, bench.now));
+    CHECK(bench.plan().stops.empty()); // the other has only just been reported at work
+    bench.now += 300ms;
+    bench.scheduler.evacuate(orders.starts[0].worker, false, bench.now);
+    CHECK(bench.plan().stops.size() == 1);
+    bench.scheduler.evacuate(orders.starts[1].worker, false, bench.now);
+    CHECK(bench.plan().stops.empty());
+}
+
+// The caller's task ends with the VM: its next life listed itself and was given work while the
+// order to move it was still under way.
+TEST_CASE("a VM with an order under way is given no work")
+{
+    Bench bench(1);
+    bench.scheduler.holdVm("vm-w0");
+    bench.report("w0");
+    bench.add("j", {stepOf(1)});
+    CHECK(bench.plan().starts.empty());
+    bench.scheduler.releaseVm("vm-w0");
+    CHECK(bench.plan().starts.size() == 1);
+}
+
+TEST_CASE("what a worker's answer to a start leads to")
+{
+    struct Case
+    {
+        OrderAnswer answer;
+        bool startsAgainSoon;
+    };
+    const std::vector<Case> cases{
+        {OrderAnswer::Accepted, false},  {OrderAnswer::NoAnswer, false},
+        {OrderAnswer::NotSent, true},    {OrderAnswer::Expired, true},
+        {OrderAnswer::Superseded, true}, {OrderAnswer::NoTicket, true},
+        {OrderAnswer::NoRoom, false},    {OrderAnswer::Unhealthy, false},
+    };
+    for (const auto &row : cases) {
+        INFO(model::nameOf(row.answer));
+        Bench bench(1);
+        bench.report("w0");
+        bench.add("j", {stepOf(1)});
+        const auto first = bench.plan().starts.at(0);
+        bench.scheduler.startAnswered(first, row.answer, bench.now);
+        const auto again = bench.plan().starts;
+        CHECK(again.empty() != row.startsAgainSoon);
+        if (!again.empty())
+            CHECK(again[0].run > first.run);
+    }
+}
+
+// The caller's task ends with its VM: the entry of the VM's earlier life came late, that life ran
+// nothing, and so the VM seemed empty and was moved.
+TEST_CASE("an entry of an earlier life is not taken for the present one")
+{
+    Bench bench(1);
+    bench.report("w0");
+    bench.add("j", {stepOf(1)});
+    bench.acceptAll(bench.plan());
+    WorkerListing next = bench.scheduler.findWorker("w0")->listing;
+    next.id = "w9";
+    next.born = 2;
+    const auto former = bench.scheduler.findWorker("w0")->listing;
+    bench.scheduler.listWorker(next, bench.now);
+    bench.scheduler.listWorker(former, bench.now);
+    REQUIRE(bench.scheduler.workerOf("vm-w0") != nullptr);
+    CHECK(bench.scheduler.workerOf("vm-w0")->listing.id == "w9");
+    CHECK_FALSE(bench.scheduler.findWorker("w0")->listed);
+    // What ran in the earlier life is over, and starts again in this one.
+    bench.report("w9", {}, {}, 2);
+    CHECK(bench.plan().starts.at(0).worker == "w9");
+}
--- a/packages/scheduling/src/scheduling_measure.cpp
+++ b/packages/scheduling/src/scheduling_measure.cpp
@@ -112,8 +112,8 @@
             std::erase_if(worker.running, [&](const RunningTask &task) {
                 if (task.endsAt > now)
                     return false;
-                worker.ends.push_back({++worker.lastEnd, task.key.task, task.key.number,
-                                       jobs::RunEnd::Done, ""});
+                worker.ends.push_back(
+                    {++worker.lastEnd, task.key.task, task.key.number, jobs::RunEnd::Done, ""});
                 return true;
             });
         }
@@ -142,7 +142,8 @@
         for (const auto &start : orders.starts) {
             ++totals.starts;
             workers[start.worker].running.push_back(
-                {{start.task, start.run}, now + 500ms + std::chrono::milliseconds(random() % 1000)});
+                {{start.task, start.run},
+                 now + 500ms + std::chrono::milliseconds(random() % 1000)});
             scheduler.startAnswered(start, OrderAnswer::Accepted, now);
         }
         if (tick % 6 != 0)
@@ -152,7 +153,8 @@
             fleet.answered(order, FleetAnswer::Refused, scheduler, now);
         totals.fleet += processorSeconds() - begin;
     }
-    std::printf("workers,jobs_per_s,starts,open_jobs,report_ms_per_s,plan_ms_per_s,fleet_ms_per_s\n");
+    std::printf(
+        "workers,jobs_per_s,starts,open_jobs,report_ms_per_s,plan_ms_per_s,fleet_ms_per_s\n");
     std::printf("%zu,%.0f,%zu,%zu,%.2f,%.2f,%.2f\n", workerCount, jobsPerSecond, totals.starts,
                 scheduler.jobCount(), totals.report * 1000 / seconds, totals.plan * 1000 / seconds,
                 totals.fleet * 1000 / seconds);
