--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -45,30 +45,46 @@
     {}
 
     /// Stores a job unless a row of it exists. Gives up at the deadline.
+    ///
+    /// While the store fails, one job at a time finds out whether it still does; the others are
+    /// refused at once, so that their callers can try another entry VM in time.
     Awaitable<IntakeResult> submit(std::string job, std::string record, Instant deadline)
     {
+        if (this->mustRefuse(partOf(job)))
+            co_return IntakeResult::Refused;
         co_return co_await http::awaitCallback<IntakeResult>([&](auto done) {
             const auto part = partOf(job);
             this->queues[part].push_back(
-                {std::move(job), std::move(record), deadline, false, std::move(done)});
+                {std::move(job), std::move(record), deadline, bootNow(), false, std::move(done)});
             this->begin(part);
         });
     }
 
 private:
+    bool mustRefuse(const std::string &part) const
+    {
+        const auto at = this->busy.find(part);
+        const bool isBusy = at != this->busy.end() && at->second;
+        return this->fails && (isBusy || bootNow() - this->failedAt < probePause);
+    }
+
     struct Item
     {
         std::string job;
         std::string record;
         Instant deadline;
+        Instant begunAt{};
         bool mayBeStored = false; // a transaction that held it had no answer
         std::function<void(IntakeResult)> done;
     };
 
     // Bounds of a transaction: entries, with three to a job, and bytes.
     static constexpr std::size_t mostJobs = 30;
-    static constexpr std::size_t mostBytes = 400 * 1024;
+    static constexpr std::size_t mostBytes = 400UL * 1024;
     static constexpr auto retryPause = std::chrono::milliseconds(60);
+    static constexpr auto probePause = std::chrono::milliseconds(250);
+    // A refusal by the store is tried again for this long; callers can do more with the rest.
+    static constexpr auto patience = std::chrono::milliseconds(700);
 
     void begin(const std::string &part)
     {
@@ -106,11 +122,16 @@
             }
             const auto answer = co_await this->store.commit(std::move(transaction));
             if (answer.state == store::CommitState::Committed) {
+                this->fails = false;
                 for (auto &item : batch)
                     item.done(IntakeResult::Stored);
                 co_return;
             }
             const auto now = bootNow();
+            this->fails = answer.state != store::CommitState::Committed
+                          && answer.state != store::CommitState::Conflict;
+            if (this->fails)
+                this->failedAt = now;
             if (answer.state == store::CommitState::Conflict)
                 this->answerKnown(batch, answer.current);
             for (auto &item : batch)
@@ -136,7 +157,8 @@
     void answerLate(std::deque<Item> &batch, Instant now)
     {
         std::erase_if(batch, [&](const Item &item) {
-            const bool isLate = now >= item.deadline;
+            const bool isLate =
+                now >= item.deadline || (!item.mayBeStored && now - item.begunAt > patience);
             if (isLate)
                 item.done(item.mayBeStored ? IntakeResult::Unknown : IntakeResult::Refused);
             return isLate;
@@ -147,6 +169,8 @@
     http::asio::any_io_executor executor;
     std::map<std::string, std::deque<Item>> queues; // by part
     std::map<std::string, bool> busy; // a transaction of the part is under way
+    bool fails = false; // the last transaction was refused or had no answer
+    Instant failedAt{};
 };
 
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -62,7 +62,7 @@
 
     absl::Status begin()
     {
-        const auto status = this->desk.open();
+        auto status = this->desk.open();
         if (!status.ok())
             return status;
         auto self = this->shared_from_this();
@@ -314,7 +314,7 @@
 
     std::optional<model::Endpoint> otherLeader() const
     {
-        const auto address = this->leadership.leaderAddress();
+        auto address = this->leadership.leaderAddress();
         if (!address || *address == this->options.peer)
             return std::nullopt;
         return address;
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -136,8 +136,10 @@
 
     // Above all starts of one task in one term, so that no leader's run numbers meet another's.
     static constexpr std::int64_t runsPerTerm = 1000;
-    // Orders about VMs are given only under a lease that was confirmed this lately.
-    static constexpr Duration vmOrderLimit = std::chrono::milliseconds(1000);
+    // Orders about VMs are given only under a lease that was confirmed this lately: less than the
+    // term after which another may take it, so the other need not add the whole of it to its wait.
+    static constexpr Duration vmOrderLimit = std::chrono::milliseconds(800);
+    static constexpr Duration vmOrderMargin = std::chrono::milliseconds(200);
     static constexpr auto loadPeriod = std::chrono::seconds(1);
     static constexpr auto planTick = std::chrono::milliseconds(50);
     // Ends and answers that come together are planned for together.
@@ -270,7 +272,7 @@
     bool mayOrderVms() const
     {
         const auto wait =
-            this->tenure.isFirst ? Duration::zero() : this->options.turn + vmOrderLimit;
+            this->tenure.isFirst ? Duration::zero() : this->options.turn + vmOrderMargin;
         return this->isReady() && this->options.sinceConfirmed() < vmOrderLimit
                && bootNow() - this->tookOverAt > wait;
     }
--- a/packages/coordination/include/sassafrasferry/coordination/timing.h
+++ b/packages/coordination/include/sassafrasferry/coordination/timing.h
@@ -4,6 +4,8 @@
 #include <sassafrasferry/http/types.h>
 #include <sassafrasferry/policy/time.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -37,8 +39,8 @@
 class Wake
 {
 public:
-    explicit Wake(http::asio::any_io_executor executor)
-        : timer(std::move(executor))
+    explicit Wake(const http::asio::any_io_executor &executor)
+        : timer(executor)
     {}
 
     /// Returns after the duration, or soon after `notify`; at once if that came before.
--- a/packages/peer/src/peer_link.cpp
+++ b/packages/peer/src/peer_link.cpp
@@ -18,11 +18,11 @@
 
 absl::Status PeerLink::open(const model::Endpoint &own)
 {
-    const auto status = this->port.open(own);
+    auto status = this->port.open(own);
     if (!status.ok())
         return status;
     for (const auto &peer : this->peers) {
-        const auto connected = this->port.connect(peer.endpoint);
+        auto connected = this->port.connect(peer.endpoint);
         if (!connected.ok())
             return connected;
     }
--- /dev/null
+++ b/packages/scheduling/src/fleet_planner_test.cpp
@@ -0,0 +1,260 @@
+// Moves and waves, on virtual time.
+#include <sassafrasferry/scheduling/fleet_planner.h>
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::scheduling;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start(1h);
+constexpr std::int64_t vmCores = 32000;
+
+/// Two pools and a standby pool, each with some VMs; each VM but the standby's has a worker.
+struct Estate
+{
+    Estate(std::size_t first, std::size_t second, std::size_t standby)
+        : scheduler(SchedulerTimes{}, 0, start)
+        , planner(FleetTerms{})
+    {
+        Configuration configuration;
+        configuration.version = 1;
+        for (const auto *name : {"one", "two"}) {
+            Queue queue;
+            queue.terms = {name, name, 0, 3, 2, 600ms};
+            configuration.queues.push_back(queue);
+            configuration.services.push_back({name, true, false});
+        }
+        configuration.services.push_back({"off", true, true});
+        this->scheduler.setConfiguration(configuration);
+        this->scheduler.knowsAllWorkers();
+        this->addPool("one", first);
+        this->addPool("two", second);
+        this->addPool("off", standby);
+        this->planner.listVms(this->vms, this->now);
+    }
+
+    void addPool(const std::string &pool, std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto name = pool + std::to_string(i);
+            this->vms.push_back(
+                {name, pool, VmState::Up, "a", "r", {vmCores, 100000, 0}, "w-" + name});
+            if (pool != "off")
+                this->addWorker(name, pool);
+        }
+    }
+
+    void addWorker(const std::string &vm, const std::string &pool)
+    {
+        WorkerListing listing;
+        listing.id = "w-" + vm;
+        listing.vm = vm;
+        listing.born = ++this->births;
+        listing.service = pool;
+        listing.rack = "r";
+        listing.capacity = {vmCores, 100000, 0};
+        this->scheduler.listWorker(listing, this->now);
+        this->report(listing.id);
+    }
+
+    void report(const std::string &id)
+    {
+        const auto *worker = this->scheduler.findWorker(id);
+        WorkerReport report{id, worker->listing.born, 1000 + (this->now - start) / 1ms, {}, {}};
+        for (const auto &run : worker->runs)
+            report.running.push_back({run.first.task, run.first.number, "", 100, 0});
+        this->scheduler.leaseUntil(id, this->now);
+        this->scheduler.report(report, this->now, this->now);
+    }
+
+    void reportAll()
+    {
+        std::vector<std::string> ids;
+        for (const auto &entry : this->scheduler.workers()) {
+            if (entry.second.listed)
+                ids.push_back(entry.first);
+        }
+        for (const auto &id : ids)
+            this->report(id);
+    }
+
+    /// Adds a job and starts its tasks.
+    void work(const std::string &queue, std::size_t tasks, std::int64_t cpu, bool lasting = false)
+    {
+        jobs::StepSpec step;
+        step.count = tasks;
+        step.need = {cpu, 10, 0};
+        step.estimate = 1s;
+        step.lasting = lasting;
+        step.perVmLimit = lasting ? 1 : 0;
+        step.maxUnavailable = lasting ? 1 : 0;
+        const auto *found = this->scheduler.configuration().findQueue(queue);
+        this->scheduler.addJob(std::make_unique<Job>("j" + std::to_string(++this->jobCount),
+                                                     jobs::JobSpec{"", {step}, 0, 0, 0ms},
+                                                     found->terms, this->now));
+        this->startAll();
+    }
+
+    void startAll()
+    {
+        for (const auto &order : this->scheduler.plan(this->now, 0).starts)
+            this->scheduler.startAnswered(order, OrderAnswer::Accepted, this->now);
+    }
+
+    std::vector<FleetOrder> plan()
+    {
+        return this->planner.plan(this->scheduler, this->now, 0);
+    }
+
+    std::size_t count(const std::vector<FleetOrder> &orders, FleetAction action,
+                      const std::string &pool = "")
+    {
+        std::size_t result = 0;
+        for (const auto &order : orders)
+            result += order.action == action && (pool.empty() || order.pool == pool) ? 1 : 0;
+        return result;
+    }
+
+    Instant now = start;
+    std::int64_t births = 0;
+    std::size_t jobCount = 0;
+    std::vector<Vm> vms;
+    Scheduler scheduler;
+    FleetPlanner planner;
+};
+
+} // namespace
+
+TEST_CASE("VMs move to the pool with more work than room")
+{
+    Estate estate(2, 2, 4);
+    estate.work("one", 5 * 32, 1000); // five VMs' worth
+    const auto orders = estate.plan();
+    CHECK(estate.count(orders, FleetAction::Move, "one") >= 4);
+}
+
+TEST_CASE("an idle pool keeps what its lasting tasks need, and one VM")
+{
+    Estate estate(8, 1, 1);
+    estate.work("one", 3, 1000, true);
+    std::size_t moved = 0;
+    for (int i = 0; i < 5; ++i) {
+        estate.now += 1500ms;
+        estate.reportAll();
+        for (const auto &order : estate.plan()) {
+            moved += order.pool == "off" ? 1 : 0;
+            estate.planner.answered(order, FleetAnswer::Accepted, estate.scheduler, estate.now);
+        }
+    }
+    CHECK(moved == 8 - 4);
+}
+
+TEST_CASE("a VM with something on it is not moved")
+{
+    Estate estate(3, 1, 1);
+    estate.work("one", 3 * 8, 4000);
+    for (const auto &order : estate.plan())
+        CHECK(order.pool != "off");
+}
+
+// The platform allows only so many VMs of a wave under maintenance at once.
+TEST_CASE("a wave keeps to its bound and begins with VMs that are off")
+{
+    Estate estate(4, 4, 4);
+    Wave wave{1, {"off0", "off1", "off2", "one0", "one1"}, 20s, 2};
+    estate.planner.addWave(wave, {}, estate.now);
+    const auto orders = estate.plan();
+    CHECK(estate.count(orders, FleetAction::Maintain) == 2);
+    for (const auto &order : orders) {
+        if (order.action == FleetAction::Maintain)
+            CHECK(order.vm.rfind("off", 0) == 0);
+        estate.planner.answered(order, FleetAnswer::Accepted, estate.scheduler, estate.now);
+    }
+    estate.now += 100ms;
+    estate.reportAll();
+    CHECK(estate.count(estate.plan(), FleetAction::Maintain) == 0);
+}
+
+TEST_CASE("a wave is completed once every VM that stays was maintained")
+{
+    Estate estate(1, 1, 2);
+    estate.planner.addWave({1, {"off0", "off1", "gone"}, 20s, 2}, {"off0"}, estate.now);
+    CHECK_FALSE(estate.planner.waves().at(1).completed);
+    for (const auto &order : estate.plan()) {
+        if (order.action == FleetAction::Maintain)
+            CHECK(order.vm == "off1");
+        estate.planner.answered(order, FleetAnswer::Accepted, estate.scheduler, estate.now);
+    }
+    estate.now += 100ms;
+    estate.reportAll();
+    estate.plan();
+    CHECK(estate.planner.waves().at(1).completed);
+    CHECK(estate.planner.waves().at(1).done.size() == 2);
+}
+
+// The caller's task ends with the VM: the order had no answer, its VM was given work again, and
+// then the order was carried out.
+TEST_CASE("an order without an answer is given again, and its VM no work meanwhile")
+{
+    Estate estate(1, 1, 1);
+    estate.planner.addWave({1, {"one0"}, 20s, 1}, {}, estate.now);
+    FleetOrder order;
+    for (const auto &given : estate.plan()) {
+        if (given.vm == "one0")
+            order = given;
+    }
+    REQUIRE(order.action == FleetAction::Maintain);
+    estate.planner.answered(order, FleetAnswer::NoAnswer, estate.scheduler, estate.now);
+    estate.work("one", 1, 1000);
+    CHECK(estate.scheduler.findWorker("w-one0")->runs.empty());
+    estate.now += 1s;
+    estate.reportAll();
+    std::size_t again = 0;
+    for (const auto &given : estate.plan())
+        again += given.vm == "one0" && given.action == FleetAction::Maintain ? 1 : 0;
+    CHECK(again == 1);
+    estate.planner.answered(order, FleetAnswer::Accepted, estate.scheduler, estate.now);
+    CHECK(estate.planner.waves().at(1).done.count("one0") == 1);
+}
+
+TEST_CASE("what an answer about a VM leads to")
+{
+    struct Case
+    {
+        FleetAnswer answer;
+        bool isDone;
+    };
+    const std::vector<Case> cases{
+        {FleetAnswer::Accepted, true},   {FleetAnswer::NotInWave, true},
+        {FleetAnswer::Impossible, true}, {FleetAnswer::Busy, false},
+        {FleetAnswer::Refused, false},   {FleetAnswer::NoAnswer, false},
+    };
+    for (const auto &row : cases) {
+        INFO(model::nameOf(row.answer));
+        Estate estate(1, 1, 1);
+        estate.planner.addWave({7, {"off0"}, 20s, 1}, {}, estate.now);
+        for (const auto &order : estate.plan()) {
+            if (order.action == FleetAction::Maintain)
+                estate.planner.answered(order, row.answer, estate.scheduler, estate.now);
+        }
+        CHECK((estate.planner.waves().at(7).done.count("off0") == 1) == row.isDone);
+    }
+}
+
+// A task waited 24 s: the only other VM of its pool was being emptied, and yet counted as room.
+TEST_CASE("a VM that is emptied for a wave does not count as room of its pool")
+{
+    Estate estate(2, 1, 2);
+    estate.work("one", 2, 1000, true);
+    estate.planner.addWave({1, {"one0"}, 5s, 1}, {}, estate.now);
+    std::size_t brought = 0;
+    for (int i = 0; i < 4; ++i) {
+        brought += estate.count(estate.plan(), FleetAction::Move, "one");
+        estate.now += 300ms;
+        estate.reportAll();
+    }
+    CHECK(brought > 0);
+}
--- a/packages/scheduling/src/scheduler_test.cpp
+++ b/packages/scheduling/src/scheduler_test.cpp
@@ -61,8 +61,9 @@
 
     void add(const std::string &id, std::vector<jobs::StepSpec> steps, bool inherited = false)
     {
-        auto job = std::make_unique<Job>(id, jobs::JobSpec{"text", std::move(steps), 0, 0, 0ms},
-                                         this->scheduler.configuration().queues[0].terms, this->now);
+        auto job =
+            std::make_unique<Job>(id, jobs::JobSpec{"text", std::move(steps), 0, 0, 0ms},
+                                  this->scheduler.configuration().queues[0].terms, this->now);
         job->inherited = inherited;
         this->scheduler.addJob(std::move(job));
     }
@@ -222,7 +223,8 @@
     const std::vector<Case> cases{
         {"one worker has not answered", false, 0ms, 0},
         {"both have answered", true, 0ms, 1},
-        {"one is silent for less than it may run", false, SchedulerTimes{}.inheritedLease - 100ms, 0},
+        {"one is silent for less than it may run", false, SchedulerTimes{}.inheritedLease - 100ms,
+         0},
         {"one is silent for longer", false, SchedulerTimes{}.inheritedLease + 100ms, 1},
     };
     for (const auto &row : cases) {
