A leader that stops names the VMs of its last orders, and the next one may order about all others

Ruled out: takeovers themselves (about 1 s). Change: the row of a lease that is given up names the VMs that got an order within the last turn; only these wait. A lease that was given up falls to the entry VM whose process is youngest.

--- a/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
@@ -45,6 +45,8 @@
     struct Options
     {
         std::int64_t fence = 0;
+        std::vector<std::string> deferred; ///< VMs of an earlier leader's last orders
+        Instant deferredUntil{}; ///< no order about them before
         std::function<bool()> mayOrder; ///< this entry VM may give orders about VMs now
         std::function<WaveStatusRow(std::int64_t wave, bool completed)> statusRow;
         std::function<void()> onChange; ///< the scheduler has something to plan for
@@ -60,8 +62,21 @@
         , planner(scheduling::FleetTerms{})
     {}
 
+    /// VMs about which an order was given since then.
+    std::vector<std::string> orderedSince(Instant since) const
+    {
+        std::vector<std::string> vms;
+        for (const auto &entry : this->orderedAt) {
+            if (entry.second >= since)
+                vms.push_back(entry.first);
+        }
+        return vms;
+    }
+
     void begin()
     {
+        for (const auto &vm : this->options.deferred)
+            this->planner.defer(vm, this->options.deferredUntil);
         http::asio::co_spawn(
             this->executor, [self = this->shared_from_this()] { return self->run(); },
             http::asio::detached);
@@ -153,7 +168,9 @@
 
     Awaitable<void> call(scheduling::FleetOrder order)
     {
+        this->orderedAt[order.vm] = bootNow();
         const auto answer = co_await this->cloud.give(order, this->options.fence);
+        this->orderedAt[order.vm] = bootNow();
         if (this->stopped)
             co_return;
         this->planner.answered(order, answer, this->scheduler, bootNow());
@@ -209,6 +226,7 @@
     scheduling::FleetPlanner planner;
     std::vector<scheduling::Wave> newWaves;
     std::map<std::int64_t, std::uint64_t> recordedChanges; // of each wave
+    std::map<std::string, Instant> orderedAt; // of each VM: the last call, or its answer
     Instant listedAt{};
     bool hasListed = false;
     bool stopped = false;
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -88,7 +88,8 @@
     Awaitable<void> stop()
     {
         this->stopping = true;
-        co_await this->leadership.release();
+        auto orderedVms = this->leader ? this->leader->orderedVms() : std::vector<std::string>{};
+        co_await this->leadership.release(std::move(orderedVms));
     }
 
     Awaitable<http::Response> handle(http::Request request)
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -115,6 +115,13 @@
             this->fleet->addWave(wave);
     }
 
+    /// VMs about which an order was given within the last turn.
+    std::vector<std::string> orderedVms() const
+    {
+        return this->fleet ? this->fleet->orderedSince(bootNow() - this->options.turn)
+                           : std::vector<std::string>{};
+    }
+
     scheduling::Scheduler &jobs()
     {
         return this->scheduler;
@@ -254,6 +261,8 @@
         auto self = this->shared_from_this();
         typename FleetKeeper<Store, Cloud>::Options fleetOptions;
         fleetOptions.fence = this->tenure.fence;
+        fleetOptions.deferred = this->tenure.orderedVms;
+        fleetOptions.deferredUntil = this->tookOverAt + this->options.turn + vmOrderMargin;
         fleetOptions.mayOrder = [self] {
             return self->mayOrderVms();
         };
@@ -271,8 +280,9 @@
     // The leader before may have sent an order just before the store stopped confirming its lease.
     bool mayOrderVms() const
     {
-        const auto wait =
-            this->tenure.isFirst ? Duration::zero() : this->options.turn + vmOrderMargin;
+        const auto wait = this->tenure.isFirst || this->tenure.handedOver
+                              ? Duration::zero()
+                              : this->options.turn + vmOrderMargin;
         return this->isReady() && this->options.sinceConfirmed() < vmOrderLimit
                && bootNow() - this->tookOverAt > wait;
     }
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -28,6 +28,10 @@
     Duration tick = std::chrono::milliseconds(50);
     /// Before a free lease is taken, so that entry VMs with more processor come first.
     Duration takeDelay = std::chrono::milliseconds(0);
+    /// The wait for a lease that was given up grows to this with the age of the process, up to that
+    /// age.
+    Duration youthDelay = std::chrono::milliseconds(300);
+    Duration restartMemory = std::chrono::seconds(30);
 };
 
 /// What a new leader has to know of its lease.
@@ -39,6 +43,8 @@
     /// process of this entry VM.
     bool predecessorStopped = false;
     bool isFirst = false; ///< nobody led before, or an earlier process of this entry VM
+    bool handedOver = false; ///< the leader before named the VMs that it gave orders about lately
+    std::vector<std::string> orderedVms; ///< these; no order about them for a turn
 };
 
 /// Takes, renews and watches the lease.
@@ -118,8 +124,8 @@
         this->events.onLost(why);
     }
 
-    /// Gives the lease up for good. Orders must have stopped before.
-    Awaitable<void> release()
+    /// Gives the lease up for good. `orderedVms` are those that it gave orders about lately.
+    Awaitable<void> release(std::vector<std::string> orderedVms)
     {
         this->released = true;
         if (!this->leading)
@@ -127,6 +133,8 @@
         this->deposed("released");
         auto record = this->record();
         record.clear_holder();
+        for (auto &vm : orderedVms)
+            record.add_ordered_vms(std::move(vm));
         const auto transaction = this->transaction(record);
         const auto commit = co_await this->store.commit(transaction);
         if (commit.state != store::CommitState::Committed)
@@ -214,16 +222,29 @@
         next.term = record.term() + 1;
         next.predecessorStopped = isFree || isOwnPast;
         next.isFirst = record.term() == 0 || isOwnPast;
+        next.handedOver = isFree && record.term() > 0;
+        next.orderedVms.assign(record.ordered_vms().begin(), record.ordered_vms().end());
         if (!isFree && !isOwnPast && !isOver) {
             this->freeSince = {};
             co_return;
         }
         if (this->freeSince == Instant{})
             this->freeSince = now;
-        if (isOwnPast || now - this->freeSince >= this->times.takeDelay)
+        if (isOwnPast || now - this->freeSince >= this->delayFor(isFree, now))
             co_await this->take(next);
     }
 
+    // Where entry VMs are restarted in turn, those that have had theirs lead on.
+    Duration delayFor(bool isFree, Instant now) const
+    {
+        if (!isFree)
+            return this->times.takeDelay;
+        const auto age = std::min(now - this->begunAt, this->times.restartMemory);
+        return this->times.takeDelay
+               + this->times.youthDelay * (age / std::chrono::milliseconds(1))
+                     / (this->times.restartMemory / std::chrono::milliseconds(1));
+    }
+
     Awaitable<void> take(Tenure next)
     {
         const auto begin = bootNow();
@@ -298,6 +319,7 @@
     Instant renewedAt{};
     Instant heardAt{};
     Instant lookedAt{};
+    Instant begunAt = bootNow(); // when this process began
     Instant freeSince{}; // when the lease was first seen free
     std::optional<model::Endpoint> leader;
 };
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -108,6 +108,8 @@
     /// The platform's list, as asked for at `askedAt`.
     void listVms(const std::vector<Vm> &vms, Instant askedAt);
     void addWave(const Wave &wave, std::set<std::string> done, Instant now);
+    /// No order about a VM before then.
+    void defer(const std::string &vm, Instant until);
     std::vector<FleetOrder> plan(Scheduler &scheduler, Instant now, UnixMilliseconds unixNow);
     void answered(const FleetOrder &order, FleetAnswer answer, Scheduler &scheduler, Instant now);
 
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -50,6 +50,14 @@
                                         " within-s=", policy::seconds(wave.within))});
 }
 
+void FleetPlanner::defer(const std::string &vm, Instant until)
+{
+    auto &entry = this->vms[vm];
+    entry.vm.name = vm;
+    entry.waitUntil = until;
+    entry.listed = false; // until the platform's list names it
+}
+
 const std::map<std::int64_t, WaveProgress> &FleetPlanner::waves() const
 {
     return this->waveTable;
--- a/packages/scheduling/src/fleet_planner_test.cpp
+++ b/packages/scheduling/src/fleet_planner_test.cpp
@@ -258,3 +258,20 @@
     }
     CHECK(brought > 0);
 }
+
+// Two holders would take turns about one VM within the platform's bound.
+TEST_CASE("no order about a VM that the leader before gave an order about lately")
+{
+    Estate estate(2, 2, 2);
+    estate.planner.defer("off0", estate.now + 3s);
+    estate.planner.listVms(estate.vms, estate.now);
+    estate.planner.addWave({1, {"off0", "off1"}, 20s, 2}, {}, estate.now);
+    for (const auto &order : estate.plan())
+        CHECK(order.vm != "off0");
+    estate.now += 3100ms;
+    estate.reportAll();
+    std::size_t later = 0;
+    for (const auto &order : estate.plan())
+        later += order.vm == "off0" ? 1 : 0;
+    CHECK(later == 1);
+}
