--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -166,7 +166,7 @@
         RecordLane(Store &store, const std::string &part, std::int64_t fence,
                    http::asio::any_io_executor executor)
             : part(store, part, fence)
-            , wake(std::move(executor))
+            , wake(executor)
         {}
 
         FencedPart<Store> part;
--- a/packages/coordination/include/sassafrasferry/coordination/timing.h
+++ b/packages/coordination/include/sassafrasferry/coordination/timing.h
@@ -8,9 +8,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 
 #include <ctime>
+#include <memory>
 
 namespace sassafrasferry::coordination {
 
@@ -30,9 +30,16 @@
 /// Suspends the coroutine for a while.
 inline Awaitable<void> pause(Duration duration)
 {
-    http::asio::steady_timer timer(co_await http::asio::this_coro::executor, duration);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(http::asio::redirect_error(http::asio::use_awaitable, ignored));
+    co_await http::asio::async_initiate<const http::asio::use_awaitable_t<>, void()>(
+        [duration](auto handler) {
+            auto timer = std::make_shared<http::asio::steady_timer>(
+                http::asio::get_associated_executor(handler), duration);
+            timer->async_wait(
+                [timer, handler = std::move(handler)](const boost::system::error_code &) mutable {
+                    std::move(handler)();
+                });
+        },
+        http::asio::use_awaitable);
 }
 
 /// Wakes one waiting coroutine before its time.
