A failed task goes to another worker; a worker that fails run after run rests

Ruled out: room elsewhere (four other workers had it). Change: a task's next run avoids workers on which it failed; failures among a worker's own last ends above 0.6 give it a rest of 2 s. Tests: two, both failing before.

--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -95,6 +95,7 @@
     /// leader, and the ends of one task may come from several workers in any order.
     std::vector<std::int64_t> failedRuns;
     std::int64_t lastRun = 0; ///< highest run number given out
+    std::vector<std::string> failedOn; ///< workers on which a run of it failed
     std::string checkpoint; ///< where the next run goes on; empty: from the start
     std::vector<Run> runs;
     Instant idleSince{}; ///< when it last had no run at work; for lasting tasks
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -23,6 +23,7 @@
     Duration leaseMargin = std::chrono::milliseconds(150); ///< for the bounds of what was heard
     Duration silence = std::chrono::milliseconds(600); ///< no starts after this without an answer
     Duration roomBackOff = std::chrono::milliseconds(150);
+    Duration failingBackOff = std::chrono::milliseconds(2000); ///< of a worker that fails most runs
     Duration healthBackOff = std::chrono::milliseconds(500);
     /// How long after a takeover a worker that nobody reaches may still run what the last leader
     /// ordered: the time for which that one may order without the store, and a lease.
@@ -172,6 +173,7 @@
     };
     struct Round;
 
+    void noteHealth(Worker &worker, const ListedEnd &end, Instant now);
     void takeEnd(Worker &worker, const ListedEnd &end, Instant now);
     void takeRunning(Worker &worker, const ListedRun &listed, Instant askedAt, Instant now);
     void dropMissingRuns(Worker &worker, const WorkerReport &report, Instant askedAt, Instant now);
@@ -193,7 +195,8 @@
     void planService(const std::string &service, std::vector<Job *> &queue, Round &round);
     void planStep(Job &job, std::size_t occurrence, std::size_t step, Round &round);
     void planGang(Job &job, std::size_t occurrence, std::size_t step, Round &round);
-    Worker *choose(const Job &job, std::size_t occurrence, std::size_t step, Round &round);
+    Worker *choose(const Job &job, const jobs::Task &task, std::size_t occurrence, std::size_t step,
+                   Round &round);
     void start(Job &job, const TaskId &id, Worker &worker, Round &round);
     void note(std::string event, std::string subject, std::string detail);
 
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -83,6 +83,7 @@
     Instant lastAnswer{}; ///< of a hold
     Instant backOffUntil{}; ///< it refused a start
     Instant fullUntil{}; ///< it had no room for what seemed to fit
+    double failing = 0; ///< share of its last ends that were failures, the newest weighing most
     std::int64_t clock = 0; ///< of the worker, as last heard
     Instant clockAt{}; ///< when it was heard
     /// Until when it may run, unseen, what was ordered before this leader or in an earlier life.
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 // Weights of the choice of a worker. Each outweighs all below it.
+constexpr double failedWeight = 5000;
 constexpr double dataRackWeight = 1000;
 constexpr double gangRackWeight = 500;
 constexpr double spreadVmWeight = 200;
@@ -180,7 +181,7 @@
         auto &task = job.at(occurrence, step, i);
         if (task.done || !task.runs.empty())
             continue;
-        auto *worker = this->choose(job, occurrence, step, round);
+        auto *worker = this->choose(job, task, occurrence, step, round);
         if (!worker) {
             // Kept free, or small tasks of later jobs would take each bit of room that ends here.
             if (round.reserved.size() < mostReserved && spec.lasting) {
@@ -219,7 +220,7 @@
     std::vector<Taken> taken;
     const auto need = spec.footprint();
     for (std::size_t i = 0; i < spec.count; ++i) {
-        auto *worker = this->choose(job, occurrence, step, round);
+        auto *worker = this->choose(job, job.at(occurrence, step, i), occurrence, step, round);
         if (!worker)
             break;
         const RunKey key{{job.id, occurrence, step, i}, number};
@@ -239,7 +240,8 @@
     }
 }
 
-Worker *Scheduler::choose(const Job &job, std::size_t occurrence, std::size_t step, Round &round)
+Worker *Scheduler::choose(const Job &job, const jobs::Task &task, std::size_t occurrence,
+                          std::size_t step, Round &round)
 {
     const auto &spec = job.spec.steps[step];
     const auto need = spec.footprint();
@@ -279,6 +281,10 @@
                     - soonWeight * static_cast<double>(worker->leavingSoon)
                     - spreadVmWeight * static_cast<double>(here)
                     - spreadRackWeight * static_cast<double>(onRack[listing.rack]);
+        // A worker that fails all it starts would use up the attempts of a sound task.
+        const auto &failedOn = task.failedOn;
+        if (std::find(failedOn.begin(), failedOn.end(), listing.id) != failedOn.end())
+            score -= failedWeight;
         if (!best.worker || score > best.score)
             best = {worker, score};
     }
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -179,6 +179,23 @@
     this->settleEnds(worker);
 }
 
+// A worker may fail whatever it starts and look sound otherwise. Its failures are compared with its
+// own ends only: a job that can't be done fails on every worker, and fails on each of them once.
+void Scheduler::noteHealth(Worker &worker, const ListedEnd &end, Instant now)
+{
+    constexpr double newest = 0.3;
+    constexpr double most = 0.6;
+    const bool failed = end.end == jobs::RunEnd::Failed;
+    if (!failed && end.end != jobs::RunEnd::Done)
+        return;
+    worker.failing = worker.failing * (1 - newest) + (failed ? newest : 0);
+    if (worker.failing < most)
+        return;
+    worker.backOffUntil = now + this->times.failingBackOff;
+    worker.failing = most / 2;
+    this->note("worker-failing", worker.listing.id, "");
+}
+
 void Scheduler::takeEnd(Worker &worker, const ListedEnd &end, Instant now)
 {
     if (end.number <= worker.endsSeen)
@@ -190,8 +207,12 @@
         this->dropRun(worker, {end.task, end.run}, now);
         return;
     }
-    if (auto *task = job->find(end.task))
+    if (auto *task = job->find(end.task)) {
         task->lastRun = std::max(task->lastRun, end.run);
+        if (end.end == jobs::RunEnd::Failed)
+            task->failedOn.push_back(worker.listing.id);
+    }
+    this->noteHealth(worker, end, now);
     const auto effect = job->noteEnd(end.task, end.run, end.end, end.checkpoint);
     const auto changes = job->changes;
     switch (end.end) {
--- a/packages/scheduling/src/scheduler_test.cpp
+++ b/packages/scheduling/src/scheduler_test.cpp
@@ -512,3 +512,33 @@
     bench.report("w9", {}, {}, 2);
     CHECK(bench.plan().starts.at(0).worker == "w9");
 }
+
+// A job that could be done is shown as failed: a worker that fails all it starts had the most room,
+// and was given each of the task's attempts.
+TEST_CASE("a task that failed is tried on another worker")
+{
+    Bench bench(2);
+    bench.reportAll(2);
+    bench.add("j", {stepOf(1)});
+    const auto first = bench.plan().starts.at(0);
+    bench.scheduler.startAnswered(first, OrderAnswer::Accepted, bench.now);
+    bench.report(first.worker, {}, {endOf(first, 1, jobs::RunEnd::Failed)});
+    CHECK(bench.plan().starts.at(0).worker != first.worker);
+}
+
+TEST_CASE("a worker that fails run after run is given a rest")
+{
+    Bench bench(1);
+    bench.report("w0");
+    for (std::int64_t i = 1; i <= 4; ++i) {
+        bench.add("j" + std::to_string(i), {stepOf(1)});
+        for (const auto &order : bench.plan().starts) {
+            bench.scheduler.startAnswered(order, OrderAnswer::Accepted, bench.now);
+            bench.report("w0", {}, {endOf(order, i, jobs::RunEnd::Failed)});
+        }
+    }
+    CHECK(bench.plan().starts.empty());
+    bench.now += SchedulerTimes{}.failingBackOff + 10ms;
+    bench.report("w0");
+    CHECK_FALSE(bench.plan().starts.empty());
+}
