Workers that are gone are forgotten and not asked any more

Change: a life that an order or a newer life has ended is over: its session ends at once, and it is forgotten when nothing of it is open; the relays count listed workers.

--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -246,7 +246,7 @@
 
     CallRelay *relay() const
     {
-        const bool isMany = this->scheduler.workers().size() >= fewestRelayed;
+        const bool isMany = this->listedWorkers >= fewestRelayed;
         return isMany && this->options.relay->isOpen() ? this->options.relay : nullptr;
     }
 
@@ -491,6 +491,20 @@
         LOG(INFO) << lines;
     }
 
+    void forgetWorkers(Instant now)
+    {
+        this->scheduler.forgetWorkers(now);
+        this->listedWorkers = this->scheduler.listedWorkers();
+        std::erase_if(this->sessions, [&](const auto &entry) {
+            const bool isGone = !this->scheduler.findWorker(entry.first);
+            if (isGone)
+                entry.second->stop();
+            return isGone;
+        });
+        std::erase_if(this->addresses,
+                      [&](const auto &entry) { return this->sessions.count(entry.first) == 0; });
+    }
+
     // One line a second for each service: what it has to do, and with what.
     void tellLoads()
     {
@@ -498,6 +512,7 @@
         if (now - this->loadsToldAt < loadPeriod)
             return;
         this->loadsToldAt = now;
+        this->forgetWorkers(now);
         for (const auto &entry : this->scheduler.loads(now, http::unixNow())) {
             const auto &load = entry.second;
             LOG(INFO) << "event=load service=" << entry.first << " workers=" << load.workers
@@ -578,6 +593,7 @@
     std::shared_ptr<TableFollower<Store>> workerFollower;
     Wake planWake;
     Instant loadsToldAt{};
+    std::size_t listedWorkers = 0; // as counted once a second
     Duration planTook{}; // the last time
     bool knowsJobs = false;
     bool knowsWorkers = false;
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -90,7 +90,7 @@
     {
         while (!this->stopped) {
             const auto *worker = this->scheduler.findWorker(this->id);
-            if (!worker)
+            if (!worker || worker->over)
                 co_return;
             if (!this->events.mayOrder()) {
                 co_await pause(retryPause);
@@ -117,7 +117,7 @@
             this->noteReach(true, answer.answer);
             this->scheduler.report(answer.report, asked, bootNow());
             this->events.onChange();
-            const auto gather = this->scheduler.workers().size() * gatherPerWorker;
+            const auto gather = this->scheduler.listedWorkers() * gatherPerWorker;
             if (!answer.report.ended.empty())
                 co_await pause(std::min<Duration>(gather, mostGather));
             if (this->stopped)
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -31,6 +31,7 @@
     Duration starvation = std::chrono::milliseconds(900); ///< a lasting task may wait for room
     /// How long a lasting task counts as away after the first report that it is at work.
     Duration settling = std::chrono::milliseconds(200);
+    Duration workerMemory = std::chrono::seconds(20); ///< of workers that are in no list
     Duration startExpiry = std::chrono::milliseconds(1500); ///< an order unsent for longer is void
     Duration longestOrder = std::chrono::milliseconds(3000); ///< until it is answered or given up
 };
@@ -130,6 +131,11 @@
     void report(const WorkerReport &report, Instant askedAt, Instant now);
     /// Another life answers at the worker's address: what ran there is gone.
     void lifeEnded(const std::string &id, Instant now);
+    /// The worker is gone, and no life comes back under its id.
+    void endWorker(const std::string &id, Instant now);
+    /// Forgets workers that are gone and ran nothing for a while.
+    void forgetWorkers(Instant now);
+    std::size_t listedWorkers() const;
     /// Until when a hold or start sent now lets the worker run, by its clock; nothing if its clock
     /// is not known.
     std::optional<std::int64_t> leaseUntil(const std::string &id, Instant now);
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -77,6 +77,7 @@
 {
     WorkerListing listing;
     bool listed = true; ///< in the platform's list
+    bool over = false; ///< this life is known to have ended, and nothing need be asked of it
     bool surveyed = false; ///< has answered this leader, in this life
     bool evacuating = false; ///< gets no more work, since it is to be moved or maintained
     bool leavingSoon = false; ///< a wave waits for its VM: lasting tasks would have to move again
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -388,8 +388,7 @@
         if (isMove)
             entry.vm.pool = order.pool;
         if (!worker.empty()) {
-            scheduler.lifeEnded(worker, now);
-            scheduler.unlistWorker(worker);
+            scheduler.endWorker(worker, now);
         }
     } else {
         entry.waitUntil = now + this->terms.retry;
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -38,8 +38,7 @@
     if (known && known->listing.born > listing.born)
         return false;
     if (known) {
-        this->lifeEnded(present, now);
-        known->listed = false;
+        this->endWorker(present, now);
     }
     present = listing.id;
     return true;
@@ -62,7 +61,7 @@
             this->allWorkersKnown ? now : this->tookOverAt + this->times.inheritedLease;
     const bool wasDraining = worker.listing.draining;
     worker.listing = listing;
-    worker.listed = true;
+    worker.listed = !worker.over;
     if (isNew || wasDraining != listing.draining) {
         this->note("worker", listing.id,
                    absl::StrCat("service=", listing.service, " draining=", listing.draining ? 1 : 0,
@@ -114,6 +113,34 @@
     worker.pendingEnds.clear();
 }
 
+void Scheduler::endWorker(const std::string &id, Instant now)
+{
+    auto *worker = this->findWorker(id);
+    if (!worker || worker->over)
+        return;
+    this->lifeEnded(id, now);
+    worker->listed = false;
+    worker->over = true;
+}
+
+void Scheduler::forgetWorkers(Instant now)
+{
+    std::erase_if(this->workerTable, [&](const auto &entry) {
+        const auto &worker = entry.second;
+        const bool isUnheard = now - worker.lastAnswer > this->times.workerMemory
+                               && now - this->tookOverAt > this->times.workerMemory;
+        return !worker.listed && worker.runs.empty() && now > worker.inheritedUntil
+               && (worker.over || isUnheard);
+    });
+}
+
+std::size_t Scheduler::listedWorkers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->workerTable.begin(), this->workerTable.end(),
+                      [](const auto &entry) { return entry.second.listed; }));
+}
+
 // A start that is still on its way may reach the worker's next life: such a run stays until a
 // report settles it.
 void Scheduler::dropAllRuns(Worker &worker, Instant now)
--- a/packages/scheduling/src/scheduler_test.cpp
+++ b/packages/scheduling/src/scheduler_test.cpp
@@ -542,3 +542,22 @@
     bench.report("w0");
     CHECK_FALSE(bench.plan().starts.empty());
 }
+
+// A leader that moves VMs sees hundreds of lives a minute: each one kept would be asked for ever.
+TEST_CASE("workers that are gone are forgotten once nothing of theirs is open")
+{
+    Bench bench(2);
+    bench.reportAll(2);
+    bench.add("j", {stepOf(1)});
+    const auto first = bench.plan().starts.at(0);
+    bench.scheduler.leaseUntil(first.worker, bench.now);
+    bench.scheduler.endWorker(first.worker, bench.now);
+    CHECK_FALSE(bench.scheduler.findWorker(first.worker)->listed);
+    bench.scheduler.forgetWorkers(bench.now);
+    CHECK(bench.scheduler.findWorker(first.worker) != nullptr); // a start is on its way
+    bench.scheduler.startAnswered(first, OrderAnswer::OtherLife, bench.now);
+    bench.now += 5s;
+    bench.scheduler.forgetWorkers(bench.now);
+    CHECK(bench.scheduler.findWorker(first.worker) == nullptr);
+    CHECK(bench.scheduler.listedWorkers() == 1);
+}
