Leader split: the recorder of jobs, workers' lives and waves have files of their own; a lost tenure is freed

Change: job_recorder.h, scheduler_workers.cpp, fleet_waves.cpp, fleet_round.h; moved code is unchanged. The parts are let go after a stop.

--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -2,14 +2,16 @@
 #pragma once
 
 #include <sassafrasferry/coordination/call_relay.h>
-#include <sassafrasferry/coordination/fenced_part.h>
 #include <sassafrasferry/coordination/fleet_keeper.h>
+#include <sassafrasferry/coordination/job_recorder.h>
 #include <sassafrasferry/coordination/leadership.h>
 #include <sassafrasferry/coordination/table_follower.h>
 #include <sassafrasferry/coordination/worker_session.h>
 
 #include <sassafrasferry/http/clock.h>
 
+#include <boost/asio/post.hpp>
+
 #include <map>
 #include <set>
 
@@ -67,9 +69,6 @@
         , planWake(executor)
     {
         this->scheduler.setConfiguration(std::move(configuration));
-        for (const auto &part : allJobParts())
-            this->lanes.push_back(
-                std::make_unique<RecordLane>(store, part, tenure.fence, executor));
     }
 
     void begin()
@@ -93,7 +92,15 @@
         if (this->fleet)
             this->fleet->stop();
         this->planWake.notify();
-        this->wakeRecords();
+        if (this->recorder)
+            this->recorder->stop();
+        // Those hold this leader by their callbacks, one of which may be what called here.
+        http::asio::post(this->executor, [self = this->shared_from_this()] {
+            self->fleet.reset();
+            self->intakeFollower.reset();
+            self->workerFollower.reset();
+            self->recorder.reset();
+        });
     }
 
     /// True once it knows every job.
@@ -153,41 +160,23 @@
     static constexpr auto planGather = std::chrono::milliseconds(2);
     // Planning takes at most this part of the time, so that answers are still taken in.
     static constexpr int planShare = 4;
-    static constexpr auto recordGather = std::chrono::milliseconds(15);
-    static constexpr auto recordTick = std::chrono::milliseconds(200);
     static constexpr auto retryPause = std::chrono::milliseconds(50);
-    static constexpr std::size_t mostRows = 30; // of a write: each takes up to three entries
     // Workers write their entry every second or two; news of a drain may be this much later.
     static constexpr std::chrono::milliseconds listPause{250};
 
-    /// The writes to one part.
-    struct RecordLane
-    {
-        RecordLane(Store &store, const std::string &part, std::int64_t fence,
-                   http::asio::any_io_executor executor)
-            : part(store, part, fence)
-            , wake(executor)
-        {}
-
-        FencedPart<Store> part;
-        Wake wake;
-    };
-
-    void wakeRecords()
-    {
-        for (auto &lane : this->lanes)
-            lane->wake.notify();
-    }
-
     Awaitable<void> run()
     {
-        for (auto &lane : this->lanes) {
-            if (!co_await this->until([&] { return lane->part.open(); }))
-                co_return;
-        }
-        if (!co_await this->loadProgress())
-            co_return;
         auto self = this->shared_from_this();
+        this->recorder = std::make_shared<JobRecorder<Store>>(
+            this->executor, this->store, this->scheduler, this->tenure.fence,
+            typename JobRecorder<Store>::Events{[self] { self->tellRecorded(); },
+                                                [self](const std::string &why) {
+                                                    if (!self->stopped)
+                                                        self->options.onDeposed(why);
+                                                }});
+        const bool isOpen = co_await this->recorder->open();
+        if (!isOpen || !co_await this->loadProgress())
+            co_return;
         this->intakeFollower = std::make_shared<TableFollower<Store>>(
             this->store, FollowOptions{table::intake, allJobParts()},
             [self](const auto &rows, bool) { self->takeIntake(rows); });
@@ -214,15 +203,17 @@
         this->workerFollower->begin(this->executor);
         http::asio::co_spawn(
             this->executor, [self] { return self->learnVms(); }, http::asio::detached);
-        for (auto &lane : this->lanes) {
-            http::asio::co_spawn(
-                this->executor, [self, raw = lane.get()] { return self->recordLoop(*raw); },
-                http::asio::detached);
-        }
+        this->recorder->begin();
         this->beginFleet();
         co_await this->planLoop();
     }
 
+    void tellRecorded()
+    {
+        for (auto &entry : this->sessions)
+            entry.second->recorded();
+    }
+
     // A worker that is cut off from the store is in the platform's list of VMs alone.
     Awaitable<void> learnVms()
     {
@@ -287,25 +278,6 @@
                && bootNow() - this->tookOverAt > wait;
     }
 
-    /// Repeats a write until it is done; false if this leader is deposed or stopped.
-    template<typename Write>
-    Awaitable<bool> until(Write write)
-    {
-        while (!this->stopped) {
-            const auto result = co_await write();
-            if (this->stopped)
-                break;
-            if (result == WriteResult::Written)
-                co_return true;
-            if (result == WriteResult::Deposed) {
-                this->options.onDeposed("a newer leader holds the jobs");
-                break;
-            }
-            co_await pause(retryPause);
-        }
-        co_return false;
-    }
-
     Awaitable<bool> loadProgress()
     {
         for (const auto &part : allJobParts()) {
@@ -351,11 +323,11 @@
         this->inherited.clear();
         for (const auto &job : cancelled) {
             if (this->scheduler.cancelJob(job))
-                this->cancelled.insert(job);
+                this->recorder->cancelled(job);
         }
         this->knowsJobs = true;
         this->planWake.notify();
-        this->wakeRecords();
+        this->recorder->wake();
     }
 
     void addOver(const std::string &id, scheduling::JobState state)
@@ -444,7 +416,7 @@
             SessionEvents{[self] {
                               self->planWake.notify();
                               if (self->scheduler.hasDirty())
-                                  self->wakeRecords();
+                                  self->recorder->wake();
                           },
                           [self](const std::string &why) {
                               if (!self->stopped)
@@ -471,7 +443,7 @@
             this->planTook = bootNow() - begin;
             this->tellNotes(begin);
             if (this->scheduler.hasDirty())
-                this->wakeRecords();
+                this->recorder->wake();
             this->tellLoads();
         }
     }
@@ -541,40 +513,6 @@
         }
     }
 
-    Awaitable<void> recordLoop(RecordLane &lane)
-    {
-        auto &part = lane.part;
-        while (!this->stopped) {
-            co_await lane.wake.wait(recordTick);
-            co_await pause(recordGather);
-            auto rows = this->scheduler.takeDirty(
-                mostRows, [&](const std::string &job) { return partOf(job) == part.name(); });
-            if (rows.empty() || this->stopped)
-                continue;
-            std::vector<store::PartPut> puts;
-            std::vector<store::PartDelete> deletes;
-            for (const auto &row : rows) {
-                puts.push_back({table::progress, row.id, row.row.SerializeAsString()});
-                if (!row.final)
-                    continue;
-                deletes.push_back({table::intake, row.id});
-                if (this->cancelled.count(row.id) != 0)
-                    deletes.push_back({table::intake, cancellationKey(row.id)});
-            }
-            if (!co_await this->until([&] { return part.write(puts, deletes); }))
-                co_return;
-            for (const auto &row : rows) {
-                this->scheduler.recorded(row);
-                if (row.final)
-                    this->cancelled.erase(row.id);
-            }
-            for (auto &entry : this->sessions)
-                entry.second->recorded();
-            if (this->scheduler.hasDirty())
-                lane.wake.notify();
-        }
-    }
-
     http::asio::any_io_executor executor;
     Store &store;
     Cloud &cloud;
@@ -582,9 +520,8 @@
     Instant tookOverAt;
     Options options;
     scheduling::Scheduler scheduler;
-    std::vector<std::unique_ptr<RecordLane>> lanes; // one for each part
+    std::shared_ptr<JobRecorder<Store>> recorder;
     std::map<std::string, messages::JobProgress> inherited; // until the intake is known
-    std::set<std::string> cancelled; // whose cancellation still has a row
     std::map<std::string, std::shared_ptr<Session>> sessions;
     std::map<std::string, model::Endpoint> addresses; // of the sessions
     std::vector<scheduling::Wave> waves;
--- /dev/null
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -0,0 +1,197 @@
+// Workers as they list themselves: their lives, their leases, and which of them are gone.
+#include <sassafrasferry/scheduling/scheduler.h>
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace sassafrasferry::scheduling {
+
+// A VM is one worker at a time. An entry of an earlier life may still stand, or come late; taken
+// for the present one, its VM would seem to run nothing.
+bool Scheduler::isPresentLife(const WorkerListing &listing, Instant now)
+{
+    if (listing.vm.empty())
+        return true;
+    auto &present = this->lives[listing.vm];
+    if (present == listing.id)
+        return true;
+    auto *known = this->findWorker(present);
+    if (known && known->listing.born > listing.born)
+        return false;
+    if (known) {
+        this->endWorker(present, now);
+    }
+    present = listing.id;
+    return true;
+}
+
+void Scheduler::listWorker(const WorkerListing &listing, Instant now)
+{
+    if (!this->isPresentLife(listing, now))
+        return;
+    auto &worker = this->workerTable[listing.id];
+    if (listing.born < worker.listing.born)
+        return;
+    if (listing.born != worker.listing.born && worker.listing.born != 0)
+        this->lifeEnded(listing.id, now);
+    const bool isNew = worker.listing.born == 0;
+    // A life that began after the takeover runs nothing of earlier leaders; but clocks differ, so
+    // only a life that is new to this leader's list counts as such.
+    if (isNew && worker.inheritedUntil == Instant{})
+        worker.inheritedUntil =
+            this->allWorkersKnown ? now : this->tookOverAt + this->times.inheritedLease;
+    const bool wasDraining = worker.listing.draining;
+    worker.listing = listing;
+    worker.listed = !worker.over;
+    if (isNew || wasDraining != listing.draining) {
+        this->note("worker", listing.id,
+                   absl::StrCat("service=", listing.service, " draining=", listing.draining ? 1 : 0,
+                                " cpu=", listing.capacity.cpu, " rack=", listing.rack));
+    }
+}
+
+void Scheduler::unlistWorker(const std::string &id)
+{
+    const auto at = this->workerTable.find(id);
+    if (at == this->workerTable.end())
+        return;
+    at->second.listed = false;
+    this->note("worker-unlisted", id, absl::StrCat("runs=", at->second.runs.size()));
+}
+
+void Scheduler::expectWorker(const std::string &id, const std::string &service)
+{
+    if (this->workerTable.count(id) != 0)
+        return;
+    auto &worker = this->workerTable[id];
+    worker.listing.id = id;
+    worker.listing.service = service;
+    worker.listed = false;
+    worker.inheritedUntil = this->tookOverAt + this->times.inheritedLease;
+    this->note("worker-expected", id, absl::StrCat("service=", service));
+}
+
+void Scheduler::knowsAllWorkers()
+{
+    this->allWorkersKnown = true;
+}
+
+void Scheduler::lifeEnded(const std::string &id, Instant now)
+{
+    const auto at = this->workerTable.find(id);
+    if (at == this->workerTable.end())
+        return;
+    auto &worker = at->second;
+    this->note("worker-ended", id, absl::StrCat("runs=", worker.runs.size()));
+    // Starts may be on their way to the next life.
+    worker.inheritedUntil = this->surelyDeadAt(worker);
+    this->dropAllRuns(worker, now);
+    worker.surveyed = false;
+    worker.clock = 0;
+    worker.lastUntil = 0;
+    worker.endsSeen = 0;
+    worker.endsRecorded = 0;
+    worker.pendingEnds.clear();
+}
+
+void Scheduler::endWorker(const std::string &id, Instant now)
+{
+    auto *worker = this->findWorker(id);
+    if (!worker || worker->over)
+        return;
+    this->lifeEnded(id, now);
+    worker->listed = false;
+    worker->over = true;
+}
+
+void Scheduler::forgetWorkers(Instant now)
+{
+    std::erase_if(this->workerTable, [&](const auto &entry) {
+        const auto &worker = entry.second;
+        const bool isUnheard = now - worker.lastAnswer > this->times.workerMemory
+                               && now - this->tookOverAt > this->times.workerMemory;
+        return !worker.listed && worker.runs.empty() && now > worker.inheritedUntil
+               && (worker.over || isUnheard);
+    });
+}
+
+std::size_t Scheduler::listedWorkers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->workerTable.begin(), this->workerTable.end(),
+                      [](const auto &entry) { return entry.second.listed; }));
+}
+
+std::optional<std::int64_t> Scheduler::leaseUntil(const std::string &id, Instant now)
+{
+    auto *worker = this->findWorker(id);
+    // A worker that has fallen silent gets no longer lease: each would have to be waited out, since
+    // it may have arrived.
+    if (!worker || worker->clock == 0 || now - worker->lastAnswer > 3 * this->times.silence)
+        return std::nullopt;
+    const auto passed =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - worker->clockAt).count();
+    const auto term =
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->times.workerLease).count();
+    const auto until = worker->clock + passed + term;
+    worker->lastUntil = std::max(worker->lastUntil, until);
+    return until;
+}
+
+Instant Scheduler::surelyDeadAt(const Worker &worker) const
+{
+    if (!worker.surveyed || worker.clock == 0)
+        return worker.inheritedUntil;
+    const auto lease = std::chrono::milliseconds(worker.lastUntil - worker.clock);
+    const auto slowest = policy::fromSeconds(policy::seconds(lease) * (1 + this->times.clockDrift));
+    return worker.clockAt + std::max(slowest, Duration::zero()) + this->times.leaseMargin;
+}
+
+// The lease that comes with a start is not known before it is sent.
+bool Scheduler::isOnItsWay(const RunKey &key, Instant now)
+{
+    auto *job = this->findJob(key.task.job);
+    auto *task = job ? job->find(key.task) : nullptr;
+    return task && std::any_of(task->runs.begin(), task->runs.end(), [&](const jobs::Run &run) {
+               return run.number == key.number && run.state == jobs::RunState::Ordered
+                      && now - run.orderedAt <= this->times.longestOrder;
+           });
+}
+
+void Scheduler::writeOffSilent(Instant now)
+{
+    for (auto &entry : this->workerTable) {
+        auto &worker = entry.second;
+        if (worker.runs.empty() || now <= this->surelyDeadAt(worker))
+            continue;
+        this->note("worker-lapsed", entry.first, absl::StrCat("runs=", worker.runs.size()));
+        std::vector<RunKey> keys;
+        for (const auto &run : worker.runs) {
+            if (!this->isOnItsWay(run.first, now))
+                keys.push_back(run.first);
+        }
+        for (const auto &key : keys)
+            this->dropRun(worker, key, now);
+    }
+}
+
+const std::map<std::string, Worker> &Scheduler::workers() const
+{
+    return this->workerTable;
+}
+
+Worker *Scheduler::workerOf(const std::string &vm)
+{
+    const auto at = this->lives.find(vm);
+    auto *worker = at == this->lives.end() ? nullptr : this->findWorker(at->second);
+    return worker && worker->listed ? worker : nullptr;
+}
+
+Worker *Scheduler::findWorker(const std::string &id)
+{
+    const auto at = this->workerTable.find(id);
+    return at == this->workerTable.end() ? nullptr : &at->second;
+}
+
+} // namespace sassafrasferry::scheduling
