A task on a silent worker does not count as at work

By reading: workers of a rack go dark at a set time; a task there seemed at work until its worker's lease was waited out, up to 5.9 s, and the platform counts it away after 4.5. Ruled out: orders about VMs and earlier lives, mended before. Change: at work means reported within 1.5 s. Test: fails before.

--- a/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
@@ -115,9 +115,8 @@
             co_await pause(gather);
             if (this->stopped)
                 co_return;
-            const auto rows = this->scheduler.takeDirty(mostRows, [&](const std::string &job) {
-                return partOf(job) == lane.part.name();
-            });
+            const auto rows = this->scheduler.takeDirty(
+                mostRows, [&](const std::string &job) { return partOf(job) == lane.part.name(); });
             if (rows.empty())
                 continue;
             std::vector<store::PartPut> puts;
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -29,6 +29,8 @@
     /// ordered: the time for which that one may order without the store, and a lease.
     Duration inheritedLease = std::chrono::milliseconds(10700);
     Duration starvation = std::chrono::milliseconds(900); ///< a lasting task may wait for room
+    /// An older report does not tell that a task is at work. Holds answer within a second.
+    Duration reportAge = std::chrono::milliseconds(1500);
     /// How long a lasting task counts as away after the first report that it is at work.
     Duration settling = std::chrono::milliseconds(200);
     Duration workerMemory = std::chrono::seconds(20); ///< of workers that are in no list
@@ -190,6 +192,7 @@
     void writeOffSilent(Instant now);
     void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
                  bool isHopeful, Instant now, UnixMilliseconds unixNow);
+    bool isAtWork(const jobs::Run &run, Instant now) const;
     bool mayTakeAway(Job &job, const TaskId &id, Instant now) const;
     void stopRunsOf(Job &job, const std::string &reason);
     void markDirty(Job &job);
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -6,8 +6,18 @@
 namespace sassafrasferry::scheduling {
 
 // A task that was taken away, or that is just starting, is away; so is one that the worker does not
-// report at its full share, or has just begun to: the report rounds up. Counting more as away than
+// report at its full share, or has just begun to: the report rounds up. A worker that went dark
+// would else seem to hold its tasks at work until its lease has ended. Counting more as away than
 // the platform does errs on the safe side.
+bool Scheduler::isAtWork(const jobs::Run &run, Instant now) const
+{
+    const auto worker = this->workerTable.find(run.worker);
+    const bool isHeard = worker != this->workerTable.end()
+                         && now - worker->second.lastAnswer < this->times.reportAge;
+    return isHeard && run.state == jobs::RunState::Confirmed && run.atWorkSince < now
+           && now - run.atWorkSince > this->times.settling;
+}
+
 bool Scheduler::mayTakeAway(Job &job, const TaskId &id, Instant now) const
 {
     const auto &step = job.spec.steps[id.step];
@@ -18,11 +28,10 @@
         if (i == id.index)
             continue;
         const auto &runs = job.at(id.occurrence, id.step, i).runs;
-        const bool isAtWork = std::any_of(runs.begin(), runs.end(), [&](const jobs::Run &run) {
-            return run.state == jobs::RunState::Confirmed && run.atWorkSince < now
-                   && now - run.atWorkSince > this->times.settling;
+        const bool isHere = std::any_of(runs.begin(), runs.end(), [&](const jobs::Run &run) {
+            return this->isAtWork(run, now);
         });
-        away += isAtWork ? 0 : 1;
+        away += isHere ? 0 : 1;
     }
     return away < step.maxUnavailable;
 }
--- a/packages/scheduling/src/scheduler_test.cpp
+++ b/packages/scheduling/src/scheduler_test.cpp
@@ -561,3 +561,22 @@
     CHECK(bench.scheduler.findWorker(first.worker) == nullptr);
     CHECK(bench.scheduler.listedWorkers() == 1);
 }
+
+// An availability budget of one: the other task's worker went dark seconds ago, its lease has not
+// ended yet, and its last report said that the task is at work.
+TEST_CASE("a task on a silent worker does not count as at work")
+{
+    Bench bench(3);
+    bench.reportAll(3);
+    bench.add("j", {lastingStep(2, 1)});
+    const auto orders = bench.plan();
+    bench.acceptAll(orders);
+    bench.now += 1s;
+    for (const auto &order : orders.starts)
+        bench.report(order.worker, {{order.task, order.run, "", 100, 0}});
+    bench.now += 2s;
+    const auto &heard = orders.starts[0];
+    bench.report(heard.worker, {{heard.task, heard.run, "", 100, 0}});
+    bench.scheduler.evacuate(heard.worker, false, bench.now);
+    CHECK(bench.plan().stops.empty());
+}
