A leader that can't lead gives way

The leader is edge-augusta-3, of 0.12 cores and 10 Mbit/s; it took a lease that had run out while the larger ones restarted, and its next process took it again at once as its own. Its processor is full ('cores, most' 0.109 of 0.12), it takes cancellations in 5 s late and counts 102 jobs of 266 as waiting.

Change: - The hello of an entry VM carries its cores (0 while it could not lead); a leader with half of the strongest's or less gives the lease up in its favour (SuccessorChoice; the lease row names the successor, the others let it come first). - `spawn` logs the exception that ends a coroutine and tells its owner, loops run on; a leader whose parts fail, or that reads no further part of the tables for 8 s while the store confirms its lease, gives the lease up and holds off for 3 s. - The server and the table client log what they turned into an answer.

--- a/packages/coordination/include/sassafrasferry/coordination/call_relay.h
+++ b/packages/coordination/include/sassafrasferry/coordination/call_relay.h
@@ -4,6 +4,7 @@
 // answer, and the fence and the end of the lease that it carries bound it wherever it is made.
 #pragma once
 
+#include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/timing.h>
 #include <sassafrasferry/coordination/worker_calls.h>
 #include <sassafrasferry/messages/jobs.pb.h>
@@ -86,12 +87,10 @@
             auto worker = this->clientFor(call);
             if (!worker)
                 continue;
-            http::asio::co_spawn(
-                this->executor,
-                [self = this->shared_from_this(), worker, call, leader = *leader] {
-                    return self->make(worker, call, leader);
-                },
-                http::asio::detached);
+            spawn(this->executor, "relayed-call",
+                  [self = this->shared_from_this(), worker, call, leader = *leader] {
+                      return self->make(worker, call, leader);
+                  });
         }
     }
 
@@ -178,10 +177,8 @@
         *batch.add_answers() = std::move(answer);
         if (batch.answers_size() > 1)
             return;
-        http::asio::co_spawn(
-            this->executor,
-            [self = this->shared_from_this(), leader] { return self->flush(leader); },
-            http::asio::detached);
+        spawn(this->executor, "relayed-answers",
+              [self = this->shared_from_this(), leader] { return self->flush(leader); });
     }
 
     Awaitable<void> flush(model::Endpoint leader)
--- a/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/job_rows.h>
+#include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/timing.h>
 #include <sassafrasferry/scheduling/fleet_planner.h>
 
@@ -77,9 +78,9 @@
     {
         for (const auto &vm : this->options.deferred)
             this->planner.defer(vm, this->options.deferredUntil);
-        http::asio::co_spawn(
-            this->executor, [self = this->shared_from_this()] { return self->run(); },
-            http::asio::detached);
+        spawn(this->executor, "fleet", [self = this->shared_from_this()] {
+            return restarted("fleet", [self] { return self->run(); });
+        });
     }
 
     void stop()
@@ -158,12 +159,10 @@
 
     void give(scheduling::FleetOrder order)
     {
-        http::asio::co_spawn(
-            this->executor,
-            [self = this->shared_from_this(), order = std::move(order)] {
-                return self->call(order);
-            },
-            http::asio::detached);
+        spawn(this->executor, "vm-order",
+              [self = this->shared_from_this(), order = std::move(order)] {
+                  return self->call(order);
+              });
     }
 
     Awaitable<void> call(scheduling::FleetOrder order)
--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/job_rows.h>
+#include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/timing.h>
 
 #include <sassafrasferry/http/await_callback.h>
@@ -90,8 +91,9 @@
     {
         if (std::exchange(this->busy[part], true))
             return;
-        http::asio::co_spawn(
-            this->executor, [this, part] { return this->work(part); }, http::asio::detached);
+        spawn(
+            this->executor, "intake " + part, [this, part] { return this->work(part); },
+            [this, part](const std::string &) { this->busy[part] = false; });
     }
 
     Awaitable<void> work(std::string part)
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -5,6 +5,8 @@
 #include <sassafrasferry/coordination/intake.h>
 #include <sassafrasferry/coordination/job_desk.h>
 #include <sassafrasferry/coordination/leader.h>
+#include <sassafrasferry/coordination/spawn.h>
+#include <sassafrasferry/coordination/successor.h>
 
 #include <sassafrasferry/http/json.h>
 #include <sassafrasferry/http/server.h>
@@ -23,6 +25,7 @@
     LeadershipTimes leadership;
     Duration turn = std::chrono::milliseconds(3000); ///< between two leaders' orders about a VM
     Duration stopWithin = std::chrono::milliseconds(5000); ///< from the stop signal to the end
+    double cores = 1.0; ///< the processor of this entry VM
 };
 
 template<JobPlatform Platform>
@@ -52,6 +55,7 @@
               [this](const auto &peer, const auto &envelope) {
                   return this->desk.send(peer, envelope);
               }))
+        , successors(this->options.cores)
         , leadership(store, this->options.name, this->options.peer, http::unixNow(),
                      {[this](const Tenure &tenure) { this->lead(tenure); },
                       [this](const std::string &) {
@@ -70,10 +74,11 @@
             this->store, FollowOptions{Platform::operatorTable(), {""}},
             [self](const auto &rows, bool) { self->takeOperatorRows(rows); });
         this->operators->begin(this->executor);
-        http::asio::co_spawn(
-            this->executor, [self] { return self->leadership.run(); }, http::asio::detached);
-        http::asio::co_spawn(
-            this->executor, [self] { return self->helloLoop(); }, http::asio::detached);
+        spawn(this->executor, "leadership", [self] {
+            return restarted("leadership", [self] { return self->leadership.run(); });
+        });
+        spawn(this->executor, "hello",
+              [self] { return restarted("hello", [self] { return self->helloLoop(); }); });
         return absl::OkStatus();
     }
 
@@ -88,8 +93,7 @@
     Awaitable<void> stop()
     {
         this->stopping = true;
-        auto orderedVms = this->leader ? this->leader->orderedVms() : std::vector<std::string>{};
-        co_await this->leadership.release(std::move(orderedVms));
+        co_await this->leadership.release(this->orderedVms());
     }
 
     Awaitable<http::Response> handle(http::Request request)
@@ -324,8 +328,7 @@
     messages::JobAnswer answer(const messages::JobQuestion &question)
     {
         messages::JobAnswer answer;
-        if (const auto peer = model::parseEndpoint(question.address()))
-            this->relay.heard(*peer);
+        this->noteAsker(question);
         answer.set_leads(this->leadership.leads());
         answer.set_leaving(this->stopping);
         answer.set_lease_version(this->leadership.leaseVersion());
@@ -344,8 +347,11 @@
     Awaitable<void> helloLoop()
     {
         for (;;) {
-            if (const auto address = this->otherLeader(); address && !this->leadership.leads()) {
-                const messages::JobQuestion question;
+            if (this->leadership.leads()) {
+                this->handOverToStronger();
+            } else if (const auto address = this->otherLeader()) {
+                messages::JobQuestion question;
+                question.set_cores(this->isReady() ? this->options.cores : 0);
                 const auto answer = co_await this->desk.ask(*address, question, askTimeout);
                 if (answer && answer->leads() && !answer->leaving())
                     this->leadership.heard(answer->lease_version());
@@ -418,6 +424,9 @@
         leaderOptions.onDeposed = [this](const std::string &why) {
             this->leadership.deposed(why);
         };
+        leaderOptions.onFailed = [this](const std::string &why) {
+            this->giveWay(why, "");
+        };
         this->leader =
             std::make_shared<Leader<Platform>>(this->executor, this->store, this->cloud, tenure,
                                                std::move(leaderOptions), this->configuration);
@@ -426,6 +435,33 @@
         this->leader->begin();
     }
 
+    std::vector<std::string> orderedVms() const
+    {
+        return this->leader ? this->leader->orderedVms() : std::vector<std::string>{};
+    }
+
+    // Not at once: what failed may be what called here.
+    void giveWay(const std::string &why, const std::string &successor)
+    {
+        spawn(this->executor, "give-way", [self = this->shared_from_this(), why, successor] {
+            return self->leadership.giveWay(self->orderedVms(), why, successor);
+        });
+    }
+
+    void noteAsker(const messages::JobQuestion &question)
+    {
+        if (const auto peer = model::parseEndpoint(question.address()))
+            this->relay.heard(*peer);
+        this->successors.heard(question.address(), question.cores(), bootNow());
+    }
+
+    void handOverToStronger()
+    {
+        const auto successor = this->successors.better(bootNow());
+        if (!successor.empty() && this->leadership.sinceConfirmed() < countFreshness)
+            this->giveWay("a stronger entry VM is there", successor);
+    }
+
     void dropLeader()
     {
         if (!this->leader)
@@ -443,6 +479,7 @@
     JobDesk desk;
     CallRelay relay;
     std::shared_ptr<CallAgent<typename Platform::Worker>> agent;
+    SuccessorChoice successors;
     Leadership<Store> leadership;
     std::shared_ptr<TableFollower<Store>> operators; // their table of the store
     std::shared_ptr<Leader<Platform>> leader; // while this entry VM leads
--- a/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/fenced_part.h>
+#include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
 #include <functional>
@@ -18,6 +19,7 @@
     {
         std::function<void()> onRecorded; ///< rows are in the store, and the scheduler knows
         std::function<void(const std::string &why)> onDeposed;
+        OnFailure onFailed; ///< nothing is recorded any more, for a fault of this process
     };
 
     JobRecorder(http::asio::any_io_executor executor, Store &store,
@@ -43,10 +45,12 @@
     void begin()
     {
         for (auto &lane : this->lanes) {
-            http::asio::co_spawn(
-                this->executor,
+            spawn(
+                this->executor, "record " + lane->part.name(),
                 [self = this->shared_from_this(), raw = lane.get()] { return self->run(*raw); },
-                http::asio::detached);
+                [self = this->shared_from_this()](const std::string &error) {
+                    self->events.onFailed(error);
+                });
         }
     }
 
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -5,6 +5,7 @@
 #include <sassafrasferry/coordination/fleet_keeper.h>
 #include <sassafrasferry/coordination/job_recorder.h>
 #include <sassafrasferry/coordination/leadership.h>
+#include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/table_follower.h>
 #include <sassafrasferry/coordination/worker_session.h>
 
@@ -50,11 +51,15 @@
     {
         scheduling::SchedulerTimes times;
         std::function<void(const std::string &why)> onDeposed;
+        OnFailure onFailed; ///< this process can't lead now
         std::function<Duration()> sinceConfirmed; ///< how long ago the store confirmed the lease
         CallRelay *relay = nullptr; ///< through which workers are called once there are many
         Duration orderLimit{}; ///< no order is given that long after
         /// Between the last order about a VM of one leader and the first of the next.
         Duration turn = std::chrono::milliseconds(3000);
+        /// Without a further part of the tables while the store confirms the lease. A slow store
+        /// takes seconds for a part of many pages.
+        Duration loadStall = std::chrono::seconds(8);
     };
 
     Leader(http::asio::any_io_executor executor, Store &store, Cloud &cloud, const Tenure &tenure,
@@ -73,9 +78,9 @@
 
     void begin()
     {
-        http::asio::co_spawn(
-            this->executor, [self = this->shared_from_this()] { return self->run(); },
-            http::asio::detached);
+        this->spawnPart("lead", [self = this->shared_from_this()] { return self->run(); });
+        this->spawnPart("load-watch",
+                        [self = this->shared_from_this()] { return self->watchLoad(); });
     }
 
     /// Nothing is ordered or recorded any more.
@@ -154,6 +159,8 @@
     // term after which another may take it, so the other need not add the whole of it to its wait.
     static constexpr Duration vmOrderLimit = std::chrono::milliseconds(800);
     static constexpr Duration vmOrderMargin = std::chrono::milliseconds(200);
+    static constexpr Duration confirmedLately = std::chrono::milliseconds(1000);
+    static constexpr auto loadWatchTick = std::chrono::milliseconds(200);
     static constexpr auto loadPeriod = std::chrono::seconds(1);
     static constexpr auto planTick = std::chrono::milliseconds(50);
     // Ends and answers that come together are planned for together.
@@ -164,6 +171,36 @@
     // Workers write their entry every second or two; news of a drain may be this much later.
     static constexpr std::chrono::milliseconds listPause{250};
 
+    template<typename Body>
+    void spawnPart(std::string_view name, Body body)
+    {
+        spawn(this->executor, name, std::move(body),
+              [self = this->shared_from_this()](const std::string &error) { self->fail(error); });
+    }
+
+    void fail(const std::string &why)
+    {
+        if (!this->stopped)
+            this->options.onFailed(why);
+    }
+
+    // A leader that renews its lease but never learns the jobs keeps all others from leading, and
+    // callers wait for good. The store confirms its lease, so others can read what it can't.
+    Awaitable<void> watchLoad()
+    {
+        auto seen = this->loadSteps;
+        auto movedAt = bootNow();
+        while (!this->stopped && !this->isReady()) {
+            co_await pause(loadWatchTick);
+            const auto now = bootNow();
+            const bool isConfirmed = this->options.sinceConfirmed() < confirmedLately;
+            if (std::exchange(seen, this->loadSteps) != this->loadSteps || !isConfirmed)
+                movedAt = now;
+            if (now - movedAt > this->options.loadStall && !this->isReady())
+                this->fail("the jobs can't be read");
+        }
+    }
+
     Awaitable<void> run()
     {
         auto self = this->shared_from_this();
@@ -173,8 +210,12 @@
                                                 [self](const std::string &why) {
                                                     if (!self->stopped)
                                                         self->options.onDeposed(why);
+                                                },
+                                                [self](const std::string &error) {
+                                                    self->fail(error);
                                                 }});
         const bool isOpen = co_await this->recorder->open();
+        ++this->loadSteps;
         if (!isOpen || !co_await this->loadProgress())
             co_return;
         this->intakeFollower = std::make_shared<TableFollower<Store>>(
@@ -201,8 +242,7 @@
         if (this->stopped)
             co_return;
         this->workerFollower->begin(this->executor);
-        http::asio::co_spawn(
-            this->executor, [self] { return self->learnVms(); }, http::asio::detached);
+        this->spawnPart("learn-vms", [self] { return self->learnVms(); });
         this->recorder->begin();
         this->beginFleet();
         co_await this->planLoop();
@@ -294,6 +334,7 @@
                         else
                             LOG(ERROR) << "event=progress-unreadable job=" << row.key;
                     }
+                    ++this->loadSteps;
                     break;
                 }
                 co_await pause(retryPause);
@@ -326,6 +367,7 @@
                 this->recorder->cancelled(job);
         }
         this->knowsJobs = true;
+        ++this->loadSteps;
         this->planWake.notify();
         this->recorder->wake();
     }
@@ -532,6 +574,7 @@
     Instant loadsToldAt{};
     std::size_t listedWorkers = 0; // as counted once a second
     Duration planTook{}; // the last time
+    std::size_t loadSteps = 0; // parts of the store's tables that have been read
     bool knowsJobs = false;
     bool knowsWorkers = false;
     bool stopped = false;
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -32,6 +32,10 @@
     /// age.
     Duration youthDelay = std::chrono::milliseconds(300);
     Duration restartMemory = std::chrono::seconds(30);
+    /// One that gave way because it could not lead lets others go first for this long.
+    Duration holdOff = std::chrono::seconds(3);
+    /// The one that the leader before named comes first by this.
+    Duration successorLead = std::chrono::milliseconds(600);
 };
 
 /// What a new leader has to know of its lease.
@@ -128,11 +132,28 @@
     Awaitable<void> release(std::vector<std::string> orderedVms)
     {
         this->released = true;
+        co_await this->free(std::move(orderedVms), "released", "");
+    }
+
+    /// Gives the lease up because this process can't lead now. `successor` is the address of the
+    /// one who should lead, if one is known.
+    Awaitable<void> giveWay(std::vector<std::string> orderedVms, std::string why,
+                            std::string successor)
+    {
+        this->heldOffUntil = bootNow() + this->times.holdOff;
+        co_await this->free(std::move(orderedVms), std::move(why), std::move(successor));
+    }
+
+private:
+    Awaitable<void> free(std::vector<std::string> orderedVms, std::string why,
+                         std::string successor)
+    {
         if (!this->leading)
             co_return;
-        this->deposed("released");
+        this->deposed(why);
         auto record = this->record();
         record.clear_holder();
+        record.set_successor(std::move(successor));
         for (auto &vm : orderedVms)
             record.add_ordered_vms(std::move(vm));
         const auto transaction = this->transaction(record);
@@ -141,7 +162,6 @@
             LOG(WARNING) << "event=lease-not-released";
     }
 
-private:
     messages::LeaseRecord record() const
     {
         messages::LeaseRecord record;
@@ -202,6 +222,8 @@
     Awaitable<void> watch()
     {
         const auto now = bootNow();
+        if (now < this->heldOffUntil)
+            co_return;
         const bool isWaiting = this->freeSince != Instant{};
         if (now - this->lookedAt < (isWaiting ? this->times.tick : this->times.look))
             co_return;
@@ -230,15 +252,19 @@
         }
         if (this->freeSince == Instant{})
             this->freeSince = now;
-        if (isOwnPast || now - this->freeSince >= this->delayFor(isFree, now))
+        if (isOwnPast || now - this->freeSince >= this->delayFor(record, now))
             co_await this->take(next);
     }
 
     // Where entry VMs are restarted in turn, those that have had theirs lead on.
-    Duration delayFor(bool isFree, Instant now) const
+    Duration delayFor(const messages::LeaseRecord &record, Instant now) const
     {
-        if (!isFree)
+        if (!record.holder().empty())
             return this->times.takeDelay;
+        if (!record.successor().empty())
+            return record.successor() == model::toString(this->address)
+                       ? Duration::zero()
+                       : this->times.takeDelay + this->times.successorLead;
         const auto age = std::min(now - this->begunAt, this->times.restartMemory);
         return this->times.takeDelay
                + this->times.youthDelay * (age / std::chrono::milliseconds(1))
@@ -321,6 +347,7 @@
     Instant lookedAt{};
     Instant begunAt = bootNow(); // when this process began
     Instant freeSince{}; // when the lease was first seen free
+    Instant heldOffUntil{}; // until then it takes no lease
     std::optional<model::Endpoint> leader;
 };
 
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/successor.h
@@ -0,0 +1,57 @@
+// Which entry VM should lead in place of a weak one.
+#pragma once
+
+#include <sassafrasferry/coordination/timing.h>
+
+#include <map>
+#include <string>
+
+namespace sassafrasferry::coordination {
+
+/// Keeps how much processor those have that ask this leader. A leader without the processor for all
+/// workers falls seconds behind: jobs wait, and tasks of cancelled ones are still started.
+class SuccessorChoice
+{
+public:
+    /// `own`: the processor of this entry VM, in cores.
+    explicit SuccessorChoice(double own)
+        : own(own)
+    {}
+
+    /// One that could lead now has asked. `cores` is 0 if it could not.
+    void heard(const std::string &address, double cores, Instant now)
+    {
+        this->peers[address] = {cores, now};
+    }
+
+    /// Where the strongest is that was heard lately, if it is worth a change; else empty.
+    std::string better(Instant now) const
+    {
+        std::string best;
+        double most = this->own * worthwhile;
+        for (const auto &entry : this->peers) {
+            const auto &peer = entry.second;
+            if (now - peer.heardAt > lately || peer.cores < most)
+                continue;
+            best = entry.first;
+            most = peer.cores;
+        }
+        return best;
+    }
+
+private:
+    // A change costs a survey of all workers.
+    static constexpr double worthwhile = 2.0;
+    static constexpr Duration lately = std::chrono::milliseconds(800); // some three questions
+
+    struct Peer
+    {
+        double cores = 0;
+        Instant heardAt{};
+    };
+
+    double own;
+    std::map<std::string, Peer> peers; // by address
+};
+
+} // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/table_follower.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_follower.h
@@ -1,7 +1,7 @@
 // Follows a table of the store: all rows first, then each change as it comes.
 #pragma once
 
-#include <sassafrasferry/coordination/timing.h>
+#include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/store/part_rows.h>
 
 #include <functional>
@@ -34,11 +34,11 @@
         , onRows(std::move(onRows))
     {}
 
-    void begin(http::asio::any_io_executor executor)
+    void begin(const http::asio::any_io_executor &executor)
     {
-        http::asio::co_spawn(
-            executor, [self = this->shared_from_this()] { return self->run(); },
-            http::asio::detached);
+        spawn(executor, "follow " + this->options.table, [self = this->shared_from_this()] {
+            return restarted("follow " + self->options.table, [self] { return self->run(); });
+        });
     }
 
     void stop()
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -1,6 +1,7 @@
 // The leader's talk with one worker: a hold that is always under way, and orders beside it.
 #pragma once
 
+#include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/worker_calls.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
@@ -39,9 +40,9 @@
 
     void begin()
     {
-        http::asio::co_spawn(
-            this->executor, [self = this->shared_from_this()] { return self->holdLoop(); },
-            http::asio::detached);
+        spawn(this->executor, "hold " + this->id, [self = this->shared_from_this()] {
+            return restarted("hold " + self->id, [self] { return self->holdLoop(); });
+        });
     }
 
     /// Nothing is sent any more, and the scheduler is not touched.
@@ -157,9 +158,10 @@
         if (this->busy >= mostOrdersAtOnce)
             return;
         ++this->busy;
-        http::asio::co_spawn(
-            this->executor, [self = this->shared_from_this()] { return self->work(); },
-            http::asio::detached);
+        spawn(
+            this->executor, "orders " + this->id,
+            [self = this->shared_from_this()] { return self->work(); },
+            [self = this->shared_from_this()](const std::string &) { --self->busy; });
     }
 
     Awaitable<void> work()
--- a/packages/coordination/src/call_relay.cpp
+++ b/packages/coordination/src/call_relay.cpp
@@ -170,11 +170,11 @@
         this->pending[number] = {done, bootNow() + timeout};
         *this->batches[*relay].add_calls() = std::move(call);
         if (!std::exchange(this->flushing, true))
-            http::asio::co_spawn(
-                this->executor, [this] { return this->flushSoon(); }, http::asio::detached);
+            spawn(this->executor, "relay-flush", [this] { return this->flushSoon(); });
         if (!std::exchange(this->expiring, true))
-            http::asio::co_spawn(
-                this->executor, [this] { return this->expireLoop(); }, http::asio::detached);
+            spawn(this->executor, "relay-expire", [this] {
+                return restarted("relay-expire", [this] { return this->expireLoop(); });
+            });
     });
 }
 
--- /dev/null
+++ b/packages/coordination/src/leader_test.cpp
@@ -0,0 +1,136 @@
+#include <sassafrasferry/coordination/leader.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+#include "../tests/memory_store.h"
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::coordination;
+
+namespace {
+
+/// Never answers.
+struct SilentWorker
+{
+    SilentWorker(http::asio::any_io_executor, std::string, const model::Endpoint &) {}
+
+    Awaitable<HoldAnswer> hold(HoldRequest)
+    {
+        co_return HoldAnswer{};
+    }
+
+    Awaitable<scheduling::OrderAnswer> start(const scheduling::StartOrder &, std::int64_t,
+                                             std::int64_t)
+    {
+        co_return scheduling::OrderAnswer::NoAnswer;
+    }
+
+    Awaitable<scheduling::OrderAnswer> stop(const scheduling::StopOrder &, std::int64_t)
+    {
+        co_return scheduling::OrderAnswer::NoAnswer;
+    }
+
+    Awaitable<scheduling::OrderAnswer> pace(const scheduling::PaceOrder &, std::int64_t)
+    {
+        co_return scheduling::OrderAnswer::NoAnswer;
+    }
+};
+
+struct EmptyCloud
+{
+    Awaitable<absl::StatusOr<std::vector<scheduling::Vm>>> list()
+    {
+        co_return std::vector<scheduling::Vm>{};
+    }
+
+    Awaitable<scheduling::FleetAnswer> give(scheduling::FleetOrder, std::int64_t)
+    {
+        co_return scheduling::FleetAnswer{};
+    }
+};
+
+struct TestPlatform
+{
+    using Store = MemoryStore;
+    using Worker = SilentWorker;
+    using Cloud = EmptyCloud;
+
+    static std::string workerTable()
+    {
+        return "workers";
+    }
+
+    static absl::StatusOr<scheduling::WorkerListing> decodeListing(const std::string &,
+                                                                   const std::string &)
+    {
+        return absl::DataLossError("no workers here");
+    }
+
+    static WaveStatusRow waveStatus(std::int64_t, bool)
+    {
+        return {};
+    }
+};
+
+struct Case
+{
+    std::string name;
+    ReadFault fault;
+    std::string table;
+    bool gives; ///< the leader says that it can't lead
+    bool leads; ///< it becomes ready
+};
+
+const std::vector<Case> cases{
+    {"sound tables", ReadFault::None, "", false, true},
+    {"progress that can't be decoded", ReadFault::Throws, table::progress, true, false},
+    {"intake that can't be decoded", ReadFault::Throws, table::intake, true, false},
+    {"progress that is never read", ReadFault::Fails, table::progress, true, false},
+    {"workers that are never read", ReadFault::Fails, "workers", true, false},
+};
+
+} // namespace
+
+// A caller gets no state of any job, and no task starts. The leader renews its lease, but its own
+// loading has ended by an exception, or never ends: since the lease is confirmed, no other entry VM
+// takes it. The leader has to notice this by itself, and to give way.
+TEST_CASE("A leader that can't learn the jobs says so")
+{
+    const auto row = GENERATE(from_range(cases));
+    CAPTURE(row.name);
+    http::asio::io_context context;
+    MemoryStore memory;
+    memory.fault = row.fault;
+    memory.faultyTable = row.table;
+    EmptyCloud cloud;
+    Tenure tenure;
+    tenure.fence = 7;
+    tenure.term = 1;
+    tenure.isFirst = true;
+    std::vector<std::string> failures;
+    bool isOver = false;
+    Leader<TestPlatform>::Options options;
+    options.loadStall = std::chrono::milliseconds(400);
+    options.sinceConfirmed = [] {
+        return Duration::zero();
+    };
+    options.onFailed = [&](const std::string &why) {
+        failures.push_back(why);
+        isOver = true;
+    };
+    options.onDeposed = [&](const std::string &) {
+        isOver = true;
+    };
+    const scheduling::Configuration configuration;
+    auto leader = std::make_shared<Leader<TestPlatform>>(
+        context.get_executor(), memory, cloud, tenure, std::move(options), configuration);
+    leader->begin();
+    while (!isOver && !leader->isReady())
+        context.run_one();
+    CHECK(leader->isReady() == row.leads);
+    CHECK(failures.empty() != row.gives);
+    leader->stop();
+    context.run_for(std::chrono::milliseconds(300));
+}
--- /dev/null
+++ b/packages/coordination/src/leadership_test.cpp
@@ -0,0 +1,97 @@
+#include <sassafrasferry/coordination/leadership.h>
+#include <sassafrasferry/coordination/spawn.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+#include "../tests/memory_store.h"
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::coordination;
+
+namespace {
+
+/// Two entry VMs that want the lease of one store.
+struct Pair
+{
+    explicit Pair(LeadershipTimes times)
+        : first(store, "first", {"127.0.0.1", 1}, 1, {[](const Tenure &) {}, [](const auto &) {}},
+                times)
+        , second(store, "second", {"127.0.0.1", 2}, 2,
+                 {[this](const Tenure &tenure) { this->taken = tenure; }, [](const auto &) {}},
+                 times)
+    {
+        spawn(this->context.get_executor(), "first", [this] { return this->first.run(); });
+        this->runUntil([this] { return this->first.leads(); });
+        spawn(this->context.get_executor(), "second", [this] { return this->second.run(); });
+    }
+
+    template<typename Condition>
+    void runUntil(Condition condition)
+    {
+        while (!condition())
+            this->context.run_one();
+    }
+
+    http::asio::io_context context;
+    MemoryStore store;
+    Leadership<MemoryStore> first;
+    Leadership<MemoryStore> second;
+    Tenure taken; // by the second
+};
+
+} // namespace
+
+// Callers wait while a leader that can't lead keeps its lease. It gives the lease up; were it to
+// take the free lease again at once, as an earlier process of the same entry VM may, the same would
+// happen for good. So it lets the other go first.
+TEST_CASE("A leader that gave way lets another lead")
+{
+    LeadershipTimes times;
+    times.holdOff = std::chrono::seconds(60);
+    Pair pair(times);
+    spawn(pair.context.get_executor(), "give-way",
+          [&] { return pair.first.giveWay({"vm-7"}, "can't read the jobs", ""); });
+    pair.runUntil([&] { return pair.second.leads(); });
+    CHECK_FALSE(pair.first.leads());
+    CHECK(pair.taken.predecessorStopped);
+    CHECK(pair.taken.handedOver);
+    CHECK(pair.taken.orderedVms == std::vector<std::string>{"vm-7"});
+    CHECK(pair.taken.term == 2);
+}
+
+TEST_CASE("A leader that gave way leads again where no other does")
+{
+    LeadershipTimes times;
+    times.holdOff = std::chrono::milliseconds(200);
+    http::asio::io_context context;
+    MemoryStore store;
+    int tenures = 0;
+    Leadership<MemoryStore> only(store, "only", {"127.0.0.1", 1}, 1,
+                                 {[&](const Tenure &) { ++tenures; }, [](const auto &) {}}, times);
+    spawn(context.get_executor(), "only", [&] { return only.run(); });
+    while (tenures == 0)
+        context.run_one();
+    spawn(context.get_executor(), "give-way", [&] { return only.giveWay({}, "stuck", ""); });
+    while (tenures == 1)
+        context.run_one();
+    CHECK(only.leads());
+}
+
+// A weak leader names the strongest that asks it. The others see the lease free as well, and some
+// of them are weak too: they let the one that is named come first.
+TEST_CASE("A lease that was given up is taken by the one it names")
+{
+    const bool namesSecond = GENERATE(true, false);
+    LeadershipTimes times;
+    times.holdOff = std::chrono::seconds(60);
+    times.successorLead = std::chrono::seconds(60);
+    Pair pair(times);
+    const std::string successor = namesSecond ? "127.0.0.1:2" : "127.0.0.1:3";
+    spawn(pair.context.get_executor(), "give-way",
+          [&] { return pair.first.giveWay({}, "too weak", successor); });
+    pair.runUntil([&] { return !pair.first.leads(); });
+    pair.context.run_for(std::chrono::milliseconds(1500));
+    CHECK(pair.second.leads() == namesSecond);
+}
--- /dev/null
+++ b/packages/coordination/tests/memory_store.h
@@ -0,0 +1,81 @@
+// A store of rows in memory, with faults.
+#pragma once
+
+#include <sassafrasferry/store/part_rows.h>
+
+#include <map>
+#include <stdexcept>
+#include <tuple>
+
+namespace sassafrasferry::coordination {
+
+/// What its reads of one table do.
+enum class ReadFault {
+    None,
+    Throws,
+    Fails,
+};
+
+/// Satisfies `store::PartStore`. Conditions are checked; a feed never brings anything.
+class MemoryStore
+{
+public:
+    ReadFault fault = ReadFault::None;
+    std::string faultyTable;
+
+    http::Awaitable<store::PartCommit> commit(store::PartTransaction transaction)
+    {
+        store::PartCommit commit;
+        commit.state = store::CommitState::Conflict;
+        for (const auto &condition : transaction.conditions) {
+            if (this->versionOf({condition.table, transaction.part, condition.key})
+                != condition.version)
+                co_return commit;
+        }
+        commit.state = store::CommitState::Committed;
+        commit.version = ++this->version;
+        for (const auto &put : transaction.puts)
+            this->rows[{put.table, transaction.part, put.key}] = {
+                put.table, transaction.part, put.key, put.value, this->version, false};
+        for (const auto &row : transaction.deletes)
+            this->rows.erase({row.table, transaction.part, row.key});
+        co_return commit;
+    }
+
+    http::Awaitable<absl::StatusOr<store::PartPage>> scan(store::PartRange range)
+    {
+        if (range.table == this->faultyTable && this->fault == ReadFault::Throws)
+            throw std::runtime_error("the answer has a field of another type");
+        if (range.table == this->faultyTable && this->fault == ReadFault::Fails)
+            co_return absl::UnavailableError("no answer");
+        store::PartPage page;
+        page.version = this->version;
+        for (const auto &entry : this->rows) {
+            const auto &row = entry.second;
+            if (row.table == range.table && row.part == range.part && row.key >= range.from
+                && (range.to.empty() || row.key < range.to))
+                page.rows.push_back(row);
+        }
+        co_return page;
+    }
+
+    http::Awaitable<absl::StatusOr<store::FeedPage>> feed(std::string, std::int64_t,
+                                                          std::chrono::milliseconds)
+    {
+        co_return absl::UnavailableError("no feeds here");
+    }
+
+private:
+    using Key = std::tuple<std::string, std::string, std::string>; // table, part, key
+
+    std::int64_t versionOf(const Key &key) const
+    {
+        const auto at = this->rows.find(key);
+        return at == this->rows.end() ? store::absent : at->second.version;
+    }
+
+    std::map<Key, store::PartRow> rows;
+    std::int64_t version = store::absent;
+};
+
+} // namespace sassafrasferry::coordination
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -7,6 +7,8 @@
 #include <list>
 #include <mutex>
 
+#include <glog/logging.h>
+
 namespace sassafrasferry::http {
 
 namespace {
@@ -237,7 +239,8 @@
                 });
             try {
                 response = co_await session->handler(std::move(request), disconnect);
-            } catch (const std::exception &) {
+            } catch (const std::exception &error) {
+                LOG(ERROR) << "event=request-failed error=\"" << error.what() << '"';
                 // One faulty request must not end the process, and with it all others.
                 response = textResponse(Status::internal_server_error, "internal error\n");
                 response.set(header::outcome, "unknown");
--- a/packages/store/src/table_client.cpp
+++ b/packages/store/src/table_client.cpp
@@ -1,6 +1,8 @@
 // The table service's HTTP protocol, as a client.
 #include <sassafrasferry/store/table_client.h>
 
+#include <glog/logging.h>
+
 namespace sassafrasferry::store {
 
 namespace {
@@ -36,7 +38,8 @@
             // The service's promise: an answer 503 means that nothing was written.
             commit.state = CommitState::NotApplied;
         }
-    } catch (const Json::exception &) {
+    } catch (const Json::exception &error) {
+        LOG(ERROR) << "event=store-answer-unreadable error=\"" << error.what() << '"';
         commit = {};
     }
     return commit;
