--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -84,6 +84,7 @@
     static constexpr std::size_t mostBytes = 400UL * 1024;
     static constexpr auto retryPause = std::chrono::milliseconds(60);
     static constexpr auto probePause = std::chrono::milliseconds(250);
+    static constexpr int missesOfFailure = 2;
     // A refusal by the store is tried again for this long; callers can do more with the rest.
     static constexpr auto patience = std::chrono::milliseconds(700);
 
@@ -125,15 +126,13 @@
             const auto answer = co_await this->store.commit(std::move(transaction));
             if (answer.state == store::CommitState::Committed) {
                 this->fails = false;
+                this->unanswered = 0;
                 for (auto &item : batch)
                     item.done(IntakeResult::Stored);
                 co_return;
             }
             const auto now = bootNow();
-            this->fails = answer.state != store::CommitState::Committed
-                          && answer.state != store::CommitState::Conflict;
-            if (this->fails)
-                this->failedAt = now;
+            this->noteFailure(answer.state, now);
             if (answer.state == store::CommitState::Conflict)
                 this->answerKnown(batch, answer.current);
             for (auto &item : batch)
@@ -144,6 +143,18 @@
         }
     }
 
+    // One answer that does not come may be lost, or come from a store that has just become slow; to
+    // refuse all other callers for it would turn away jobs that can be stored.
+    void noteFailure(store::CommitState state, Instant now)
+    {
+        const bool isUnknown = state == store::CommitState::Unknown;
+        this->unanswered = isUnknown ? this->unanswered + 1 : 0;
+        this->fails =
+            state == store::CommitState::NotApplied || this->unanswered >= missesOfFailure;
+        if (this->fails)
+            this->failedAt = now;
+    }
+
     void answerKnown(std::deque<Item> &batch, const std::vector<store::PartRow> &rows)
     {
         std::erase_if(batch, [&](const Item &item) {
@@ -171,7 +182,8 @@
     http::asio::any_io_executor executor;
     std::map<std::string, std::deque<Item>> queues; // by part
     std::map<std::string, bool> busy; // a transaction of the part is under way
-    bool fails = false; // the last transaction was refused or had no answer
+    bool fails = false; // the last transaction was refused, or several had no answer
+    int unanswered = 0; // transactions in a row
     Instant failedAt{};
 };
 
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -276,8 +276,9 @@
 
     Awaitable<http::Response> cancel(const std::string &job, Instant deadline)
     {
-        const auto state = isJobId(job) ? co_await this->storedState(job)
-                                        : std::optional(scheduling::JobState::Unknown);
+        if (!isJobId(job))
+            co_return http::textResponse(http::Status::gone, "no such job\n");
+        const auto state = co_await this->storedState(job);
         if (!state)
             co_return retryLater("the store can't be read now");
         if (*state == scheduling::JobState::Unknown)
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -216,7 +216,10 @@
                                                 }});
         const bool isOpen = co_await this->recorder->open();
         ++this->loadSteps;
-        if (!isOpen || !co_await this->loadProgress())
+        if (!isOpen)
+            co_return;
+        const bool isLoaded = co_await this->loadProgress();
+        if (!isLoaded)
             co_return;
         this->intakeFollower = std::make_shared<TableFollower<Store>>(
             this->store, FollowOptions{table::intake, allJobParts()},
--- a/packages/entry/src/process/control_document.cpp
+++ b/packages/entry/src/process/control_document.cpp
@@ -52,8 +52,11 @@
         co_return;
     }
     // A change may have come between the two readings, and moved VMs of its own.
-    if (texts->revision != heads->revision && !co_await this->refreshFleet(store::absent))
-        co_return;
+    if (texts->revision != heads->revision) {
+        const bool isRefreshed = co_await this->refreshFleet(store::absent);
+        if (!isRefreshed)
+            co_return;
+    }
     auto version = makeVersion(*texts);
     if (!version.ok()) {
         LOG(ERROR) << "event=document-unsound revision=" << texts->revision << " "
--- a/packages/scheduling/tests/scheduler_bench.h
+++ b/packages/scheduling/tests/scheduler_bench.h
@@ -7,7 +7,6 @@
 
 using namespace std::chrono_literals;
 
-
 inline const Instant start(1h);
 
 inline jobs::StepSpec stepOf(std::size_t count, std::int64_t cpu = 1000)
