A survey after a takeover asks again soon

Ruled out: lives that are over (none is expected there).

Change: a survey call waits 250 ms for its answer with few workers (3 ms for each, at most the usual 0.8 s), then asks again. Calls through relays keep their time.

--- a/packages/coordination/include/sassafrasferry/coordination/worker_calls.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_calls.h
@@ -16,6 +16,8 @@
     std::int64_t acknowledged = 0; ///< ends up to this number need not be listed again
     std::optional<std::int64_t> until; ///< end of the lease, by the worker's clock
     std::chrono::milliseconds wait{0}; ///< for an end, before it answers
+    /// For the answer, beyond `wait`; nothing: as for any call. Not for calls through a relay.
+    std::optional<std::chrono::milliseconds> patience;
 };
 
 struct HoldAnswer
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -5,6 +5,7 @@
 #include <sassafrasferry/coordination/worker_calls.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -74,11 +75,23 @@
             this->nudge.notify();
     }
 
+    /// How long a new leader waits for one answer of one worker. All known tasks wait until every
+    /// worker has answered once, so a lost answer is asked for again soon. With many workers the
+    /// answers themselves take their time.
+    static std::chrono::milliseconds surveyPatience(std::size_t workers)
+    {
+        const auto wanted = surveyPerWorker * static_cast<int>(workers);
+        return std::clamp<std::chrono::milliseconds>(wanted, leastSurvey, mostSurvey);
+    }
+
 private:
     using Order =
         std::variant<scheduling::StartOrder, scheduling::StopOrder, scheduling::PaceOrder>;
 
     static constexpr std::chrono::milliseconds holdWait{1000};
+    static constexpr std::chrono::milliseconds surveyPerWorker{3};
+    static constexpr std::chrono::milliseconds leastSurvey{250};
+    static constexpr std::chrono::milliseconds mostSurvey{800};
     static constexpr auto retryPause = std::chrono::milliseconds(100);
     // A hold answers at once while an end is not acknowledged, so it waits for the record.
     static constexpr auto recordWait = std::chrono::milliseconds(80);
@@ -105,6 +118,8 @@
             request.until = this->scheduler.leaseUntil(this->id, asked);
             if (!isSurvey)
                 request.wait = holdWait;
+            else
+                request.patience = surveyPatience(this->scheduler.listedWorkers());
             auto answer = co_await this->calls->hold(request);
             if (this->stopped)
                 co_return;
--- a/packages/coordination/src/leader_test.cpp
+++ b/packages/coordination/src/leader_test.cpp
@@ -171,3 +171,17 @@
     leader->stop();
     context.run_for(std::chrono::milliseconds(300));
 }
+
+// After a takeover every known task waits until all workers have answered. Where a third of the
+// answers gets lost, some worker of thirty has to be asked four times.
+TEST_CASE("A survey asks again soon where workers are few")
+{
+    struct Row
+    {
+        std::size_t workers;
+        int patience; // ms
+    };
+    const auto row = GENERATE(Row{1, 250}, Row{48, 250}, Row{100, 300}, Row{350, 800});
+    CAPTURE(row.workers);
+    CHECK(WorkerSession<SilentWorker>::surveyPatience(row.workers).count() == row.patience);
+}
--- a/packages/store/include/sassafrasferry/store/loss_probe.h
+++ b/packages/store/include/sassafrasferry/store/loss_probe.h
@@ -17,8 +17,8 @@
 /// The answer of `call`, or nothing once it must be taken for lost.
 ///
 /// Where answers get lost, a wait that suits the slowest store holds up everything behind the call:
-/// callers' jobs, and the renewal of the lease. A shorter wait would repeat calls to a store that is
-/// only slow, which then has twice the work. So after `suspicion` the store is asked something
+/// callers' jobs, and the renewal of the lease. A shorter wait would repeat calls to a store that
+/// is only slow, which then has twice the work. So after `suspicion` the store is asked something
 /// small: `probe` is true if it answers as quickly as usual. Then the call's answer is not coming.
 ///
 /// The call goes on until its own end; its late answer is dropped.
--- a/packages/store/src/loss_probe_test.cpp
+++ b/packages/store/src/loss_probe_test.cpp
@@ -88,8 +88,7 @@
     };
     const auto suspicion = row.answer == Answer::AtOnce ? milliseconds(3600000) : milliseconds(1);
     const auto body = [&]() -> http::Awaitable<void> {
-        result =
-            co_await store::answerUnlessLost(context.get_executor(), call, probe, suspicion);
+        result = co_await store::answerUnlessLost(context.get_executor(), call, probe, suspicion);
     };
     http::asio::co_spawn(context, body, [](std::exception_ptr failure) { CHECK_FALSE(failure); });
     while (!result)
