--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -2,6 +2,7 @@
 #include "document_commands.h"
 #include "exit_code.h"
 #include "fleet_commands.h"
+#include "job_log.h"
 
 #include <docopt/docopt.h>
 
@@ -23,6 +24,7 @@
   sassafrasferry status [--admin LIST]
   sassafrasferry upstreams [--admin LIST]
   sassafrasferry explain REQUEST [--admin LIST]
+  sassafrasferry explain JOB --log FILE
   sassafrasferry waves [--admin LIST]
   sassafrasferry wave (start | halt | resume) WAVE [--admin LIST]
   sassafrasferry (-h | --help)
@@ -32,6 +34,7 @@
   --admin LIST         Administration addresses of entry VMs, with commas between; the first that
                        answers serves. Otherwise from SASSAFRASFERRY_ADMIN.
   --wait               Return when the change is in force on every entry VM.
+  --log FILE           A saved log of one or more entry VMs: the way of a job, with no VM asked.
   --after REVISION     Print what came after this revision [default: 0].
   --revision REVISION  Return when this revision is in force everywhere [default: 0].
   -h --help            Print this.
@@ -61,6 +64,8 @@
     };
     if (is("check"))
         return cli::checkFile(text("FILE"));
+    if (is("explain") && arguments["--log"])
+        return cli::explainFromLog(text("--log"), text("JOB"));
     const auto list =
         arguments["--admin"] ? text("--admin") : fromEnvironment("SASSAFRASFERRY_ADMIN");
     const auto endpoints = cli::parseEndpoints(list);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -127,7 +127,8 @@
     job->recordedChanges = std::max(job->recordedChanges, row.changes);
     const bool isOver = jobs::isFinal(job->state) && job->recordedChanges >= job->changes;
     if (isOver)
-        this->note("job-end", job->id, std::string(model::nameOf(job->state)));
+        this->note("job-end", job->id,
+                   absl::StrCat("state=", std::string(model::nameOf(job->state))));
     if (isOver && !job->hasRuns()) {
         this->finished[job->id] = job->state;
         this->jobs.erase(job->id);
