--- a/packages/cli/src/job_log.cpp
+++ b/packages/cli/src/job_log.cpp
@@ -111,8 +111,8 @@
     for (std::string line; std::getline(log, line);) {
         const auto event = fieldOf(line, "event");
         const auto subject = fieldOf(line, "of");
-        const bool isAbout = fieldOf(line, "job") == job || subject == job
-                             || absl::StartsWith(subject, job + ".");
+        const bool isAbout =
+            fieldOf(line, "job") == job || subject == job || absl::StartsWith(subject, job + ".");
         const bool isUnderWay = !story.lines.empty() && reading.end.empty();
         const bool isLeaderChange = event == "lead" || event == "lead-lost";
         const bool isLoad = event == "load" && reading.starts == 0 && !reading.service.empty()
