Only a hello tells who could lead; one that gave way learns who does

Found by reading the diff: questions on behalf of callers carry no cores, so they hid what the hello of the same entry VM had said, and a weak leader would seldom have handed over under load. And a leader that gave way looked at no lease row for 3 s, so it could ask nobody on behalf of its callers.

Test: 'A leader that gave way learns who leads' fails before (its own address). The first fault has none: it stands in the node, which has no unit test yet.

--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -466,7 +466,10 @@
     {
         if (const auto peer = model::parseEndpoint(question.address()))
             this->relay.heard(*peer);
-        this->successors.heard(question.address(), question.cores(), bootNow());
+        // Questions on behalf of callers say nothing of who could lead.
+        const bool isHello = question.job().empty() && question.queue().empty();
+        if (isHello)
+            this->successors.heard(question.address(), question.cores(), bootNow());
     }
 
     void handOverToStronger()
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -222,8 +222,7 @@
     Awaitable<void> watch()
     {
         const auto now = bootNow();
-        if (now < this->heldOffUntil)
-            co_return;
+        const bool isHeldOff = now < this->heldOffUntil;
         const bool isWaiting = this->freeSince != Instant{};
         if (now - this->lookedAt < (isWaiting ? this->times.tick : this->times.look))
             co_return;
@@ -232,8 +231,10 @@
         if (!co_await this->look(record))
             co_return;
         if (this->isMine(record)) {
-            // The take of this lease was applied, though its answer was lost.
-            this->lead(this->version, now, this->takes);
+            // The take of this lease was applied, though its answer was lost; or giving it up was
+            // not, and then it runs out.
+            if (!isHeldOff)
+                this->lead(this->version, now, this->takes);
             co_return;
         }
         this->leader = model::parseEndpoint(record.address());
@@ -252,6 +253,8 @@
         }
         if (this->freeSince == Instant{})
             this->freeSince = now;
+        if (isHeldOff)
+            co_return;
         if (isOwnPast || now - this->freeSince >= this->delayFor(record, now))
             co_await this->take(next);
     }
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -103,3 +103,17 @@
     pair.context.run_for(std::chrono::milliseconds(1500));
     CHECK(pair.second.leads() == namesSecond);
 }
+
+// The one that gave way still has to know whom to ask on behalf of its callers.
+TEST_CASE("A leader that gave way learns who leads")
+{
+    LeadershipTimes times;
+    times.holdOff = std::chrono::seconds(60);
+    Pair pair(times);
+    spawn(pair.context.get_executor(), "give-way",
+          [&] { return pair.first.giveWay({}, "too weak", "127.0.0.1:2"); });
+    pair.runUntil([&] { return pair.second.leads(); });
+    pair.context.run_for(std::chrono::milliseconds(600));
+    REQUIRE(pair.first.leaderAddress());
+    CHECK(model::toString(*pair.first.leaderAddress()) == "127.0.0.1:2");
+}
