A life that the platform does not hear is not taken for over

Found by reading: a VM that is up in its pool with no life named was taken to have lost the one that is listed; a worker that is cut off could be meant, whose tasks would start twice. Only another life, or another pool, ends it.

--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -80,8 +80,10 @@
         || listedBefore.count(at->second) == 0)
         return;
     const auto *worker = this->findWorker(at->second);
-    // While a VM returns to its own pool, its next life may list itself before the platform does.
-    const bool hasLeft = worker && (present.isUp || worker->listing.service != present.pool);
+    // While a VM returns to its own pool, its next life may list itself before the platform does;
+    // and one without a life may have one that the platform does not hear.
+    const bool hasAnother = present.isUp && !present.worker.empty();
+    const bool hasLeft = worker && (hasAnother || worker->listing.service != present.pool);
     if (!hasLeft || worker->over)
         return;
     this->note("life-over", at->second, absl::StrCat("vm=", present.vm, " now=", present.worker));
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -158,6 +158,8 @@
         {"off in the standby pool", {"vm-w1", "t", "", true}, true, 1},
         {"on its way to another pool", {"vm-w1", "t", "", false}, true, 1},
         {"between two lives in its pool, perhaps", {"vm-w1", "s", "", false}, true, 0},
+        {"up in its pool, with no life that the platform hears", {"vm-w1", "s", "", true}, true, 0},
+        {"another life in its pool", {"vm-w1", "s", "x", true}, true, 1},
         {"listed after the platform was asked", {"vm-w1", "t", "x", true}, false, 0},
         {"another VM", {"vm-w9", "t", "x", true}, true, 0},
     };
