An unanswered maintenance order keeps its place in the wave's bound

They are given again until they have one, but between two tries they did not count as under maintenance, so six others were ordered; once the cloud answered, 14 of 12 allowed were down.

Ruled out: orders of an earlier leader (the leader does not change there).

Change: an order that may be carried out yet counts to the bound.

Test: 'a maintenance order without an answer keeps its place in the wave's bound' (1 order before, 0 wanted).

--- a/packages/scheduling/src/fleet_planner_test.cpp
+++ b/packages/scheduling/src/fleet_planner_test.cpp
@@ -290,3 +290,21 @@
         later += order.vm == "off0" ? 1 : 0;
     CHECK(later == 1);
 }
+
+// The platform is told to maintain more VMs at once than operators allow. The calls for as many as
+// may be get no answer; they may be carried out all the same, and are given again until they are
+// answered, so none of their places is free meanwhile.
+TEST_CASE("a maintenance order without an answer keeps its place in the wave's bound")
+{
+    Estate estate(1, 1, 3);
+    estate.planner.addWave({1, {"off0", "off1", "off2"}, 30s, 1}, {}, estate.now);
+    const auto first = estate.plan();
+    REQUIRE(estate.count(first, FleetAction::Maintain) == 1);
+    estate.planner.answered(first.front(), FleetAnswer::NoAnswer, estate.scheduler, estate.now);
+    estate.now += 100ms;
+    CHECK(estate.count(estate.plan(), FleetAction::Maintain) == 0);
+    estate.now += 1s;
+    const auto again = estate.plan();
+    REQUIRE(estate.count(again, FleetAction::Maintain) == 1);
+    CHECK(again.front().vm == first.front().vm);
+}
--- a/packages/scheduling/src/fleet_waves.cpp
+++ b/packages/scheduling/src/fleet_waves.cpp
@@ -36,7 +36,9 @@
         if (at == this->vms.end())
             continue;
         const auto &entry = at->second;
-        count += entry.vm.state == VmState::Maintenance || (entry.ordered && entry.leavingFor != 0);
+        // One whose order had no answer may be under maintenance by now.
+        const bool mayBegin = (entry.ordered || entry.unanswered) && entry.leavingFor != 0;
+        count += entry.vm.state == VmState::Maintenance || mayBegin;
     }
     return count;
 }
