A leader that is stopped while it loads keeps its parts until they return

Found by reading: `stop` drops recorder and followers, while the leader's own coroutine may wait in a call of theirs; the store's answer then came to freed memory. That is any leader that loses the lease within the first moments after a takeover.

Ruled out: the other calls through owned parts: sessions, relays and fleet hold themselves while they wait, the operators' follower lives as long as the node.

Change: the waiting coroutine holds the part that it calls.

Test: 'A leader that is stopped while it loads leaves nothing behind', stopped after 0 to 11 answers of the store; under the address sanitizer it fails before (heap-use-after-free in FencedPart::look) and passes now, with all 18 cases of the package.

--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -189,7 +189,10 @@
                                                 [self](const std::string &error) {
                                                     self->fail(error);
                                                 }});
-        const bool isOpen = co_await this->recorder->open();
+        // `stop` drops the parts, while a call of theirs may wait here: each is kept until it
+        // returns, or the store's answer would find it gone.
+        const auto openedRecorder = this->recorder;
+        const bool isOpen = co_await openedRecorder->open();
         ++this->loadSteps;
         if (!isOpen)
             co_return;
@@ -201,7 +204,8 @@
             [self](const auto &rows, bool) { self->takeIntake(rows); });
         // Workers are asked only once all jobs are known: a run or an end of a job that this leader
         // does not know would be stopped, or acknowledged and so forgotten.
-        const bool knowsIntake = co_await this->intakeFollower->refreshUntilRead();
+        const auto readIntake = this->intakeFollower;
+        const bool knowsIntake = co_await readIntake->refreshUntilRead();
         if (!knowsIntake)
             co_return;
         this->intakeFollower->begin(this->executor);
@@ -211,7 +215,8 @@
             FollowOptions{
                 Platform::workerTable(), {""}, std::chrono::milliseconds(2500), listPause},
             [self](const auto &rows, bool isWhole) { self->takeWorkers(rows, isWhole); });
-        const bool knowsEntries = co_await this->workerFollower->refreshUntilRead();
+        const auto readEntries = this->workerFollower;
+        const bool knowsEntries = co_await readEntries->refreshUntilRead();
         if (!knowsEntries)
             co_return;
         this->workerFollower->begin(this->executor);
--- a/packages/coordination/src/leader_test.cpp
+++ b/packages/coordination/src/leader_test.cpp
@@ -185,3 +185,34 @@
     CAPTURE(row.workers);
     CHECK(WorkerSession<SilentWorker>::surveyPatience(row.workers).count() == row.patience);
 }
+
+// The entry VM crashes some moments after it lost the lease. A leader is stopped while it waits for
+// the store, and its parts are dropped; the answer that comes then must not find them gone. Shown
+// by the address sanitizer.
+TEST_CASE("A leader that is stopped while it loads leaves nothing behind")
+{
+    const int answersBefore = GENERATE(range(0, 12));
+    CAPTURE(answersBefore);
+    http::asio::io_context context;
+    MemoryStore memory;
+    memory.delay = std::chrono::milliseconds(5);
+    ListedCloud cloud;
+    Tenure tenure;
+    tenure.fence = 7;
+    tenure.term = 2;
+    Leader<TestPlatform>::Options options;
+    options.sinceConfirmed = [] {
+        return Duration::zero();
+    };
+    const scheduling::Configuration configuration;
+    auto leader = std::make_shared<Leader<TestPlatform>>(context.get_executor(), memory, cloud,
+                                                         tenure, std::move(options), configuration);
+    leader->begin();
+    context.run_for(memory.delay * answersBefore + memory.delay / 2);
+    leader->stop();
+    const std::weak_ptr<Leader<TestPlatform>> watched = leader;
+    leader.reset();
+    context.restart();
+    context.run_for(std::chrono::milliseconds(600));
+    CHECK(watched.expired());
+}
--- a/packages/coordination/tests/memory_store.h
+++ b/packages/coordination/tests/memory_store.h
@@ -1,6 +1,7 @@
 // A store of rows in memory, with faults.
 #pragma once
 
+#include <sassafrasferry/coordination/timing.h>
 #include <sassafrasferry/store/part_rows.h>
 
 #include <map>
@@ -22,9 +23,12 @@
 public:
     ReadFault fault = ReadFault::None;
     std::string faultyTable;
+    std::chrono::milliseconds delay{0}; ///< of each answer
 
     http::Awaitable<store::PartCommit> commit(store::PartTransaction transaction)
     {
+        if (this->delay.count() > 0)
+            co_await pause(this->delay);
         store::PartCommit commit;
         commit.state = store::CommitState::Conflict;
         for (const auto &condition : transaction.conditions) {
@@ -44,6 +48,8 @@
 
     http::Awaitable<absl::StatusOr<store::PartPage>> scan(store::PartRange range)
     {
+        if (this->delay.count() > 0)
+            co_await pause(this->delay);
         if (range.table == this->faultyTable && this->fault == ReadFault::Throws)
             throw std::runtime_error("the answer has a field of another type");
         if (range.table == this->faultyTable && this->fault == ReadFault::Fails)
