VMs that are to leave a pool get no new work

Change: the surplus of a pool is chosen beforehand, the least used VMs first, and gets no new work; for on-time work of other pools, pools give up what only late work uses (PoolNeed::kept). Sizing is a part of its own (pool_sizing.h). 'hopeful' is 'on time' in names and in event=load.

--- a/packages/coordination/src/decision_log.cpp
+++ b/packages/coordination/src/decision_log.cpp
@@ -28,7 +28,7 @@
                   << " free=" << load.room.cpu << " lasting=" << load.lasting.cpu
                   << " running=" << load.running.cpu << " ready=" << load.ready.cpu
                   << " ready-core-s=" << load.readySeconds
-                  << " hopeful-core-s=" << load.hopefulSeconds;
+                  << " on-time-core-s=" << load.onTimeSeconds;
     }
 }
 
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -2,7 +2,7 @@
 // out, and the scheduler is asked to empty workers.
 #pragma once
 
-#include <sassafrasferry/scheduling/scheduler.h>
+#include <sassafrasferry/scheduling/pool_sizing.h>
 
 #include <map>
 #include <set>
@@ -87,11 +87,7 @@
 /// Times and weights of the planner.
 struct FleetTerms
 {
-    Duration rateMemory = std::chrono::milliseconds(500); ///< over which arriving work is averaged
-    Duration peakMemory =
-        std::chrono::milliseconds(1200); ///< a pool keeps what it needed so long ago
-    double headroom = 1.15; ///< room wanted for each core needed, since tasks do not fill a VM
-    double hopelessWeight = 0.3; ///< of work that is late anyhow, in what a pool needs
+    PoolSizingTerms sizing;
     std::size_t mostOrders = 12; ///< a round; the platform bounds calls a second
     Duration retry = std::chrono::milliseconds(400); ///< of a VM whose order was not accepted
     Duration evacuationPatience = std::chrono::milliseconds(2500); ///< for tasks without checkpoint
@@ -137,8 +133,7 @@
     {
         std::vector<Entry *> up;
         std::size_t count = 0; ///< with those that are on their way here
-        std::size_t wanted = 0;
-        std::size_t wantedOnTime = 0; ///< of these, for work that can still be on time
+        PoolNeed need;
         bool standby = false;
     };
 
@@ -147,27 +142,20 @@
     void repeatUnanswered(Round &round);
     void measure(Round &round);
     void moveToNeed(Round &round);
-    void moveTo(std::size_t Pool::*wanted, Round &round);
+    void moveTo(std::size_t PoolNeed::*wanted, std::size_t PoolNeed::*kept, Round &round);
     void moveToStandby(Round &round);
+    void cordonVms(Round &round);
     void planWave(WaveProgress &progress, Round &round);
     void finishWave(WaveProgress &progress);
     std::size_t underMaintenance(const WaveProgress &progress) const;
     bool isFree(const Entry &entry, const Round &round) const;
     void order(Entry &entry, FleetOrder order, Round &round);
-    Entry *spareFor(const std::string &pool, Round &round);
+    Entry *spareFor(const std::string &pool, std::size_t PoolNeed::*kept, Round &round);
 
     FleetTerms terms;
     std::map<std::string, Entry> vms;
     std::map<std::int64_t, WaveProgress> waveTable;
-    std::map<std::string, double> rates; // arriving work of a service, core-seconds a second
-    Instant ratesAt{};
-
-    struct Peak
-    {
-        double cores = 0;
-        Instant at{};
-    };
-    std::map<std::string, Peak> peaks; // of what a service needed
+    PoolSizing sizing;
     std::set<std::string> impossible; // "kind pool" that the platform refused
     std::vector<DecisionNote> notes;
 };
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -63,9 +63,10 @@
     Resources capacity; ///< of these
     Resources lasting; ///< taken by lasting tasks
     Resources running; ///< taken by other tasks
+    Resources lateRunning; ///< of these, by tasks of jobs that can't be on time any more
     Resources ready; ///< that tasks need which wait for nothing but room
     double readySeconds = 0; ///< core-seconds of these tasks
-    double hopefulSeconds = 0; ///< of these, of jobs that can still be on time
+    double onTimeSeconds = 0; ///< of these, of jobs that can still be on time
     double laterSeconds = 0; ///< core-seconds of tasks that wait for other steps
     std::size_t spread = 0; ///< workers that the widest lasting step needs, since it may not share
     bool starves = false; ///< a task waits for long, though room may be there in bits
@@ -168,6 +169,8 @@
     /// itself meanwhile would lose what it was given.
     void holdVm(const std::string &vm);
     void releaseVm(const std::string &vm);
+    /// True if a task that lasts runs there.
+    bool hasLastingRuns(const Worker &worker);
     /// Work and room of each service with workers or jobs.
     std::map<std::string, ServiceLoad> loads(Instant now, UnixMilliseconds unixNow);
 
@@ -195,7 +198,7 @@
     bool isOnItsWay(const RunKey &key, Instant now);
     void writeOffSilent(Instant now);
     void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
-                 bool isHopeful, Instant now, UnixMilliseconds unixNow);
+                 bool canBeOnTime, Instant now, UnixMilliseconds unixNow);
     bool isAtWork(const jobs::Run &run, Instant now) const;
     bool mayTakeAway(Job &job, const TaskId &id, Instant now) const;
     void stopRunsOf(Job &job, const std::string &reason);
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -89,6 +89,7 @@
     bool over = false; ///< this life is known to have ended, and nothing need be asked of it
     bool surveyed = false; ///< has answered this leader, in this life
     bool evacuating = false; ///< gets no more work, since it is to be moved or maintained
+    bool cordoned = false; ///< gets no more work, so that its VM becomes empty and can be moved
     bool leavingSoon = false; ///< a wave waits for its VM: lasting tasks would have to move again
     Instant lastAnswer{}; ///< of a hold
     Instant backOffUntil{}; ///< it refused a start
--- /dev/null
+++ b/packages/scheduling/src/cordon_test.cpp
@@ -0,0 +1,34 @@
+// Which VMs are emptied, for the loads at the end of a surge and beside a backlog.
+#include <sassafrasferry/scheduling/cordon.h>
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasferry::scheduling;
+
+TEST_CASE("VMs that get no new work")
+{
+    struct Case
+    {
+        const char *name;
+        std::vector<CordonPool> pools;
+        std::size_t missing;
+        std::set<std::string> chosen;
+    };
+    const std::vector<CordonCandidate> three{{"a", 3000, false}, {"b", 1000, false}, {"c", 0, false}};
+    const std::vector<CordonCandidate> kept{{"a", 3000, true}, {"b", 1000, false}, {"c", 0, false}};
+    const std::vector<CordonCandidate> other{{"x", 0, false}, {"y", 500, false}};
+    const std::vector<Case> cases{
+        {"nothing to give up", {{0, 0, three}}, 2, {}},
+        {"the least used of a surplus", {{2, 2, three}}, 0, {"b", "c"}},
+        {"a choice is kept", {{1, 1, kept}}, 0, {"a"}},
+        {"a surplus meets what others miss", {{1, 3, three}}, 1, {"c"}},
+        {"late work gives up VMs for on-time work", {{0, 3, three}}, 2, {"b", "c"}},
+        {"late work keeps its VMs while nobody misses any", {{0, 3, three}}, 0, {}},
+        {"the longest backlog gives first", {{0, 1, other}, {0, 2, three}}, 2, {"b", "c"}},
+        {"no more than there are", {{9, 9, other}}, 9, {"x", "y"}},
+    };
+    for (const auto &row : cases) {
+        INFO(row.name);
+        CHECK(chooseCordons(row.pools, row.missing) == row.chosen);
+    }
+}
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -1,8 +1,9 @@
 // Moves of VMs by need, and the answers to orders.
 #include "fleet_round.h"
 
+#include <sassafrasferry/scheduling/cordon.h>
+
 #include <algorithm>
-#include <cmath>
 
 #include <absl/strings/str_cat.h>
 
@@ -10,6 +11,7 @@
 
 FleetPlanner::FleetPlanner(FleetTerms terms)
     : terms(terms)
+    , sizing(terms.sizing)
 {}
 
 void FleetPlanner::listVms(const std::vector<Vm> &list, Instant askedAt)
@@ -89,6 +91,7 @@
         this->planWave(entry.second, round);
     this->moveToNeed(round);
     this->moveToStandby(round);
+    this->cordonVms(round);
     return std::move(round.orders);
 }
 
@@ -107,13 +110,7 @@
 
 void FleetPlanner::measure(Round &round)
 {
-    const auto passed = policy::seconds(round.now - this->ratesAt);
-    this->ratesAt = round.now;
-    const auto memory = policy::seconds(this->terms.rateMemory);
-    for (auto &rate : this->rates)
-        rate.second *= std::exp(-passed / memory);
-    for (const auto &arrived : round.scheduler.takeArrivals())
-        this->rates[arrived.first] += arrived.second / memory;
+    this->sizing.arrived(round.scheduler.takeArrivals(), round.now);
     for (const auto &service : round.scheduler.configuration().services)
         round.pools[service.name].standby = service.standby;
     const auto loads = round.scheduler.loads(round.now, round.unixNow);
@@ -122,34 +119,11 @@
         const auto at = loads.find(entry.first);
         if (pool.standby || at == loads.end())
             continue;
-        const auto &load = at->second;
-        const double hopelessShare =
-            load.readySeconds > 0 ? 1 - load.hopefulSeconds / load.readySeconds : 0;
-        const double running = static_cast<double>(load.running.cpu) / 1000;
-        const double lasting = static_cast<double>(load.lasting.cpu) / 1000;
-        const double waiting = static_cast<double>(load.ready.cpu) / 1000;
-        const double hopeful = waiting * (1 - hopelessShare);
-        const double ready = hopeful + waiting * hopelessShare * this->terms.hopelessWeight;
-        const double need = lasting + std::max(running + ready, this->rates[entry.first]);
-        const double onTime = lasting + std::max(running + hopeful, this->rates[entry.first]);
-        auto &peak = this->peaks[entry.first];
-        if (need >= peak.cores || round.now - peak.at > this->terms.peakMemory)
-            peak = {need, round.now};
         double vmCores = 0;
         for (const auto *vm : pool.up)
             vmCores = std::max(vmCores, static_cast<double>(vm->vm.capacity.cpu) / 1000);
-        const auto vmsFor = [&](double cores) {
-            return static_cast<std::size_t>(std::ceil(cores * this->terms.headroom / vmCores));
-        };
-        if (vmCores > 0) {
-            pool.wanted = vmsFor(peak.cores);
-            pool.wantedOnTime = vmsFor(onTime);
-        }
-        // One more than the widest lasting step needs, so that its tasks can be moved off a VM.
-        pool.wanted = std::max<std::size_t>(pool.wanted, load.spread + 1);
-        if (load.starves)
-            pool.wanted = std::max(pool.wanted, pool.count + 1);
-        pool.wantedOnTime = std::min(pool.wantedOnTime, pool.wanted);
+        pool.need =
+            this->sizing.needOf(entry.first, at->second, vmCores, pool.count, round.now);
     }
 }
 
@@ -166,13 +140,18 @@
 }
 
 // A VM that a pool can do without now: of the standby pool, or one with nothing on it.
-FleetPlanner::Entry *FleetPlanner::spareFor(const std::string &target, Round &round)
+FleetPlanner::Entry *FleetPlanner::spareFor(const std::string &target, std::size_t PoolNeed::*kept,
+                                            Round &round)
 {
     Entry *best = nullptr;
-    bool bestIsStandby = false;
+    int bestRank = 0;
     for (auto &entry : round.pools) {
         auto &pool = entry.second;
-        if (entry.first == target || (!pool.standby && pool.count <= pool.wanted))
+        if (entry.first == target || (!pool.standby && pool.count <= pool.need.*kept))
+            continue;
+        const bool isSurplus = pool.count > pool.need.wanted;
+        const int rank = pool.standby ? 3 : isSurplus ? 2 : 1;
+        if (rank <= bestRank)
             continue;
         for (auto *vm : pool.up) {
             const auto worker = round.workers.find(vm->vm.name);
@@ -185,10 +164,9 @@
             // A VM of a standby pool that waits for maintenance is maintained there.
             if (pool.standby && round.waiting.count(vm->vm.name) != 0)
                 continue;
-            if (!best || (pool.standby && !bestIsStandby)) {
-                best = vm;
-                bestIsStandby = pool.standby;
-            }
+            best = vm;
+            bestRank = rank;
+            break;
         }
     }
     return best;
@@ -198,11 +176,11 @@
 // be late as well.
 void FleetPlanner::moveToNeed(Round &round)
 {
-    this->moveTo(&Pool::wantedOnTime, round);
-    this->moveTo(&Pool::wanted, round);
+    this->moveTo(&PoolNeed::onTime, &PoolNeed::kept, round);
+    this->moveTo(&PoolNeed::wanted, &PoolNeed::wanted, round);
 }
 
-void FleetPlanner::moveTo(std::size_t Pool::*wanted, Round &round)
+void FleetPlanner::moveTo(std::size_t PoolNeed::*wanted, std::size_t PoolNeed::*kept, Round &round)
 {
     struct Need
     {
@@ -211,8 +189,9 @@
     };
     std::vector<Need> needs;
     for (const auto &entry : round.pools) {
-        if (!entry.second.standby && entry.second.*wanted > entry.second.count)
-            needs.push_back({entry.first, entry.second.*wanted - entry.second.count});
+        const auto &pool = entry.second;
+        if (!pool.standby && pool.need.*wanted > pool.count)
+            needs.push_back({entry.first, pool.need.*wanted - pool.count});
     }
     std::sort(needs.begin(), needs.end(),
               [](const Need &a, const Need &b) { return a.missing > b.missing; });
@@ -220,7 +199,7 @@
         for (std::size_t i = 0; i < need.missing; ++i) {
             if (round.orders.size() >= this->terms.mostOrders)
                 return;
-            auto *vm = this->spareFor(need.pool, round);
+            auto *vm = this->spareFor(need.pool, kept, round);
             if (!vm)
                 return;
             --round.pools[vm->vm.pool].count;
@@ -230,6 +209,33 @@
     }
 }
 
+void FleetPlanner::cordonVms(Round &round)
+{
+    std::size_t missing = 0;
+    std::vector<CordonPool> pools;
+    for (const auto &entry : round.pools) {
+        const auto &pool = entry.second;
+        if (pool.standby)
+            continue;
+        const auto above = [&](std::size_t need) {
+            return pool.count > need ? pool.count - need : 0;
+        };
+        missing += pool.need.onTime > pool.count ? pool.need.onTime - pool.count : 0;
+        CordonPool choice{above(pool.need.wanted), above(pool.need.kept), {}};
+        for (const auto *vm : pool.up) {
+            const auto at = round.workers.find(vm->vm.name);
+            if (at == round.workers.end() || vm->ordered || vm->leavingFor != 0
+                || round.scheduler.hasLastingRuns(*at->second))
+                continue;
+            choice.candidates.push_back({vm->vm.name, at->second->used.cpu, at->second->cordoned});
+        }
+        pools.push_back(std::move(choice));
+    }
+    const auto chosen = chooseCordons(std::move(pools), missing);
+    for (const auto &entry : round.workers)
+        entry.second->cordoned = chosen.count(entry.first) != 0;
+}
+
 // VMs of a standby pool cost nothing.
 void FleetPlanner::moveToStandby(Round &round)
 {
@@ -242,7 +248,7 @@
         if (pool.standby)
             continue;
         for (auto *vm : pool.up) {
-            if (pool.count <= pool.wanted || round.orders.size() >= this->terms.mostOrders)
+            if (pool.count <= pool.need.wanted || round.orders.size() >= this->terms.mostOrders)
                 break;
             const auto worker = round.workers.find(vm->vm.name);
             if (worker == round.workers.end() || !worker->second->runs.empty()
--- a/packages/scheduling/src/fleet_planner_test.cpp
+++ b/packages/scheduling/src/fleet_planner_test.cpp
@@ -98,6 +98,22 @@
         this->startAll();
     }
 
+    /// All runs of a worker end but so many.
+    void endAllBut(const std::string &id, std::size_t left)
+    {
+        const auto *worker = this->scheduler.findWorker(id);
+        WorkerReport report{id, worker->listing.born, 1000 + (this->now - start) / 1ms, {}, {}};
+        std::int64_t number = 0;
+        for (const auto &run : worker->runs) {
+            if (report.running.size() < left)
+                report.running.push_back({run.first.task, run.first.number, "", 100, 0});
+            else
+                report.ended.push_back(
+                    {++number, run.first.task, run.first.number, jobs::RunEnd::Done, ""});
+        }
+        this->scheduler.report(report, this->now, this->now);
+    }
+
     void startAll()
     {
         for (const auto &order : this->scheduler.plan(this->now, 0).starts)
@@ -151,6 +167,39 @@
     CHECK(estate.count(orders, FleetAction::Move, "one") == 0);
 }
 
+// After an outage a queue works off a long backlog that is late, on all VMs, while another queue's
+// surge begins: its callers would wait until the backlog is done.
+TEST_CASE("VMs of a late backlog get no new work while on-time work lacks VMs")
+{
+    Estate estate(4, 1, 0);
+    estate.work("one", 40, 4000); // 32 tasks find room
+    estate.scheduler.takeArrivals();
+    estate.now += 60s;
+    estate.reportAll();
+    estate.work("two", 16, 8000); // four VMs' worth
+    estate.plan();
+    std::size_t cordoned = 0;
+    for (const auto &entry : estate.scheduler.workers())
+        cordoned += entry.second.cordoned ? 1 : 0;
+    CHECK(cordoned == 3);
+}
+
+TEST_CASE("at the end of a surge new work is packed on few VMs")
+{
+    Estate estate(6, 1, 1);
+    estate.work("one", 6 * 8, 4000);
+    estate.plan();
+    for (const auto &name : {"w-one0", "w-one1", "w-one2", "w-one3", "w-one4", "w-one5"})
+        estate.endAllBut(name, 1);
+    estate.now += 2s;
+    estate.reportAll();
+    estate.plan();
+    std::size_t cordoned = 0;
+    for (const auto &entry : estate.scheduler.workers())
+        cordoned += entry.second.cordoned ? 1 : 0;
+    CHECK(cordoned >= 4);
+}
+
 TEST_CASE("an idle pool keeps what its lasting tasks need, and one VM")
 {
     Estate estate(8, 1, 1);
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -81,6 +81,15 @@
     this->heldVms.erase(vm);
 }
 
+bool Scheduler::hasLastingRuns(const Worker &worker)
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto &entry) {
+        const auto &id = entry.first.task;
+        const auto *job = this->findJob(id.job);
+        return job && id.step < job->spec.steps.size() && job->spec.steps[id.step].lasting;
+    });
+}
+
 std::map<std::string, ServiceLoad> Scheduler::loads(Instant now, UnixMilliseconds unixNow)
 {
     std::map<std::string, ServiceLoad> loads;
@@ -99,17 +108,17 @@
             continue;
         auto &load = loads[this->serviceOf(job)];
         ++load.jobs;
-        const bool isHopeful = now + job.chainLeft() <= job.objective();
+        const bool canBeOnTime = now + job.chainLeft() <= job.objective();
         for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
             for (std::size_t step = 0; step < job.spec.steps.size(); ++step)
-                this->addLoad(load, job, occurrence, step, isHopeful, now, unixNow);
+                this->addLoad(load, job, occurrence, step, canBeOnTime, now, unixNow);
         }
     }
     return loads;
 }
 
 void Scheduler::addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
-                        bool isHopeful, Instant now, UnixMilliseconds unixNow)
+                        bool canBeOnTime, Instant now, UnixMilliseconds unixNow)
 {
     const auto &spec = job.spec.steps[step];
     if (job.tasksLeft(occurrence, step) == 0)
@@ -126,13 +135,15 @@
             continue;
         if (!task.runs.empty()) {
             (spec.lasting ? load.lasting : load.running) += need;
+            if (!spec.lasting && !canBeOnTime)
+                load.lateRunning += need;
         } else if (!isOpen) {
             load.laterSeconds += coreSeconds;
         } else {
             load.ready += need;
             load.starves |= spec.lasting && now - task.idleSince > this->times.starvation;
             load.readySeconds += coreSeconds;
-            load.hopefulSeconds += isHopeful ? coreSeconds : 0;
+            load.onTimeSeconds += canBeOnTime ? coreSeconds : 0;
         }
     }
 }
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -79,7 +79,7 @@
 bool Scheduler::takesWork(const Worker &worker, Instant now) const
 {
     return worker.listed && worker.surveyed && !worker.listing.draining && !worker.evacuating
-           && this->heldVms.count(worker.listing.vm) == 0
+           && !worker.cordoned && this->heldVms.count(worker.listing.vm) == 0
            && now - worker.lastAnswer < 3 * this->times.silence && now >= worker.backOffUntil
            && now >= worker.fullUntil;
 }
