A silent store is given up early; refusals say when; a leader stops with the store

Refused callers were told one second whatever was known.

Change: a job is answered "ask again" after 1.2 s without an answer, or refused if no transaction held it yet, and then never stored; `retryAfter` grows with the age of the outage and spreads callers; on a stop signal the lease is given up only once the store has just confirmed it, or when the grace ends.

--- a/packages/coordination/include/sassafrasferry/coordination/caller_request.h
+++ b/packages/coordination/include/sassafrasferry/coordination/caller_request.h
@@ -18,8 +18,9 @@
 
 bool isJobId(const std::string &text);
 
-/// Nothing was done; the caller may come back.
-http::Response retryLater(const std::string &why);
+/// Nothing was done; the caller may come back after the wait.
+http::Response retryLater(const std::string &why,
+                          std::chrono::seconds wait = std::chrono::seconds(1));
 
 http::Response noSuchJob();
 
--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -45,7 +45,8 @@
         , executor(std::move(executor))
     {}
 
-    /// Stores a job unless a row of it exists. Gives up at the deadline.
+    /// Stores a job unless a row of it exists. Gives up at the deadline, or once the store has been
+    /// silent for a while: the caller has then time left to ask another entry VM.
     ///
     /// While the store fails, one job at a time finds out whether it still does; the others are
     /// refused at once, so that their callers can try another entry VM in time.
@@ -55,12 +56,25 @@
             co_return IntakeResult::Refused;
         co_return co_await http::awaitCallback<IntakeResult>([&](auto done) {
             const auto part = partOf(job);
-            this->queues[part].push_back(
-                {std::move(job), std::move(record), deadline, bootNow(), false, std::move(done)});
+            auto item = std::make_shared<Item>();
+            item->job = std::move(job);
+            item->record = std::move(record);
+            item->deadline = deadline;
+            item->done = std::move(done);
+            this->queues[part].push_back(item);
+            spawn(
+                this->executor, "intake patience", [item] { return giveUpLate(item); },
+                [](const std::string &) {});
             this->begin(part);
         });
     }
 
+    /// How long the store has been failing; zero while it does not.
+    Duration failingFor() const
+    {
+        return this->fails ? bootNow() - this->failsSince : Duration::zero();
+    }
+
 private:
     bool mustRefuse(const std::string &part) const
     {
@@ -74,11 +88,20 @@
         std::string job;
         std::string record;
         Instant deadline;
-        Instant begunAt{};
+        Instant begunAt = bootNow();
+        bool isSent = false; // a transaction that holds it is under way
         bool mayBeStored = false; // a transaction that held it had no answer
-        std::function<void(IntakeResult)> done;
+        std::function<void(IntakeResult)> done; // empty once answered
+
+        void answer(IntakeResult result)
+        {
+            if (this->done)
+                std::exchange(this->done, nullptr)(result);
+        }
     };
 
+    using Batch = std::deque<std::shared_ptr<Item>>;
+
     // Bounds of a transaction: entries, with three to a job, and bytes.
     static constexpr std::size_t mostJobs = 30;
     static constexpr std::size_t mostBytes = 400UL * 1024;
@@ -87,6 +110,16 @@
     static constexpr int missesOfFailure = 2;
     // A refusal by the store is tried again for this long; callers can do more with the rest.
     static constexpr auto patience = std::chrono::milliseconds(700);
+    // The same for a store that does not answer at all.
+    static constexpr Duration silentPatience = std::chrono::milliseconds(1200);
+
+    // A transaction without an answer takes longer to fail than its callers wait.
+    static Awaitable<void> giveUpLate(std::shared_ptr<Item> item)
+    {
+        co_await pause(std::min(silentPatience, item->deadline - bootNow()));
+        const bool mayBeStored = item->isSent || item->mayBeStored;
+        item->answer(mayBeStored ? IntakeResult::Unknown : IntakeResult::Refused);
+    }
 
     void begin(const std::string &part)
     {
@@ -101,10 +134,10 @@
     {
         auto &queue = this->queues[part];
         while (!queue.empty()) {
-            std::deque<Item> batch;
+            Batch batch;
             std::size_t bytes = 0;
             while (!queue.empty() && batch.size() < mostJobs && bytes < mostBytes) {
-                bytes += queue.front().record.size();
+                bytes += queue.front()->record.size();
                 batch.push_back(std::move(queue.front()));
                 queue.pop_front();
             }
@@ -113,30 +146,37 @@
         this->busy[part] = false;
     }
 
-    Awaitable<void> commit(const std::string &part, std::deque<Item> batch)
+    Awaitable<void> commit(const std::string &part, Batch batch)
     {
-        while (!batch.empty()) {
+        for (;;) {
+            // What was refused meanwhile must not be stored any more.
+            std::erase_if(batch, [](const auto &item) { return !item->done; });
+            if (batch.empty())
+                co_return;
             store::PartTransaction transaction;
             transaction.part = part;
             for (const auto &item : batch) {
-                transaction.conditions.push_back({table::intake, item.job, store::absent});
-                transaction.conditions.push_back({table::progress, item.job, store::absent});
-                transaction.puts.push_back({table::intake, item.job, item.record});
+                item->isSent = true;
+                transaction.conditions.push_back({table::intake, item->job, store::absent});
+                transaction.conditions.push_back({table::progress, item->job, store::absent});
+                transaction.puts.push_back({table::intake, item->job, item->record});
             }
             const auto answer = co_await this->store.commit(std::move(transaction));
+            for (const auto &item : batch)
+                item->isSent = false;
             if (answer.state == store::CommitState::Committed) {
                 this->fails = false;
                 this->unanswered = 0;
-                for (auto &item : batch)
-                    item.done(IntakeResult::Stored);
+                for (const auto &item : batch)
+                    item->answer(IntakeResult::Stored);
                 co_return;
             }
             const auto now = bootNow();
             this->noteFailure(answer.state, now);
             if (answer.state == store::CommitState::Conflict)
                 this->answerKnown(batch, answer.current);
-            for (auto &item : batch)
-                item.mayBeStored |= answer.state == store::CommitState::Unknown;
+            for (const auto &item : batch)
+                item->mayBeStored |= answer.state == store::CommitState::Unknown;
             this->answerLate(batch, now);
             if (answer.state != store::CommitState::Conflict)
                 co_await pause(retryPause);
@@ -149,42 +189,44 @@
     {
         const bool isUnknown = state == store::CommitState::Unknown;
         this->unanswered = isUnknown ? this->unanswered + 1 : 0;
-        this->fails =
+        const bool failed =
             state == store::CommitState::NotApplied || this->unanswered >= missesOfFailure;
-        if (this->fails)
+        if (failed && !this->fails)
+            this->failsSince = now;
+        if (failed)
             this->failedAt = now;
+        this->fails = failed;
     }
 
-    void answerKnown(std::deque<Item> &batch, const std::vector<store::PartRow> &rows)
+    void answerKnown(const Batch &batch, const std::vector<store::PartRow> &rows)
     {
-        std::erase_if(batch, [&](const Item &item) {
+        for (const auto &item : batch) {
             const bool exists = std::any_of(rows.begin(), rows.end(), [&](const auto &row) {
-                return row.key == item.job && row.version != store::absent;
+                return row.key == item->job && row.version != store::absent;
             });
             if (exists)
-                item.done(IntakeResult::Known);
-            return exists;
-        });
+                item->answer(IntakeResult::Known);
+        }
     }
 
-    void answerLate(std::deque<Item> &batch, Instant now)
+    void answerLate(const Batch &batch, Instant now)
     {
-        std::erase_if(batch, [&](const Item &item) {
-            const bool isLate =
-                now >= item.deadline || (!item.mayBeStored && now - item.begunAt > patience);
+        for (const auto &item : batch) {
+            const bool isLate = now >= item->deadline
+                                || (!item->mayBeStored && now - item->begunAt > patience);
             if (isLate)
-                item.done(item.mayBeStored ? IntakeResult::Unknown : IntakeResult::Refused);
-            return isLate;
-        });
+                item->answer(item->mayBeStored ? IntakeResult::Unknown : IntakeResult::Refused);
+        }
     }
 
     Store &store;
     http::asio::any_io_executor executor;
-    std::map<std::string, std::deque<Item>> queues; // by part
+    std::map<std::string, Batch> queues; // by part
     std::map<std::string, bool> busy; // a transaction of the part is under way
     bool fails = false; // the last transaction was refused, or several had no answer
     int unanswered = 0; // transactions in a row
-    Instant failedAt{};
+    Instant failsSince{};
+    Instant failedAt{}; // the last time
 };
 
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -12,6 +12,7 @@
 #include <sassafrasferry/coordination/successor.h>
 
 #include <sassafrasferry/http/json.h>
+#include <sassafrasferry/policy/retry_advice.h>
 #include <sassafrasferry/http/server.h>
 
 namespace sassafrasferry::coordination {
@@ -91,10 +92,17 @@
                && bootNow() - this->operators->lastAnswer() < storeSilence;
     }
 
-    /// Gives the lease up, after the last orders; callers are still served.
-    Awaitable<void> stop()
+    /// No further callers should be sent here.
+    void beginStop()
     {
         this->stopping = true;
+    }
+
+    /// Gives the lease up, after the last orders. While the store is away nobody could take it, so
+    /// this entry VM leads on until the store is back, at most until `latest`.
+    Awaitable<void> handOver(Instant latest)
+    {
+        co_await this->leadership.awaitConfirmation(latest);
         co_await this->leadership.release(this->orderedVms());
     }
 
@@ -165,7 +173,8 @@
         case IntakeResult::Known:
             co_return http::jsonResponse(http::Status::ok, {{"state", "queued"}});
         case IntakeResult::Refused:
-            co_return retryLater("the store takes no jobs now");
+            co_return retryLater("the store takes no jobs now",
+                                 policy::retryAfter(this->intake.failingFor(), job));
         case IntakeResult::Unknown:
             break;
         }
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -128,6 +128,14 @@
         this->events.onLost(why);
     }
 
+    /// Returns once the store has just confirmed the lease, or this process does not lead.
+    Awaitable<void> awaitConfirmation(Instant latest) const
+    {
+        while (this->leading && this->sinceConfirmed() > this->times.tick * 2
+               && bootNow() < latest)
+            co_await pause(this->times.tick);
+    }
+
     /// Gives the lease up for good. `orderedVms` are those that it gave orders about lately.
     Awaitable<void> release(std::vector<std::string> orderedVms)
     {
--- a/packages/coordination/src/caller_request.cpp
+++ b/packages/coordination/src/caller_request.cpp
@@ -44,10 +44,10 @@
               });
 }
 
-http::Response retryLater(const std::string &why)
+http::Response retryLater(const std::string &why, std::chrono::seconds wait)
 {
     auto response = http::textResponse(http::Status::service_unavailable, why + "\n");
-    response.set(http::Field::retry_after, "1");
+    response.set(http::Field::retry_after, std::to_string(wait.count()));
     return response;
 }
 
--- a/packages/coordination/src/caller_request_test.cpp
+++ b/packages/coordination/src/caller_request_test.cpp
@@ -87,4 +87,6 @@
     const auto response = retryLater("no configuration yet");
     CHECK(response.result() == http::Status::service_unavailable);
     CHECK(response[http::Field::retry_after] == "1");
+    const auto longer = retryLater("the store takes no jobs now", std::chrono::seconds(3));
+    CHECK(longer[http::Field::retry_after] == "3");
 }
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -117,3 +117,37 @@
     REQUIRE(pair.first.leaderAddress());
     CHECK(model::toString(*pair.first.leaderAddress()) == "127.0.0.1:2");
 }
+
+// Nobody led from the signal until the store was back: the leader gave up a lease that nobody could
+// take.
+TEST_CASE("A leader that is stopped while the store is away leads on until it is back")
+{
+    LeadershipTimes times;
+    times.renew = std::chrono::milliseconds(50);
+    times.tick = std::chrono::milliseconds(10);
+    Pair pair(times);
+    pair.store.isAway = true;
+    pair.runUntil([&] { return pair.first.sinceConfirmed() > std::chrono::milliseconds(100); });
+    spawn(pair.context.get_executor(), "hand-over", [&]() -> Awaitable<void> {
+        co_await pair.first.awaitConfirmation(bootNow() + std::chrono::seconds(60));
+        co_await pair.first.release({});
+    });
+    pair.context.run_for(std::chrono::milliseconds(300));
+    CHECK(pair.first.leads());
+    pair.store.isAway = false;
+    pair.runUntil([&] { return pair.second.leads(); });
+    CHECK(pair.taken.handedOver);
+}
+
+TEST_CASE("A leader does not wait for the store beyond the end of its grace")
+{
+    Pair pair({});
+    pair.store.isAway = true;
+    pair.runUntil([&] { return pair.first.sinceConfirmed() > std::chrono::milliseconds(300); });
+    spawn(pair.context.get_executor(), "hand-over", [&]() -> Awaitable<void> {
+        co_await pair.first.awaitConfirmation(bootNow());
+        co_await pair.first.release({});
+    });
+    pair.runUntil([&] { return !pair.first.leads(); });
+    CHECK_FALSE(pair.second.leads());
+}
--- a/packages/coordination/tests/memory_store.h
+++ b/packages/coordination/tests/memory_store.h
@@ -24,12 +24,16 @@
     ReadFault fault = ReadFault::None;
     std::string faultyTable;
     std::chrono::milliseconds delay{0}; ///< of each answer
+    bool isAway = false; ///< commits are refused
 
     http::Awaitable<store::PartCommit> commit(store::PartTransaction transaction)
     {
         if (this->delay.count() > 0)
             co_await pause(this->delay);
         store::PartCommit commit;
+        commit.state = store::CommitState::NotApplied;
+        if (this->isAway)
+            co_return commit;
         commit.state = store::CommitState::Conflict;
         for (const auto &condition : transaction.conditions) {
             if (this->versionOf({condition.table, transaction.part, condition.key})
