Surges are forecast from the turns that were seen

Change: which surge follows which, after what time and with what load; VMs are on their way 1.9 s before one that is expected; a surge that does not come makes its predecessor tell nothing (surge_forecast.h).

--- a/packages/scheduling/include/sassafrasferry/scheduling/pool_sizing.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/pool_sizing.h
@@ -14,6 +14,7 @@
     Duration peakMemory = std::chrono::milliseconds(1200); ///< how long a need is remembered
     double headroom = 1.15; ///< room wanted for each core needed, since tasks do not fill a VM
     double lateWeight = 0.3; ///< of work that can't be on time any more
+    SurgeTerms surges;
     MechanismSet mechanisms;
 };
 
@@ -30,8 +31,8 @@
 public:
     explicit PoolSizing(PoolSizingTerms terms);
 
-    /// Core-seconds of the jobs that came to each service since the last call.
-    void arrived(const std::map<std::string, double> &coreSeconds, Instant now);
+    /// What came to each service since the last call.
+    void arrived(const std::map<std::string, Arrivals> &arrivals, Instant now);
 
     /// `count`: VMs that the pool has or gets; `vmCores`: of the largest of them.
     PoolNeed needOf(const std::string &service, const ServiceLoad &load, double vmCores,
@@ -48,6 +49,7 @@
     std::map<std::string, double> rates; // core-seconds a second
     std::map<std::string, Peak> peaks;
     Instant ratesAt{};
+    SurgeForecast surges;
 };
 
 } // namespace sassafrasferry::scheduling
