--- a/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
@@ -14,7 +14,6 @@
     Moves, ///< VMs move to the pools that need them
     Standby, ///< VMs that no pool needs are moved to the standby pool
     OnTimeMoves, ///< pools with on-time work are served before those with late work
-    SurgeForecast, ///< VMs are on their way before a surge that is expected
     PeakMemory, ///< a pool keeps its VMs for a moment after a peak
     SpareVm, ///< a pool has one VM more than its lasting work needs
     Cordon, ///< VMs that are to leave a pool get no new work
@@ -33,7 +32,6 @@
         model::EnumName{Mechanism::Moves, "moves"},
         model::EnumName{Mechanism::Standby, "standby"},
         model::EnumName{Mechanism::OnTimeMoves, "on-time-moves"},
-        model::EnumName{Mechanism::SurgeForecast, "surge-forecast"},
         model::EnumName{Mechanism::PeakMemory, "peak-memory"},
         model::EnumName{Mechanism::SpareVm, "spare-vm"},
         model::EnumName{Mechanism::Cordon, "cordon"},
--- a/packages/scheduling/include/sassafrasferry/scheduling/pool_sizing.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/pool_sizing.h
@@ -14,7 +14,6 @@
     Duration peakMemory = std::chrono::milliseconds(1200); ///< how long a need is remembered
     double headroom = 1.15; ///< room wanted for each core needed, since tasks do not fill a VM
     double lateWeight = 0.3; ///< of work that can't be on time any more
-    SurgeTerms surges;
     MechanismSet mechanisms;
 };
 
@@ -31,8 +30,8 @@
 public:
     explicit PoolSizing(PoolSizingTerms terms);
 
-    /// What came to each service since the last call.
-    void arrived(const std::map<std::string, Arrivals> &arrivals, Instant now);
+    /// Core-seconds of the jobs that came to each service since the last call.
+    void arrived(const std::map<std::string, double> &coreSeconds, Instant now);
 
     /// `count`: VMs that the pool has or gets; `vmCores`: of the largest of them.
     PoolNeed needOf(const std::string &service, const ServiceLoad &load, double vmCores,
@@ -49,7 +48,6 @@
     std::map<std::string, double> rates; // core-seconds a second
     std::map<std::string, Peak> peaks;
     Instant ratesAt{};
-    SurgeForecast surges;
 };
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -6,7 +6,6 @@
 #include <sassafrasferry/scheduling/mechanisms.h>
 #include <sassafrasferry/scheduling/orders.h>
 #include <sassafrasferry/scheduling/queue.h>
-#include <sassafrasferry/scheduling/surge_forecast.h>
 
 #include <map>
 #include <memory>
@@ -178,8 +177,8 @@
     /// Work and room of each service with workers or jobs.
     std::map<std::string, ServiceLoad> loads(Instant now, UnixMilliseconds unixNow);
 
-    /// What came to each service since the last call.
-    std::map<std::string, Arrivals> takeArrivals();
+    /// Core-seconds of the jobs that came to each service since the last call.
+    std::map<std::string, double> takeArrivals();
 
     std::vector<DecisionNote> takeNotes();
     const SchedulerCounts &counts() const;
@@ -242,7 +241,7 @@
     std::set<std::string> dirty; // jobs whose row is behind
     std::vector<StopOrder> wantedStops;
     std::map<std::string, QueueTimes> runTimes; // by queue
-    std::map<std::string, Arrivals> arrivals; // by service, since they were taken
+    std::map<std::string, double> arrivals; // core-seconds, by service
     std::vector<DecisionNote> notes;
     SchedulerCounts counters;
     bool allWorkersKnown = false;
--- a/packages/scheduling/src/pool_sizing.cpp
+++ b/packages/scheduling/src/pool_sizing.cpp
@@ -17,19 +17,17 @@
 
 PoolSizing::PoolSizing(PoolSizingTerms terms)
     : terms(terms)
-    , surges(terms.surges)
 {}
 
-void PoolSizing::arrived(const std::map<std::string, Arrivals> &arrivals, Instant now)
+void PoolSizing::arrived(const std::map<std::string, double> &coreSeconds, Instant now)
 {
     const auto memory = policy::seconds(this->terms.rateMemory);
     const auto kept = std::exp(-policy::seconds(now - this->ratesAt) / memory);
     this->ratesAt = now;
     for (auto &rate : this->rates)
         rate.second *= kept;
-    for (const auto &entry : arrivals)
-        this->rates[entry.first] += entry.second.coreSeconds / memory;
-    this->surges.arrived(arrivals, now);
+    for (const auto &work : coreSeconds)
+        this->rates[work.first] += work.second / memory;
 }
 
 PoolNeed PoolSizing::needOf(const std::string &service, const ServiceLoad &load, double vmCores,
@@ -41,9 +39,7 @@
     const double waiting = cores(load.ready);
     const double waitingOnTime = waiting * (1 - lateShare);
     const double waitingLate = waiting * lateShare * this->terms.lateWeight;
-    const bool isForecast = this->terms.mechanisms.has(Mechanism::SurgeForecast);
-    const double rate = std::max(this->rates[service],
-                                 isForecast ? this->surges.expectedCores(service, now) : 0);
+    const double rate = this->rates[service];
     const double need = lasting + std::max(running + waitingOnTime + waitingLate, rate);
     const double onTime = lasting + std::max(running + waitingOnTime, rate);
     const double kept =
--- a/packages/scheduling/src/pool_sizing_test.cpp
+++ b/packages/scheduling/src/pool_sizing_test.cpp
@@ -43,7 +43,7 @@
         PoolSizing sizing({});
         const Instant now(1h);
         sizing.arrived({}, now);
-        sizing.arrived({{"s", {1, row.arriving}}}, now);
+        sizing.arrived({{"s", row.arriving}}, now);
         const auto need = sizing.needOf("s", row.load, vmCores, 1, now);
         CHECK(need.wanted == row.need.wanted);
         CHECK(need.onTime == row.need.onTime);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -57,9 +57,7 @@
             work += static_cast<double>(step.count) * static_cast<double>(step.footprint().cpu)
                     / 1000 * policy::seconds(Duration(job->expected(i).task));
     }
-    auto &arrived = this->arrivals[this->serviceOf(*job)];
-    arrived.coreSeconds += work;
-    arrived.jobs += job->spec.isLasting() ? 0 : 1;
+    this->arrivals[this->serviceOf(*job)] += work;
     this->jobs.emplace(job->id, std::move(job));
 }
 
@@ -179,7 +177,7 @@
     this->notes.push_back({std::move(event), std::move(subject), std::move(detail)});
 }
 
-std::map<std::string, Arrivals> Scheduler::takeArrivals()
+std::map<std::string, double> Scheduler::takeArrivals()
 {
     return std::exchange(this->arrivals, {});
 }
