A job that the store refuses here is handed in through a peer

Ruled out: turning callers away sooner; the balancer does so after two missed checks.

Change: what is not stored here is handed in through the leader, or by a leader through the strongest peer that it hears; the answer is "refused" only if nobody can have stored the job (hand_in.h). Fields of messages are only added; an entry VM of an earlier version has done nothing.

--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -109,7 +109,7 @@
     static constexpr auto probePause = std::chrono::milliseconds(250);
     static constexpr int missesOfFailure = 2;
     // A refusal by the store is tried again for this long; callers can do more with the rest.
-    static constexpr auto patience = std::chrono::milliseconds(700);
+    static constexpr auto patience = std::chrono::milliseconds(300);
     // The same for a store that does not answer at all.
     static constexpr Duration silentPatience = std::chrono::milliseconds(1200);
 
@@ -212,8 +212,8 @@
     void answerLate(const Batch &batch, Instant now)
     {
         for (const auto &item : batch) {
-            const bool isLate = now >= item->deadline
-                                || (!item->mayBeStored && now - item->begunAt > patience);
+            const bool isLate =
+                now >= item->deadline || (!item->mayBeStored && now - item->begunAt > patience);
             if (isLate)
                 item->answer(item->mayBeStored ? IntakeResult::Unknown : IntakeResult::Refused);
         }
--- a/packages/coordination/include/sassafrasferry/coordination/job_desk.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_desk.h
@@ -18,11 +18,12 @@
 public:
     using Answer = std::optional<messages::JobAnswer>;
     using OnQuestion = std::function<messages::JobAnswer(const messages::JobQuestion &)>;
+    using OnHandIn = std::function<Awaitable<messages::JobAnswer>(messages::HandIn)>;
     using OnEnvelope = std::function<void(const messages::JobEnvelope &)>;
 
     /// `onOther` takes what is neither a question nor an answer.
     JobDesk(http::asio::io_context &context, model::Endpoint self, OnQuestion onQuestion,
-            OnEnvelope onOther);
+            OnHandIn onHandIn, OnEnvelope onOther);
 
     absl::Status open();
     /// Asks; nothing if no answer comes in time.
@@ -39,11 +40,14 @@
     };
 
     void receive(std::string_view bytes);
+    Awaitable<void> answerHandIn(model::Endpoint peer, messages::JobQuestion question);
+    void reply(const model::Endpoint &peer, std::uint64_t number, messages::JobAnswer answer);
     void finish(std::uint64_t number, Answer answer);
 
     http::asio::io_context &context;
     model::Endpoint self;
     OnQuestion onQuestion;
+    OnHandIn onHandIn;
     OnEnvelope onOther;
     peer::MessagePort port;
     std::uint64_t lastNumber = 0;
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/caller_request.h>
+#include <sassafrasferry/coordination/hand_in.h>
 #include <sassafrasferry/coordination/intake.h>
 #include <sassafrasferry/coordination/job_desk.h>
 #include <sassafrasferry/coordination/leader.h>
@@ -12,8 +13,8 @@
 #include <sassafrasferry/coordination/successor.h>
 
 #include <sassafrasferry/http/json.h>
-#include <sassafrasferry/policy/retry_advice.h>
 #include <sassafrasferry/http/server.h>
+#include <sassafrasferry/policy/retry_advice.h>
 
 namespace sassafrasferry::coordination {
 
@@ -48,6 +49,7 @@
         , desk(
               context, this->options.peer,
               [this](const auto &question) { return this->answer(question); },
+              [this](auto handedIn) { return this->takeHandIn(std::move(handedIn)); },
               [this](const auto &envelope) { this->takeOther(envelope); })
         , relay(this->executor, this->options.peer,
                 [this](const auto &peer, const auto &envelope) {
@@ -145,6 +147,8 @@
     static constexpr auto countFreshness = std::chrono::milliseconds(1500);
     static constexpr auto helloPeriod = std::chrono::milliseconds(250);
     static constexpr auto askTimeout = std::chrono::milliseconds(400);
+    static constexpr Duration handInPatience = std::chrono::milliseconds(900);
+
     Awaitable<http::Response> submit(const scheduling::Queue &queue, const std::string &job,
                                      const http::Request &request)
     {
@@ -163,7 +167,10 @@
         const auto begin = bootNow();
         const auto deadline = deadlineOf(request, Platform::patienceHeader());
         const auto bytes = record.SerializeAsString();
-        const auto result = co_await this->intake.submit(job, bytes, deadline);
+        const auto askPeer = [this, deadline](std::string job, std::string record) {
+            return this->handInThroughPeer(std::move(job), std::move(record), deadline);
+        };
+        const auto result = co_await handIn(this->intake, askPeer, job, bytes, deadline);
         LOG(INFO) << "event=submit job=" << job << " queue=" << queue.terms.queue
                   << " outcome=" << model::nameOf(result)
                   << " ms=" << policy::seconds(bootNow() - begin) * 1000
@@ -182,6 +189,50 @@
         co_return http::textResponse(http::Status::gateway_timeout, "ask again\n");
     }
 
+    // The leader's peers ask it for its word all the time, and it hears them.
+    std::optional<model::Endpoint> peerForHandIn() const
+    {
+        if (const auto leader = this->otherLeader())
+            return leader;
+        return model::parseEndpoint(this->successors.strongest(bootNow()));
+    }
+
+    Awaitable<std::optional<IntakeResult>> handInThroughPeer(std::string job, std::string record,
+                                                             Instant deadline)
+    {
+        const auto peer = this->peerForHandIn();
+        if (!peer)
+            co_return IntakeResult::Refused;
+        const auto patience = std::min<Duration>(deadline - bootNow(), handInPatience);
+        messages::JobQuestion question;
+        auto &handedIn = *question.mutable_hand_in();
+        handedIn.set_job(job);
+        handedIn.set_record(std::move(record));
+        handedIn.set_patience_milliseconds(
+            static_cast<std::uint32_t>(patience / std::chrono::milliseconds(1)));
+        const auto answer = co_await this->desk.ask(*peer, question, patience + askTimeout / 2);
+        LOG(INFO) << "event=hand-in job=" << job << " peer=" << model::toString(*peer)
+                  << " answered=" << answer.has_value()
+                  << " result=" << (answer ? answer->hand_in_result() : 0);
+        if (!answer)
+            co_return std::nullopt;
+        // An entry VM of an earlier version has done nothing.
+        if (answer->hand_in_result() == 0)
+            co_return IntakeResult::Refused;
+        co_return static_cast<IntakeResult>(answer->hand_in_result() - 1);
+    }
+
+    Awaitable<messages::JobAnswer> takeHandIn(messages::HandIn handedIn)
+    {
+        const auto patience = std::chrono::milliseconds(handedIn.patience_milliseconds());
+        const auto deadline = bootNow() + patience;
+        const auto result =
+            co_await this->intake.submit(handedIn.job(), handedIn.record(), deadline);
+        messages::JobAnswer answer;
+        answer.set_hand_in_result(1 + static_cast<std::uint32_t>(result));
+        co_return answer;
+    }
+
     Awaitable<http::Response> state(const std::string &job)
     {
         if (!isJobId(job))
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -131,8 +131,7 @@
     /// Returns once the store has just confirmed the lease, or this process does not lead.
     Awaitable<void> awaitConfirmation(Instant latest) const
     {
-        while (this->leading && this->sinceConfirmed() > this->times.tick * 2
-               && bootNow() < latest)
+        while (this->leading && this->sinceConfirmed() > this->times.tick * 2 && bootNow() < latest)
             co_await pause(this->times.tick);
     }
 
--- a/packages/coordination/include/sassafrasferry/coordination/successor.h
+++ b/packages/coordination/include/sassafrasferry/coordination/successor.h
@@ -22,19 +22,29 @@
     /// An entry VM has asked. Its questions on behalf of callers say nothing of who could lead.
     void heard(const messages::JobQuestion &question, Instant now)
     {
-        const bool isHello = question.job().empty() && question.queue().empty();
+        const bool isHello =
+            question.job().empty() && question.queue().empty() && !question.has_hand_in();
         if (isHello)
             this->peers[question.address()] = {question.cores(), now};
     }
 
     /// Where the strongest is that was heard lately, if it is worth a change; else empty.
     std::string better(Instant now) const
+    {
+        const auto best = this->strongest(now);
+        const bool isWorthIt =
+            !best.empty() && this->peers.at(best).cores >= this->own * worthwhile;
+        return isWorthIt ? best : "";
+    }
+
+    /// The strongest that was heard lately and could lead; empty if there is none.
+    std::string strongest(Instant now) const
     {
         std::string best;
-        double most = this->own * worthwhile;
+        double most = 0;
         for (const auto &entry : this->peers) {
             const auto &peer = entry.second;
-            if (now - peer.heardAt > lately || peer.cores < most)
+            if (now - peer.heardAt > lately || peer.cores <= most)
                 continue;
             best = entry.first;
             most = peer.cores;
--- a/packages/coordination/src/job_desk.cpp
+++ b/packages/coordination/src/job_desk.cpp
@@ -1,15 +1,18 @@
 // Questions and answers, matched by their numbers.
 #include <sassafrasferry/coordination/job_desk.h>
 
+#include <sassafrasferry/coordination/spawn.h>
+
 #include <glog/logging.h>
 
 namespace sassafrasferry::coordination {
 
 JobDesk::JobDesk(http::asio::io_context &context, model::Endpoint self, OnQuestion onQuestion,
-                 OnEnvelope onOther)
+                 OnHandIn onHandIn, OnEnvelope onOther)
     : context(context)
     , self(std::move(self))
     , onQuestion(std::move(onQuestion))
+    , onHandIn(std::move(onHandIn))
     , onOther(std::move(onOther))
     , port(context, peer::Unconnected::Queue,
            [this](std::string_view bytes) { this->receive(bytes); })
@@ -75,10 +78,26 @@
     const auto address = model::parseEndpoint(question.address());
     if (!address)
         return;
-    messages::JobEnvelope reply;
-    *reply.mutable_answer() = this->onQuestion(question);
-    reply.mutable_answer()->set_number(question.number());
-    this->port.send(*address, reply.SerializeAsString());
+    if (question.has_hand_in()) {
+        spawn(this->context.get_executor(), "hand-in",
+              [this, peer = *address, question] { return this->answerHandIn(peer, question); });
+        return;
+    }
+    this->reply(*address, question.number(), this->onQuestion(question));
+}
+
+Awaitable<void> JobDesk::answerHandIn(model::Endpoint peer, messages::JobQuestion question)
+{
+    auto answer = co_await this->onHandIn(question.hand_in());
+    this->reply(peer, question.number(), std::move(answer));
+}
+
+void JobDesk::reply(const model::Endpoint &peer, std::uint64_t number, messages::JobAnswer answer)
+{
+    messages::JobEnvelope envelope;
+    *envelope.mutable_answer() = std::move(answer);
+    envelope.mutable_answer()->set_number(number);
+    this->port.send(peer, envelope.SerializeAsString());
 }
 
 } // namespace sassafrasferry::coordination
--- a/packages/policy/src/retry_advice.cpp
+++ b/packages/policy/src/retry_advice.cpp
@@ -16,8 +16,8 @@
 
 std::chrono::seconds retryAfter(Duration outageAge, std::string_view caller)
 {
-    const auto expected = std::clamp(std::chrono::round<std::chrono::seconds>(outageAge), leastWait,
-                                     mostWait);
+    const auto expected =
+        std::clamp(std::chrono::round<std::chrono::seconds>(outageAge), leastWait, mostWait);
     if (expected == leastWait)
         return expected;
     const auto spread = static_cast<unsigned>(expected / std::chrono::seconds(2)) + 1;
--- a/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
@@ -1,4 +1,5 @@
-// Mechanisms of the decisions that settings can switch off, so that each one's worth can be measured.
+// Mechanisms of the decisions that settings can switch off, so that each one's worth can be
+// measured.
 #pragma once
 
 #include <sassafrasferry/model/names.h>
--- a/packages/scheduling/src/cordon.cpp
+++ b/packages/scheduling/src/cordon.cpp
@@ -22,9 +22,8 @@
 
 std::set<std::string> chooseCordons(std::vector<CordonPool> pools, std::size_t missing)
 {
-    std::sort(pools.begin(), pools.end(), [](const CordonPool &a, const CordonPool &b) {
-        return extraOf(a) > extraOf(b);
-    });
+    std::sort(pools.begin(), pools.end(),
+              [](const CordonPool &a, const CordonPool &b) { return extraOf(a) > extraOf(b); });
     for (const auto &pool : pools)
         missing -= std::min({missing, pool.surplus, pool.candidates.size()});
     std::set<std::string> result;
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -122,8 +122,7 @@
         double vmCores = 0;
         for (const auto *vm : pool.up)
             vmCores = std::max(vmCores, static_cast<double>(vm->vm.capacity.cpu) / 1000);
-        pool.need =
-            this->sizing.needOf(entry.first, at->second, vmCores, pool.count, round.now);
+        pool.need = this->sizing.needOf(entry.first, at->second, vmCores, pool.count, round.now);
     }
 }
 
--- a/packages/scheduling/src/pool_sizing.cpp
+++ b/packages/scheduling/src/pool_sizing.cpp
@@ -42,8 +42,7 @@
     const double rate = this->rates[service];
     const double need = lasting + std::max(running + waitingOnTime + waitingLate, rate);
     const double onTime = lasting + std::max(running + waitingOnTime, rate);
-    const double kept =
-        lasting + std::max(running - cores(load.lateRunning) + waitingOnTime, rate);
+    const double kept = lasting + std::max(running - cores(load.lateRunning) + waitingOnTime, rate);
     auto &peak = this->peaks[service];
     const bool isRemembered = this->terms.mechanisms.has(Mechanism::PeakMemory);
     if (!isRemembered || need >= peak.cores || now - peak.at > this->terms.peakMemory)
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -70,9 +70,8 @@
     const bool learnsTimes = this->mechanisms().has(Mechanism::LearnedTimes);
     std::vector<jobs::StepTimes> times;
     for (const auto &step : job.spec.steps)
-        times.push_back(
-            {learnsSizes ? models->second.task.mean(step.estimate) : step.estimate,
-             learnsTimes ? models->second.step.median(step.estimate) : step.estimate});
+        times.push_back({learnsSizes ? models->second.task.mean(step.estimate) : step.estimate,
+                         learnsTimes ? models->second.step.median(step.estimate) : step.estimate});
     job.expect(std::move(times));
 }
 
