Orders about VMs are announced in the lease row before they are given

Ruled out: a shorter wait; the platform counts two holders within its bound as a fault, for each VM.

Change: the lease row names the VMs about which orders are about to be given or were given within the bound; an order is given only after that write was confirmed. The successor leaves these VMs alone, and only these. The write renews the lease, so it costs few calls more.

Tests: two in leadership_test; the wait for unannounced orders stays for rows of earlier versions.

--- a/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
@@ -48,6 +48,8 @@
         std::int64_t fence = 0;
         std::vector<std::string> deferred; ///< VMs of an earlier leader's last orders
         Instant deferredUntil{}; ///< no order about them before
+        /// Makes orders known to a successor; false: they must not be given.
+        std::function<Awaitable<bool>(std::vector<std::string> vms)> announce;
         std::function<bool()> mayOrder; ///< this entry VM may give orders about VMs now
         std::function<WaveStatusRow(std::int64_t wave, bool completed)> statusRow;
         std::function<void()> onChange; ///< the scheduler has something to plan for
@@ -116,8 +118,8 @@
             co_await this->list();
             if (this->stopped || !this->hasListed)
                 continue;
-            for (auto &order : this->planner.plan(this->scheduler, bootNow(), http::unixNow()))
-                this->give(std::move(order));
+            auto orders = this->planner.plan(this->scheduler, bootNow(), http::unixNow());
+            co_await this->giveAnnounced(std::move(orders));
             this->tell();
             co_await this->recordWaves();
         }
@@ -164,6 +166,25 @@
         this->planner.listVms(*vms, asked);
     }
 
+    Awaitable<void> giveAnnounced(std::vector<scheduling::FleetOrder> orders)
+    {
+        if (orders.empty())
+            co_return;
+        std::vector<std::string> names;
+        for (const auto &order : orders)
+            names.push_back(order.vm);
+        const bool isAnnounced = co_await this->options.announce(std::move(names));
+        if (this->stopped)
+            co_return;
+        for (auto &order : orders) {
+            if (isAnnounced && this->options.mayOrder())
+                this->give(std::move(order));
+            else
+                this->planner.answered(order, scheduling::FleetAnswer::Refused, this->scheduler,
+                                       bootNow());
+        }
+    }
+
     void give(scheduling::FleetOrder order)
     {
         spawn(this->executor, "vm-order",
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -63,8 +63,9 @@
         , successors(this->options.cores)
         , leadership(store, this->options.name, this->options.peer, http::unixNow(),
                      {[this](const Tenure &tenure) { this->lead(tenure); },
-                      [this](const std::string &) {
-                          this->dropLeader();
+                      [this](const std::string &) { this->dropLeader(); },
+                      [this] {
+                          return this->orderedVms();
                       }},
                      this->options.leadership)
     {}
@@ -376,6 +377,9 @@
         leaderOptions.turn = this->options.turn;
         leaderOptions.relay = &this->relay;
         leaderOptions.orderLimit = this->options.leadership.orderLimit;
+        leaderOptions.announce = [this](std::vector<std::string> vms) {
+            return this->leadership.announce(std::move(vms));
+        };
         leaderOptions.sinceConfirmed = [this] {
             return this->leadership.sinceConfirmed();
         };
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -38,6 +38,8 @@
         std::function<Duration()> sinceConfirmed; ///< how long ago the store confirmed the lease
         CallRelay *relay = nullptr; ///< through which workers are called once there are many
         Duration orderLimit{}; ///< no order is given that long after
+        /// Makes orders about VMs known to a successor before they are given.
+        std::function<Awaitable<bool>(std::vector<std::string>)> announce;
         /// Between the last order about a VM of one leader and the first of the next.
         Duration turn = std::chrono::milliseconds(3000);
         /// Without a further part of the tables while the store confirms the lease. A slow store
@@ -265,6 +267,7 @@
         fleetOptions.mayOrder = [self] {
             return self->mayOrderVms();
         };
+        fleetOptions.announce = this->options.announce;
         fleetOptions.statusRow = &Platform::waveStatus;
         fleetOptions.onChange = [self] {
             self->planWake.notify();
@@ -276,10 +279,11 @@
         this->fleet->begin();
     }
 
-    // The leader before may have sent an order just before the store stopped confirming its lease.
+    // A leader of an earlier version, which announced no orders, may have sent one just before the
+    // store stopped confirming its lease.
     bool mayOrderVms() const
     {
-        const auto wait = this->tenure.isFirst || this->tenure.handedOver
+        const auto wait = this->tenure.isFirst || this->tenure.knowsOrders
                               ? Duration::zero()
                               : this->options.turn + vmOrderMargin;
         return this->isReady() && this->options.sinceConfirmed() < vmOrderLimit
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -47,7 +47,8 @@
     /// process of this entry VM.
     bool predecessorStopped = false;
     bool isFirst = false; ///< nobody led before, or an earlier process of this entry VM
-    bool handedOver = false; ///< the leader before named the VMs that it gave orders about lately
+    /// The leader before named all VMs that it may have given orders about lately.
+    bool knowsOrders = false;
     std::vector<std::string> orderedVms; ///< these; no order about them for a turn
 };
 
@@ -60,6 +61,10 @@
     {
         std::function<void(const Tenure &)> onLead;
         std::function<void(const std::string &why)> onLost;
+        /// VMs about which orders were given lately.
+        std::function<std::vector<std::string>()> orderedVms = [] {
+            return std::vector<std::string>{};
+        };
     };
 
     Leadership(Store &store, std::string self, model::Endpoint address, std::int64_t incarnation,
@@ -128,6 +133,21 @@
         this->events.onLost(why);
     }
 
+    /// Writes into the lease row that orders about these VMs are about to be given. A successor then
+    /// knows which VMs to leave alone for a while, and need not wait with all others. False: they
+    /// must not be given.
+    Awaitable<bool> announce(std::vector<std::string> vms)
+    {
+        while (this->leading && this->isWriting)
+            co_await pause(writePause);
+        if (!this->leading)
+            co_return false;
+        this->announced = std::move(vms);
+        const auto state = co_await this->write();
+        this->announced.clear();
+        co_return this->leading && state == store::CommitState::Committed;
+    }
+
     /// Returns once the store has just confirmed the lease, or this process does not lead.
     Awaitable<void> awaitConfirmation(Instant latest) const
     {
@@ -152,6 +172,24 @@
     }
 
 private:
+    static constexpr auto writePause = std::chrono::milliseconds(5);
+
+    /// Writes the row under this lease, which renews it.
+    Awaitable<store::CommitState> write()
+    {
+        const auto begin = bootNow();
+        this->isWriting = true;
+        this->renewedAt = begin;
+        const auto transaction = this->transaction(this->record());
+        const auto commit = co_await this->store.commit(transaction);
+        this->isWriting = false;
+        if (this->leading && commit.state == store::CommitState::Committed) {
+            this->version = commit.version;
+            this->confirmedAt = begin;
+        }
+        co_return commit.state;
+    }
+
     Awaitable<void> free(std::vector<std::string> orderedVms, std::string why,
                          std::string successor)
     {
@@ -160,6 +198,7 @@
         this->deposed(why);
         auto record = this->record();
         record.clear_holder();
+        record.clear_ordered_vms();
         record.set_successor(std::move(successor));
         for (auto &vm : orderedVms)
             record.add_ordered_vms(std::move(vm));
@@ -176,6 +215,11 @@
         record.set_address(model::toString(this->address));
         record.set_incarnation(this->incarnation);
         record.set_term(this->tenure.term);
+        record.set_announces_orders(true);
+        for (const auto &vm : this->events.orderedVms())
+            record.add_ordered_vms(vm);
+        for (const auto &vm : this->announced)
+            record.add_ordered_vms(vm);
         return record;
     }
 
@@ -252,8 +296,10 @@
         next.term = record.term() + 1;
         next.predecessorStopped = isFree || isOwnPast;
         next.isFirst = record.term() == 0 || isOwnPast;
-        next.handedOver = isFree && record.term() > 0;
-        next.orderedVms.assign(record.ordered_vms().begin(), record.ordered_vms().end());
+        next.knowsOrders = record.term() > 0 && (isFree || record.announces_orders());
+        // Orders of this entry VM's earlier process are its own.
+        if (!isOwnPast)
+            next.orderedVms.assign(record.ordered_vms().begin(), record.ordered_vms().end());
         if (!isFree && !isOwnPast && !isOver) {
             this->freeSince = {};
             co_return;
@@ -313,19 +359,11 @@
             this->deposed("the store does not confirm the lease");
             co_return;
         }
-        if (begin - this->renewedAt < this->times.renew)
-            co_return;
-        this->renewedAt = begin;
-        const auto transaction = this->transaction(this->record());
-        const auto commit = co_await this->store.commit(transaction);
-        if (!this->leading)
-            co_return;
-        if (commit.state == store::CommitState::Committed) {
-            this->version = commit.version;
-            this->confirmedAt = begin;
+        if (begin - this->renewedAt < this->times.renew || this->isWriting)
             co_return;
-        }
-        if (commit.state == store::CommitState::NotApplied)
+        const auto state = co_await this->write();
+        if (!this->leading || state == store::CommitState::Committed
+            || state == store::CommitState::NotApplied)
             co_return;
         // An earlier renewal may have been applied late, which moves the version on.
         messages::LeaseRecord record;
@@ -347,6 +385,8 @@
     Tenure tenure;
     bool leading = false;
     bool released = false;
+    bool isWriting = false; // a write of the row is under way
+    std::vector<std::string> announced; // VMs of orders that wait for that write
     Tenure takes; // of the take that is under way
     bool hasSeen = false;
     std::int64_t version = store::absent; // of the row, as last seen or written
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -61,7 +61,7 @@
     pair.runUntil([&] { return pair.second.leads(); });
     CHECK_FALSE(pair.first.leads());
     CHECK(pair.taken.predecessorStopped);
-    CHECK(pair.taken.handedOver);
+    CHECK(pair.taken.knowsOrders);
     CHECK(pair.taken.orderedVms == std::vector<std::string>{"vm-7"});
     CHECK(pair.taken.term == 2);
 }
@@ -136,7 +136,7 @@
     CHECK(pair.first.leads());
     pair.store.isAway = false;
     pair.runUntil([&] { return pair.second.leads(); });
-    CHECK(pair.taken.handedOver);
+    CHECK(pair.taken.knowsOrders);
 }
 
 TEST_CASE("A leader does not wait for the store beyond the end of its grace")
@@ -151,3 +151,35 @@
     pair.runUntil([&] { return !pair.first.leads(); });
     CHECK_FALSE(pair.second.leads());
 }
+
+// No VM was moved for three seconds after a leader was lost, since its last orders were unknown.
+TEST_CASE("The VMs of announced orders are known to whoever takes the lease over")
+{
+    LeadershipTimes times;
+    times.orderLimit = std::chrono::milliseconds(300);
+    Pair pair(times);
+    bool isAnnounced = false;
+    const std::vector<std::string> vms{"vm-7"};
+    spawn(pair.context.get_executor(), "announce", [&]() -> Awaitable<void> {
+        isAnnounced = co_await pair.first.announce(vms);
+    });
+    pair.runUntil([&] { return isAnnounced; });
+    pair.first.deposed("its process ends");
+    pair.runUntil([&] { return pair.second.leads(); });
+    CHECK_FALSE(pair.taken.predecessorStopped);
+    CHECK(pair.taken.knowsOrders);
+    CHECK(pair.taken.orderedVms == vms);
+}
+
+TEST_CASE("An order that the store does not take note of is not given")
+{
+    Pair pair({});
+    pair.store.isAway = true;
+    std::optional<bool> isAnnounced;
+    const std::vector<std::string> vms{"vm-7"};
+    spawn(pair.context.get_executor(), "announce", [&]() -> Awaitable<void> {
+        isAnnounced = co_await pair.first.announce(vms);
+    });
+    pair.runUntil([&] { return isAnnounced.has_value(); });
+    CHECK(isAnnounced == false);
+}
