--- a/packages/scheduling/include/sassafrasferry/scheduling/estimate_model.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/estimate_model.h
@@ -17,9 +17,6 @@
     jobs::Milliseconds median(jobs::Milliseconds estimate) const;
     /// What such work takes on average.
     jobs::Milliseconds mean(jobs::Milliseconds estimate) const;
-    /// How often work that was under way for so long would have ended by then, were it begun anew
-    /// at each end: the cumulative hazard. 0 for no estimate.
-    double hazard(jobs::Milliseconds estimate, jobs::Milliseconds age) const;
 
 private:
     struct Line
--- a/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
@@ -21,7 +21,6 @@
     Reservation, ///< VMs are kept free for lasting tasks that found no room
     BestFit, ///< tasks go to the fullest VM that has room
     RackSpread, ///< lasting tasks are spread over racks
-    StallWatch, ///< tasks are taken off a VM on which they do not get on
     FailingBackOff, ///< a VM that fails most of its runs gets none for a while
 };
 
@@ -40,7 +39,6 @@
         model::EnumName{Mechanism::Reservation, "reservation"},
         model::EnumName{Mechanism::BestFit, "best-fit"},
         model::EnumName{Mechanism::RackSpread, "rack-spread"},
-        model::EnumName{Mechanism::StallWatch, "stall-watch"},
         model::EnumName{Mechanism::FailingBackOff, "failing-back-off"},
     };
 }
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -26,8 +26,6 @@
     Duration silence = std::chrono::milliseconds(600); ///< no starts after this without an answer
     Duration roomBackOff = std::chrono::milliseconds(150);
     Duration failingBackOff = std::chrono::milliseconds(2000); ///< of a worker that fails most runs
-    Duration stallBackOff = std::chrono::milliseconds(2000); ///< of a worker that ends nothing
-    double mostStalled = 0.3; ///< of a service's workers: with more, run times have changed
     Duration healthBackOff = std::chrono::milliseconds(500);
     /// How long after a takeover a worker that nobody reaches may still run what the last leader
     /// ordered: the time for which that one may order without the store, and a lease.
@@ -202,10 +200,7 @@
     };
 
     void expectTimes(Job &job) const;
-    void noteRunTime(Job &job, const ListedEnd &end, Worker &worker, Instant now);
-    void expectEnds(Worker &worker, Instant now);
-    void relieveStalled(Instant now);
-    void restartElsewhere(Worker &worker, Instant now);
+    void noteRunTime(Job &job, const ListedEnd &end, const Worker &worker, Instant now);
     void noteHealth(Worker &worker, const ListedEnd &end, Instant now);
     void takeEnd(Worker &worker, const ListedEnd &end, Instant now);
     void takeRunning(Worker &worker, const ListedRun &listed, Instant askedAt, Instant now);
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -4,7 +4,6 @@
 
 #include <sassafrasferry/jobs/job.h>
 #include <sassafrasferry/model/settings.h>
-#include <sassafrasferry/scheduling/stall_watch.h>
 
 #include <deque>
 #include <map>
@@ -95,8 +94,6 @@
     Instant lastAnswer{}; ///< of a hold
     Instant backOffUntil{}; ///< it refused a start
     Instant fullUntil{}; ///< it had no room for what seemed to fit
-    StallWatch stall;
-    Instant stallLookedAt{}; ///< up to when ends were expected
     double failing = 0; ///< share of its last ends that were failures, the newest weighing most
     std::int64_t clock = 0; ///< of the worker, as last heard
     Instant clockAt{}; ///< when it was heard
--- a/packages/scheduling/src/estimate_model.cpp
+++ b/packages/scheduling/src/estimate_model.cpp
@@ -10,7 +10,6 @@
 
 constexpr double memory = 500; // observations after which an old one counts for a third
 constexpr double trust = 20; // observations that the estimates themselves stand for
-constexpr double trustVariance = 0.5; // of the logarithm of run times, in these
 constexpr double trustSpread = 0.25; // variance of their logarithms in these
 
 } // namespace
@@ -71,17 +70,4 @@
     return jobs::Milliseconds(std::llround(std::exp(this->logOf(line, x) + line.variance / 2)));
 }
 
-double EstimateModel::hazard(jobs::Milliseconds estimate, jobs::Milliseconds age) const
-{
-    if (estimate.count() <= 0 || age.count() <= 0)
-        return 0;
-    const auto line = this->fit();
-    const double variance = (line.variance * (this->count + trust) + trustVariance * trust)
-                            / (this->count + trust);
-    const double distance = std::log(static_cast<double>(age.count()))
-                            - this->logOf(line, std::log(static_cast<double>(estimate.count())));
-    const double left = std::erfc(distance / std::sqrt(2 * variance)) / 2;
-    return -std::log(std::max(left, 1e-9));
-}
-
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -107,7 +107,6 @@
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
 {
     this->writeOffSilent(now);
-    this->relieveStalled(now);
     Round round{now, unixNow, {}, {}, {}, {}};
     std::map<std::string, std::vector<Job *>> queues;
     for (auto &entry : this->jobs) {
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -81,7 +81,6 @@
     worker.clockAt = now;
     worker.lastAnswer = now;
     worker.surveyed = true;
-    this->expectEnds(worker, now);
     for (const auto &end : report.ended)
         this->takeEnd(worker, end, now);
     for (const auto &listed : report.running)
@@ -109,7 +108,7 @@
 }
 
 // Runs that go on from a checkpoint tell nothing about whole ones.
-void Scheduler::noteRunTime(Job &job, const ListedEnd &end, Worker &worker, Instant now)
+void Scheduler::noteRunTime(Job &job, const ListedEnd &end, const Worker &worker, Instant now)
 {
     auto *task = job.find(end.task);
     const auto *run = task ? findRun(*task, worker.listing.id, end.run) : nullptr;
@@ -120,7 +119,6 @@
     const auto took = std::chrono::duration_cast<jobs::Milliseconds>(now - run->settledAt);
     auto &models = this->runTimes[job.terms.queue];
     models.task.observe(step.estimate, took);
-    worker.stall.ended();
     const auto longest = job.noteTook(end.task, took);
     if (job.tasksLeft(end.task.occurrence, end.task.step) == 1)
         models.step.observe(step.estimate, longest);
