--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -193,7 +193,8 @@
     // The leader's peers ask it for its word all the time, and it hears them.
     std::optional<model::Endpoint> peerForHandIn() const
     {
-        if (const auto leader = this->otherLeader())
+        auto leader = this->otherLeader();
+        if (leader)
             return leader;
         return model::parseEndpoint(this->successors.strongest(bootNow()));
     }
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -133,9 +133,9 @@
         this->events.onLost(why);
     }
 
-    /// Writes into the lease row that orders about these VMs are about to be given. A successor then
-    /// knows which VMs to leave alone for a while, and need not wait with all others. False: they
-    /// must not be given.
+    /// Writes into the lease row that orders about these VMs are about to be given. A successor
+    /// then knows which VMs to leave alone for a while, and need not wait with all others. False:
+    /// they must not be given.
     Awaitable<bool> announce(std::vector<std::string> vms)
     {
         while (this->leading && this->isWriting)
@@ -145,7 +145,7 @@
         this->announced = std::move(vms);
         const auto state = co_await this->write();
         this->announced.clear();
-        co_return this->leading && state == store::CommitState::Committed;
+        co_return this->leading &&state == store::CommitState::Committed;
     }
 
     /// Returns once the store has just confirmed the lease, or this process does not lead.
--- a/packages/coordination/src/hand_in_test.cpp
+++ b/packages/coordination/src/hand_in_test.cpp
@@ -52,8 +52,7 @@
     std::optional<IntakeResult> result;
     Duration took{};
     std::size_t asked = 0;
-    const auto askPeer = [&](std::string,
-                             std::string) -> Awaitable<std::optional<IntakeResult>> {
+    const auto askPeer = [&](std::string, std::string) -> Awaitable<std::optional<IntakeResult>> {
         ++asked;
         co_return IntakeResult::Stored;
     };
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -160,9 +160,8 @@
     Pair pair(times);
     bool isAnnounced = false;
     const std::vector<std::string> vms{"vm-7"};
-    spawn(pair.context.get_executor(), "announce", [&]() -> Awaitable<void> {
-        isAnnounced = co_await pair.first.announce(vms);
-    });
+    spawn(pair.context.get_executor(), "announce",
+          [&]() -> Awaitable<void> { isAnnounced = co_await pair.first.announce(vms); });
     pair.runUntil([&] { return isAnnounced; });
     pair.first.deposed("its process ends");
     pair.runUntil([&] { return pair.second.leads(); });
@@ -177,9 +176,8 @@
     pair.store.isAway = true;
     std::optional<bool> isAnnounced;
     const std::vector<std::string> vms{"vm-7"};
-    spawn(pair.context.get_executor(), "announce", [&]() -> Awaitable<void> {
-        isAnnounced = co_await pair.first.announce(vms);
-    });
+    spawn(pair.context.get_executor(), "announce",
+          [&]() -> Awaitable<void> { isAnnounced = co_await pair.first.announce(vms); });
     pair.runUntil([&] { return isAnnounced.has_value(); });
     CHECK(isAnnounced == false);
 }
