The field's terms: incarnation, unresponsive, stepped down, hand-over delay

Of packages/scheduling, coordination, jobs and platform: a worker's "life" is its incarnation, a leader steps down, a silent worker is unresponsive, Rank::hopeless is cannotBeOnTime, the setting turnMs is handOverDelayMs, the decision `life-over` is `incarnation-over`.

--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -25,7 +25,8 @@
     model::Endpoint peer; ///< its peer port
     scheduling::SchedulerTimes times;
     LeadershipTimes leadership;
-    Duration turn = std::chrono::milliseconds(3000); ///< between two leaders' orders about a VM
+    Duration handOverDelay =
+        std::chrono::milliseconds(3000); ///< between two leaders' orders about a VM
     Duration stopWithin = std::chrono::milliseconds(5000); ///< from the stop signal to the end
     double cores = 1.0; ///< the processor of this entry VM
 };
@@ -375,7 +376,7 @@
     {
         typename Leader<Platform>::Options leaderOptions;
         leaderOptions.times = this->options.times;
-        leaderOptions.turn = this->options.turn;
+        leaderOptions.handOverDelay = this->options.handOverDelay;
         leaderOptions.relay = &this->relay;
         leaderOptions.orderLimit = this->options.leadership.orderLimit;
         leaderOptions.announce = [this](std::vector<std::string> vms) {
@@ -388,7 +389,7 @@
             this->leadership.deposed(why);
         };
         leaderOptions.onFailed = [this](const std::string &why) {
-            this->giveWay(why, "");
+            this->stepDown(why, "");
         };
         this->leader =
             std::make_shared<Leader<Platform>>(this->executor, this->store, this->cloud, tenure,
@@ -404,10 +405,10 @@
     }
 
     // Not at once: what failed may be what called here.
-    void giveWay(const std::string &why, const std::string &successor)
+    void stepDown(const std::string &why, const std::string &successor)
     {
-        spawn(this->executor, "give-way", [self = this->shared_from_this(), why, successor] {
-            return self->leadership.giveWay(self->orderedVms(), why, successor);
+        spawn(this->executor, "step-down", [self = this->shared_from_this(), why, successor] {
+            return self->leadership.stepDown(self->orderedVms(), why, successor);
         });
     }
 
@@ -422,7 +423,7 @@
     {
         const auto successor = this->successors.better(bootNow());
         if (!successor.empty() && this->leadership.sinceConfirmed() < countFreshness)
-            this->giveWay("a stronger entry VM is there", successor);
+            this->stepDown("a stronger entry VM is there", successor);
     }
 
     void dropLeader()
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -41,7 +41,7 @@
         /// Makes orders about VMs known to a successor before they are given.
         std::function<Awaitable<bool>(std::vector<std::string>)> announce;
         /// Between the last order about a VM of one leader and the first of the next.
-        Duration turn = std::chrono::milliseconds(3000);
+        Duration handOverDelay = std::chrono::milliseconds(3000);
         /// Without a further part of the tables while the store confirms the lease. A slow store
         /// takes seconds for a part of many pages.
         Duration loadStall = std::chrono::seconds(8);
@@ -116,7 +116,7 @@
     /// VMs about which an order was given within the last turn.
     std::vector<std::string> orderedVms() const
     {
-        return this->fleet ? this->fleet->orderedSince(bootNow() - this->options.turn)
+        return this->fleet ? this->fleet->orderedSince(bootNow() - this->options.handOverDelay)
                            : std::vector<std::string>{};
     }
 
@@ -129,7 +129,7 @@
     static scheduling::SchedulerTimes timesFor(const Options &options, const Tenure &tenure)
     {
         auto times = options.times;
-        // What a leader that has stopped had sent lives for one lease; another may go on ordering
+        // What a leader that has stopped had sent runs for one lease; another may go on ordering
         // until it gives up by itself.
         times.inheritedLease =
             policy::fromSeconds(policy::seconds(times.workerLease) * (1 + times.clockDrift))
@@ -263,7 +263,7 @@
         typename FleetKeeper<Store, Cloud>::Options fleetOptions;
         fleetOptions.fence = this->tenure.fence;
         fleetOptions.deferred = this->tenure.orderedVms;
-        fleetOptions.deferredUntil = this->tookOverAt + this->options.turn + vmOrderMargin;
+        fleetOptions.deferredUntil = this->tookOverAt + this->options.handOverDelay + vmOrderMargin;
         fleetOptions.mayOrder = [self] {
             return self->mayOrderVms();
         };
@@ -285,7 +285,7 @@
     {
         const auto wait = this->tenure.isFirst || this->tenure.knowsOrders
                               ? Duration::zero()
-                              : this->options.turn + vmOrderMargin;
+                              : this->options.handOverDelay + vmOrderMargin;
         return this->isReady() && this->options.sinceConfirmed() < vmOrderLimit
                && bootNow() - this->tookOverAt > wait;
     }
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -32,7 +32,7 @@
     /// age.
     Duration youthDelay = std::chrono::milliseconds(300);
     Duration restartMemory = std::chrono::seconds(30);
-    /// One that gave way because it could not lead lets others go first for this long.
+    /// One that stepped down because it could not lead lets others go first for this long.
     Duration holdOff = std::chrono::seconds(3);
     /// The one that the leader before named comes first by this.
     Duration successorLead = std::chrono::milliseconds(600);
@@ -164,8 +164,8 @@
 
     /// Gives the lease up because this process can't lead now. `successor` is the address of the
     /// one who should lead, if one is known.
-    Awaitable<void> giveWay(std::vector<std::string> orderedVms, std::string why,
-                            std::string successor)
+    Awaitable<void> stepDown(std::vector<std::string> orderedVms, std::string why,
+                             std::string successor)
     {
         this->heldOffUntil = bootNow() + this->times.holdOff;
         co_await this->free(std::move(orderedVms), std::move(why), std::move(successor));
--- a/packages/coordination/include/sassafrasferry/coordination/spawn.h
+++ b/packages/coordination/include/sassafrasferry/coordination/spawn.h
@@ -30,7 +30,7 @@
 /// Starts a coroutine whose exception is logged and told to `onFailure`.
 ///
 /// Asio drops the exception of a detached coroutine. A leader whose planning had ended that way
-/// would renew its lease for good and serve nobody; told of it, the owner gives way to another.
+/// would renew its lease for good and serve nobody; told of it, the owner steps down to another.
 template<typename Body>
 void spawn(const http::asio::any_io_executor &executor, std::string_view name, Body body,
            OnFailure onFailure = {})
--- a/packages/coordination/include/sassafrasferry/coordination/vm_survey.h
+++ b/packages/coordination/include/sassafrasferry/coordination/vm_survey.h
@@ -9,8 +9,8 @@
 
 namespace sassafrasferry::coordination {
 
-/// Tells the scheduler which lives of VMs may run something. A worker that is cut off from the
-/// store is in the platform's list alone; one whose VM was moved may still be in the store's.
+/// Tells the scheduler which incarnations of VMs may run something. A worker that is cut off from
+/// the store is in the platform's list alone; one whose VM was moved may still be in the store's.
 inline void takeVms(scheduling::Scheduler &scheduler, const std::vector<scheduling::Vm> &vms,
                     const std::set<std::string> &listedBefore)
 {
@@ -20,7 +20,8 @@
         if (vm.state == scheduling::VmState::Down)
             continue;
         const bool isUp = vm.state == scheduling::VmState::Up;
-        scheduler.endEarlierLives({vm.name, vm.pool, vm.worker, isUp}, listedBefore, bootNow());
+        scheduler.endEarlierIncarnations({vm.name, vm.pool, vm.worker, isUp}, listedBefore,
+                                         bootNow());
     }
 }
 
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -151,8 +151,8 @@
             this->events.onFenced("worker " + this->id + " has heard a newer leader");
             co_return;
         }
-        if (answer.answer == scheduling::OrderAnswer::OtherLife) {
-            this->scheduler.lifeEnded(this->id, bootNow());
+        if (answer.answer == scheduling::OrderAnswer::OtherIncarnation) {
+            this->scheduler.incarnationEnded(this->id, bootNow());
             this->events.onChange();
         }
         co_await pause(retryPause);
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -51,13 +51,13 @@
 // Callers wait while a leader that can't lead keeps its lease. It gives the lease up; were it to
 // take the free lease again at once, as an earlier process of the same entry VM may, the same would
 // happen for good. So it lets the other go first.
-TEST_CASE("A leader that gave way lets another lead")
+TEST_CASE("A leader that stepped down lets another lead")
 {
     LeadershipTimes times;
     times.holdOff = std::chrono::seconds(60);
     Pair pair(times);
-    spawn(pair.context.get_executor(), "give-way",
-          [&] { return pair.first.giveWay({"vm-7"}, "can't read the jobs", ""); });
+    spawn(pair.context.get_executor(), "step-down",
+          [&] { return pair.first.stepDown({"vm-7"}, "can't read the jobs", ""); });
     pair.runUntil([&] { return pair.second.leads(); });
     CHECK_FALSE(pair.first.leads());
     CHECK(pair.taken.predecessorStopped);
@@ -66,7 +66,7 @@
     CHECK(pair.taken.term == 2);
 }
 
-TEST_CASE("A leader that gave way leads again where no other does")
+TEST_CASE("A leader that stepped down leads again where no other does")
 {
     LeadershipTimes times;
     times.holdOff = std::chrono::milliseconds(200);
@@ -81,7 +81,7 @@
     spawn(context.get_executor(), "only", [&] { return only.run(); });
     while (tenures == 0)
         context.run_one();
-    spawn(context.get_executor(), "give-way", [&] { return only.giveWay({}, "stuck", ""); });
+    spawn(context.get_executor(), "step-down", [&] { return only.stepDown({}, "stuck", ""); });
     while (tenures == 1)
         context.run_one();
     CHECK(only.leads());
@@ -97,21 +97,21 @@
     times.successorLead = std::chrono::seconds(60);
     Pair pair(times);
     const std::string successor = namesSecond ? "127.0.0.1:2" : "127.0.0.1:3";
-    spawn(pair.context.get_executor(), "give-way",
-          [&] { return pair.first.giveWay({}, "too weak", successor); });
+    spawn(pair.context.get_executor(), "step-down",
+          [&] { return pair.first.stepDown({}, "too weak", successor); });
     pair.runUntil([&] { return !pair.first.leads(); });
     pair.context.run_for(std::chrono::milliseconds(1500));
     CHECK(pair.second.leads() == namesSecond);
 }
 
-// The one that gave way still has to know whom to ask on behalf of its callers.
-TEST_CASE("A leader that gave way learns who leads")
+// The one that stepped down still has to know whom to ask on behalf of its callers.
+TEST_CASE("A leader that stepped down learns who leads")
 {
     LeadershipTimes times;
     times.holdOff = std::chrono::seconds(60);
     Pair pair(times);
-    spawn(pair.context.get_executor(), "give-way",
-          [&] { return pair.first.giveWay({}, "too weak", "127.0.0.1:2"); });
+    spawn(pair.context.get_executor(), "step-down",
+          [&] { return pair.first.stepDown({}, "too weak", "127.0.0.1:2"); });
     pair.runUntil([&] { return pair.second.leads(); });
     pair.context.run_for(std::chrono::milliseconds(600));
     REQUIRE(pair.first.leaderAddress());
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -26,7 +26,7 @@
     std::string kind;
     std::string rack;
     Resources capacity;
-    std::string worker; ///< the id of its present life; empty: none
+    std::string worker; ///< the id of its present incarnation; empty: none
 };
 
 /// A maintenance wave as operators order it.
@@ -92,7 +92,7 @@
     Duration retry = std::chrono::milliseconds(400); ///< of a VM whose order was not accepted
     Duration evacuationPatience = std::chrono::milliseconds(2500); ///< for tasks without checkpoint
     double waveShare = 0.75; ///< of its time, in which a wave should be through
-    Duration maintenanceTurn = std::chrono::milliseconds(6000); ///< emptying, maintenance, return
+    Duration maintenanceTime = std::chrono::milliseconds(6000); ///< emptying, maintenance, return
     double mostOfPool = 0.34; ///< of a pool's workers emptied for waves at a time
 };
 
--- a/packages/scheduling/include/sassafrasferry/scheduling/orders.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/orders.h
@@ -52,7 +52,7 @@
     Superseded, ///< the run number is not higher than one that ended there
     Expired, ///< the lease that came with it is over
     Unhealthy, ///< the worker did nothing and cannot now
-    OtherLife, ///< another life of a worker answers there
+    OtherIncarnation, ///< another incarnation of a worker answers there
     Malformed, ///< the worker does not understand it
     NotSent, ///< no byte of it left
     NoAnswer, ///< it may be carried out, now or later
@@ -68,7 +68,7 @@
         model::EnumName{OrderAnswer::Superseded, "superseded"},
         model::EnumName{OrderAnswer::Expired, "expired"},
         model::EnumName{OrderAnswer::Unhealthy, "unhealthy"},
-        model::EnumName{OrderAnswer::OtherLife, "other-life"},
+        model::EnumName{OrderAnswer::OtherIncarnation, "other-incarnation"},
         model::EnumName{OrderAnswer::Malformed, "malformed"},
         model::EnumName{OrderAnswer::NotSent, "not-sent"},
         model::EnumName{OrderAnswer::NoAnswer, "no-answer"},
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -131,17 +131,17 @@
     /// There is such a worker, though it does not list itself: it may run what an earlier leader
     /// ordered.
     void expectWorker(const std::string &id, const std::string &service);
-    /// Ends the lives of a VM that the platform's list shows to be over. `listedBefore` are the
-    /// workers that were listed before the platform was asked: others may have begun since.
-    void endEarlierLives(const VmLife &present, const std::set<std::string> &listedBefore,
-                         Instant now);
+    /// Ends the incarnations of a VM that the platform's list shows to be over. `listedBefore` are
+    /// the workers that were listed before the platform was asked: others may have begun since.
+    void endEarlierIncarnations(const VmIncarnation &present,
+                                const std::set<std::string> &listedBefore, Instant now);
     /// All workers that may run something inherited are known by now.
     void knowsAllWorkers();
     /// What a worker answered to a hold that was sent at `askedAt`.
     void report(const WorkerReport &report, Instant askedAt, Instant now);
-    /// Another life answers at the worker's address: what ran there is gone.
-    void lifeEnded(const std::string &id, Instant now);
-    /// The worker is gone, and no life comes back under its id.
+    /// Another incarnation answers at the worker's address: what ran there is gone.
+    void incarnationEnded(const std::string &id, Instant now);
+    /// The worker is gone, and no incarnation comes back under its id.
     void endWorker(const std::string &id, Instant now);
     /// Forgets workers that are gone and ran nothing for a while.
     void forgetWorkers(Instant now);
@@ -153,7 +153,7 @@
     std::int64_t acknowledged(const std::string &id) const;
     const std::map<std::string, Worker> &workers() const;
     Worker *findWorker(const std::string &id);
-    /// The present life of a VM; nullptr if none lists itself.
+    /// The present incarnation of a VM; nullptr if none lists itself.
     Worker *workerOf(const std::string &vm);
 
     // Orders.
@@ -168,8 +168,8 @@
     bool evacuate(const std::string &worker, bool hurry, Instant now);
     /// The worker may be given work again.
     void keepWorker(const std::string &worker);
-    /// While an order about a VM may be carried out, no life of it is given work: one that lists
-    /// itself meanwhile would lose what it was given.
+    /// While an order about a VM may be carried out, no incarnation of it is given work: one that
+    /// lists itself meanwhile would lose what it was given.
     void holdVm(const std::string &vm);
     void releaseVm(const std::string &vm);
     /// True if a task that lasts runs there.
@@ -207,9 +207,9 @@
     void dropMissingRuns(Worker &worker, const WorkerReport &report, Instant askedAt, Instant now);
     void dropRun(Worker &worker, const RunKey &key, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
-    bool isPresentLife(const WorkerListing &listing, Instant now);
+    bool isPresentIncarnation(const WorkerListing &listing, Instant now);
     bool isOnItsWay(const RunKey &key, Instant now);
-    void writeOffSilent(Instant now);
+    void writeOffUnresponsive(Instant now);
     void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
                  bool canBeOnTime, Instant now, UnixMilliseconds unixNow);
     bool isAtWork(const jobs::Run &run, Instant now) const;
@@ -245,7 +245,8 @@
     std::vector<DecisionNote> notes;
     SchedulerCounts counters;
     bool allWorkersKnown = false;
-    std::map<std::string, std::string> lives; // the worker that is the present life of a VM
+    std::map<std::string, std::string>
+        incarnations; // the worker that is the present incarnation of a VM
     std::set<std::string> heldVms; // with an order that may be carried out
     std::set<std::string> settledServices; // nothing unknown runs there any more
 };
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -21,9 +21,9 @@
 struct WorkerListing
 {
     std::string id;
-    std::int64_t born = 0; ///< Unix milliseconds of its start; another value is another life
+    std::int64_t born = 0; ///< Unix milliseconds of its start; another value is another incarnation
     model::Endpoint address;
-    std::string vm; ///< the VM whose life this worker is
+    std::string vm; ///< the VM whose incarnation this worker is
     std::string service;
     std::string zone;
     std::string kind;
@@ -46,7 +46,7 @@
 /// An end that a worker lists until it is acknowledged.
 struct ListedEnd
 {
-    std::int64_t number = 0; ///< rises from 1 in each life of the worker
+    std::int64_t number = 0; ///< rises from 1 in each incarnation of the worker
     TaskId task;
     std::int64_t run = 0;
     jobs::RunEnd end = jobs::RunEnd::Done;
@@ -72,12 +72,12 @@
     auto operator<=>(const RunKey &) const = default;
 };
 
-/// Which life of a VM the platform says is the present one.
-struct VmLife
+/// Which incarnation of a VM the platform says is the present one.
+struct VmIncarnation
 {
     std::string vm;
     std::string pool; ///< where it is, or is on its way to
-    std::string worker; ///< the id of the life; empty: none
+    std::string worker; ///< the id of the incarnation; empty: none
     bool isUp = true; ///< neither on its way nor under maintenance
 };
 
@@ -86,8 +86,8 @@
 {
     WorkerListing listing;
     bool listed = true; ///< in the platform's list
-    bool over = false; ///< this life is known to have ended, and nothing need be asked of it
-    bool surveyed = false; ///< has answered this leader, in this life
+    bool over = false; ///< this incarnation is known to have ended, and nothing need be asked of it
+    bool surveyed = false; ///< has answered this leader, in this incarnation
     bool evacuating = false; ///< gets no more work, since it is to be moved or maintained
     bool cordoned = false; ///< gets no more work, so that its VM becomes empty and can be moved
     bool leavingSoon = false; ///< a wave waits for its VM: lasting tasks would have to move again
@@ -97,7 +97,8 @@
     double failing = 0; ///< share of its last ends that were failures, the newest weighing most
     std::int64_t clock = 0; ///< of the worker, as last heard
     Instant clockAt{}; ///< when it was heard
-    /// Until when it may run, unseen, what was ordered before this leader or in an earlier life.
+    /// Until when it may run, unseen, what was ordered before this leader or in an earlier
+    /// incarnation.
     Instant inheritedUntil{};
     std::int64_t lastUntil = 0; ///< the latest end of a lease that was sent, by its clock
     Resources used; ///< by the runs below
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -64,7 +64,7 @@
         auto &pool = round.pools[entry.second.vm.pool];
         if (!entry.second.listed)
             continue;
-        // Its new life has listed itself: the move or the maintenance is over.
+        // Its new incarnation has listed itself: the move or the maintenance is over.
         const auto worker = round.workers.find(entry.first);
         if (worker != round.workers.end() && worker->second->surveyed && !entry.second.ordered
             && entry.second.vm.state != VmState::Up
@@ -278,8 +278,8 @@
         this->notes.push_back({"fleet-refused", order.vm,
                                absl::StrCat("pool=", order.pool, " wave=", order.wave,
                                             " why=", std::string(model::nameOf(answer)))});
-    const auto *life = scheduler.workerOf(order.vm);
-    const auto worker = life ? life->listing.id : std::string();
+    const auto *incarnation = scheduler.workerOf(order.vm);
+    const auto worker = incarnation ? incarnation->listing.id : std::string();
     if (answer == FleetAnswer::Accepted) {
         scheduler.releaseVm(order.vm);
         entry.vm.state = isMove ? VmState::Moving : VmState::Maintenance;
--- a/packages/scheduling/src/fleet_waves.cpp
+++ b/packages/scheduling/src/fleet_waves.cpp
@@ -84,9 +84,9 @@
     }
     const double timeLeft = std::max(policy::seconds(progress.seenAt - round.now)
                                          + policy::seconds(wave.within) * this->terms.waveShare,
-                                     policy::seconds(this->terms.maintenanceTurn));
+                                     policy::seconds(this->terms.maintenanceTime));
     const auto pace = static_cast<std::size_t>(
-        std::ceil(static_cast<double>(left.size()) * policy::seconds(this->terms.maintenanceTurn)
+        std::ceil(static_cast<double>(left.size()) * policy::seconds(this->terms.maintenanceTime)
                   / timeLeft));
     const auto most = std::min(wave.atOnce, std::max<std::size_t>(pace, 1));
     std::sort(left.begin(), left.end(), [&](const Entry *a, const Entry *b) {
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -23,7 +23,7 @@
 /// Where a job stands in its service's line: the smaller one is served first.
 struct Rank
 {
-    bool hopeless = false; ///< can't be on time any more, and so pushes nobody out
+    bool cannotBeOnTime = false; ///< can't be on time any more, and so pushes nobody out
     std::int64_t priority = 0;
     Instant objective{};
 
@@ -106,7 +106,7 @@
 
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
 {
-    this->writeOffSilent(now);
+    this->writeOffUnresponsive(now);
     Round round{now, unixNow, {}, {}, {}, {}};
     std::map<std::string, std::vector<Job *>> queues;
     for (auto &entry : this->jobs) {
@@ -370,8 +370,8 @@
         if (task)
             task->lastRun += 100;
         break;
-    case OrderAnswer::OtherLife:
-        this->lifeEnded(order.worker, now);
+    case OrderAnswer::OtherIncarnation:
+        this->incarnationEnded(order.worker, now);
         worker->listed = false;
         break;
     case OrderAnswer::Malformed:
@@ -389,8 +389,8 @@
 {
     auto *job = this->findJob(order.task.job);
     auto *task = job ? job->find(order.task) : nullptr;
-    if (answer == OrderAnswer::OtherLife) {
-        this->lifeEnded(order.worker, now);
+    if (answer == OrderAnswer::OtherIncarnation) {
+        this->incarnationEnded(order.worker, now);
         return;
     }
     if (!task || answer != OrderAnswer::Accepted)
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-// A start that is still on its way may reach the worker's next life: such a run stays until a
-// report settles it.
+// A start that is still on its way may reach the worker's next incarnation: such a run stays until
+// a report settles it.
 void Scheduler::dropAllRuns(Worker &worker, Instant now)
 {
     std::vector<RunKey> gone;
@@ -74,7 +74,7 @@
     if (report.born != 0 && report.born != worker.listing.born) {
         if (report.born < worker.listing.born)
             return;
-        this->lifeEnded(report.worker, now);
+        this->incarnationEnded(report.worker, now);
         worker.listing.born = report.born;
     }
     worker.clock = report.clock;
--- a/packages/scheduling/src/scheduler_test.cpp
+++ b/packages/scheduling/src/scheduler_test.cpp
@@ -143,7 +143,8 @@
     CHECK_FALSE(bench.scheduler.cancelJob("none"));
 }
 
-// A start on its way may reach the worker's next life under the same id, so it is not forgotten.
+// A start on its way may reach the worker's next incarnation under the same id, so it is not
+// forgotten.
 TEST_CASE("where a task may run")
 {
     struct Case
@@ -250,8 +251,8 @@
     CHECK(bench.plan().stops.empty());
 }
 
-// The caller's task ends with the VM: its next life listed itself and was given work while the
-// order to move it was still under way.
+// The caller's task ends with the VM: its next incarnation listed itself and was given work while
+// the order to move it was still under way.
 TEST_CASE("a VM with an order under way is given no work")
 {
     Bench bench(1);
@@ -290,10 +291,10 @@
     }
 }
 
-// The caller's task ends with its VM: the entry of the VM's earlier life came late, that life ran
-// nothing, and so the VM seemed empty and was moved.
-// A job that could be done is shown as failed: a worker that fails all it starts had the most room,
-// and was given each of the task's attempts.
+// The caller's task ends with its VM: the entry of the VM's earlier incarnation came late, that
+// incarnation ran nothing, and so the VM seemed empty and was moved. A job that could be done is
+// shown as failed: a worker that fails all it starts had the most room, and was given each of the
+// task's attempts.
 TEST_CASE("a task that failed is tried on another worker")
 {
     Bench bench(2);
@@ -322,9 +323,9 @@
     CHECK_FALSE(bench.plan().starts.empty());
 }
 
-// A leader that moves VMs sees hundreds of lives a minute: each one kept would be asked for ever.
-// An availability budget of one: the other task's worker went dark seconds ago, its lease has not
-// ended yet, and its last report said that the task is at work.
+// A leader that moves VMs sees hundreds of incarnations a minute: each one kept would be asked for
+// ever. An availability budget of one: the other task's worker went dark seconds ago, its lease has
+// not ended yet, and its last report said that the task is at work.
 TEST_CASE("a task on a silent worker does not count as at work")
 {
     Bench bench(3);
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -1,4 +1,4 @@
-// Workers as they list themselves: their lives, their leases, and which of them are gone.
+// Workers as they list themselves: their incarnations, their leases, and which of them are gone.
 #include <sassafrasferry/scheduling/scheduler.h>
 
 #include <algorithm>
@@ -7,13 +7,13 @@
 
 namespace sassafrasferry::scheduling {
 
-// A VM is one worker at a time. An entry of an earlier life may still stand, or come late; taken
-// for the present one, its VM would seem to run nothing.
-bool Scheduler::isPresentLife(const WorkerListing &listing, Instant now)
+// A VM is one worker at a time. An entry of an earlier incarnation may still stand, or come late;
+// taken for the present one, its VM would seem to run nothing.
+bool Scheduler::isPresentIncarnation(const WorkerListing &listing, Instant now)
 {
     if (listing.vm.empty())
         return true;
-    auto &present = this->lives[listing.vm];
+    auto &present = this->incarnations[listing.vm];
     if (present == listing.id)
         return true;
     auto *known = this->findWorker(present);
@@ -28,16 +28,16 @@
 
 void Scheduler::listWorker(const WorkerListing &listing, Instant now)
 {
-    if (!this->isPresentLife(listing, now))
+    if (!this->isPresentIncarnation(listing, now))
         return;
     auto &worker = this->workerTable[listing.id];
     if (listing.born < worker.listing.born)
         return;
     if (listing.born != worker.listing.born && worker.listing.born != 0)
-        this->lifeEnded(listing.id, now);
+        this->incarnationEnded(listing.id, now);
     const bool isNew = worker.listing.born == 0;
-    // A life that began after the takeover runs nothing of earlier leaders; but clocks differ, so
-    // only a life that is new to this leader's list counts as such.
+    // An incarnation that began after the takeover runs nothing of earlier leaders; but clocks
+    // differ, so only an incarnation that is new to this leader's list counts as such.
     if (isNew && worker.inheritedUntil == Instant{})
         worker.inheritedUntil =
             this->allWorkersKnown ? now : this->tookOverAt + this->times.inheritedLease;
@@ -72,21 +72,22 @@
     this->note("worker-expected", id, absl::StrCat("service=", service));
 }
 
-void Scheduler::endEarlierLives(const VmLife &present, const std::set<std::string> &listedBefore,
-                                Instant now)
+void Scheduler::endEarlierIncarnations(const VmIncarnation &present,
+                                       const std::set<std::string> &listedBefore, Instant now)
 {
-    const auto at = this->lives.find(present.vm);
-    if (at == this->lives.end() || at->second == present.worker
+    const auto at = this->incarnations.find(present.vm);
+    if (at == this->incarnations.end() || at->second == present.worker
         || listedBefore.count(at->second) == 0)
         return;
     const auto *worker = this->findWorker(at->second);
-    // While a VM returns to its own pool, its next life may list itself before the platform does;
-    // and one without a life may have one that the platform does not hear.
+    // While a VM returns to its own pool, its next incarnation may list itself before the platform
+    // does; and one without an incarnation may have one that the platform does not hear.
     const bool hasAnother = present.isUp && !present.worker.empty();
     const bool hasLeft = worker && (hasAnother || worker->listing.service != present.pool);
     if (!hasLeft || worker->over)
         return;
-    this->note("life-over", at->second, absl::StrCat("vm=", present.vm, " now=", present.worker));
+    this->note("incarnation-over", at->second,
+               absl::StrCat("vm=", present.vm, " now=", present.worker));
     this->endWorker(at->second, now);
 }
 
@@ -95,14 +96,14 @@
     this->allWorkersKnown = true;
 }
 
-void Scheduler::lifeEnded(const std::string &id, Instant now)
+void Scheduler::incarnationEnded(const std::string &id, Instant now)
 {
     const auto at = this->workerTable.find(id);
     if (at == this->workerTable.end())
         return;
     auto &worker = at->second;
     this->note("worker-ended", id, absl::StrCat("runs=", worker.runs.size()));
-    // Starts may be on their way to the next life.
+    // Starts may be on their way to the next incarnation.
     worker.inheritedUntil = this->surelyDeadAt(worker);
     this->dropAllRuns(worker, now);
     worker.surveyed = false;
@@ -118,7 +119,7 @@
     auto *worker = this->findWorker(id);
     if (!worker || worker->over)
         return;
-    this->lifeEnded(id, now);
+    this->incarnationEnded(id, now);
     worker->listed = false;
     worker->over = true;
 }
@@ -144,8 +145,8 @@
 std::optional<std::int64_t> Scheduler::leaseUntil(const std::string &id, Instant now)
 {
     auto *worker = this->findWorker(id);
-    // A worker that has fallen silent gets no longer lease: each would have to be waited out, since
-    // it may have arrived.
+    // A worker that has become unresponsive gets no longer lease: each would have to be waited out,
+    // since it may have arrived.
     if (!worker || worker->clock == 0 || now - worker->lastAnswer > 3 * this->times.silence)
         return std::nullopt;
     const auto passed =
@@ -177,7 +178,7 @@
            });
 }
 
-void Scheduler::writeOffSilent(Instant now)
+void Scheduler::writeOffUnresponsive(Instant now)
 {
     for (auto &entry : this->workerTable) {
         auto &worker = entry.second;
@@ -201,8 +202,8 @@
 
 Worker *Scheduler::workerOf(const std::string &vm)
 {
-    const auto at = this->lives.find(vm);
-    auto *worker = at == this->lives.end() ? nullptr : this->findWorker(at->second);
+    const auto at = this->incarnations.find(vm);
+    auto *worker = at == this->incarnations.end() ? nullptr : this->findWorker(at->second);
     return worker && worker->listed ? worker : nullptr;
 }
 
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -1,4 +1,4 @@
-// What a new leader takes over, and the lives of workers.
+// What a new leader takes over, and the incarnations of workers.
 #include "../tests/scheduler_bench.h"
 
 #include <catch2/catch.hpp>
@@ -81,7 +81,7 @@
     CHECK(bench.plan().starts.at(0).run > 1000);
 }
 
-TEST_CASE("a worker's next life runs nothing of the one before")
+TEST_CASE("a worker's next incarnation runs nothing of the one before")
 {
     Bench bench(1);
     bench.report("w0");
@@ -92,17 +92,17 @@
     CHECK(bench.plan().starts.size() == 1);
 }
 
-TEST_CASE("a start on its way outlives the end of a worker's life")
+TEST_CASE("a start on its way outlives the end of a worker's incarnation")
 {
     Bench bench(2);
     bench.reportAll(2);
     bench.add("j", {stepOf(1)});
     const auto first = bench.plan().starts.at(0);
-    bench.scheduler.lifeEnded(first.worker, bench.now);
+    bench.scheduler.incarnationEnded(first.worker, bench.now);
     CHECK(bench.plan().starts.empty());
 }
 
-TEST_CASE("an entry of an earlier life is not taken for the present one")
+TEST_CASE("an entry of an earlier incarnation is not taken for the present one")
 {
     Bench bench(1);
     bench.report("w0");
@@ -117,7 +117,7 @@
     REQUIRE(bench.scheduler.workerOf("vm-w0") != nullptr);
     CHECK(bench.scheduler.workerOf("vm-w0")->listing.id == "w9");
     CHECK_FALSE(bench.scheduler.findWorker("w0")->listed);
-    // What ran in the earlier life is over, and starts again in this one.
+    // What ran in the earlier incarnation is over, and starts again in this one.
     bench.report("w9", {}, {}, 2);
     CHECK(bench.plan().starts.at(0).worker == "w9");
 }
@@ -133,7 +133,7 @@
     CHECK_FALSE(bench.scheduler.findWorker(first.worker)->listed);
     bench.scheduler.forgetWorkers(bench.now);
     CHECK(bench.scheduler.findWorker(first.worker) != nullptr); // a start is on its way
-    bench.scheduler.startAnswered(first, OrderAnswer::OtherLife, bench.now);
+    bench.scheduler.startAnswered(first, OrderAnswer::OtherIncarnation, bench.now);
     bench.now += 5s;
     bench.scheduler.forgetWorkers(bench.now);
     CHECK(bench.scheduler.findWorker(first.worker) == nullptr);
@@ -141,25 +141,28 @@
 }
 
 // Callers' tasks wait for seconds after a takeover. VMs that were moved shortly before still have
-// the entry of their earlier life, which answers nobody; but the platform's list tells that another
-// life is there, so what ran in the earlier one has ended.
-TEST_CASE("a life that the platform says is over is not waited for")
+// the entry of their earlier incarnation, which answers nobody; but the platform's list tells that
+// another incarnation is there, so what ran in the earlier one has ended.
+TEST_CASE("an incarnation that the platform says is over is not waited for")
 {
     struct Case
     {
         const char *name;
-        VmLife life;
+        VmIncarnation incarnation;
         bool isListedBefore;
         std::size_t starts;
     };
     const std::vector<Case> cases{
-        {"the same life", {"vm-w1", "s", "w1", true}, true, 0},
-        {"another life in another pool", {"vm-w1", "t", "x", true}, true, 1},
+        {"the same incarnation", {"vm-w1", "s", "w1", true}, true, 0},
+        {"another incarnation in another pool", {"vm-w1", "t", "x", true}, true, 1},
         {"off in the standby pool", {"vm-w1", "t", "", true}, true, 1},
         {"on its way to another pool", {"vm-w1", "t", "", false}, true, 1},
-        {"between two lives in its pool, perhaps", {"vm-w1", "s", "", false}, true, 0},
-        {"up in its pool, with no life that the platform hears", {"vm-w1", "s", "", true}, true, 0},
-        {"another life in its pool", {"vm-w1", "s", "x", true}, true, 1},
+        {"between two incarnations in its pool, perhaps", {"vm-w1", "s", "", false}, true, 0},
+        {"up in its pool, with no incarnation that the platform hears",
+         {"vm-w1", "s", "", true},
+         true,
+         0},
+        {"another incarnation in its pool", {"vm-w1", "s", "x", true}, true, 1},
         {"listed after the platform was asked", {"vm-w1", "t", "x", true}, false, 0},
         {"another VM", {"vm-w9", "t", "x", true}, true, 0},
     };
@@ -169,7 +172,7 @@
         bench.add("j", {stepOf(1)}, true);
         bench.report("w0");
         const std::set<std::string> listed{"w0", row.isListedBefore ? "w1" : "w0"};
-        bench.scheduler.endEarlierLives(row.life, listed, bench.now);
+        bench.scheduler.endEarlierIncarnations(row.incarnation, listed, bench.now);
         bench.scheduler.knowsAllWorkers();
         CHECK(bench.plan().starts.size() == row.starts);
     }
--- a/packages/scheduling/tests/faults.h
+++ b/packages/scheduling/tests/faults.h
@@ -13,7 +13,7 @@
 {
     double lostAnswer = 0; ///< of each order and hold
     double lateOrder = 0; ///< of each start and stop: carried out 2 to 12 s later, unanswered
-    double crash = 0; ///< of each worker: it dies and is born again under its id
+    double crash = 0; ///< of each worker: it dies and is restarted under its id
     double dark = 0; ///< of each worker: it is gone for good, in silence
     double cut = 0; ///< of each worker: nobody reaches it for some seconds, and it runs on
     double leaderLoss = 0; ///< the leader dies
--- a/packages/scheduling/tests/job_world.h
+++ b/packages/scheduling/tests/job_world.h
@@ -1,5 +1,5 @@
 // A world of workers and leaders on virtual time, with faults drawn from a seed: answers are lost,
-// orders are carried out seconds late, workers crash, go dark, are cut off and are born again, and
+// orders are carried out seconds late, workers crash, go dark, are cut off and are restarted, and
 // leaders die or go on without the store. It checks what callers were promised at each start.
 #pragma once
 
