--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -191,7 +191,7 @@
         co_return http::textResponse(http::Status::gateway_timeout, "ask again\n");
     }
 
-    // The leader's peers ask it for its word all the time, and it hears them.
+    // A leader knows its peers by their hellos.
     std::optional<model::Endpoint> peerForHandIn() const
     {
         auto leader = this->otherLeader();
