--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -113,7 +113,7 @@
             this->fleet->addWave(wave);
     }
 
-    /// VMs about which an order was given within the last turn.
+    /// VMs about which an order was given within the hand-over delay.
     std::vector<std::string> orderedVms() const
     {
         return this->fleet ? this->fleet->orderedSince(bootNow() - this->options.handOverDelay)
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -49,7 +49,7 @@
     bool isFirst = false; ///< nobody led before, or an earlier process of this entry VM
     /// The leader before named all VMs that it may have given orders about lately.
     bool knowsOrders = false;
-    std::vector<std::string> orderedVms; ///< these; no order about them for a turn
+    std::vector<std::string> orderedVms; ///< these; no order about them for the hand-over delay
 };
 
 /// Takes, renews and watches the lease.
