--- a/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
@@ -1,5 +1,5 @@
-// Mechanisms of the decisions that settings can switch off, so that each one's worth can be
-// measured.
+// Mechanisms of the decisions that settings can switch off, to find
+// what each one is worth.
 #pragma once
 
 #include <sassafrasferry/model/names.h>
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -221,7 +221,7 @@
     /// Tasks of the job may run on a worker that has not told this leader of them yet.
     bool mayRunUnseen(const Job &job) const;
     bool takesWork(const Worker &worker, Instant now) const;
-    Instant surelyDeadAt(const Worker &worker) const;
+    Instant leaseOverAt(const Worker &worker) const;
     std::string serviceOf(const Job &job) const;
     void planService(const std::string &service, std::vector<Job *> &queue, Round &round);
     void planStep(Job &job, std::size_t occurrence, std::size_t step, Round &round);
--- a/packages/scheduling/src/scheduler_test.cpp
+++ b/packages/scheduling/src/scheduler_test.cpp
@@ -222,9 +222,9 @@
     Bench bench(1, 1000);
     bench.add("late", {stepOf(1)});
     bench.now += 10s;
-    bench.add("hopeful", {stepOf(1)});
+    bench.add("fresh", {stepOf(1)});
     bench.report("w0");
-    CHECK(bench.plan().starts.at(0).task.job == "hopeful");
+    CHECK(bench.plan().starts.at(0).task.job == "fresh");
 }
 
 // An availability budget of one: of two workers to be emptied only one task may be away at a time,
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -104,7 +104,7 @@
     auto &worker = at->second;
     this->note("worker-ended", id, absl::StrCat("runs=", worker.runs.size()));
     // Starts may be on their way to the next incarnation.
-    worker.inheritedUntil = this->surelyDeadAt(worker);
+    worker.inheritedUntil = this->leaseOverAt(worker);
     this->dropAllRuns(worker, now);
     worker.surveyed = false;
     worker.clock = 0;
@@ -158,7 +158,7 @@
     return until;
 }
 
-Instant Scheduler::surelyDeadAt(const Worker &worker) const
+Instant Scheduler::leaseOverAt(const Worker &worker) const
 {
     if (!worker.surveyed || worker.clock == 0)
         return worker.inheritedUntil;
@@ -182,7 +182,7 @@
 {
     for (auto &entry : this->workerTable) {
         auto &worker = entry.second;
-        if (worker.runs.empty() || now <= this->surelyDeadAt(worker))
+        if (worker.runs.empty() || now <= this->leaseOverAt(worker))
             continue;
         this->note("worker-lapsed", entry.first, absl::StrCat("runs=", worker.runs.size()));
         std::vector<RunKey> keys;
