A start that reached a worker's next incarnation is not given again

Callers saw: nothing yet; two runs of one task, two bills for one job, were possible (TWICE). Cause: a worker restarts under its id, and an answer to a start does not say which incarnation gave it. When its new entry told of the restart before its report did, every accepted run was taken for gone with the incarnation before, and its task started elsewhere while the new incarnation ran it. A start that was still on its way was forgotten as well once its stop had been ordered: a stop answered by one incarnation does not bind the next. Evidence: all orders of one and of two faults on virtual time with the scheduler and the planner (fault_order_test): 'worker restarts unnoticed vm1 at 41 => two runs of lasting.0.0.0: on w4 and w5' with one fault; 'start late; worker restarts => two runs', 22 of these pairs. Ruled out: late entries alone. Change: a run keeps what a worker has said of it; with an incarnation go only the runs that a report of it had listed; accepted ones wait for the next report, unanswered ones for a stop. A worker whose id never returns (its VM was moved, maintained, or lists another) drops all at once; it kept unanswered starts before.

--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -70,6 +70,14 @@
     Stopping, ///< a stop was sent
 };
 
+/// What a worker has said of a run. An answer to a start does not tell which incarnation of the
+/// worker gave it; a report does.
+enum class RunEvidence {
+    None, ///< its start may still be on its way
+    Accepted, ///< its start was carried out, by some incarnation
+    Listed, ///< it was in a report of the incarnation that the leader knows
+};
+
 /// One start of a task on a worker.
 struct Run
 {
@@ -80,6 +88,7 @@
     /// Since when the worker must list it: a report asked for later that lacks it, and its end,
     /// proves that it is not there and never will be.
     Instant settledAt = Instant::max();
+    RunEvidence evidence = RunEvidence::None;
     bool isResumed = false; ///< began at a checkpoint, or was not begun by this process
     Instant stopAskedAt{}; ///< when a stop was last ordered
     Instant atWorkSince = Instant::max(); ///< of a lasting task: reported at its full share
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -206,6 +206,7 @@
     void takeRunning(Worker &worker, const ListedRun &listed, Instant askedAt, Instant now);
     void dropMissingRuns(Worker &worker, const WorkerReport &report, Instant askedAt, Instant now);
     void dropRun(Worker &worker, const RunKey &key, Instant now);
+    void dropRunsOfIncarnation(Worker &worker, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
     bool isPresentIncarnation(const WorkerListing &listing, Instant now);
     bool isOnItsWay(const RunKey &key, Instant now);
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -347,6 +347,8 @@
             if (run->state != jobs::RunState::Stopping)
                 run->state = jobs::RunState::Confirmed;
             run->settledAt = std::min(run->settledAt, now);
+            if (run->evidence == jobs::RunEvidence::None)
+                run->evidence = jobs::RunEvidence::Accepted;
         }
         if (job && job->state == JobState::Queued)
             job->state = JobState::Running;
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -25,24 +25,36 @@
 
 } // namespace
 
-// A start that is still on its way may reach the worker's next incarnation: such a run stays until
-// a report settles it.
-void Scheduler::dropAllRuns(Worker &worker, Instant now)
+// Only what a report has listed is known to have been in the incarnation that ended. Any other
+// start may have reached the next one, or may yet, so its task waits for a report of that one. What
+// the former incarnation answered to a stop does not bind the next.
+void Scheduler::dropRunsOfIncarnation(Worker &worker, Instant now)
 {
     std::vector<RunKey> gone;
     for (const auto &entry : worker.runs) {
         auto *job = this->findJob(entry.first.task.job);
         auto *task = job ? job->find(entry.first.task) : nullptr;
         auto *run = task ? findRun(*task, worker.listing.id, entry.first.number) : nullptr;
-        if (run
-            && (run->state == jobs::RunState::Ordered || run->state == jobs::RunState::Unanswered))
+        if (!run || run->evidence == jobs::RunEvidence::Listed) {
+            gone.push_back(entry.first);
+            continue;
+        }
+        if (run->evidence == jobs::RunEvidence::Accepted)
             continue;
-        gone.push_back(entry.first);
+        run->state = jobs::RunState::Unanswered;
+        run->settledAt = Instant::max();
     }
     for (const auto &key : gone)
         this->dropRun(worker, key, now);
 }
 
+void Scheduler::dropAllRuns(Worker &worker, Instant now)
+{
+    const auto runs = worker.runs;
+    for (const auto &entry : runs)
+        this->dropRun(worker, entry.first, now);
+}
+
 void Scheduler::dropRun(Worker &worker, const RunKey &key, Instant now)
 {
     const auto at = worker.runs.find(key);
@@ -225,6 +237,7 @@
     }
     if (run->state == jobs::RunState::Stopping && now - run->stopAskedAt > stopRetry)
         this->requestStop(worker.listing.id, key, "still running");
+    run->evidence = jobs::RunEvidence::Listed;
     if (job->state == JobState::Queued)
         job->state = JobState::Running;
     if (listed.percent < 100)
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -99,13 +99,13 @@
 void Scheduler::incarnationEnded(const std::string &id, Instant now)
 {
     const auto at = this->workerTable.find(id);
-    if (at == this->workerTable.end())
+    if (at == this->workerTable.end() || at->second.over)
         return;
     auto &worker = at->second;
     this->note("worker-ended", id, absl::StrCat("runs=", worker.runs.size()));
     // Starts may be on their way to the next incarnation.
     worker.inheritedUntil = this->leaseOverAt(worker);
-    this->dropAllRuns(worker, now);
+    this->dropRunsOfIncarnation(worker, now);
     worker.surveyed = false;
     worker.clock = 0;
     worker.lastUntil = 0;
@@ -120,6 +120,8 @@
     if (!worker || worker->over)
         return;
     this->incarnationEnded(id, now);
+    // Calls name the worker's id, so no incarnation carries out a start that is still on its way.
+    this->dropAllRuns(*worker, now);
     worker->listed = false;
     worker->over = true;
 }
