A worker's lease from before a takeover is waited out

Cause: a new leader took a worker's lease for over 150 ms after the worker's first answer, until its own first hold went out: it counted only leases that it had granted itself. If its next look at the workers came before that hold (ends to record hold it back by 80 ms and more, a busy processor by any time), it wrote off what the worker ran and started the tasks elsewhere, while the worker ran them under the former leader's lease. Change: the first answer to a leader, or of an incarnation, counts as a whole lease from then.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -222,6 +222,7 @@
     /// Tasks of the job may run on a worker that has not told this leader of them yet.
     bool mayRunUnseen(const Job &job) const;
     bool takesWork(const Worker &worker, Instant now) const;
+    std::int64_t leaseTerm() const; ///< milliseconds, by a worker's clock
     Instant leaseOverAt(const Worker &worker) const;
     std::string serviceOf(const Job &job) const;
     void planService(const std::string &service, std::vector<Job *> &queue, Round &round);
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -89,6 +89,9 @@
         this->incarnationEnded(report.worker, now);
         worker.listing.born = report.born;
     }
+    // What others granted before this leader's fence was heard there may last for a whole lease.
+    if (!worker.surveyed)
+        worker.lastUntil = std::max(worker.lastUntil, report.clock + this->leaseTerm());
     worker.clock = report.clock;
     worker.clockAt = now;
     worker.lastAnswer = now;
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -153,13 +153,16 @@
         return std::nullopt;
     const auto passed =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - worker->clockAt).count();
-    const auto term =
-        std::chrono::duration_cast<std::chrono::milliseconds>(this->times.workerLease).count();
-    const auto until = worker->clock + passed + term;
+    const auto until = worker->clock + passed + this->leaseTerm();
     worker->lastUntil = std::max(worker->lastUntil, until);
     return until;
 }
 
+std::int64_t Scheduler::leaseTerm() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->times.workerLease).count();
+}
+
 Instant Scheduler::leaseOverAt(const Worker &worker) const
 {
     if (!worker.surveyed || worker.clock == 0)
