A restarted worker's lease by its former clock is waited out

Cause: a worker's clock begins anew with each incarnation. A hold or start that was sent before the leader knew of the restart ends its lease by the former clock, far ahead by the new one; the worker cuts it to the longest lease that it grants (6 to 10 s by the platform's settings). The leader forgot that lease with the incarnation and counted on 4 s: a worker that was cut off soon after its restart ran on for seconds after its tasks had been started elsewhere. Change: after an incarnation has ended, the next one may run for the longest lease from that moment on, if it becomes unresponsive.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -21,6 +21,7 @@
 struct SchedulerTimes
 {
     Duration workerLease = std::chrono::milliseconds(4000); ///< of each hold and start
+    Duration longestLease = std::chrono::milliseconds(10000); ///< that a worker grants
     double clockDrift = 0.02; ///< by how much a worker's clock may be slow
     Duration leaseMargin = std::chrono::milliseconds(150); ///< for the bounds of what was heard
     Duration silence = std::chrono::milliseconds(600); ///< no starts after this without an answer
@@ -224,6 +225,8 @@
     bool takesWork(const Worker &worker, Instant now) const;
     std::int64_t leaseTerm() const; ///< milliseconds, by a worker's clock
     Instant leaseOverAt(const Worker &worker) const;
+    /// How long a lease may last by this clock, on a worker whose clock is slow.
+    Duration longestBy(Duration lease) const;
     std::string serviceOf(const Job &job) const;
     void planService(const std::string &service, std::vector<Job *> &queue, Round &round);
     void planStep(Job &job, std::size_t occurrence, std::size_t step, Round &round);
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -100,6 +100,8 @@
     /// Until when it may run, unseen, what was ordered before this leader or in an earlier
     /// incarnation.
     Instant inheritedUntil{};
+    /// Until when the present incarnation may run on a lease by the clock of the one before.
+    Instant formerLeaseUntil{};
     std::int64_t lastUntil = 0; ///< the latest end of a lease that was sent, by its clock
     Resources used; ///< by the runs below
     std::map<RunKey, Resources> runs; ///< each takes room until its end is listed
--- a/packages/scheduling/src/fault_order_test.cpp
+++ b/packages/scheduling/src/fault_order_test.cpp
@@ -79,6 +79,8 @@
          OrderFault::WorkerRestartsUnnoticed, {8, 70}},
         {"a start is late and its worker restarts", OrderFault::StartLate,
          OrderFault::WorkerRestarts, {2, 50}},
+        {"a worker restarts and is cut off", OrderFault::WorkerRestarts, OrderFault::WorkerCut,
+         {4, 50}},
         {"a worker that has just told a new leader of its runs is cut off",
          OrderFault::LeaderLosesStore, OrderFault::WorkerCut, {1, 25}},
     };
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -103,8 +103,11 @@
         return;
     auto &worker = at->second;
     this->note("worker-ended", id, absl::StrCat("runs=", worker.runs.size()));
-    // Starts may be on their way to the next incarnation.
-    worker.inheritedUntil = this->leaseOverAt(worker);
+    // Calls that were sent before this may have reached the next incarnation. Its clock has begun
+    // anew, so the end of a lease by the former clock is far ahead, and the worker cuts it to the
+    // longest that it grants.
+    worker.formerLeaseUntil = now + this->longestBy(this->times.longestLease);
+    worker.inheritedUntil = std::max(this->leaseOverAt(worker), worker.formerLeaseUntil);
     this->dropRunsOfIncarnation(worker, now);
     worker.surveyed = false;
     worker.clock = 0;
@@ -119,7 +122,9 @@
     auto *worker = this->findWorker(id);
     if (!worker || worker->over)
         return;
+    const auto leaseOver = this->leaseOverAt(*worker);
     this->incarnationEnded(id, now);
+    worker->inheritedUntil = leaseOver;
     // Calls name the worker's id, so no incarnation carries out a start that is still on its way.
     this->dropAllRuns(*worker, now);
     worker->listed = false;
@@ -167,9 +172,15 @@
 {
     if (!worker.surveyed || worker.clock == 0)
         return worker.inheritedUntil;
-    const auto lease = std::chrono::milliseconds(worker.lastUntil - worker.clock);
-    const auto slowest = policy::fromSeconds(policy::seconds(lease) * (1 + this->times.clockDrift));
-    return worker.clockAt + std::max(slowest, Duration::zero()) + this->times.leaseMargin;
+    const auto lease = std::max<Duration>(
+        std::chrono::milliseconds(worker.lastUntil - worker.clock), Duration::zero());
+    return std::max(worker.clockAt + this->longestBy(lease), worker.formerLeaseUntil);
+}
+
+Duration Scheduler::longestBy(Duration lease) const
+{
+    return policy::fromSeconds(policy::seconds(lease) * (1 + this->times.clockDrift))
+           + this->times.leaseMargin;
 }
 
 // The lease that comes with a start is not known before it is sent.
