A VM whose worker has not answered a new leader is not taken for empty

Callers saw: nothing traced yet; a lasting task beyond what may be unavailable ended (AVAIL), and work thrown away. Cause: moves, maintenance and evacuation asked whether the leader knows of a run on a worker, placement asked whether the worker has answered. After a takeover a worker that had not answered yet has no known runs, so its VM seemed empty and was maintained or moved with all that ran there. Evidence: 'leader dies at 19; worker cut vm0 at 13 => an order ended lasting.0.0.0 while 1 were away' on virtual time. Change: what follows from a worker's silence is asked in one place, worker.cpp: whether it may run something unseen, whether it is empty, whether it was heard lately; placement, moves, waves, evacuation and leases ask there. The setting of silence holds the whole time (1.8 s), where each use had multiplied it by three.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -24,7 +24,8 @@
     Duration longestLease = std::chrono::milliseconds(10000); ///< that a worker grants
     double clockDrift = 0.02; ///< by how much a worker's clock may be slow
     Duration leaseMargin = std::chrono::milliseconds(150); ///< for the bounds of what was heard
-    Duration silence = std::chrono::milliseconds(600); ///< no starts after this without an answer
+    /// A worker that has not answered for longer gets no starts, and no longer lease.
+    Duration silence = std::chrono::milliseconds(1800);
     Duration roomBackOff = std::chrono::milliseconds(150);
     Duration failingBackOff = std::chrono::milliseconds(2000); ///< of a worker that fails most runs
     Duration healthBackOff = std::chrono::milliseconds(500);
--- a/packages/scheduling/src/fault_order_test.cpp
+++ b/packages/scheduling/src/fault_order_test.cpp
@@ -83,6 +83,8 @@
          {4, 50}},
         {"a worker that has just told a new leader of its runs is cut off",
          OrderFault::LeaderLosesStore, OrderFault::WorkerCut, {1, 25}},
+        {"a worker that a new leader can't ask is cut off", OrderFault::LeaderDies,
+         OrderFault::WorkerCut, {2, 25}},
     };
     for (const auto &row : cases) {
         INFO(row.name);
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -155,7 +155,8 @@
         for (auto *vm : pool.up) {
             const auto worker = round.workers.find(vm->vm.name);
             const bool isEmpty =
-                pool.standby || (worker != round.workers.end() && worker->second->runs.empty());
+                pool.standby
+                || (worker != round.workers.end() && worker->second->isEmpty(round.now));
             if (!isEmpty || !this->isFree(*vm, round) || vm->leavingFor != 0
                 || vm->vm.pool != entry.first
                 || this->impossible.count(vm->vm.kind + " " + target) != 0)
@@ -257,7 +258,7 @@
             if (pool.count <= pool.need.wanted || round.orders.size() >= this->terms.mostOrders)
                 break;
             const auto worker = round.workers.find(vm->vm.name);
-            if (worker == round.workers.end() || !worker->second->runs.empty()
+            if (worker == round.workers.end() || !worker->second->isEmpty(round.now)
                 || !this->isFree(*vm, round) || vm->leavingFor != 0
                 || this->impossible.count(vm->vm.kind + " " + standby->first) != 0)
                 continue;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -5,13 +5,6 @@
 
 namespace sassafrasferry::scheduling {
 
-Resources Worker::room() const
-{
-    auto room = this->listing.capacity;
-    room -= this->used;
-    return room;
-}
-
 Scheduler::Scheduler(SchedulerTimes times, std::int64_t runBase, Instant tookOverAt)
     : times(times)
     , runBase(runBase)
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -12,8 +12,8 @@
 bool Scheduler::isAtWork(const jobs::Run &run, Instant now) const
 {
     const auto worker = this->workerTable.find(run.worker);
-    const bool isHeard = worker != this->workerTable.end()
-                         && now - worker->second.lastAnswer < this->times.reportAge;
+    const bool isHeard =
+        worker != this->workerTable.end() && worker->second.isHeard(now, this->times.reportAge);
     return isHeard && run.state == jobs::RunState::Confirmed && run.atWorkSince < now
            && now - run.atWorkSince > this->times.settling;
 }
@@ -62,7 +62,7 @@
             this->requestStop(id, key, "evacuation");
         }
     }
-    return worker->runs.empty();
+    return worker->isEmpty(now);
 }
 
 void Scheduler::keepWorker(const std::string &id)
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -80,7 +80,7 @@
 {
     return worker.listed && worker.surveyed && !worker.listing.draining && !worker.evacuating
            && !worker.cordoned && this->heldVms.count(worker.listing.vm) == 0
-           && now - worker.lastAnswer < 3 * this->times.silence && now >= worker.backOffUntil
+           && worker.isHeard(now, this->times.silence) && now >= worker.backOffUntil
            && now >= worker.fullUntil;
 }
 
@@ -92,8 +92,7 @@
         return true;
     const auto isKnown = [&](const auto &entry) {
         const auto &worker = entry.second;
-        return worker.listing.service != service || worker.surveyed || worker.over
-               || now > worker.inheritedUntil;
+        return worker.listing.service != service || !worker.mayRunUnseen(now);
     };
     return this->allWorkersKnown
            && std::all_of(this->workerTable.begin(), this->workerTable.end(), isKnown);
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -154,7 +154,7 @@
     auto *worker = this->findWorker(id);
     // A worker that has become unresponsive gets no longer lease: each would have to be waited out,
     // since it may have arrived.
-    if (!worker || worker->clock == 0 || now - worker->lastAnswer > 3 * this->times.silence)
+    if (!worker || worker->clock == 0 || !worker->isHeard(now, this->times.silence))
         return std::nullopt;
     const auto passed =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - worker->clockAt).count();
