A refusal of a repeated order about a VM does not settle the first call

Callers saw: nothing traced; work on a VM that an order still ended was thrown away. When a move had no answer and its repetition was refused (too many calls, the lease not confirmed just then), the VM was taken for free and given work, though the first call may be carried out yet. A VM under maintenance orders was kept empty all the same. Change: such an order stays open until it is accepted or the VM is busy.

--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -299,7 +299,10 @@
             scheduler.keepWorker(worker);
     } else {
         entry.waitUntil = now + this->terms.retry;
-        if (answer == FleetAnswer::NoAnswer) {
+        // A refusal says nothing of the same call before it.
+        const bool isOpen =
+            answer == FleetAnswer::NoAnswer || (answer == FleetAnswer::Refused && entry.unanswered);
+        if (isOpen) {
             entry.unanswered = order;
             return;
         }
--- a/packages/scheduling/src/fleet_planner_test.cpp
+++ b/packages/scheduling/src/fleet_planner_test.cpp
@@ -357,3 +357,29 @@
     REQUIRE(estate.count(again, FleetAction::Maintain) == 1);
     CHECK(again.front().vm == first.front().vm);
 }
+
+// Guards against work on a VM that an order may still end: the repeated call was refused, the first
+// had no answer.
+TEST_CASE("a refusal of a repeated order does not settle the first")
+{
+    Estate estate(3, 1, 1);
+    estate.now += 2s; // the pool's need of the start is forgotten
+    estate.reportAll();
+    const auto orders = estate.plan();
+    REQUIRE(estate.count(orders, FleetAction::Move, "off") > 0);
+    const auto &order = orders.front();
+    for (const auto answer : {FleetAnswer::NoAnswer, FleetAnswer::Refused}) {
+        for (const auto &given : orders)
+            estate.planner.answered(given, answer, estate.scheduler, estate.now);
+        estate.now += 100ms;
+        estate.reportAll();
+        estate.work("one", 64, 1000);
+        CHECK(estate.scheduler.findWorker("w-" + order.vm)->runs.empty());
+        estate.now += 500ms;
+        estate.reportAll();
+        std::size_t again = 0;
+        for (const auto &given : estate.plan())
+            again += given.vm == order.vm && given.action == FleetAction::Move ? 1 : 0;
+        CHECK(again == 1);
+    }
+}
