--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -200,7 +200,10 @@
         auto &worker = entry.second;
         if (worker.runs.empty() || now <= this->leaseOverAt(worker))
             continue;
-        this->note("worker-lapsed", entry.first, absl::StrCat("runs=", worker.runs.size()));
+        const auto unheard =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.lastAnswer).count();
+        this->note("worker-lapsed", entry.first,
+                   absl::StrCat("runs=", worker.runs.size(), " unheard-ms=", unheard));
         std::vector<RunKey> keys;
         for (const auto &run : worker.runs) {
             if (!this->isOnItsWay(run.first, now))
--- a/packages/scheduling/tests/fault_order_world.h
+++ b/packages/scheduling/tests/fault_order_world.h
@@ -73,8 +73,13 @@
         : faults(std::move(faults))
     {
         for (std::size_t i = 0; i < vmCount; ++i) {
-            this->vms.push_back({"vm" + std::to_string(i), "s", VmState::Up, "a", rackOf(i),
-                                 {4000, 100000, 0}, ""});
+            this->vms.push_back({"vm" + std::to_string(i),
+                                 "s",
+                                 VmState::Up,
+                                 "a",
+                                 rackOf(i),
+                                 {4000, 100000, 0},
+                                 ""});
             this->join(i);
         }
         this->specs["plain"] = {"payload", {stepOf(false)}, 0, 0, 0ms};
@@ -262,7 +267,9 @@
     SimWorkerEvents eventsOf(const SimWorker &worker)
     {
         return {[this, id = worker.id](const RunKey &key) { this->checkStart(id, key); },
-                [this] { return SimRun{this->now + this->durationOf(this->lastStarted), false}; },
+                [this] {
+                    return SimRun{this->now + this->durationOf(this->lastStarted), false};
+                },
                 [](const TaskId &, jobs::RunEnd) {},
                 [this](const ListedEnd &end) {
                     if (end.end == jobs::RunEnd::Done)
@@ -323,8 +330,8 @@
             away += isEnded || isLongAway ? 1 : 0;
         }
         if (away >= stepOf(true).maxUnavailable)
-            this->note("an order ended " + jobs::toString(task) + " while "
-                       + std::to_string(away) + " were away");
+            this->note("an order ended " + jobs::toString(task) + " while " + std::to_string(away)
+                       + " were away");
         this->endedByOrder.insert(task);
     }
 
@@ -446,8 +453,8 @@
         const auto asked = this->now;
         const auto acknowledged = leader->scheduler.acknowledged(id);
         const auto until = leader->scheduler.leaseUntil(id, this->now);
-        const auto first = worker.hold(leader->fence, acknowledged, until, this->now,
-                                       this->eventsOf(worker));
+        const auto first =
+            worker.hold(leader->fence, acknowledged, until, this->now, this->eventsOf(worker));
         if (!first) {
             leader->alive = false;
             return;
