fault_order_test: a busy leader, and leases as the session extends them

The world now extends a worker's lease with each try to reach it, as the session does, and has a leader that asks nobody for 300 ms.

--- a/packages/scheduling/tests/fault_order_world.h
+++ b/packages/scheduling/tests/fault_order_world.h
@@ -19,6 +19,7 @@
     WorkerRestartsUnnoticed, ///< the same, and its new entry is late
     WorkerDark, ///< dies, and returns under its id after seconds
     WorkerCut, ///< reached by nobody, and runs on
+    HoldsDelayed, ///< the leader is busy, and asks no worker for a moment
     StartLate, ///< the next start is carried out late, without an answer
     StartUnanswered, ///< the next start is carried out, and its answer is lost
     StopLate,
@@ -35,6 +36,7 @@
         model::EnumName{OrderFault::WorkerRestartsUnnoticed, "worker restarts unnoticed"},
         model::EnumName{OrderFault::WorkerDark, "worker dark"},
         model::EnumName{OrderFault::WorkerCut, "worker cut"},
+        model::EnumName{OrderFault::HoldsDelayed, "holds delayed"},
         model::EnumName{OrderFault::StartLate, "start late"},
         model::EnumName{OrderFault::StartUnanswered, "start unanswered"},
         model::EnumName{OrderFault::StopLate, "stop late"},
@@ -124,6 +126,7 @@
     static constexpr Duration holdWait = 1s;
     static constexpr Duration retry = 100ms;
     static constexpr Duration patience = 800ms;
+    static constexpr Duration holdDelay = 300ms;
     static constexpr Duration startup = 200ms;
     static constexpr Duration lateness = 2500ms;
     static constexpr Duration darkFor = 8s;
@@ -225,6 +228,10 @@
         case OrderFault::WorkerCut:
             this->workers[index].cutUntil = this->now + cutFor;
             break;
+        case OrderFault::HoldsDelayed:
+            for (auto &entry : this->leaders.back()->holdAt)
+                entry.second = std::max(entry.second, this->now) + holdDelay;
+            break;
         case OrderFault::LeaderDies:
             this->leaders.back()->alive = false;
             this->leadAt = this->now + takeover;
@@ -445,6 +452,7 @@
         if (this->now < next)
             return;
         auto &worker = this->workers[this->indexOf(id)];
+        const auto until = leader->scheduler.leaseUntil(id, this->now);
         if (!worker.isReached(this->now)) {
             next = this->now + retry;
             return;
@@ -452,7 +460,6 @@
         const bool isSurvey = !leader->scheduler.findWorker(id)->surveyed;
         const auto asked = this->now;
         const auto acknowledged = leader->scheduler.acknowledged(id);
-        const auto until = leader->scheduler.leaseUntil(id, this->now);
         const auto first =
             worker.hold(leader->fence, acknowledged, until, this->now, this->eventsOf(worker));
         if (!first) {
