--- a/packages/scheduling/src/fault_order_test.cpp
+++ b/packages/scheduling/src/fault_order_test.cpp
@@ -106,7 +106,8 @@
     }
 }
 
-TEST_CASE("no order of any two faults breaks a promise")
+// Guards against pairs of faults that no row above names, at moments 1.7 s apart.
+TEST_CASE("a sweep over all kinds of two faults breaks no promise")
 {
     const auto faults = Sweep{17, 70}.ofAll();
     CHECK(tryPairs(faults, faults) == "");
