--- a/packages/scheduling/tests/fault_order_world.h
+++ b/packages/scheduling/tests/fault_order_world.h
@@ -1,6 +1,7 @@
-// Two leaders, three VMs, a plain and a lasting job on virtual time, where each fault strikes at a
-// moment that the test sets: for trying orders of events one after the other. It checks that no
-// task runs twice, and that orders take away no more lasting tasks than may be unavailable.
+// Leaders, three VMs, a plain and a lasting job and a maintenance wave on virtual time, where each
+// fault strikes at a moment that the test sets: for trying orders of events one after the other. It
+// checks that no task runs twice, that orders take away no more lasting tasks than may be
+// unavailable, and that no VM is lost to the leader.
 #pragma once
 
 #include "availability_watch.h"
@@ -61,18 +62,18 @@
     static constexpr std::size_t lastingTasks = 2;
     static constexpr std::size_t mostUnavailable = 1;
     static constexpr std::uint32_t mostAttempts = 4;
-    static constexpr Duration orderLimit = 6500ms;
-    static constexpr Duration takeover = 1600ms;
-    static constexpr Duration holdWait = 1s;
-    static constexpr Duration retry = 100ms;
-    static constexpr Duration patience = 800ms;
+    static constexpr Duration orderLimit = 6500ms; ///< a leader orders that long without the store
+    static constexpr Duration takeover = 1600ms; ///< until another leads
+    static constexpr Duration holdWait = 1s; ///< until a hold without an end is answered
+    static constexpr Duration retry = 100ms; ///< of a worker that was not reached
+    static constexpr Duration patience = 800ms; ///< until a call counts as unanswered
     static constexpr Duration holdDelay = 300ms;
-    static constexpr Duration lateness = 2500ms;
+    static constexpr Duration lateness = 2500ms; ///< of an order that is carried out late
     static constexpr Duration darkFor = 8s;
     static constexpr Duration cutFor = 6s;
-    static constexpr Duration migration = 1500ms;
+    static constexpr Duration migration = 1500ms; ///< until a maintained VM has its next worker
     static constexpr Duration listPeriod = 1s;
-    static constexpr Duration plainTime = 2s;
+    static constexpr Duration plainTime = 2s; ///< of a task that does not last
     static constexpr Duration settling = 2s; ///< until a VM that returned is in use again
 
     struct SimLeader
