An order about a VM waits until all ends of its worker are in the store

Callers could see: a task that was done runs a second time, so two bills for one job (TWICE). Cause: a VM counted as empty once its worker had no runs in the leader's books. An end that the leader had taken in, but not written yet, then lay in the leader's memory alone: the order ended the worker that lists it, and a leader that died before the write left a successor that knew nothing of the end and started the task again. Ruled out for today's code by rows of the same table: runs, starts without an answer, runs that nobody has heard of, and the entry of an earlier incarnation, known or unknown, with a smaller or larger id. Change: a worker is empty only if all its ends are recorded. Test: 'an order ends only VMs whose worker holds nothing', 30 cases. Before the change the three of ends that are not recorded failed.

--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -121,7 +121,8 @@
     /// It may run tasks that this leader has not heard of: it has not answered in its present
     /// incarnation, and what others ordered before may run until `inheritedUntil`.
     bool mayRunUnseen(Instant now) const;
-    /// Known to run nothing. Its VM can be moved or maintained.
+    /// Known to run nothing, and all its ends are in the store: until then only the worker could
+    /// tell them to a new leader. Its VM can be moved or maintained.
     bool isEmpty(Instant now) const;
     /// It has answered a hold within that time.
     bool isHeard(Instant now, Duration within) const;
--- /dev/null
+++ b/packages/scheduling/src/vm_order_test.cpp
@@ -0,0 +1,177 @@
+// Which VMs an order about them may end: those whose worker holds nothing that would be lost.
+#include "../tests/estate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::scheduling;
+
+namespace {
+
+constexpr std::size_t vmCount = 3; // of the pool whose VMs an order may end
+
+bool isOfPool(const FleetOrder &order)
+{
+    return order.vm.rfind("one", 0) == 0;
+}
+
+std::vector<std::string> workersOfPool(const Estate &estate)
+{
+    std::vector<std::string> ids;
+    for (const auto &entry : estate.scheduler.workers()) {
+        if (entry.second.listed && entry.second.listing.service == "one")
+            ids.push_back(entry.first);
+    }
+    return ids;
+}
+
+/// Starts one task on each worker of the pool, and gives each start that answer.
+void startOnEach(Estate &estate, OrderAnswer answer)
+{
+    jobs::StepSpec step;
+    step.count = vmCount;
+    step.need = {1000, 10, 0};
+    step.estimate = 1s;
+    step.perVmLimit = 1;
+    const auto *queue = estate.scheduler.configuration().findQueue("one");
+    estate.scheduler.addJob(std::make_unique<Job>(
+        "held", jobs::JobSpec{"", {step}, 0, 0, 0ms}, queue->terms, estate.now));
+    const auto orders = estate.scheduler.plan(estate.now, 0);
+    REQUIRE(orders.starts.size() == vmCount);
+    for (const auto &order : orders.starts)
+        estate.scheduler.startAnswered(order, answer, estate.now);
+}
+
+void holdNothing(Estate &) {}
+
+void holdRuns(Estate &estate)
+{
+    startOnEach(estate, OrderAnswer::Accepted);
+}
+
+void holdUnansweredStarts(Estate &estate)
+{
+    startOnEach(estate, OrderAnswer::NoAnswer);
+}
+
+void holdUnrecordedEnds(Estate &estate)
+{
+    startOnEach(estate, OrderAnswer::Accepted);
+    for (const auto &id : workersOfPool(estate))
+        estate.endAllBut(id, 0);
+}
+
+void holdRecordedEnds(Estate &estate)
+{
+    holdUnrecordedEnds(estate);
+    for (const auto &row :
+         estate.scheduler.takeDirty(100, [](const std::string &) { return true; }))
+        estate.scheduler.recorded(row);
+}
+
+void holdUnseenRuns(Estate &estate)
+{
+    for (const auto &id : workersOfPool(estate))
+        estate.scheduler.incarnationEnded(id, estate.now);
+}
+
+WorkerListing incarnationOf(const Estate &estate, const std::string &worker,
+                            const std::string &idPrefix, std::int64_t born)
+{
+    auto listing = estate.scheduler.workers().at(worker).listing;
+    listing.id = idPrefix + listing.vm;
+    listing.born = born;
+    return listing;
+}
+
+/// The pool's VMs run tasks in their present incarnation, and the entry of the one before, which has
+/// ended, is listed again.
+void holdRunsBesideEndedIncarnation(Estate &estate, const std::string &idPrefix)
+{
+    std::vector<WorkerListing> earlier;
+    for (const auto &id : workersOfPool(estate)) {
+        earlier.push_back(estate.scheduler.findWorker(id)->listing);
+        const auto present = incarnationOf(estate, id, idPrefix, ++estate.births);
+        estate.scheduler.endWorker(id, estate.now);
+        estate.scheduler.listWorker(present, estate.now);
+        estate.report(present.id);
+    }
+    holdRuns(estate);
+    for (const auto &listing : earlier)
+        estate.scheduler.listWorker(listing, estate.now);
+}
+
+/// The same, but this leader has not heard of the incarnation before.
+void holdRunsBesideUnknownIncarnation(Estate &estate, const std::string &idPrefix)
+{
+    holdRuns(estate);
+    for (const auto &id : workersOfPool(estate))
+        estate.scheduler.listWorker(incarnationOf(estate, id, idPrefix, 1), estate.now);
+}
+
+// Tables by id visit the entry with the larger one last, so both orders are tried.
+constexpr const char *smallerId = "a-";
+constexpr const char *largerId = "z-";
+
+/// What would end the VMs of the pool.
+struct Occasion
+{
+    const char *name;
+    std::size_t otherVms;
+    std::size_t otherTasks; ///< work of the other pool, each of half a VM
+    bool isWave;
+};
+
+std::size_t ordersAboutPool(const Occasion &occasion, void (*hold)(Estate &))
+{
+    Estate estate(vmCount, occasion.otherVms, 1);
+    if (occasion.otherTasks > 0)
+        estate.work("two", occasion.otherTasks, vmCores / 2);
+    hold(estate);
+    estate.now += 100ms;
+    if (occasion.isWave)
+        estate.planner.addWave({1, {"one0", "one1", "one2"}, 20s, vmCount}, {}, estate.now);
+    const auto orders = estate.plan();
+    return static_cast<std::size_t>(std::count_if(orders.begin(), orders.end(), isOfPool));
+}
+
+} // namespace
+
+// Guards against tasks that run again after they were done: an order about a VM ended its worker
+// before what the worker had to tell was known and recorded.
+TEST_CASE("an order ends only VMs whose worker holds nothing")
+{
+    const std::vector<Occasion> occasions{
+        {"a pool needs VMs", 1, 40, false},
+        {"a pool has more VMs than it needs", 1, 0, false},
+        {"a wave", 1, 0, true},
+    };
+    struct Case
+    {
+        const char *name;
+        void (*hold)(Estate &);
+        bool mayEnd;
+    };
+    const std::vector<Case> cases{
+        {"nothing", holdNothing, true},
+        {"runs", holdRuns, false},
+        {"starts without an answer", holdUnansweredStarts, false},
+        {"ends that are not recorded", holdUnrecordedEnds, false},
+        {"ends that are recorded", holdRecordedEnds, true},
+        {"runs that nobody has heard of", holdUnseenRuns, false},
+        {"runs beside an ended incarnation with a smaller id",
+         [](Estate &estate) { holdRunsBesideEndedIncarnation(estate, largerId); }, false},
+        {"runs beside an ended incarnation with a larger id",
+         [](Estate &estate) { holdRunsBesideEndedIncarnation(estate, smallerId); }, false},
+        {"runs beside an unknown incarnation with a smaller id",
+         [](Estate &estate) { holdRunsBesideUnknownIncarnation(estate, smallerId); }, false},
+        {"runs beside an unknown incarnation with a larger id",
+         [](Estate &estate) { holdRunsBesideUnknownIncarnation(estate, largerId); }, false},
+    };
+    for (const auto &occasion : occasions) {
+        for (const auto &row : cases) {
+            INFO(occasion.name << ", " << row.name);
+            CHECK((ordersAboutPool(occasion, row.hold) > 0) == row.mayEnd);
+        }
+    }
+}
--- a/packages/scheduling/src/worker.cpp
+++ b/packages/scheduling/src/worker.cpp
@@ -17,7 +17,7 @@
 
 bool Worker::isEmpty(Instant now) const
 {
-    return this->runs.empty() && !this->mayRunUnseen(now);
+    return this->runs.empty() && this->pendingEnds.empty() && !this->mayRunUnseen(now);
 }
 
 bool Worker::isHeard(Instant now, Duration within) const
