The log tells what showed that a worker has ended, what it held, and which runs went missing

Change: `run-missing` for a run that its worker lists no more; `worker-ended` has the evidence, the VM and the ends that are not recorded; `move` and `maintain` name the worker. One line a worker or order, as before.

--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -152,7 +152,8 @@
             co_return;
         }
         if (answer.answer == scheduling::OrderAnswer::OtherIncarnation) {
-            this->scheduler.incarnationEnded(this->id, bootNow());
+            this->scheduler.incarnationEnded(this->id, scheduling::EndEvidence::OtherIncarnation,
+                                             bootNow());
             this->events.onChange();
         }
         co_await pause(retryPause);
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -142,9 +142,9 @@
     /// What a worker answered to a hold that was sent at `askedAt`.
     void report(const WorkerReport &report, Instant askedAt, Instant now);
     /// Another incarnation answers at the worker's address: what ran there is gone.
-    void incarnationEnded(const std::string &id, Instant now);
+    void incarnationEnded(const std::string &id, EndEvidence evidence, Instant now);
     /// The worker is gone, and no incarnation comes back under its id.
-    void endWorker(const std::string &id, Instant now);
+    void endWorker(const std::string &id, EndEvidence evidence, Instant now);
     /// Forgets workers that are gone and ran nothing for a while.
     void forgetWorkers(Instant now);
     std::size_t listedWorkers() const;
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <sassafrasferry/jobs/job.h>
+#include <sassafrasferry/model/names.h>
 #include <sassafrasferry/model/settings.h>
 
+#include <array>
 #include <deque>
 #include <map>
 #include <vector>
@@ -63,6 +65,26 @@
     std::vector<ListedEnd> ended;
 };
 
+/// What shows that an incarnation of a worker has ended.
+enum class EndEvidence {
+    Entry, ///< its entry, or that of another worker of its VM, tells of a later start
+    Report, ///< a report tells of a later start
+    OtherIncarnation, ///< another worker answers at its address
+    VmOrder, ///< an order of this leader about its VM was accepted
+    VmList, ///< the platform's list of VMs names another worker
+};
+
+constexpr auto enumNames(EndEvidence)
+{
+    return std::array{
+        model::EnumName{EndEvidence::Entry, "entry"},
+        model::EnumName{EndEvidence::Report, "report"},
+        model::EnumName{EndEvidence::OtherIncarnation, "other-incarnation"},
+        model::EnumName{EndEvidence::VmOrder, "vm-order"},
+        model::EnumName{EndEvidence::VmList, "vm-list"},
+    };
+}
+
 /// Names a run on a worker.
 struct RunKey
 {
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -135,9 +135,9 @@
         at->second->evacuating = true;
     if (!entry.unanswered)
         entry.endingWorker = at != round.workers.end() ? at->second->listing.id : "";
-    this->notes.push_back(
-        {order.action == FleetAction::Move ? "move" : "maintain", entry.vm.name,
-         absl::StrCat("from=", entry.vm.pool, " to=", order.pool, " wave=", order.wave)});
+    this->notes.push_back({order.action == FleetAction::Move ? "move" : "maintain", entry.vm.name,
+                           absl::StrCat("from=", entry.vm.pool, " to=", order.pool,
+                                        " wave=", order.wave, " worker=", entry.endingWorker)});
     round.orders.push_back(std::move(order));
 }
 
@@ -294,7 +294,7 @@
         // A repeated order may have been carried out the first time: the worker that is there now
         // came after it.
         if (!entry.endingWorker.empty())
-            scheduler.endWorker(entry.endingWorker, now);
+            scheduler.endWorker(entry.endingWorker, EndEvidence::VmOrder, now);
         if (!worker.empty())
             scheduler.keepWorker(worker);
     } else {
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -372,7 +372,7 @@
             task->lastRun += 100;
         break;
     case OrderAnswer::OtherIncarnation:
-        this->incarnationEnded(order.worker, now);
+        this->incarnationEnded(order.worker, EndEvidence::OtherIncarnation, now);
         worker->listed = false;
         break;
     case OrderAnswer::Malformed:
@@ -391,7 +391,7 @@
     auto *job = this->findJob(order.task.job);
     auto *task = job ? job->find(order.task) : nullptr;
     if (answer == OrderAnswer::OtherIncarnation) {
-        this->incarnationEnded(order.worker, now);
+        this->incarnationEnded(order.worker, EndEvidence::OtherIncarnation, now);
         return;
     }
     if (!task || answer != OrderAnswer::Accepted)
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -86,7 +86,7 @@
     if (report.born != 0 && report.born != worker.listing.born) {
         if (report.born < worker.listing.born)
             return;
-        this->incarnationEnded(report.worker, now);
+        this->incarnationEnded(report.worker, EndEvidence::Report, now);
         worker.listing.born = report.born;
     }
     // What others granted before this leader's fence was heard there may last for a whole lease.
@@ -279,8 +279,11 @@
         if (isOpen && run->orderedAt < askedAt)
             this->requestStop(worker.listing.id, entry.first, "unanswered start");
     }
-    for (const auto &key : gone)
+    for (const auto &key : gone) {
+        this->note("run-missing", jobs::toString(key.task),
+                   absl::StrCat("run=", key.number, " worker=", worker.listing.id));
         this->dropRun(worker, key, now);
+    }
 }
 
 void Scheduler::settleEnds(Worker &worker)
--- a/packages/scheduling/src/scheduler_test.cpp
+++ b/packages/scheduling/src/scheduler_test.cpp
@@ -56,6 +56,23 @@
     CHECK(again[0].run > first.run);
 }
 
+// Guards against runs that leave the books without a line in the log.
+TEST_CASE("the log names a run that its worker lists no more")
+{
+    Bench bench(1);
+    bench.report("w0");
+    bench.add("j", {stepOf(1)});
+    bench.acceptAll(bench.plan());
+    bench.scheduler.takeNotes();
+    bench.now += 100ms;
+    bench.report("w0");
+    const auto notes = bench.scheduler.takeNotes();
+    REQUIRE(notes.size() == 1);
+    CHECK(notes[0].event == "run-missing");
+    CHECK(notes[0].subject == "j.0.0.0");
+    CHECK(notes[0].detail == "run=1 worker=w0");
+}
+
 TEST_CASE("a start that had no answer and is listed goes on")
 {
     Bench bench(2);
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -20,7 +20,7 @@
     if (known && known->listing.born > listing.born)
         return false;
     if (known) {
-        this->endWorker(present, now);
+        this->endWorker(present, EndEvidence::Entry, now);
     }
     present = listing.id;
     return true;
@@ -34,7 +34,7 @@
     if (listing.born < worker.listing.born)
         return;
     if (listing.born != worker.listing.born && worker.listing.born != 0)
-        this->incarnationEnded(listing.id, now);
+        this->incarnationEnded(listing.id, EndEvidence::Entry, now);
     const bool isNew = worker.listing.born == 0;
     // An incarnation that began after the takeover runs nothing of earlier leaders; but clocks
     // differ, so only an incarnation that is new to this leader's list counts as such.
@@ -88,7 +88,7 @@
         return;
     this->note("incarnation-over", at->second,
                absl::StrCat("vm=", present.vm, " now=", present.worker));
-    this->endWorker(at->second, now);
+    this->endWorker(at->second, EndEvidence::VmList, now);
 }
 
 void Scheduler::knowsAllWorkers()
@@ -96,13 +96,16 @@
     this->allWorkersKnown = true;
 }
 
-void Scheduler::incarnationEnded(const std::string &id, Instant now)
+void Scheduler::incarnationEnded(const std::string &id, EndEvidence evidence, Instant now)
 {
     const auto at = this->workerTable.find(id);
     if (at == this->workerTable.end() || at->second.over)
         return;
     auto &worker = at->second;
-    this->note("worker-ended", id, absl::StrCat("runs=", worker.runs.size()));
+    this->note("worker-ended", id,
+               absl::StrCat(
+                   "runs=", worker.runs.size(), " unrecorded-ends=", worker.pendingEnds.size(),
+                   " vm=", worker.listing.vm, " evidence=", std::string(model::nameOf(evidence))));
     // Calls that were sent before this may have reached the next incarnation. Its clock has begun
     // anew, so the end of a lease by the former clock is far ahead, and the worker cuts it to the
     // longest that it grants.
@@ -117,13 +120,13 @@
     worker.pendingEnds.clear();
 }
 
-void Scheduler::endWorker(const std::string &id, Instant now)
+void Scheduler::endWorker(const std::string &id, EndEvidence evidence, Instant now)
 {
     auto *worker = this->findWorker(id);
     if (!worker || worker->over)
         return;
     const auto leaseOver = this->leaseOverAt(*worker);
-    this->incarnationEnded(id, now);
+    this->incarnationEnded(id, evidence, now);
     worker->inheritedUntil = leaseOver;
     // Calls name the worker's id, so no incarnation carries out a start that is still on its way.
     this->dropAllRuns(*worker, now);
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -98,7 +98,7 @@
     bench.reportAll(2);
     bench.add("j", {stepOf(1)});
     const auto first = bench.plan().starts.at(0);
-    bench.scheduler.incarnationEnded(first.worker, bench.now);
+    bench.scheduler.incarnationEnded(first.worker, EndEvidence::Entry, bench.now);
     CHECK(bench.plan().starts.empty());
 }
 
@@ -129,7 +129,7 @@
     bench.add("j", {stepOf(1)});
     const auto first = bench.plan().starts.at(0);
     bench.scheduler.leaseUntil(first.worker, bench.now);
-    bench.scheduler.endWorker(first.worker, bench.now);
+    bench.scheduler.endWorker(first.worker, EndEvidence::VmOrder, bench.now);
     CHECK_FALSE(bench.scheduler.findWorker(first.worker)->listed);
     bench.scheduler.forgetWorkers(bench.now);
     CHECK(bench.scheduler.findWorker(first.worker) != nullptr); // a start is on its way
--- a/packages/scheduling/src/vm_order_test.cpp
+++ b/packages/scheduling/src/vm_order_test.cpp
@@ -34,15 +34,16 @@
     step.estimate = 1s;
     step.perVmLimit = 1;
     const auto *queue = estate.scheduler.configuration().findQueue("one");
-    estate.scheduler.addJob(std::make_unique<Job>(
-        "held", jobs::JobSpec{"", {step}, 0, 0, 0ms}, queue->terms, estate.now));
+    estate.scheduler.addJob(std::make_unique<Job>("held", jobs::JobSpec{"", {step}, 0, 0, 0ms},
+                                                  queue->terms, estate.now));
     const auto orders = estate.scheduler.plan(estate.now, 0);
     REQUIRE(orders.starts.size() == vmCount);
     for (const auto &order : orders.starts)
         estate.scheduler.startAnswered(order, answer, estate.now);
 }
 
-void holdNothing(Estate &) {}
+void holdNothing(Estate &)
+{}
 
 void holdRuns(Estate &estate)
 {
@@ -72,7 +73,7 @@
 void holdUnseenRuns(Estate &estate)
 {
     for (const auto &id : workersOfPool(estate))
-        estate.scheduler.incarnationEnded(id, estate.now);
+        estate.scheduler.incarnationEnded(id, EndEvidence::Entry, estate.now);
 }
 
 WorkerListing incarnationOf(const Estate &estate, const std::string &worker,
@@ -84,15 +85,15 @@
     return listing;
 }
 
-/// The pool's VMs run tasks in their present incarnation, and the entry of the one before, which has
-/// ended, is listed again.
+/// The pool's VMs run tasks in their present incarnation, and the entry of the one before, which
+/// has ended, is listed again.
 void holdRunsBesideEndedIncarnation(Estate &estate, const std::string &idPrefix)
 {
     std::vector<WorkerListing> earlier;
     for (const auto &id : workersOfPool(estate)) {
         earlier.push_back(estate.scheduler.findWorker(id)->listing);
         const auto present = incarnationOf(estate, id, idPrefix, ++estate.births);
-        estate.scheduler.endWorker(id, estate.now);
+        estate.scheduler.endWorker(id, EndEvidence::VmOrder, estate.now);
         estate.scheduler.listWorker(present, estate.now);
         estate.report(present.id);
     }
@@ -175,3 +176,33 @@
         }
     }
 }
+
+// Guards against logs that can't tell which order ended a worker, and what was lost with it.
+TEST_CASE("the log tells what showed that a worker has ended, and what it held")
+{
+    struct Case
+    {
+        const char *name;
+        void (*hold)(Estate &);
+        EndEvidence evidence;
+        const char *detail;
+    };
+    const std::vector<Case> cases{
+        {"nothing", holdNothing, EndEvidence::VmOrder,
+         "runs=0 unrecorded-ends=0 vm=one0 evidence=vm-order"},
+        {"a run", holdRuns, EndEvidence::Entry, "runs=1 unrecorded-ends=0 vm=one0 evidence=entry"},
+        {"an end", holdUnrecordedEnds, EndEvidence::OtherIncarnation,
+         "runs=0 unrecorded-ends=1 vm=one0 evidence=other-incarnation"},
+    };
+    for (const auto &row : cases) {
+        INFO(row.name);
+        Estate estate(vmCount, 1, 1);
+        row.hold(estate);
+        estate.scheduler.takeNotes();
+        estate.scheduler.endWorker("w-one0", row.evidence, estate.now);
+        const auto notes = estate.scheduler.takeNotes();
+        REQUIRE(notes.size() == 1);
+        CHECK(notes[0].event == "worker-ended");
+        CHECK(notes[0].detail == row.detail);
+    }
+}
