An order about a VM of the standby pool looks at the worker that is listed for it

Cause: the planner took every VM of a standby pool for empty. The platform's list may be behind: an order of an earlier leader, or one without an answer, had moved the VM into a pool, its worker was listed and had been given work, and a second order, by the old list, ended it with its runs and with ends that nobody had recorded. Ruled out: a worker that is over does not keep its VM from being moved (row 'a worker that is over'). Change: a VM counts as empty only if its last known incarnation is over, or empty as any other worker. That holds for a worker whose entry is gone, too: it may live on.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -157,6 +157,8 @@
     Worker *findWorker(const std::string &id);
     /// The present incarnation of a VM; nullptr if none lists itself.
     Worker *workerOf(const std::string &vm);
+    /// No incarnation of a VM is known that holds anything, whether or not it lists itself.
+    bool isVmEmpty(const std::string &vm, Instant now) const;
 
     // Orders.
     Orders plan(Instant now, UnixMilliseconds unixNow);
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -52,6 +52,16 @@
            && round.now >= entry.waitUntil;
 }
 
+// A VM of a standby pool has no worker; but the list that has it there may be behind.
+bool FleetPlanner::isEmpty(const Entry &entry, const Round &round) const
+{
+    if (!round.scheduler.isVmEmpty(entry.vm.name, round.now))
+        return false;
+    const auto pool = round.pools.find(entry.vm.pool);
+    const bool isStandby = pool != round.pools.end() && pool->second.standby;
+    return isStandby || round.workers.count(entry.vm.name) != 0;
+}
+
 std::vector<FleetOrder> FleetPlanner::plan(Scheduler &scheduler, Instant now,
                                            UnixMilliseconds unixNow)
 {
@@ -156,11 +166,7 @@
         if (rank <= bestRank)
             continue;
         for (auto *vm : pool.up) {
-            const auto worker = round.workers.find(vm->vm.name);
-            const bool isEmpty =
-                pool.standby
-                || (worker != round.workers.end() && worker->second->isEmpty(round.now));
-            if (!isEmpty || !this->isFree(*vm, round) || vm->leavingFor != 0
+            if (!this->isEmpty(*vm, round) || !this->isFree(*vm, round) || vm->leavingFor != 0
                 || vm->vm.pool != entry.first
                 || this->impossible.count(vm->vm.kind + " " + target) != 0)
                 continue;
@@ -260,9 +266,7 @@
         for (auto *vm : pool.up) {
             if (pool.count <= pool.need.wanted || round.orders.size() >= this->terms.mostOrders)
                 break;
-            const auto worker = round.workers.find(vm->vm.name);
-            if (worker == round.workers.end() || !worker->second->isEmpty(round.now)
-                || !this->isFree(*vm, round) || vm->leavingFor != 0
+            if (!this->isEmpty(*vm, round) || !this->isFree(*vm, round) || vm->leavingFor != 0
                 || this->impossible.count(vm->vm.kind + " " + standby->first) != 0)
                 continue;
             --pool.count;
--- a/packages/scheduling/src/fleet_waves.cpp
+++ b/packages/scheduling/src/fleet_waves.cpp
@@ -69,8 +69,7 @@
             ++leavingOf[entry->vm.pool];
         }
         const bool hasWorker = worker != round.workers.end();
-        bool isEmpty = round.pools[entry->vm.pool].standby
-                       || (hasWorker && worker->second->isEmpty(round.now));
+        bool isEmpty = this->isEmpty(*entry, round);
         if (entry->leavingFor != 0 && hasWorker) {
             const bool hurry = round.now - entry->leavingSince > this->terms.evacuationPatience;
             isEmpty = round.scheduler.evacuate(worker->second->listing.id, hurry, round.now);
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -229,6 +229,16 @@
     return worker && worker->listed ? worker : nullptr;
 }
 
+// A worker whose entry is gone may live on, with what it runs and has to tell.
+bool Scheduler::isVmEmpty(const std::string &vm, Instant now) const
+{
+    const auto present = this->incarnations.find(vm);
+    if (present == this->incarnations.end())
+        return true;
+    const auto worker = this->workerTable.find(present->second);
+    return worker == this->workerTable.end() || worker->second.isEmpty(now);
+}
+
 Worker *Scheduler::findWorker(const std::string &id)
 {
     const auto at = this->workerTable.find(id);
--- a/packages/scheduling/src/vm_order_test.cpp
+++ b/packages/scheduling/src/vm_order_test.cpp
@@ -177,6 +177,120 @@
     }
 }
 
+namespace {
+
+/// The worker of a VM that the platform's list still has in the standby pool.
+constexpr const char *awake = "w-off0";
+
+void isOff(Estate &)
+{}
+
+void isAwake(Estate &estate)
+{
+    estate.addWorker("off0", "two");
+}
+
+/// Starts one task on each worker of its pool, and gives each start that answer.
+void wakeAndStart(Estate &estate, OrderAnswer answer)
+{
+    isAwake(estate);
+    jobs::StepSpec step;
+    step.count = 2;
+    step.need = {1000, 10, 0};
+    step.estimate = 1s;
+    step.perVmLimit = 1;
+    const auto *queue = estate.scheduler.configuration().findQueue("two");
+    estate.scheduler.addJob(std::make_unique<Job>("held", jobs::JobSpec{"", {step}, 0, 0, 0ms},
+                                                  queue->terms, estate.now));
+    for (const auto &order : estate.scheduler.plan(estate.now, 0).starts)
+        estate.scheduler.startAnswered(order, answer, estate.now);
+    REQUIRE_FALSE(estate.scheduler.findWorker(awake)->runs.empty());
+}
+
+void runsAwake(Estate &estate)
+{
+    wakeAndStart(estate, OrderAnswer::Accepted);
+}
+
+void mayRunAwake(Estate &estate)
+{
+    wakeAndStart(estate, OrderAnswer::NoAnswer);
+}
+
+void endedAwake(Estate &estate)
+{
+    runsAwake(estate);
+    estate.endAllBut(awake, 0);
+}
+
+void isUnheardAwake(Estate &estate)
+{
+    isAwake(estate);
+    estate.scheduler.incarnationEnded(awake, EndEvidence::Entry, estate.now);
+}
+
+void runsUnlisted(Estate &estate)
+{
+    runsAwake(estate);
+    estate.scheduler.unlistWorker(awake);
+}
+
+void endedUnlisted(Estate &estate)
+{
+    endedAwake(estate);
+    estate.scheduler.unlistWorker(awake);
+}
+
+void isOverAwake(Estate &estate)
+{
+    runsAwake(estate);
+    estate.scheduler.endWorker(awake, EndEvidence::VmOrder, estate.now);
+}
+
+} // namespace
+
+// Guards against tasks that run again after they were done: the platform's list was behind, and an
+// order ended a VM that had left the standby pool, with what its worker ran or had to tell.
+TEST_CASE("an order ends a VM of the standby pool only if no worker of it holds anything")
+{
+    const std::vector<Occasion> occasions{
+        {"a pool needs VMs", 1, 40, false},
+        {"a wave", 1, 0, true},
+    };
+    struct Case
+    {
+        const char *name;
+        void (*hold)(Estate &);
+        bool mayEnd;
+    };
+    const std::vector<Case> cases{
+        {"no worker", isOff, true},
+        {"runs", runsAwake, false},
+        {"starts without an answer", mayRunAwake, false},
+        {"ends that are not recorded", endedAwake, false},
+        {"runs that nobody has heard of", isUnheardAwake, false},
+        {"runs, and the worker's entry is gone", runsUnlisted, false},
+        {"ends that are not recorded, and the worker's entry is gone", endedUnlisted, false},
+        {"a worker that is over", isOverAwake, true},
+    };
+    for (const auto &occasion : occasions) {
+        for (const auto &row : cases) {
+            INFO(occasion.name << ", " << row.name);
+            Estate estate(vmCount, occasion.otherVms, 1);
+            if (occasion.otherTasks > 0)
+                estate.work("two", occasion.otherTasks, vmCores / 2);
+            row.hold(estate);
+            estate.now += 100ms;
+            if (occasion.isWave)
+                estate.planner.addWave({1, {"off0"}, 20s, 1}, {}, estate.now);
+            const auto orders = estate.plan();
+            const bool ends = std::any_of(orders.begin(), orders.end(),
+                                          [](const auto &order) { return order.vm == "off0"; });
+            CHECK(ends == row.mayEnd);
+        }
+    }
+}
+
 // Guards against logs that can't tell which order ended a worker, and what was lost with it.
 TEST_CASE("the log tells what showed that a worker has ended, and what it held")
 {
