A hold acknowledges ends only to the incarnation that has answered the hold before

Callers could see: a task that was done runs a second time, so two bills for one job (TWICE). Cause: a hold names the worker by id only. A worker that restarts under its id numbers its ends from 1 again, and each hold, also the one after a failed hold, carried the cursor of the incarnation before: the new incarnation forgot ends up to it that nobody had read. The next report then lacked the run, which the leader took for lost. Ruled out: a hold whose answer tells of a restart; the cursor starts anew with it. Change: a hold acknowledges only what the incarnation that answered last does not know yet, and nothing after a hold without an answer. That costs one round trip after such a hold. An end that is listed again is acknowledged again. Tests: 'A restarted worker gets no acknowledgement of ends that nobody has read', 7 rows, all of which failed before; 'Each end is acknowledged once it is recorded, and again after a lost hold', which passed before as well.

--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -1,6 +1,7 @@
 // The leader's talk with one worker: a hold that is always under way, and orders beside it.
 #pragma once
 
+#include <sassafrasferry/coordination/end_cursor.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/worker_calls.h>
 #include <sassafrasferry/scheduling/scheduler.h>
@@ -114,7 +115,7 @@
             const auto asked = bootNow();
             HoldRequest request;
             request.fence = this->fence;
-            request.acknowledged = this->scheduler.acknowledged(this->id);
+            request.acknowledged = this->cursor.next(*worker);
             request.until = this->scheduler.leaseUntil(this->id, asked);
             if (!isSurvey)
                 request.wait = holdWait;
@@ -123,15 +124,17 @@
             auto answer = co_await this->calls->hold(request);
             if (this->stopped)
                 co_return;
-            co_await this->take(std::move(answer), asked);
+            co_await this->take(std::move(answer), request.acknowledged, asked);
         }
     }
 
-    Awaitable<void> take(HoldAnswer answer, Instant asked)
+    Awaitable<void> take(HoldAnswer answer, std::int64_t acknowledged, Instant asked)
     {
         if (answer.answer == scheduling::OrderAnswer::Accepted) {
             this->noteReach(true, answer.answer);
             this->scheduler.report(answer.report, asked, bootNow());
+            if (const auto *reported = this->scheduler.findWorker(this->id))
+                this->cursor.answered(acknowledged, answer.report, *reported);
             this->events.onChange();
             const auto gather = this->scheduler.listedWorkers() * gatherPerWorker;
             if (!answer.report.ended.empty())
@@ -146,6 +149,7 @@
             }
             co_return;
         }
+        this->cursor.failed();
         this->noteReach(false, answer.answer);
         if (answer.answer == scheduling::OrderAnswer::Fenced) {
             this->events.onFenced("worker " + this->id + " has heard a newer leader");
@@ -239,6 +243,7 @@
     std::int64_t fence;
     SessionEvents events;
     Wake nudge;
+    EndCursor cursor;
     std::deque<Order> orders;
     std::size_t busy = 0; // coroutines that send orders
     bool awaitsRecord = false;
--- /dev/null
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -0,0 +1,186 @@
+// Which ends a session acknowledges, and to whom: a worker may restart under its id at any time.
+#include <sassafrasferry/coordination/worker_session.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::coordination;
+using scheduling::OrderAnswer;
+
+namespace {
+
+constexpr const char *workerId = "w";
+constexpr std::int64_t firstBorn = 100;
+
+/// A worker that restarts under its id. It answers from a script, and lists its ends until they are
+/// acknowledged.
+struct ScriptedWorker
+{
+    std::int64_t born = firstBorn;
+    std::int64_t clock = 1000;
+    std::vector<scheduling::ListedEnd> ends;
+    std::vector<std::int64_t> acknowledged; ///< of each hold, in turn
+    std::vector<std::int64_t> unread; ///< numbers of ends that were forgotten, but never listed
+    std::set<std::pair<std::int64_t, std::int64_t>> listed; ///< ends: born and number
+    std::function<OrderAnswer(std::size_t call)> onHold; ///< before the hold is carried out
+
+    HoldAnswer carryOut(const HoldRequest &request)
+    {
+        std::erase_if(this->ends, [&](const scheduling::ListedEnd &end) {
+            const bool forgets = end.number <= request.acknowledged;
+            if (forgets && this->listed.count({this->born, end.number}) == 0)
+                this->unread.push_back(end.number);
+            return forgets;
+        });
+        HoldAnswer answer;
+        answer.answer = OrderAnswer::Accepted;
+        answer.report = {workerId, this->born, ++this->clock, {}, this->ends};
+        for (const auto &end : this->ends)
+            this->listed.insert({this->born, end.number});
+        return answer;
+    }
+
+    void restart()
+    {
+        ++this->born;
+        this->clock = 1000;
+        this->ends.clear();
+    }
+
+    void endRun(std::int64_t number)
+    {
+        this->ends.push_back({number,
+                              {"unknown", 0, 0, static_cast<std::size_t>(number)},
+                              1,
+                              jobs::RunEnd::Done,
+                              ""});
+    }
+};
+
+/// The session's client of it.
+struct ScriptedCalls
+{
+    ScriptedWorker *worker;
+
+    Awaitable<HoldAnswer> hold(HoldRequest request)
+    {
+        this->worker->acknowledged.push_back(request.acknowledged);
+        co_await pause(std::chrono::milliseconds(1));
+        const auto answer = this->worker->onHold(this->worker->acknowledged.size());
+        auto carriedOut = HoldAnswer{};
+        if (answer == OrderAnswer::Accepted)
+            carriedOut = this->worker->carryOut(request);
+        else
+            carriedOut.answer = answer;
+        co_return carriedOut;
+    }
+
+    Awaitable<OrderAnswer> start(const scheduling::StartOrder &, std::int64_t, std::int64_t)
+    {
+        co_return OrderAnswer::Accepted;
+    }
+
+    Awaitable<OrderAnswer> stop(const scheduling::StopOrder &, std::int64_t)
+    {
+        co_return OrderAnswer::Accepted;
+    }
+
+    Awaitable<OrderAnswer> pace(const scheduling::PaceOrder &, std::int64_t)
+    {
+        co_return OrderAnswer::Accepted;
+    }
+};
+
+/// Runs a session until it has made so many holds.
+struct Talk
+{
+    explicit Talk(ScriptedWorker &worker)
+        : scheduler(scheduling::SchedulerTimes{}, 0, bootNow())
+    {
+        scheduling::WorkerListing listing;
+        listing.id = workerId;
+        listing.vm = "vm";
+        listing.born = firstBorn;
+        this->scheduler.listWorker(listing, bootNow());
+        this->scheduler.knowsAllWorkers();
+        SessionEvents events{[] {}, [](const std::string &) {},
+                             [] {
+                                 return true;
+                             }};
+        this->session = std::make_shared<WorkerSession<ScriptedCalls>>(
+            this->context.get_executor(), this->scheduler, workerId,
+            std::make_unique<ScriptedCalls>(ScriptedCalls{&worker}), 7, std::move(events));
+    }
+
+    void run(ScriptedWorker &worker, std::size_t holds)
+    {
+        this->session->begin();
+        while (worker.acknowledged.size() < holds)
+            this->context.run_one();
+        this->session->stop();
+        this->context.run_for(std::chrono::milliseconds(150));
+    }
+
+    http::asio::io_context context;
+    scheduling::Scheduler scheduler;
+    std::shared_ptr<WorkerSession<ScriptedCalls>> session;
+};
+
+} // namespace
+
+// Guards against tasks that run again after they were done: the worker restarted under its id, and
+// the ends of its new incarnation were acknowledged by the numbers of the one before.
+TEST_CASE("A restarted worker gets no acknowledgement of ends that nobody has read")
+{
+    struct Case
+    {
+        const char *name;
+        std::size_t restartsAt; ///< the hold that finds it restarted
+        OrderAnswer answer; ///< of that hold
+    };
+    // The first hold lists three ends, the second acknowledges them.
+    const auto row = GENERATE(
+        Case{"the hold that acknowledges is lost", 2, OrderAnswer::NoAnswer},
+        Case{"the hold that acknowledges is not sent", 2, OrderAnswer::NotSent},
+        Case{"a hold after it is lost", 3, OrderAnswer::NoAnswer},
+        Case{"a later hold is lost", 5, OrderAnswer::NoAnswer},
+        Case{"a hold that has nothing new to acknowledge is carried out", 3, OrderAnswer::Accepted},
+        Case{"a later one is carried out", 5, OrderAnswer::Accepted},
+        Case{"the worker can't answer", 3, OrderAnswer::Unhealthy});
+    CAPTURE(row.name);
+    ScriptedWorker worker;
+    for (std::int64_t number = 1; number <= 3; ++number)
+        worker.endRun(number);
+    worker.onHold = [&](std::size_t call) {
+        if (call != row.restartsAt)
+            return OrderAnswer::Accepted;
+        worker.restart();
+        worker.endRun(1);
+        worker.endRun(2);
+        return row.answer;
+    };
+    Talk talk(worker);
+    talk.run(worker, row.restartsAt + 4);
+    CHECK(worker.unread.empty());
+    CHECK(worker.ends.empty());
+}
+
+TEST_CASE("Each end is acknowledged once it is recorded, and again after a lost hold")
+{
+    ScriptedWorker worker;
+    worker.endRun(1);
+    const std::size_t lost = GENERATE(2, 3, 4);
+    CAPTURE(lost);
+    worker.onHold = [&](std::size_t call) {
+        if (call == 4)
+            worker.endRun(2);
+        return call == lost ? OrderAnswer::NoAnswer : OrderAnswer::Accepted;
+    };
+    Talk talk(worker);
+    talk.run(worker, 9);
+    CHECK(worker.ends.empty());
+    CHECK(worker.unread.empty());
+    CHECK(talk.scheduler.findWorker(workerId)->endsRecorded == 2);
+}
