A second run of a task counts as held by its worker until it has ended

Callers could see: tasks that are slowed, on a worker that is given more than it has room for (LIMIT), and work that is lost with a VM that was taken for empty while the second run was being stopped. Cause: a listed run of a task that has another run was stopped, but not entered in the books of its worker. The worker seemed to have its room, and to hold nothing. Change: it takes room until its end is listed, as a run that is not wanted does.

--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -23,6 +23,13 @@
     return nullptr;
 }
 
+/// A run that is to be stopped takes room until its end is listed.
+void takeRoom(Worker &worker, const RunKey &run, const Resources &need)
+{
+    if (worker.runs.emplace(run, need).second)
+        worker.used += need;
+}
+
 } // namespace
 
 // Only what a report has listed is known to have been in the incarnation that ended. Any other
@@ -202,12 +209,9 @@
         auto *run = task ? findRun(*task, worker.listing.id, listed.run) : nullptr;
         if (!run || now - run->stopAskedAt > stopRetry)
             this->requestStop(worker.listing.id, key, "not wanted");
-        if (!run && worker.runs.count(key) == 0) {
-            // It takes room until its end is listed.
-            const auto need = task ? job->spec.steps[listed.task.step].footprint() : Resources{};
-            worker.runs[key] = need;
-            worker.used += need;
-        }
+        if (!run)
+            takeRoom(worker, key,
+                     task ? job->spec.steps[listed.task.step].footprint() : Resources{});
         return;
     }
     auto *run = findRun(*task, worker.listing.id, listed.run);
@@ -215,6 +219,7 @@
         this->note("second-run", jobs::toString(listed.task),
                    absl::StrCat("worker=", worker.listing.id, " run=", listed.run));
         this->requestStop(worker.listing.id, key, "second run");
+        takeRoom(worker, key, job->spec.steps[listed.task.step].footprint());
         return;
     }
     if (!run) {
--- a/packages/scheduling/src/scheduler_test.cpp
+++ b/packages/scheduling/src/scheduler_test.cpp
@@ -359,3 +359,26 @@
     bench.scheduler.evacuate(heard.worker, false, bench.now);
     CHECK(bench.plan().stops.empty());
 }
+
+// Guards against workers that are given more than they have room for, and against VMs that are
+// ended beside a run: a second run takes room until its end is listed.
+TEST_CASE("a second run of a task takes room until it has ended")
+{
+    Bench bench(2, 1000);
+    bench.reportAll(2);
+    bench.add("j", {stepOf(1)});
+    const auto first = bench.plan().starts.at(0);
+    bench.acceptAll({{first}, {}, {}});
+    const auto other = std::string(first.worker == "w0" ? "w1" : "w0");
+    const auto second = first.run + 1;
+    bench.report(other, {{first.task, second, "", 100, 0}});
+    bench.add("k", {stepOf(1)});
+    const auto orders = bench.plan();
+    CHECK(orders.starts.empty());
+    REQUIRE(orders.stops.size() == 1);
+    CHECK(orders.stops[0].run == second);
+    bench.now += 100ms;
+    bench.report(other, {}, {{1, first.task, second, jobs::RunEnd::Stopped, ""}});
+    bench.report(first.worker, {{first.task, first.run, "", 100, 0}});
+    CHECK(bench.plan().starts.size() == 1);
+}
--- a/packages/scheduling/src/vm_order_test.cpp
+++ b/packages/scheduling/src/vm_order_test.cpp
@@ -70,6 +70,25 @@
         estate.scheduler.recorded(row);
 }
 
+/// One worker runs a task, and the others list another run of it.
+void holdSecondRuns(Estate &estate)
+{
+    estate.work("one", 1, 1000);
+    RunKey first;
+    for (const auto &id : workersOfPool(estate)) {
+        const auto *worker = estate.scheduler.findWorker(id);
+        if (!worker->runs.empty())
+            first = worker->runs.begin()->first;
+    }
+    for (const auto &id : workersOfPool(estate)) {
+        const auto *worker = estate.scheduler.findWorker(id);
+        const std::vector<ListedRun> second{{first.task, first.number + 1, "", 100, 0}};
+        if (worker->runs.empty())
+            estate.scheduler.report({id, worker->listing.born, worker->clock + 1, second, {}},
+                                    estate.now, estate.now);
+    }
+}
+
 void holdUnseenRuns(Estate &estate)
 {
     for (const auto &id : workersOfPool(estate))
@@ -159,6 +178,7 @@
         {"starts without an answer", holdUnansweredStarts, false},
         {"ends that are not recorded", holdUnrecordedEnds, false},
         {"ends that are recorded", holdRecordedEnds, true},
+        {"second runs of a task", holdSecondRuns, false},
         {"runs that nobody has heard of", holdUnseenRuns, false},
         {"runs beside an ended incarnation with a smaller id",
          [](Estate &estate) { holdRunsBesideEndedIncarnation(estate, largerId); }, false},
