An answer read after its worker's incarnation has ended still tells that tasks are done

Cause: a leader that is slow to read may hear of the next incarnation by its entry before it reads the former one's last answer. Under the same id such an answer was dropped whole; under another id its runs were taken over again, on a worker that was over. Change: of such an answer only ends that are done or failed count. They have no part in the cursor of the present incarnation. A line 'former-end' tells of each. Tests: 'an answer of an incarnation that has ended still tells of ends, but of no runs', 6 rows, of which 'done, same id' and 'running, another id' failed before; 'ends of a former incarnation count once, and acknowledge nothing', which passed before as well. 57 test cases of the package pass.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -207,6 +207,8 @@
     void noteRunTime(Job &job, const ListedEnd &end, const Worker &worker, Instant now);
     void noteHealth(Worker &worker, const ListedEnd &end, Instant now);
     void takeEnd(Worker &worker, const ListedEnd &end, Instant now);
+    void takeFormerEnd(Worker &worker, const ListedEnd &end, Instant now);
+    void stopWhatIsOver(Job &job, const TaskId &id, jobs::EndEffect effect);
     void takeRunning(Worker &worker, const ListedRun &listed, Instant askedAt, Instant now);
     void dropMissingRuns(Worker &worker, const WorkerReport &report, Instant askedAt, Instant now);
     void dropRun(Worker &worker, const RunKey &key, Instant now);
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -90,9 +90,13 @@
     if (at == this->workerTable.end())
         return;
     auto &worker = at->second;
+    const bool isFormer = report.born != 0 && report.born < worker.listing.born;
+    if (worker.over || isFormer) {
+        for (const auto &end : report.ended)
+            this->takeFormerEnd(worker, end, now);
+        return;
+    }
     if (report.born != 0 && report.born != worker.listing.born) {
-        if (report.born < worker.listing.born)
-            return;
         this->incarnationEnded(report.worker, EndEvidence::Report, now);
         worker.listing.born = report.born;
     }
@@ -187,17 +191,38 @@
     worker.pendingEnds.push_back({end.number, job->id, changes});
     this->dropRun(worker, {end.task, end.run}, now);
     job = this->findJob(end.task.job);
-    if (!job)
-        return;
-    const bool isOver = effect == jobs::EndEffect::JobDone || effect == jobs::EndEffect::JobFailed;
-    auto *task = job->find(end.task);
-    // Copies of a task that is done, and all that is left of a job that is over.
+    if (job)
+        this->stopWhatIsOver(*job, end.task, effect);
+}
+
+// Copies of a task that is done, and all that is left of a job that is over.
+void Scheduler::stopWhatIsOver(Job &job, const TaskId &id, jobs::EndEffect effect)
+{
+    const auto *task = job.find(id);
     if (task && task->done) {
         for (const auto &run : task->runs)
-            this->requestStop(run.worker, {end.task, run.number}, "task done");
+            this->requestStop(run.worker, {id, run.number}, "task done");
     }
-    if (isOver)
-        this->stopRunsOf(*job, "job over");
+    if (effect == jobs::EndEffect::JobDone || effect == jobs::EndEffect::JobFailed)
+        this->stopRunsOf(job, "job over");
+}
+
+// An answer that is read after its worker's incarnation has ended. That a run was done or failed
+// stays true; its number is not one of the present incarnation's.
+void Scheduler::takeFormerEnd(Worker &worker, const ListedEnd &end, Instant now)
+{
+    auto *job = this->findJob(end.task.job);
+    if (!job || (end.end != jobs::RunEnd::Done && end.end != jobs::RunEnd::Failed))
+        return;
+    const auto effect = job->noteEnd(end.task, end.run, end.end, "");
+    if (effect == jobs::EndEffect::None)
+        return;
+    this->note("former-end", jobs::toString(end.task),
+               absl::StrCat("run=", end.run, " worker=", worker.listing.id,
+                            " how=", std::string(model::nameOf(end.end))));
+    this->markDirty(*job);
+    this->dropRun(worker, {end.task, end.run}, now);
+    this->stopWhatIsOver(*job, end.task, effect);
 }
 
 void Scheduler::takeRunning(Worker &worker, const ListedRun &listed, Instant askedAt, Instant now)
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -122,6 +122,79 @@
     CHECK(bench.plan().starts.at(0).worker == "w9");
 }
 
+namespace {
+
+/// The worker's incarnation ends, and the next one lists itself as `id`.
+void listNext(Bench &bench, const std::string &worker, const std::string &id)
+{
+    auto next = bench.scheduler.findWorker(worker)->listing;
+    next.id = id;
+    next.born = 2;
+    bench.scheduler.listWorker(next, bench.now);
+}
+
+} // namespace
+
+// Guards against tasks that run again after they were done: the leader read the answer that lists
+// their end only after it had heard of the worker's next incarnation.
+TEST_CASE("an answer of an incarnation that has ended still tells of ends, but of no runs")
+{
+    struct Case
+    {
+        const char *name;
+        std::string nextId; ///< empty: that of the former incarnation
+        bool isEnd; ///< the answer lists the end of the run, or the run
+        jobs::RunEnd end;
+        bool startsAgain;
+    };
+    const auto row = GENERATE(Case{"done, same id", "", true, jobs::RunEnd::Done, false},
+                              Case{"done, another id", "x", true, jobs::RunEnd::Done, false},
+                              Case{"stopped, same id", "", true, jobs::RunEnd::Stopped, true},
+                              Case{"stopped, another id", "x", true, jobs::RunEnd::Stopped, true},
+                              Case{"running, same id", "", false, jobs::RunEnd::Done, true},
+                              Case{"running, another id", "x", false, jobs::RunEnd::Done, true});
+    INFO(row.name);
+    Bench bench(2);
+    bench.reportAll(2);
+    bench.add("j", {stepOf(1)});
+    const auto first = bench.plan().starts.at(0);
+    bench.acceptAll({{first}, {}, {}});
+    bench.now += 100ms;
+    const ListedRun run{first.task, first.run, "", 100, 0};
+    bench.report(first.worker, {run});
+    bench.now += 100ms;
+    listNext(bench, first.worker, row.nextId.empty() ? first.worker : row.nextId);
+    if (row.isEnd)
+        bench.report(first.worker, {}, {endOf(first, 1, row.end)});
+    else
+        bench.report(first.worker, {run});
+    CHECK(bench.plan().starts.size() == (row.startsAgain ? 1 : 0));
+    CHECK(bench.scheduler.stateOf("j") == JobState::Running);
+    bench.record();
+    CHECK(bench.scheduler.stateOf("j")
+          == (row.startsAgain ? JobState::Running : JobState::Completed));
+}
+
+// Guards against failures that are counted twice, and against the numbers of a former incarnation's
+// ends in the books of the present one.
+TEST_CASE("ends of a former incarnation count once, and acknowledge nothing")
+{
+    Bench bench(2);
+    bench.reportAll(2);
+    bench.add("j", {stepOf(1)});
+    const auto first = bench.plan().starts.at(0);
+    bench.acceptAll({{first}, {}, {}});
+    const auto end = endOf(first, 5, jobs::RunEnd::Failed);
+    bench.report(first.worker, {}, {end});
+    listNext(bench, first.worker, first.worker);
+    bench.report(first.worker, {}, {end});
+    bench.report(first.worker, {}, {end});
+    bench.record();
+    CHECK(bench.scheduler.findJob("j")->find(first.task)->failedRuns.size() == 1);
+    CHECK(bench.scheduler.acknowledged(first.worker) == 0);
+    CHECK_FALSE(bench.scheduler.findWorker(first.worker)->surveyed);
+}
+
 TEST_CASE("workers that are gone are forgotten once nothing of theirs is open")
 {
     Bench bench(2);
