A VM whose worker lists itself for another pool is not moved by the platform's list

Operators could see: a VM that stands idle for seconds after a takeover, and a move that is counted and does nothing. Cause: an earlier leader's move had been carried out, the VM's next worker had listed itself, and the platform's list still named the pool before. The planner ordered the same move; the platform answered that it is done, and the leader ended the living worker in its books. Ruled out: tasks that run twice by it. The VM is held from the order on, so its worker has no runs to start again. Change: a VM is moved only while its worker, if one is listed, is of the pool that the platform lists. Not changed: an earlier leader's maintenance that was carried out late looks as one that this leader ordered.

--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -152,6 +152,7 @@
     std::size_t underMaintenance(const WaveProgress &progress) const;
     bool isFree(const Entry &entry, const Round &round) const;
     bool isEmpty(const Entry &entry, const Round &round) const;
+    bool mayMove(const Entry &entry, const Round &round) const;
     void order(Entry &entry, FleetOrder order, Round &round);
     Entry *spareFor(const std::string &pool, std::size_t PoolNeed::*kept, Round &round);
 
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -62,6 +62,17 @@
     return isStandby || round.workers.count(entry.vm.name) != 0;
 }
 
+// A worker that lists itself for another pool came with a move that the platform's list does not
+// tell of yet. An order by that list could be one that is carried out already.
+bool FleetPlanner::mayMove(const Entry &entry, const Round &round) const
+{
+    const auto worker = round.workers.find(entry.vm.name);
+    const bool isWhereListed =
+        worker == round.workers.end() || worker->second->listing.service == entry.vm.pool;
+    return isWhereListed && this->isEmpty(entry, round) && this->isFree(entry, round)
+           && entry.leavingFor == 0;
+}
+
 std::vector<FleetOrder> FleetPlanner::plan(Scheduler &scheduler, Instant now,
                                            UnixMilliseconds unixNow)
 {
@@ -166,8 +177,7 @@
         if (rank <= bestRank)
             continue;
         for (auto *vm : pool.up) {
-            if (!this->isEmpty(*vm, round) || !this->isFree(*vm, round) || vm->leavingFor != 0
-                || vm->vm.pool != entry.first
+            if (!this->mayMove(*vm, round) || vm->vm.pool != entry.first
                 || this->impossible.count(vm->vm.kind + " " + target) != 0)
                 continue;
             // A VM of a standby pool that waits for maintenance is maintained there.
@@ -266,7 +276,7 @@
         for (auto *vm : pool.up) {
             if (pool.count <= pool.need.wanted || round.orders.size() >= this->terms.mostOrders)
                 break;
-            if (!this->isEmpty(*vm, round) || !this->isFree(*vm, round) || vm->leavingFor != 0
+            if (!this->mayMove(*vm, round)
                 || this->impossible.count(vm->vm.kind + " " + standby->first) != 0)
                 continue;
             --pool.count;
