Runs and ends of a job that the leader has not read yet count once it has

Callers could see: a task that was done, or runs, starts a second time after a takeover (TWICE). Cause: a leader that has lost the lease may order for 6.5 s, and may read a job that came after its successor read the intake. The successor stopped such a run, but did not know that its task has one, and acknowledged its end without any record; then it read the job and started the task. Change: while an earlier leader's orders may live on, runs of an unknown job are entered in the job once it is read, with the stop that was sent; ends that are done or failed count for it, and are acknowledged only when recorded, or when the job has not come for a second. Ends of jobs that the store has as over are acknowledged at once, as before. Not excluded: the job is read, and its task started, before the worker has told of the run. The world of worker_session_test, whose ends are of an unknown job, has its takeover a minute back: they would wait a second for the job now.

--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -97,7 +97,7 @@
 struct Talk
 {
     explicit Talk(ScriptedWorker &worker)
-        : scheduler(scheduling::SchedulerTimes{}, 0, bootNow())
+        : scheduler(scheduling::SchedulerTimes{}, 0, bootNow() - takeover)
     {
         scheduling::WorkerListing listing;
         listing.id = workerId;
@@ -123,6 +123,9 @@
         this->context.run_for(std::chrono::milliseconds(150));
     }
 
+    // So long ago that ends of jobs that are not known need not wait for them.
+    static constexpr Duration takeover = std::chrono::seconds(60);
+
     http::asio::io_context context;
     scheduling::Scheduler scheduler;
     std::shared_ptr<WorkerSession<ScriptedCalls>> session;
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -208,6 +208,9 @@
     void noteHealth(Worker &worker, const ListedEnd &end, Instant now);
     void takeEnd(Worker &worker, const ListedEnd &end, Instant now);
     void takeFormerEnd(Worker &worker, const ListedEnd &end, Instant now);
+    void noteStray(const std::string &job, Instant now);
+    void holdStrayEnd(Worker &worker, const ListedEnd &end, Instant now);
+    void attachStrays(Job &job);
     void stopWhatIsOver(Job &job, const TaskId &id, jobs::EndEffect effect);
     void takeRunning(Worker &worker, const ListedRun &listed, Instant askedAt, Instant now);
     void dropMissingRuns(Worker &worker, const WorkerReport &report, Instant askedAt, Instant now);
@@ -249,6 +252,8 @@
     std::unordered_map<std::string, JobState> finished; // recorded in the store
     std::map<std::string, Worker> workerTable;
     std::set<std::string> dirty; // jobs whose row is behind
+    /// Jobs that are not known, of which workers list runs, with the ends that count.
+    std::map<std::string, std::vector<ListedEnd>> strays;
     std::vector<StopOrder> wantedStops;
     std::map<std::string, QueueTimes> runTimes; // by queue
     std::map<std::string, double> arrivals; // core-seconds, by service
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -136,6 +136,7 @@
         std::int64_t number = 0;
         std::string job;
         std::uint64_t change = 0;
+        Instant heldUntil{}; ///< kept for the job until then, if the job is not known
     };
     std::deque<PendingEnd> pendingEnds;
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -51,6 +51,7 @@
                     / 1000 * policy::seconds(Duration(job->expected(i).task));
     }
     this->arrivals[this->serviceOf(*job)] += work;
+    this->attachStrays(*job);
     this->jobs.emplace(job->id, std::move(job));
 }
 
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -157,7 +157,7 @@
     worker.endsSeen = end.number;
     auto *job = this->findJob(end.task.job);
     if (!job) {
-        worker.pendingEnds.push_back({end.number, "", 0});
+        this->holdStrayEnd(worker, end, now);
         this->dropRun(worker, {end.task, end.run}, now);
         return;
     }
@@ -188,7 +188,7 @@
                             " how=", std::string(model::nameOf(end.end))));
     if (effect != jobs::EndEffect::None)
         this->markDirty(*job);
-    worker.pendingEnds.push_back({end.number, job->id, changes});
+    worker.pendingEnds.push_back({end.number, job->id, changes, Instant{}});
     this->dropRun(worker, {end.task, end.run}, now);
     job = this->findJob(end.task.job);
     if (job)
@@ -230,6 +230,8 @@
     auto *job = this->findJob(listed.task.job);
     auto *task = job ? job->find(listed.task) : nullptr;
     const RunKey key{listed.task, listed.run};
+    if (!job)
+        this->noteStray(listed.task.job, now);
     if (!task || task->done || jobs::isFinal(job->state)) {
         auto *run = task ? findRun(*task, worker.listing.id, listed.run) : nullptr;
         if (!run || now - run->stopAskedAt > stopRetry)
@@ -321,7 +323,7 @@
     while (!worker.pendingEnds.empty()) {
         const auto &end = worker.pendingEnds.front();
         const auto *job = this->findJob(end.job);
-        if (job && job->recordedChanges < end.change)
+        if (job ? job->recordedChanges < end.change : worker.lastAnswer < end.heldUntil)
             break;
         worker.endsRecorded = end.number;
         worker.pendingEnds.pop_front();
