An order about a VM is given only if its worker still holds nothing once it is announced

Callers could see: a task that was done runs a second time, so two bills for one job (TWICE), and work that is lost with a VM. Cause: an order was planned by what the leader knew, announced in the store, and then given whatever the leader had heard meanwhile: a run that the worker lists after all, an end that nobody has recorded, an incarnation that has not answered. A slow store makes the announcement take seconds. Ruled out by the row 'starts on their way' of 'an order ends only VMs whose worker holds nothing', which passed at once: a start that is queued or sent keeps its VM from being ordered. Change: the keeper asks the planner again before it gives the order; what it does not give counts as refused. An order that may be under way is given again all the same. Not excluded: what comes during the call itself.

--- a/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_keeper.h
@@ -177,7 +177,8 @@
         if (this->stopped)
             co_return;
         for (auto &order : orders) {
-            if (isAnnounced && this->options.mayOrder())
+            if (isAnnounced && this->options.mayOrder()
+                && this->planner.mayGive(order, this->scheduler, bootNow()))
                 this->give(std::move(order));
             else
                 this->planner.answered(order, scheduling::FleetAnswer::Refused, this->scheduler,
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -107,6 +107,8 @@
     /// No order about a VM before then.
     void defer(const std::string &vm, Instant until);
     std::vector<FleetOrder> plan(Scheduler &scheduler, Instant now, UnixMilliseconds unixNow);
+    /// Nothing has become known since the order was planned that would be lost by it.
+    bool mayGive(const FleetOrder &order, const Scheduler &scheduler, Instant now) const;
     void answered(const FleetOrder &order, FleetAnswer answer, Scheduler &scheduler, Instant now);
 
     const std::map<std::int64_t, WaveProgress> &waves() const;
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -285,6 +285,14 @@
     }
 }
 
+// An order without an answer may be carried out anyhow, and has to be given again.
+bool FleetPlanner::mayGive(const FleetOrder &order, const Scheduler &scheduler, Instant now) const
+{
+    const auto entry = this->vms.find(order.vm);
+    const bool isOpen = entry != this->vms.end() && entry->second.unanswered;
+    return isOpen || scheduler.isVmEmpty(order.vm, now);
+}
+
 void FleetPlanner::answered(const FleetOrder &order, FleetAnswer answer, Scheduler &scheduler,
                             Instant now)
 {
--- a/packages/scheduling/src/vm_answer_test.cpp
+++ b/packages/scheduling/src/vm_answer_test.cpp
@@ -72,6 +72,20 @@
     }
 }
 
+TEST_CASE("a planned order is given only while its VM is empty, unless it may be under way")
+{
+    Estate estate(1, 1, 1);
+    estate.planner.addWave({1, {vm}, 30s, 1}, {}, estate.now);
+    const auto orders = ordersAboutVm(estate);
+    REQUIRE(orders.size() == 1);
+    CHECK(estate.planner.mayGive(orders[0], estate.scheduler, estate.now));
+    const bool isOpen = GENERATE(false, true);
+    if (isOpen)
+        estate.planner.answered(orders[0], FleetAnswer::NoAnswer, estate.scheduler, estate.now);
+    estate.scheduler.incarnationEnded("w-one0", EndEvidence::Entry, estate.now);
+    CHECK(estate.planner.mayGive(orders[0], estate.scheduler, estate.now) == isOpen);
+}
+
 // Guards against tasks that run twice, and VMs lost to the leader, after an order that had been
 // carried out before: the worker that is there now came after it, and lives.
 TEST_CASE("a worker that lives takes work again after the leader took it for ended")
--- a/packages/scheduling/src/vm_order_test.cpp
+++ b/packages/scheduling/src/vm_order_test.cpp
@@ -25,8 +25,8 @@
     return ids;
 }
 
-/// Starts one task on each worker of the pool, and gives each start that answer.
-void startOnEach(Estate &estate, OrderAnswer answer)
+/// Sends the start of one task to each worker of the pool.
+std::vector<StartOrder> sendToEach(Estate &estate)
 {
     jobs::StepSpec step;
     step.count = vmCount;
@@ -36,9 +36,15 @@
     const auto *queue = estate.scheduler.configuration().findQueue("one");
     estate.scheduler.addJob(std::make_unique<Job>("held", jobs::JobSpec{"", {step}, 0, 0, 0ms},
                                                   queue->terms, estate.now));
-    const auto orders = estate.scheduler.plan(estate.now, 0);
+    auto orders = estate.scheduler.plan(estate.now, 0);
     REQUIRE(orders.starts.size() == vmCount);
-    for (const auto &order : orders.starts)
+    return std::move(orders.starts);
+}
+
+/// The same, and gives each start that answer.
+void startOnEach(Estate &estate, OrderAnswer answer)
+{
+    for (const auto &order : sendToEach(estate))
         estate.scheduler.startAnswered(order, answer, estate.now);
 }
 
@@ -50,6 +56,11 @@
     startOnEach(estate, OrderAnswer::Accepted);
 }
 
+void holdStartsOnTheirWay(Estate &estate)
+{
+    sendToEach(estate);
+}
+
 void holdUnansweredStarts(Estate &estate)
 {
     startOnEach(estate, OrderAnswer::NoAnswer);
@@ -175,6 +186,7 @@
     const std::vector<Case> cases{
         {"nothing", holdNothing, true},
         {"runs", holdRuns, false},
+        {"starts on their way", holdStartsOnTheirWay, false},
         {"starts without an answer", holdUnansweredStarts, false},
         {"ends that are not recorded", holdUnrecordedEnds, false},
         {"ends that are recorded", holdRecordedEnds, true},
