--- a/packages/coordination/src/fleet_keeper_test.cpp
+++ b/packages/coordination/src/fleet_keeper_test.cpp
@@ -112,10 +112,10 @@
         News news;
         bool isGiven;
     };
-    const auto row = GENERATE(Case{"nothing", News::None, true}, Case{"a run", News::Run, false},
-                              Case{"an end that is not recorded", News::UnrecordedEnd, false},
-                              Case{"an incarnation that may run something", News::NextIncarnation,
-                                   false});
+    const auto row =
+        GENERATE(Case{"nothing", News::None, true}, Case{"a run", News::Run, false},
+                 Case{"an end that is not recorded", News::UnrecordedEnd, false},
+                 Case{"an incarnation that may run something", News::NextIncarnation, false});
     CAPTURE(row.name);
     http::asio::io_context context;
     MemoryStore memory;
@@ -132,7 +132,8 @@
     options.statusRow = [](std::int64_t, bool) {
         return WaveStatusRow{"status", "wave", ""};
     };
-    options.onChange = [] {};
+    options.onChange = [] {
+    };
     auto keeper = std::make_shared<FleetKeeper<MemoryStore, OneVmCloud>>(
         context.get_executor(), memory, cloud, upkeep.scheduler, std::move(options));
     keeper->addWave({1, {vm}, std::chrono::seconds(20), 1});
--- a/packages/scheduling/tests/move_fleet.h
+++ b/packages/scheduling/tests/move_fleet.h
@@ -50,8 +50,9 @@
     {
         const auto number = static_cast<int>(this->workers.size());
         SimWorker worker;
-        worker.id = "w" + std::to_string(this->idOrder == IdOrder::Rising ? middleId + number
-                                                                         : middleId - number);
+        worker.id = "w"
+                    + std::to_string(this->idOrder == IdOrder::Rising ? middleId + number
+                                                                      : middleId - number);
         worker.born = ++this->births;
         worker.bornAt = now;
         this->workers.push_back(worker);
--- a/packages/scheduling/tests/move_order_calls.h
+++ b/packages/scheduling/tests/move_order_calls.h
@@ -11,7 +11,7 @@
         return lateness;
     if (!this->isHanging(id))
         return this->fleet.worker(id).isReached(this->now) ? std::optional(Duration::zero())
-                                                          : std::nullopt;
+                                                           : std::nullopt;
     if (this->dropsCalls.count(id) != 0)
         return std::nullopt;
     return this->hangUntil.at(id) - this->now;
@@ -53,7 +53,8 @@
     }
     next = Instant::max();
     const bool isSurvey = !leader->scheduler.findWorker(id)->surveyed;
-    this->awaitEnd(leader, *report, this->now, this->now + (isSurvey ? Duration::zero() : holdWait));
+    this->awaitEnd(leader, *report, this->now,
+                   this->now + (isSurvey ? Duration::zero() : holdWait));
 }
 
 inline void MoveOrderWorld::awaitEnd(const LeaderPointer &leader, const WorkerReport &report,
@@ -166,9 +167,11 @@
         const auto vm = static_cast<std::size_t>(std::stoul(order.vm.substr(2)));
         const bool isLost = this->takeArmed(MoveFault::VmOrderUnanswered);
         const bool isSlow = !isLost && this->takeArmed(MoveFault::VmOrderAnsweredLate);
-        const auto answer = isLost ? (this->carryOut(order, vm), FleetAnswer::NoAnswer)
-                                   : this->carryOut(order, vm);
-        this->later(isLost ? patience : isSlow ? lateVmAnswer : tickTime,
+        const auto answer =
+            isLost ? (this->carryOut(order, vm), FleetAnswer::NoAnswer) : this->carryOut(order, vm);
+        this->later(isLost   ? patience
+                    : isSlow ? lateVmAnswer
+                             : tickTime,
                     [this, leader, order, answer] {
                         if (leader->alive)
                             leader->planner.answered(order, answer, leader->scheduler, this->now);
--- a/packages/scheduling/tests/move_order_leader.h
+++ b/packages/scheduling/tests/move_order_leader.h
@@ -20,8 +20,8 @@
     configuration.services.push_back({MoveFleet::standby, true, true});
     leader->scheduler.setConfiguration(configuration);
     for (const auto &entry : this->jobTable) {
-        auto job = std::make_unique<Job>(entry.first, entry.second.spec,
-                                         terms(entry.second.queue), this->now);
+        auto job = std::make_unique<Job>(entry.first, entry.second.spec, terms(entry.second.queue),
+                                         this->now);
         job->inherited = fence > 1;
         if (const auto row = this->rows.find(entry.first); row != this->rows.end()) {
             job->restore(row->second);
@@ -41,12 +41,10 @@
             leader->scheduler.expectWorker(vm.worker, vm.pool);
         if (vm.state != VmState::Down)
             leader->scheduler.endEarlierIncarnations(
-                {vm.name, vm.pool, vm.worker, vm.state == VmState::Up}, listedBefore,
-                this->now);
+                {vm.name, vm.pool, vm.worker, vm.state == VmState::Up}, listedBefore, this->now);
     }
     leader->scheduler.knowsAllWorkers();
-    leader->planner.addWave({1, {"vm0", "vm2", "vm3"}, 10s, 1}, this->fleet.maintained,
-                            this->now);
+    leader->planner.addWave({1, {"vm0", "vm2", "vm3"}, 10s, 1}, this->fleet.maintained, this->now);
 }
 
 inline void MoveOrderWorld::readEntries(SimLeader &leader)
--- a/packages/scheduling/tests/move_order_world.h
+++ b/packages/scheduling/tests/move_order_world.h
@@ -1,6 +1,6 @@
 // Leaders, VMs of two pools and a standby pool, demand that moves between the pools, and a
-// maintenance wave on virtual time, where each fault strikes at a moment that the test sets. Answers
-// of workers take a while, and are lost if the VM is moved or maintained meanwhile.
+// maintenance wave on virtual time, where each fault strikes at a moment that the test sets.
+// Answers of workers take a while, and are lost if the VM is moved or maintained meanwhile.
 #pragma once
 
 #include "event_queue.h"
@@ -81,7 +81,8 @@
     static constexpr Duration storeTime = 300ms;
     static constexpr Duration slowStoreTime = 1s;
     static constexpr Duration storeSlowFor = 3s;
-    static constexpr Duration disruption = 8s; ///< a fault and the time after it that counts as near
+    static constexpr Duration disruption =
+        8s; ///< a fault and the time after it that counts as near
     static constexpr int workPeriod = 8; ///< ticks between two jobs
     static constexpr int turnPeriod = 24; ///< ticks until the work goes to the other pool
     static constexpr int lastWork = 100; ///< tick
@@ -202,17 +203,17 @@
 
     SimWorkerEvents eventsOf(const SimWorker &worker)
     {
-        return {[this, id = worker.id](const RunKey &key) { this->checkStart(id, key); },
-                [this] {
-                    const auto &job = this->jobTable.at(this->lastStarted.job);
-                    const auto longer = static_cast<int>(this->lastStarted.index) * tickTime;
-                    return SimRun{this->now + (job.spec.isLasting() ? 1h : taskTime + longer),
-                                  false};
-                },
-                [this](const TaskId &task, jobs::RunEnd end) { this->promises.ended(task, end); },
-                [this](const ListedEnd &end) {
-                    this->promises.noted(end);
-                }};
+        return {
+            [this, id = worker.id](const RunKey &key) { this->checkStart(id, key); },
+            [this] {
+                const auto &job = this->jobTable.at(this->lastStarted.job);
+                const auto longer = static_cast<int>(this->lastStarted.index) * tickTime;
+                return SimRun{this->now + (job.spec.isLasting() ? 1h : taskTime + longer), false};
+            },
+            [this](const TaskId &task, jobs::RunEnd end) { this->promises.ended(task, end); },
+            [this](const ListedEnd &end) {
+                this->promises.noted(end);
+            }};
     }
 
     void checkStart(const std::string &worker, const RunKey &key)
