--- /dev/null
+++ b/packages/scheduling/src/scheduler_answers.cpp
@@ -0,0 +1,88 @@
+// What the answers of workers to starts and stops lead to.
+#include <sassafrasferry/scheduling/scheduler.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace sassafrasferry::scheduling {
+
+void Scheduler::startAnswered(const StartOrder &order, OrderAnswer answer, Instant now)
+{
+    auto *worker = this->findWorker(order.worker);
+    auto *job = this->findJob(order.task.job);
+    auto *task = job ? job->find(order.task) : nullptr;
+    const RunKey key{order.task, order.run};
+    jobs::Run *run = nullptr;
+    for (std::size_t i = 0; task && i < task->runs.size(); ++i) {
+        if (task->runs[i].worker == order.worker && task->runs[i].number == order.run)
+            run = &task->runs[i];
+    }
+    if (answer != OrderAnswer::Accepted) {
+        this->note("start-refused", jobs::toString(order.task),
+                   absl::StrCat("run=", order.run, " worker=", order.worker,
+                                " why=", std::string(model::nameOf(answer))));
+    }
+    if (!worker)
+        return;
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        if (run) {
+            if (run->state != jobs::RunState::Stopping)
+                run->state = jobs::RunState::Confirmed;
+            run->settledAt = std::min(run->settledAt, now);
+            if (run->evidence == jobs::RunEvidence::None)
+                run->evidence = jobs::RunEvidence::Accepted;
+        }
+        if (job && job->state == JobState::Queued)
+            job->state = JobState::Running;
+        return;
+    case OrderAnswer::NoAnswer:
+        ++this->counters.unanswered;
+        if (run && run->state == jobs::RunState::Ordered)
+            run->state = jobs::RunState::Unanswered;
+        return;
+    case OrderAnswer::Fenced:
+        return;
+    case OrderAnswer::NoRoom:
+        ++this->counters.roomRefusals;
+        worker->fullUntil = now + this->times.roomBackOff;
+        break;
+    case OrderAnswer::Unhealthy:
+        worker->backOffUntil = now + this->times.healthBackOff;
+        break;
+    case OrderAnswer::Superseded:
+        // A higher number has ended there; one well above all of this leader's follows.
+        if (task)
+            task->lastRun += 100;
+        break;
+    case OrderAnswer::OtherIncarnation:
+        this->incarnationEnded(order.worker, EndEvidence::OtherIncarnation, now);
+        worker->listed = false;
+        break;
+    case OrderAnswer::Malformed:
+        worker->backOffUntil = now + this->times.healthBackOff;
+        break;
+    case OrderAnswer::NoTicket:
+    case OrderAnswer::Expired:
+    case OrderAnswer::NotSent:
+        break;
+    }
+    this->dropRun(*worker, key, now);
+}
+
+void Scheduler::stopAnswered(const StopOrder &order, OrderAnswer answer, Instant now)
+{
+    auto *job = this->findJob(order.task.job);
+    auto *task = job ? job->find(order.task) : nullptr;
+    if (answer == OrderAnswer::OtherIncarnation) {
+        this->incarnationEnded(order.worker, EndEvidence::OtherIncarnation, now);
+        return;
+    }
+    if (!task || answer != OrderAnswer::Accepted)
+        return;
+    for (auto &run : task->runs) {
+        if (run.worker == order.worker && run.number == order.run)
+            run.settledAt = std::min(run.settledAt, now);
+    }
+}
+
+} // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/stray_runs.cpp
+++ b/packages/scheduling/src/stray_runs.cpp
@@ -11,6 +11,39 @@
 // An accepted job is read within less, unless the store is slow.
 constexpr auto strayWait = std::chrono::seconds(1);
 
+// It has been asked to stop, so its task waits for its end.
+jobs::Run strayRun(const Worker &worker, std::int64_t number)
+{
+    jobs::Run run;
+    run.worker = worker.listing.id;
+    run.number = number;
+    run.state = jobs::RunState::Stopping;
+    run.orderedAt = worker.lastAnswer;
+    run.settledAt = worker.lastAnswer;
+    run.evidence = jobs::RunEvidence::Listed;
+    run.isResumed = true;
+    run.stopAskedAt = worker.lastAnswer;
+    return run;
+}
+
+/// Enters in the job what a worker has listed of it.
+void attachStrayRuns(Job &job, Worker &worker)
+{
+    const RunKey first{{job.id, 0, 0, 0}, 0};
+    for (auto at = worker.runs.lower_bound(first);
+         at != worker.runs.end() && at->first.task.job == job.id; ++at) {
+        const auto &key = at->first;
+        auto *task = job.find(key.task);
+        if (!task)
+            continue;
+        worker.used -= at->second;
+        at->second = job.spec.steps[key.task.step].footprint();
+        worker.used += at->second;
+        task->runs.push_back(strayRun(worker, key.number));
+        task->lastRun = std::max(task->lastRun, key.number);
+    }
+}
+
 } // namespace
 
 void Scheduler::noteStray(const std::string &job, Instant now)
@@ -31,7 +64,6 @@
     worker.pendingEnds.push_back({end.number, job, 0, isStray ? now + strayWait : Instant{}});
 }
 
-// What runs has been asked to stop, so its tasks wait for their end.
 void Scheduler::attachStrays(Job &job)
 {
     const auto stray = this->strays.find(job.id);
@@ -43,32 +75,11 @@
     }
     this->strays.erase(stray);
     for (auto &entry : this->workerTable) {
-        auto &worker = entry.second;
-        for (auto &end : worker.pendingEnds) {
+        for (auto &end : entry.second.pendingEnds) {
             if (end.job == job.id)
                 end.change = job.changes;
         }
-        const RunKey first{{job.id, 0, 0, 0}, 0};
-        for (auto at = worker.runs.lower_bound(first);
-             at != worker.runs.end() && at->first.task.job == job.id; ++at) {
-            auto *task = job.find(at->first.task);
-            if (!task)
-                continue;
-            worker.used -= at->second;
-            at->second = job.spec.steps[at->first.task.step].footprint();
-            worker.used += at->second;
-            jobs::Run run;
-            run.worker = entry.first;
-            run.number = at->first.number;
-            run.state = jobs::RunState::Stopping;
-            run.orderedAt = worker.lastAnswer;
-            run.settledAt = worker.lastAnswer;
-            run.evidence = jobs::RunEvidence::Listed;
-            run.isResumed = true;
-            run.stopAskedAt = worker.lastAnswer;
-            task->runs.push_back(run);
-            task->lastRun = std::max(task->lastRun, run.number);
-        }
+        attachStrayRuns(job, entry.second);
     }
 }
 
