Tasks of a worker whose address has another worker start elsewhere at once

Cause: a hold that another worker answers put off, each 0.1 s, the end of the lease that a next incarnation under the same id might have, and accepted starts that no report had listed were kept until then. Ruled out: that such a run may live on. A call names the id at an address; where another worker answers, no incarnation of that id is there. Change: all runs of the worker are over with that answer, and it says so once. Test: 'tasks of a worker whose address has another worker start elsewhere at once', 'accepted' seen failing before. 69 and 30 test cases pass.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -242,6 +242,7 @@
     Worker *choose(const Job &job, const jobs::Task &task, std::size_t occurrence, std::size_t step,
                    Round &round);
     void start(Job &job, const TaskId &id, Worker &worker, Round &round);
+    void noteEnded(const Worker &worker, EndEvidence evidence);
     void note(std::string event, std::string subject, std::string detail);
 
     SchedulerTimes times;
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -96,22 +96,35 @@
     this->allWorkersKnown = true;
 }
 
+void Scheduler::noteEnded(const Worker &worker, EndEvidence evidence)
+{
+    this->note("worker-ended", worker.listing.id,
+               absl::StrCat(
+                   "runs=", worker.runs.size(), " unrecorded-ends=", worker.pendingEnds.size(),
+                   " vm=", worker.listing.vm, " evidence=", std::string(model::nameOf(evidence))));
+}
+
 void Scheduler::incarnationEnded(const std::string &id, EndEvidence evidence, Instant now)
 {
     const auto at = this->workerTable.find(id);
     if (at == this->workerTable.end() || at->second.over)
         return;
     auto &worker = at->second;
-    this->note("worker-ended", id,
-               absl::StrCat(
-                   "runs=", worker.runs.size(), " unrecorded-ends=", worker.pendingEnds.size(),
-                   " vm=", worker.listing.vm, " evidence=", std::string(model::nameOf(evidence))));
-    // Calls that were sent before this may have reached the next incarnation. Its clock has begun
-    // anew, so the end of a lease by the former clock is far ahead, and the worker cuts it to the
-    // longest that it grants.
-    worker.formerLeaseUntil = now + this->longestBy(this->times.longestLease);
-    worker.inheritedUntil = std::max(this->leaseOverAt(worker), worker.formerLeaseUntil);
-    this->dropRunsOfIncarnation(worker, now);
+    // Another worker has the address: no call can have reached a next incarnation of this one.
+    const bool isGone = evidence == EndEvidence::OtherIncarnation;
+    if (!isGone || worker.surveyed || !worker.runs.empty())
+        this->noteEnded(worker, evidence);
+    if (isGone) {
+        worker.inheritedUntil = now;
+        this->dropAllRuns(worker, now);
+    } else {
+        // Calls that were sent before this may have reached the next incarnation. Its clock has
+        // begun anew, so the end of a lease by the former clock is far ahead, and the worker cuts
+        // it to the longest that it grants.
+        worker.formerLeaseUntil = now + this->longestBy(this->times.longestLease);
+        worker.inheritedUntil = std::max(this->leaseOverAt(worker), worker.formerLeaseUntil);
+        this->dropRunsOfIncarnation(worker, now);
+    }
     worker.surveyed = false;
     worker.clock = 0;
     worker.lastUntil = 0;
