A relay's answer to an earlier process is not taken for one of this process

Cause: calls through relays were numbered from 1 in each process and answers matched by number alone. After a leader was killed and led again from the same address, relays that lived on answered holds of the former process; each was taken for the answer of another worker, which seemed to run nothing, and its tasks were started elsewhere. Evidence: log of: lead at 31.63 s, no 'adopt' for i-1447c5c4a0, starts of its tasks elsewhere at 31.89 s, 'worker-ended' for it and others at 31.796 s, when the next report told another birth; its run went on to 35.8 s. Change: the numbers of a process begin at a random one of 64 bits. Test: 'An answer to a call of an earlier process answers no call of this one', seen failing before.

--- a/packages/coordination/include/sassafrasferry/coordination/call_relay.h
+++ b/packages/coordination/include/sassafrasferry/coordination/call_relay.h
@@ -63,7 +63,8 @@
     std::map<std::string, Instant> relays; // by address: when it was last heard
     std::map<std::string, messages::WorkerCalls> batches; // by address of the relay
     std::map<std::uint64_t, Pending> pending; // by number of the call
-    std::uint64_t lastNumber = 0;
+    /// Begins anywhere: a relay may answer calls of an earlier process at this address.
+    std::uint64_t lastNumber;
     bool flushing = false; // a flush is about to come
     bool expiring = false; // calls without an answer are looked for
 };
--- a/packages/coordination/src/call_relay.cpp
+++ b/packages/coordination/src/call_relay.cpp
@@ -4,6 +4,7 @@
 #include <sassafrasferry/http/await_callback.h>
 
 #include <algorithm>
+#include <random>
 
 #include <glog/logging.h>
 #include <xxhash.h>
@@ -36,6 +37,12 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+std::uint64_t anyNumber()
+{
+    std::random_device random;
+    return std::uint64_t(random()) << 32 | random();
+}
+
 } // namespace
 
 messages::WorkerCall holdCall(const HoldRequest &request)
@@ -120,6 +127,7 @@
     : executor(std::move(executor))
     , self(std::move(self))
     , send(std::move(send))
+    , lastNumber(anyNumber())
 {}
 
 void CallRelay::heard(const model::Endpoint &peer)
--- /dev/null
+++ b/packages/coordination/src/call_relay_test.cpp
@@ -0,0 +1,77 @@
+// Answers that relays send to the leader's end.
+#include <sassafrasferry/coordination/call_relay.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace sassafrasferry;
+using namespace sassafrasferry::coordination;
+
+namespace {
+
+/// The leader's end of one process at an address, and the calls that it has sent.
+struct Process
+{
+    explicit Process(http::asio::io_context &context)
+        : relay(context.get_executor(), {"127.0.0.1", 7060},
+                [this](const model::Endpoint &, const messages::JobEnvelope &envelope) {
+                    this->sent.push_back(envelope.calls());
+                    return true;
+                })
+    {
+        this->relay.heard({"127.0.0.2", 7060});
+    }
+
+    void call(http::asio::io_context &context)
+    {
+        spawn(context.get_executor(), "call", [this]() -> Awaitable<void> {
+            auto record = holdCall(HoldRequest{});
+            record.set_worker("w");
+            const auto answer = co_await this->relay.call(std::move(record), patience);
+            this->answers.push_back(static_cast<scheduling::OrderAnswer>(answer.answer()));
+        });
+        context.restart();
+        context.run_for(std::chrono::milliseconds(20));
+    }
+
+    static constexpr std::chrono::milliseconds patience{1000};
+
+    CallRelay relay;
+    std::vector<messages::WorkerCalls> sent;
+    std::vector<scheduling::OrderAnswer> answers;
+};
+
+messages::WorkerCallAnswers acceptedAnswersTo(const messages::WorkerCalls &calls)
+{
+    messages::WorkerCallAnswers answers;
+    for (const auto &call : calls.calls()) {
+        auto &answer = *answers.add_answers();
+        answer.set_number(call.number());
+        answer.set_answer(static_cast<std::uint32_t>(scheduling::OrderAnswer::Accepted));
+    }
+    return answers;
+}
+
+} // namespace
+
+// Guards against the report of one worker taken for another's: a relay answered a call of the
+// process before at this address, and numbers of calls began anew with each process.
+TEST_CASE("An answer to a call of an earlier process answers no call of this one")
+{
+    http::asio::io_context context;
+    Process former(context);
+    Process present(context);
+    former.call(context);
+    present.call(context);
+    REQUIRE(former.sent.size() == 1);
+    REQUIRE(present.sent.size() == 1);
+    present.relay.take(acceptedAnswersTo(former.sent[0]));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(20));
+    CHECK(present.answers.empty());
+    present.relay.take(acceptedAnswersTo(present.sent[0]));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(20));
+    CHECK(present.answers.size() == 1);
+}
