An answer to a question of an earlier process is not taken for another job's

Callers could see: the state of a stranger's job, or a job told as stored that is not, after an entry VM was killed and came back. Change: one kind of numbers for both, which begins at a random one in each process. Test: 'Numbers of two processes at one address do not meet'; without the random beginning it fails by construction, that was not run.

--- a/packages/coordination/include/sassafrasferry/coordination/call_relay.h
+++ b/packages/coordination/include/sassafrasferry/coordination/call_relay.h
@@ -4,6 +4,7 @@
 // answer, and the fence and the end of the lease that it carries bound it wherever it is made.
 #pragma once
 
+#include <sassafrasferry/coordination/call_numbers.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/timing.h>
 #include <sassafrasferry/coordination/worker_calls.h>
@@ -63,8 +64,7 @@
     std::map<std::string, Instant> relays; // by address: when it was last heard
     std::map<std::string, messages::WorkerCalls> batches; // by address of the relay
     std::map<std::uint64_t, Pending> pending; // by number of the call
-    /// Begins anywhere: a relay may answer calls of an earlier process at this address.
-    std::uint64_t lastNumber;
+    CallNumbers numbers;
     bool flushing = false; // a flush is about to come
     bool expiring = false; // calls without an answer are looked for
 };
--- a/packages/coordination/include/sassafrasferry/coordination/job_desk.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_desk.h
@@ -1,6 +1,7 @@
 // Questions about jobs between entry VMs: whoever does not lead asks the one that does.
 #pragma once
 
+#include <sassafrasferry/coordination/call_numbers.h>
 #include <sassafrasferry/coordination/timing.h>
 #include <sassafrasferry/messages/jobs.pb.h>
 #include <sassafrasferry/peer/message_port.h>
@@ -50,7 +51,7 @@
     OnHandIn onHandIn;
     OnEnvelope onOther;
     peer::MessagePort port;
-    std::uint64_t lastNumber = 0;
+    CallNumbers numbers;
     std::map<std::uint64_t, Pending> pending; // by number of the question
 };
 
--- a/packages/coordination/src/call_relay.cpp
+++ b/packages/coordination/src/call_relay.cpp
@@ -4,7 +4,6 @@
 #include <sassafrasferry/http/await_callback.h>
 
 #include <algorithm>
-#include <random>
 
 #include <glog/logging.h>
 #include <xxhash.h>
@@ -37,12 +36,6 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
-std::uint64_t anyNumber()
-{
-    std::random_device random;
-    return std::uint64_t(random()) << 32 | random();
-}
-
 } // namespace
 
 messages::WorkerCall holdCall(const HoldRequest &request)
@@ -127,7 +120,6 @@
     : executor(std::move(executor))
     , self(std::move(self))
     , send(std::move(send))
-    , lastNumber(anyNumber())
 {}
 
 void CallRelay::heard(const model::Endpoint &peer)
@@ -173,7 +165,7 @@
             done(std::move(answer));
             return;
         }
-        const auto number = ++this->lastNumber;
+        const auto number = this->numbers.next();
         call.set_number(number);
         this->pending[number] = {done, bootNow() + timeout};
         *this->batches[*relay].add_calls() = std::move(call);
--- a/packages/coordination/src/call_relay_test.cpp
+++ b/packages/coordination/src/call_relay_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace sassafrasferry;
 using namespace sassafrasferry::coordination;
 
@@ -75,3 +77,17 @@
     context.run_for(std::chrono::milliseconds(20));
     CHECK(present.answers.size() == 1);
 }
+
+// Guards against the same for questions about jobs, whose answers are matched by the same numbers.
+TEST_CASE("Numbers of two processes at one address do not meet")
+{
+    constexpr int calls = 1000;
+    CallNumbers former;
+    CallNumbers present;
+    std::set<std::uint64_t> numbers;
+    for (int i = 0; i < calls; ++i) {
+        numbers.insert(former.next());
+        numbers.insert(present.next());
+    }
+    CHECK(numbers.size() == 2 * calls);
+}
--- a/packages/coordination/src/job_desk.cpp
+++ b/packages/coordination/src/job_desk.cpp
@@ -27,7 +27,7 @@
                                         Duration timeout)
 {
     co_return co_await http::awaitCallback<Answer>([&](auto done) {
-        const auto number = ++this->lastNumber;
+        const auto number = this->numbers.next();
         question.set_number(number);
         question.set_address(model::toString(this->self));
         auto timer = std::make_shared<http::asio::steady_timer>(this->context, timeout);
