--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -265,3 +265,37 @@
     CHECK(load.lasting.cpu == 2000);
     CHECK(load.running.cpu == 3000);
 }
+
+// Guards against tasks that wait for a worker that is gone: each call to its address, which another
+// worker has now, put the end of its lease off again.
+TEST_CASE("tasks of a worker whose address has another worker start elsewhere at once")
+{
+    struct Case
+    {
+        const char *name;
+        OrderAnswer answer;
+        bool isListed;
+    };
+    const std::vector<Case> cases{
+        {"accepted", OrderAnswer::Accepted, false},
+        {"accepted and listed", OrderAnswer::Accepted, true},
+        {"without an answer", OrderAnswer::NoAnswer, false},
+    };
+    for (const auto &row : cases) {
+        INFO(row.name);
+        Bench bench(2);
+        bench.reportAll(2);
+        bench.add("j", {stepOf(1)});
+        const auto first = bench.plan().starts.at(0);
+        bench.scheduler.startAnswered(first, row.answer, bench.now);
+        if (row.isListed)
+            bench.report(first.worker, {{first.task, first.run, "", 100, 0}});
+        bench.scheduler.incarnationEnded(first.worker, EndEvidence::OtherIncarnation, bench.now);
+        const auto again = bench.plan().starts;
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].worker != first.worker);
+        bench.scheduler.takeNotes();
+        bench.scheduler.incarnationEnded(first.worker, EndEvidence::OtherIncarnation, bench.now);
+        CHECK(bench.scheduler.takeNotes().empty());
+    }
+}
