--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -392,6 +392,9 @@
         leaderOptions.sinceConfirmed = [this] {
             return this->leadership.sinceConfirmed();
         };
+        leaderOptions.leaseVersion = [this] {
+            return this->leadership.leaseVersion();
+        };
         leaderOptions.onDeposed = [this](const std::string &why) {
             this->leadership.deposed(why);
         };
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -10,6 +10,7 @@
 #include <sassafrasferry/coordination/job_recorder.h>
 #include <sassafrasferry/coordination/leadership.h>
 #include <sassafrasferry/coordination/load_watch.h>
+#include <sassafrasferry/coordination/loop_watch.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/table_follower.h>
 #include <sassafrasferry/coordination/vm_survey.h>
@@ -37,6 +38,7 @@
         std::function<void(const std::string &why)> onDeposed;
         OnFailure onFailed; ///< called when this process can't lead at present
         std::function<Duration()> sinceConfirmed; ///< time since the store last confirmed the lease
+        std::function<std::int64_t()> leaseVersion; ///< of the lease row, for the log
         RelayClient *relay = nullptr; ///< relays the calls to workers when there are many of them
         Duration orderLimit{}; ///< no order is given this long after the last confirmation
         /// Records the VMs of the next orders for a successor. The orders are given only if it
@@ -69,6 +71,8 @@
         this->spawnPart("lead", [self = this->shared_from_this()] { return self->run(); });
         this->spawnPart("load-watch",
                         [self = this->shared_from_this()] { return watchLoad(self->loadWatch()); });
+        this->spawnPart("loop-watch",
+                        [self = this->shared_from_this()] { return self->logLoop(); });
     }
 
     /// Stops giving orders and recording.
@@ -129,6 +133,8 @@
     }
 
 private:
+    using milliseconds = std::chrono::milliseconds;
+
     static scheduling::SchedulerTimes timesFor(const Options &options, const Tenure &tenure)
     {
         auto times = options.times;
@@ -367,6 +373,7 @@
             const auto begin = bootNow();
             this->roster->give(this->scheduler.plan(begin, http::unixNow()));
             this->lastPlanDuration = bootNow() - begin;
+            this->loopFigures.addRound(this->lastPlanDuration);
             logRound(this->scheduler.takeNotes(), begin);
             if (this->scheduler.hasDirty())
                 this->recorder->wake();
@@ -374,6 +381,26 @@
         }
     }
 
+    // Tells a busy event loop, long planning rounds and a reader that is behind the store apart.
+    Awaitable<void> logLoop()
+    {
+        while (!this->stopped) {
+            co_await measureLoop(this->loopFigures, loadPeriod);
+            const auto follower = this->intakeFollower;
+            if (this->stopped || !follower)
+                continue;
+            auto &figures = this->loopFigures;
+            LOG(INFO) << "event=leader-loop delay-ms=" << figures.maxDelay / milliseconds(1)
+                      << " rounds=" << figures.rounds
+                      << " rounds-ms=" << figures.roundTime / milliseconds(1)
+                      << " max-round-ms=" << figures.maxRound / milliseconds(1)
+                      << " intake-rows=" << follower->feedRows()
+                      << " intake-version=" << follower->readVersion() << " lease-version="
+                      << (this->options.leaseVersion ? this->options.leaseVersion() : 0);
+            figures = {};
+        }
+    }
+
     void logLoadsPeriodically(Instant now)
     {
         if (now - this->loadsLoggedAt < loadPeriod)
@@ -402,6 +429,7 @@
     Instant loadsLoggedAt{};
     std::size_t listedWorkers = 0; // updated once a second
     Duration lastPlanDuration{}; // duration of the last planning round
+    LoopFigures loopFigures; // since the last line about the event loop
     std::size_t loadSteps = 0; // number of table reads completed so far
     bool knowsWorkers = false;
     bool stopped = false;
--- a/packages/coordination/include/sassafrasferry/coordination/table_follower.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_follower.h
@@ -52,6 +52,18 @@
         return this->answeredAt;
     }
 
+    /// All changes up to this version of the store have been passed to `onRows`.
+    std::int64_t readVersion() const
+    {
+        return this->version;
+    }
+
+    /// Rows that the feed has brought since the start.
+    std::size_t feedRows() const
+    {
+        return this->fedRows;
+    }
+
     /// Reads the whole table now; false if the store doesn't answer.
     Awaitable<bool> refresh()
     {
@@ -117,6 +129,7 @@
                 continue;
             }
             this->version = std::max(this->version, page->version);
+            this->fedRows += page->rows.size();
             if (!page->rows.empty())
                 this->onRows(page->rows, false);
             if (this->options.pause.count() > 0)
@@ -138,6 +151,7 @@
     OnRows onRows;
     std::int64_t version = store::absent; // all changes up to this version were passed to `onRows`
     Instant answeredAt{};
+    std::size_t fedRows = 0;
     bool isStoreReachable = true;
     bool stopped = false;
 };
--- a/packages/http/include/sassafrasferry/http/client.h
+++ b/packages/http/include/sassafrasferry/http/client.h
@@ -6,7 +6,10 @@
 
 #include <absl/status/status.h>
 
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
 #include <functional>
@@ -22,12 +25,22 @@
     Answered, ///< there is a whole answer
 };
 
+/// How an answer was received.
+struct AnswerReception
+{
+    std::chrono::steady_clock::duration toFirstRead{}; ///< from the call to the first bytes
+    std::chrono::steady_clock::duration toEnd{}; ///< from the call to the whole answer
+    std::size_t reads = 0; ///< reads of the socket; between two of them other handlers may run
+    std::size_t bytes = 0; ///< header and body
+};
+
 /// What became of one request.
 struct Exchange
 {
     ExchangeState state = ExchangeState::NotSent;
     absl::Status status; ///< the error, if not answered
     Response response; ///< whole, if answered
+    AnswerReception reception; ///< of the bytes that arrived
 };
 
 /// Bytes that a client has moved, headers included.
@@ -81,7 +94,13 @@
         std::chrono::steady_clock::time_point since{};
     };
 
+    using Parser = beast::http::response_parser<beast::http::string_body>;
+
     std::unique_ptr<Stream> takeIdle();
+    /// Reads one answer. `called`: when the exchange began.
+    Awaitable<beast::error_code> receive(Stream &stream, beast::flat_buffer &buffer, Parser &parser,
+                                         AnswerReception &reception,
+                                         std::chrono::steady_clock::time_point called);
 
     asio::any_io_executor executor;
     model::Endpoint address;
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -77,13 +77,31 @@
     return nullptr;
 }
 
+Awaitable<beast::error_code> Client::receive(Stream &stream, beast::flat_buffer &buffer,
+                                             Parser &parser, AnswerReception &reception,
+                                             Clock::time_point called)
+{
+    beast::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    while (!error && !parser.is_done()) {
+        const auto bytes = co_await beast::http::async_read_some(stream, buffer, parser, token);
+        reception.bytes += bytes;
+        if (++reception.reads == 1)
+            reception.toFirstRead = Clock::now() - called;
+    }
+    reception.toEnd = Clock::now() - called;
+    this->moved.received += reception.bytes;
+    co_return error;
+}
+
 Awaitable<Exchange> Client::exchange(Request request, std::chrono::milliseconds timeout,
                                      std::shared_ptr<Abort> abort)
 {
     Exchange result;
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
-    const auto deadline = Clock::now() + timeout;
+    const auto called = Clock::now();
+    const auto deadline = called + timeout;
     auto stream = this->takeIdle();
     const bool isFresh = !stream;
     if (isFresh)
@@ -115,10 +133,10 @@
         this->moved.sent += co_await beast::http::async_write(*stream, request, token);
     }
     beast::flat_buffer buffer;
-    beast::http::response_parser<beast::http::string_body> parser;
+    Parser parser;
     parser.body_limit(this->options.answerBytes);
     if (!error)
-        this->moved.received += co_await beast::http::async_read(*stream, buffer, parser, token);
+        error = co_await this->receive(*stream, buffer, parser, result.reception, called);
     if (abort)
         abort->close = nullptr;
     if (error) {
