A start that waited in its session is sent only if it is still wanted

Cause: WorkerSession sends two orders at a time, so a start may wait behind unanswered ones for up to startExpiry (1.5 s). send(StartOrder) asked only for the worker's lease, the expiry and the leader's own lease. A start was therefore sent although its leader had meanwhile learned that the job is cancelled or otherwise final, or that the worker drains, is unlisted, evacuated or moved to another service.

Change: Scheduler::isStartWanted, free of I/O, asked just before sending: the job is known and not final, the task is not done, its run on this worker still has the state Ordered, and, unless the step is a gang, the worker is listed, not draining, not evacuated, its VM has no open order, and its service is the job's. Members of a gang stay wanted on such workers, since the others would wait for them. Back-offs, cordons and answer timeouts don't count: they are reasons not to plan a start. takesWork shares the part about the worker, so plan does not choose a worker again from which a start was just withdrawn. A withdrawn start counts as NotSent, which frees the room and the task; a stop that was already requested for the run has no effect on the next one.

--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -207,7 +207,9 @@
         const auto now = bootNow();
         auto answer = scheduling::OrderAnswer::NotSent;
         const auto until = this->scheduler.leaseUntil(this->id, now);
-        if (until && now < order.expires && this->events.canOrder())
+        // The order may have waited while its job or its worker changed.
+        if (until && now < order.expires && this->scheduler.isStartWanted(order)
+            && this->events.canOrder())
             answer = co_await this->calls->start(order, *until, this->fence);
         if (this->stopped)
             co_return;
--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -1,5 +1,5 @@
-// Tests which ends of runs a session acknowledges to which incarnation of a worker: a worker may
-// restart and keep its id at any time.
+// Tests which ends of runs a session acknowledges to which incarnation of a worker, which may
+// restart and keep its id at any time, and which starts a session withdraws.
 #include <sassafrasferry/coordination/worker_session.h>
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +26,8 @@
     std::vector<std::int64_t> unread; ///< numbers of ends that were dropped without being listed
     std::set<std::pair<std::int64_t, std::int64_t>> listed; ///< listed ends: born and number
     std::function<OrderAnswer(std::size_t call)> onHold; ///< called before each hold takes effect
+    std::vector<std::string> starts; ///< jobs of the starts that were sent, in order
+    std::chrono::milliseconds startTime{0}; ///< until a start is answered
 
     HoldAnswer execute(const HoldRequest &request)
     {
@@ -78,8 +80,10 @@
         co_return result;
     }
 
-    Awaitable<OrderAnswer> start(const scheduling::StartOrder &, std::int64_t, std::int64_t)
+    Awaitable<OrderAnswer> start(const scheduling::StartOrder &order, std::int64_t, std::int64_t)
     {
+        this->worker->starts.push_back(order.task.job);
+        co_await pause(this->worker->startTime);
         co_return OrderAnswer::Accepted;
     }
 
@@ -188,3 +192,62 @@
     CHECK(worker.unread.empty());
     CHECK(fixture.scheduler.findWorker(workerId)->endsRecorded == 2);
 }
+
+// Guards against tasks that start after the cancellation of their job was acknowledged, and on
+// workers that drain: their starts waited behind unanswered ones meanwhile.
+TEST_CASE("a start that waited in its session is sent only if it is still wanted")
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(scheduling::Scheduler &)> change;
+        bool isSent;
+    };
+    const auto listAgain = [](scheduling::Scheduler &scheduler, bool draining,
+                              const char *service) {
+        auto listing = scheduler.findWorker(workerId)->listing;
+        listing.draining = draining;
+        listing.service = service;
+        scheduler.listWorker(listing, bootNow());
+    };
+    const auto row = GENERATE_COPY(
+        Case{"nothing changes", [](scheduling::Scheduler &) {}, true},
+        Case{"its job is cancelled", [](auto &scheduler) { scheduler.cancelJob("queued"); }, false},
+        Case{"its worker drains", [&](auto &scheduler) { listAgain(scheduler, true, "s"); }, false},
+        Case{"its worker changes service",
+             [&](auto &scheduler) { listAgain(scheduler, false, "t"); }, false},
+        Case{"its worker is unlisted", [](auto &scheduler) { scheduler.unlistWorker(workerId); },
+             false},
+        Case{"its worker is evacuated",
+             [](auto &scheduler) { scheduler.evacuate(workerId, false, bootNow()); }, false});
+    CAPTURE(row.name);
+    ScriptedWorker worker;
+    worker.startTime = std::chrono::milliseconds(20);
+    SessionFixture fixture(worker);
+    auto &scheduler = fixture.scheduler;
+    auto listing = scheduler.findWorker(workerId)->listing;
+    listing.service = "s";
+    listing.capacity = {4000, 1000, 0};
+    scheduler.listWorker(listing, bootNow());
+    scheduler.report({workerId, firstBorn, 1000, {}, {}}, bootNow(), bootNow());
+    jobs::StepSpec step;
+    step.count = 1;
+    step.need = {1000, 10, 0};
+    const jobs::QueueTerms terms{"q", "s", 0, 3, 2, std::chrono::milliseconds(600)};
+    // The session sends two orders at a time.
+    for (const auto *id : {"first", "second", "queued"}) {
+        scheduler.addJob(std::make_unique<jobs::Job>(
+            id, jobs::JobSpec{"", {step}, 0, 0, std::chrono::milliseconds(0)}, terms, bootNow()));
+        for (auto &order : scheduler.plan(bootNow(), 0).starts)
+            fixture.session->order(std::move(order));
+    }
+    while (worker.starts.size() < 2)
+        fixture.context.run_one();
+    row.change(scheduler);
+    fixture.context.run();
+    const std::vector<std::string> sent{"first", "second", "queued"};
+    CHECK(worker.starts == std::vector<std::string>(sent.begin(), sent.end() - !row.isSent));
+    CHECK(scheduler.findJob("queued")->hasRuns() == row.isSent);
+    CHECK(scheduler.findWorker(workerId)->runs.size() == worker.starts.size());
+    fixture.session->stop();
+}
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -171,6 +171,10 @@
 
     // Orders.
     Orders plan(Instant now, UnixMilliseconds unixNow);
+    /// False if a start that was not sent yet must not be sent any more: its run is no longer
+    /// expected, or its worker gets no new tasks. Members of a gang are sent to such a worker too,
+    /// since the others would wait for them.
+    bool isStartWanted(const StartOrder &order) const;
     void startAnswered(const StartOrder &order, OrderAnswer answer, Instant now);
     void stopAnswered(const StopOrder &order, OrderAnswer answer, Instant now);
     /// Adds a stop of the run to the orders of the next `plan`.
@@ -240,6 +244,8 @@
     bool isReconciled(const std::string &service, Instant now) const;
     /// True if tasks of the job may run on a worker that has not reported to this leader yet.
     bool canHaveUnreportedRuns(const Job &job) const;
+    /// True if the worker is listed and will neither be drained nor evacuated nor moved.
+    bool isStaying(const Worker &worker) const;
     bool takesWork(const Worker &worker, Instant now) const;
     std::int64_t leaseTerm() const; ///< milliseconds, by a worker's clock
     Instant leaseExpiry(const Worker &worker) const;
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -1,4 +1,5 @@
-// The scheduler's interface to fleet planning: evacuation of workers, and the load of services.
+// The scheduler's interface to fleet planning: evacuation of workers, starts that are withdrawn
+// from them, and the load of services.
 #include <sassafrasferry/scheduling/scheduler.h>
 
 #include <algorithm>
@@ -82,6 +83,33 @@
     this->heldVms.erase(vm);
 }
 
+bool Scheduler::isStaying(const Worker &worker) const
+{
+    return worker.listed && !worker.listing.draining && !worker.evacuating
+           && this->heldVms.count(worker.listing.vm) == 0;
+}
+
+bool Scheduler::isStartWanted(const StartOrder &order) const
+{
+    const auto job = this->jobs.find(order.task.job);
+    const auto worker = this->workerTable.find(order.worker);
+    if (job == this->jobs.end() || worker == this->workerTable.end()
+        || jobs::isFinal(job->second->state))
+        return false;
+    const auto *task = job->second->find(order.task);
+    const bool isExpected =
+        task && !task->done
+        && std::any_of(task->runs.begin(), task->runs.end(), [&](const jobs::Run &run) {
+               return run.worker == order.worker && run.number == order.run
+                      && run.state == jobs::RunState::Ordered;
+           });
+    if (!isExpected)
+        return false;
+    const auto &listing = worker->second.listing;
+    return job->second->spec.steps[order.task.step].gang
+           || (this->isStaying(worker->second) && listing.service == this->serviceOf(*job->second));
+}
+
 bool Scheduler::hasLastingRuns(const Worker &worker)
 {
     return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto &entry) {
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -78,8 +78,7 @@
 
 bool Scheduler::takesWork(const Worker &worker, Instant now) const
 {
-    return worker.listed && worker.hasReported && !worker.listing.draining && !worker.evacuating
-           && !worker.cordoned && this->heldVms.count(worker.listing.vm) == 0
+    return this->isStaying(worker) && worker.hasReported && !worker.cordoned
            && worker.hasAnsweredWithin(now, this->times.answerTimeout) && now >= worker.backOffUntil
            && now >= worker.fullUntil;
 }
