Counts and starts by the age of the rows that were read

Cause: the leader took the store's confirmation of its lease for the age of all that it knew. The lease is one small write; the jobs and cancellations come through a feed that can be seconds behind it: read slowly, unanswered, failing.

Fix: ReadIndex keeps the moments at which the store confirmed the lease, with their versions. What the store acknowledged to anybody before such a moment has a lower version, so a reader that has all changes up to it has everything acknowledged before that moment; it is this version of the feed that proves an age, not any answer. Starts pause, stops and leases go on, while jobs or workers' entries are read 2 s or more behind the last confirmation; in an outage of the store nothing is behind, so starts go on until the order limit as before. Feeds answer after 0.5 s without changes (2.5 s), so that a calm leader can prove its age. A lost history no longer forgets what was read.

--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -147,10 +147,11 @@
     // Not ready after this time without an answer from the store. The feed of the operators' table
     // answers at least this often while the store is reachable.
     static constexpr auto maxStoreSilence = std::chrono::milliseconds(4500);
-    // Pending counts are answered, and the lease is handed to a stronger entry VM, only if the
-    // store confirmed the lease within this time: a leader that is not confirmed may miss jobs that
-    // other entry VMs accepted.
+    // The lease is handed to a stronger entry VM only if the store confirmed it within this time.
     static constexpr auto maxConfirmationAge = std::chrono::milliseconds(1500);
+    // A pending count may be two seconds old when its caller gets it. The rest of that time is for
+    // the answer's way through another entry VM.
+    static constexpr auto maxCountAge = std::chrono::milliseconds(1700);
     static constexpr auto helloPeriod = std::chrono::milliseconds(250);
     static constexpr auto questionTimeout = std::chrono::milliseconds(400);
     static constexpr Duration maxHandInWait = std::chrono::milliseconds(900);
@@ -290,8 +291,7 @@
 
     Awaitable<http::Response> pending(const scheduling::Queue &queue)
     {
-        if (this->leader && this->leader->isReady()
-            && this->leadership.sinceConfirmed() < maxConfirmationAge)
+        if (this->leader && this->leader->isReady() && this->leader->intakeAge() < maxCountAge)
             co_return pendingResponse(this->leader->jobs().pendingJobCount(queue.terms.queue));
         if (const auto address = this->otherLeader()) {
             messages::JobQuestion question;
@@ -326,7 +326,7 @@
         answer.set_ready(this->leader && this->leader->isReady());
         if (!answer.ready())
             return answer;
-        answer.set_counts(this->leadership.sinceConfirmed() < maxConfirmationAge);
+        answer.set_counts(this->leader->intakeAge() < maxCountAge);
         auto &jobs = this->leader->jobs();
         if (!question.job().empty())
             answer.set_state(static_cast<std::uint32_t>(jobs.stateOf(question.job())));
@@ -395,6 +395,9 @@
         leaderOptions.leaseVersion = [this] {
             return this->leadership.leaseVersion();
         };
+        leaderOptions.confirmations = [this]() -> const ReadIndex & {
+            return this->leadership.confirmations();
+        };
         leaderOptions.onDeposed = [this](const std::string &why) {
             this->leadership.deposed(why);
         };
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -39,6 +39,11 @@
         OnFailure onFailed; ///< called when this process can't lead at present
         std::function<Duration()> sinceConfirmed; ///< time since the store last confirmed the lease
         std::function<std::int64_t()> leaseVersion; ///< of the lease row, for the log
+        /// Returns the moments at which the store confirmed the lease.
+        std::function<const ReadIndex &()> confirmations = []() -> const ReadIndex & {
+            static const ReadIndex none;
+            return none;
+        };
         RelayClient *relay = nullptr; ///< relays the calls to workers when there are many of them
         Duration orderLimit{}; ///< no order is given this long after the last confirmation
         /// Records the VMs of the next orders for a successor. The orders are given only if it
@@ -132,6 +137,12 @@
         return this->scheduler;
     }
 
+    /// Time since which jobs and cancellations that the store acknowledged may be unknown here.
+    Duration intakeAge() const
+    {
+        return bootNow() - this->coveredUntil(this->intakeFollower);
+    }
+
 private:
     using milliseconds = std::chrono::milliseconds;
 
@@ -167,6 +178,11 @@
     // Delay between reads of the worker entries, and so of the news of a drain. Workers write their
     // entries every one or two seconds.
     static constexpr std::chrono::milliseconds listPause{250};
+    // Of the feeds of jobs and workers. A feed without changes proves that there were none only
+    // when it answers, and pending counts must be less than two seconds old.
+    static constexpr std::chrono::milliseconds feedWait{500};
+    // Less than the time after which a cancelled job's tasks must not start (3 s).
+    static constexpr Duration maxReadLag = std::chrono::milliseconds(2000);
 
     template<typename Body>
     void spawnPart(std::string_view name, Body body)
@@ -215,7 +231,7 @@
         if (!isLoaded)
             co_return;
         this->intakeFollower = std::make_shared<TableFollower<Store>>(
-            this->store, FollowOptions{table::intake, allJobParts()},
+            this->store, FollowOptions{table::intake, allJobParts(), feedWait},
             [self](const auto &rows, bool) { self->takeIntake(rows); });
         // Workers are called only after all jobs are loaded. Otherwise this leader would stop the
         // runs of jobs that it does not know, and acknowledge their ends, which are then lost.
@@ -227,8 +243,7 @@
         this->beginRoster();
         this->workerFollower = std::make_shared<TableFollower<Store>>(
             this->store,
-            FollowOptions{
-                Platform::workerTable(), {""}, std::chrono::milliseconds(2500), listPause},
+            FollowOptions{Platform::workerTable(), {""}, feedWait, listPause},
             [self](const auto &rows, bool isWhole) { self->takeWorkers(rows, isWhole); });
         const auto readEntries = this->workerFollower;
         const bool knowsEntries = co_await readEntries->refreshUntilRead();
@@ -270,6 +285,24 @@
         return this->options.sinceConfirmed() < this->options.orderLimit;
     }
 
+    using Follower = std::shared_ptr<TableFollower<Store>>;
+
+    Instant coveredUntil(const Follower &follower) const
+    {
+        return follower ? this->options.confirmations().coveredUntil(follower->readVersion())
+                        : Instant{};
+    }
+
+    // While the store confirms the lease, other entry VMs can store cancellations and workers can
+    // report that they drain. Starts then pause while the rows read here are too old to tell. While
+    // the store confirms nothing, no row is behind the last confirmation, and starts go on.
+    bool canStart() const
+    {
+        const auto newest = this->options.confirmations().newest();
+        return this->canOrder() && newest - this->coveredUntil(this->intakeFollower) < maxReadLag
+               && newest - this->coveredUntil(this->workerFollower) < maxReadLag;
+    }
+
     void beginFleet()
     {
         auto self = this->shared_from_this();
@@ -345,6 +378,9 @@
         events.canOrder = [self] {
             return self->canOrder();
         };
+        events.canStart = [self] {
+            return self->canStart();
+        };
         const auto makeWorker = [self](const std::string &id, const model::Endpoint &address) {
             return std::make_unique<Worker>(self->executor, id, address,
                                             [self] { return self->relay(); });
@@ -371,7 +407,9 @@
             if (!this->isReady() || !this->canOrder())
                 continue;
             const auto begin = bootNow();
-            this->roster->give(this->scheduler.plan(begin, http::unixNow()));
+            this->noteStartsAllowed(this->canStart());
+            this->roster->give(this->startsAllowed ? this->scheduler.plan(begin, http::unixNow())
+                                                   : this->scheduler.planStops(begin));
             this->lastPlanDuration = bootNow() - begin;
             this->loopFigures.addRound(this->lastPlanDuration);
             logRound(this->scheduler.takeNotes(), begin);
@@ -381,15 +419,29 @@
         }
     }
 
+    void noteStartsAllowed(bool areAllowed)
+    {
+        if (areAllowed == this->startsAllowed)
+            return;
+        this->startsAllowed = areAllowed;
+        const auto newest = this->options.confirmations().newest();
+        LOG(WARNING) << "event=starts-" << (areAllowed ? "resumed" : "paused") << " intake-lag-ms="
+                     << (newest - this->coveredUntil(this->intakeFollower)) / milliseconds(1)
+                     << " workers-lag-ms="
+                     << (newest - this->coveredUntil(this->workerFollower)) / milliseconds(1);
+    }
+
     // Tells a busy event loop, long planning rounds and a reader that is behind the store apart.
     Awaitable<void> logLoop()
     {
+        auto loggedAt = bootNow();
         while (!this->stopped) {
-            co_await measureLoop(this->loopFigures, loadPeriod);
+            auto &figures = this->loopFigures;
+            co_await measureDelay(figures);
             const auto follower = this->intakeFollower;
-            if (this->stopped || !follower)
+            if (this->stopped || !follower || bootNow() - loggedAt < loadPeriod)
                 continue;
-            auto &figures = this->loopFigures;
+            loggedAt = bootNow();
             LOG(INFO) << "event=leader-loop delay-ms=" << figures.maxDelay / milliseconds(1)
                       << " rounds=" << figures.rounds
                       << " rounds-ms=" << figures.roundTime / milliseconds(1)
@@ -432,6 +484,7 @@
     LoopFigures loopFigures; // since the last line about the event loop
     std::size_t loadSteps = 0; // number of table reads completed so far
     bool knowsWorkers = false;
+    bool startsAllowed = true; // the rows read are recent enough, as of the last planning round
     bool stopped = false;
 };
 
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/job_rows.h>
+#include <sassafrasferry/coordination/read_index.h>
 #include <sassafrasferry/coordination/timing.h>
 #include <sassafrasferry/messages/jobs.pb.h>
 #include <sassafrasferry/model/settings.h>
@@ -106,6 +107,12 @@
         return this->version;
     }
 
+    /// Moments at which the store confirmed this tenure's lease, with their versions.
+    const ReadIndex &confirmations() const
+    {
+        return this->readIndex;
+    }
+
     /// Address of the current leader, if one is known.
     std::optional<model::Endpoint> leaderAddress() const
     {
@@ -189,7 +196,7 @@
         this->isWriting = false;
         if (this->leading && commit.state == store::CommitState::Committed) {
             this->version = commit.version;
-            this->confirmedAt = begin;
+            this->confirmed(commit.version, begin);
         }
         co_return commit.state;
     }
@@ -244,6 +251,12 @@
         this->versionSince = bootNow();
     }
 
+    void confirmed(std::int64_t storeVersion, Instant sentAt)
+    {
+        this->confirmedAt = sentAt;
+        this->readIndex.confirm(storeVersion, sentAt);
+    }
+
     /// Reads the lease row. Returns false if the store did not answer.
     Awaitable<bool> readLease(messages::LeaseRecord &record)
     {
@@ -251,6 +264,7 @@
         const auto page = co_await this->store.scan(range);
         if (!page.ok())
             co_return false;
+        this->readAtVersion = page->version;
         if (page->rows.empty()) {
             this->noteVersion(store::absent);
             co_return true;
@@ -343,13 +357,14 @@
             this->lead(commit.version, begin, next);
     }
 
-    void lead(std::int64_t fence, Instant confirmed, const Tenure &next)
+    void lead(std::int64_t fence, Instant confirmedWhen, const Tenure &next)
     {
         this->tenure = next;
         this->tenure.fence = fence;
         this->version = fence;
-        this->confirmedAt = confirmed;
-        this->renewedAt = confirmed;
+        this->readIndex = {};
+        this->confirmed(fence, confirmedWhen);
+        this->renewedAt = confirmedWhen;
         this->leading = true;
         this->leader = this->address;
         LOG(INFO) << "event=lead fence=" << fence << " term=" << this->tenure.term
@@ -376,7 +391,7 @@
         if (!co_await this->readLease(record) || !this->leading)
             co_return;
         if (this->isMine(record))
-            this->confirmedAt = asked;
+            this->confirmed(this->readAtVersion, asked);
         else
             this->deposed("the lease was taken by " + record.holder());
     }
@@ -395,8 +410,10 @@
     Tenure pendingTenure; // tenure that begins if the attempt to acquire succeeds
     bool hasVersion = false;
     std::int64_t version = store::absent; // version of the lease row, as last read or written
+    std::int64_t readAtVersion = store::absent; // of the store, when the lease row was last read
     Instant versionSince{}; // when this version of the lease row was first seen
     Instant confirmedAt{}; // when the last confirmed renewal was sent
+    ReadIndex readIndex; // confirmations of this tenure
     Instant renewedAt{}; // when the last renewal was sent
     Instant leaderAnsweredAt{}; // when the leader last answered
     Instant leaseReadAt{}; // when the lease row was last read
--- a/packages/coordination/include/sassafrasferry/coordination/loop_watch.h
+++ b/packages/coordination/include/sassafrasferry/coordination/loop_watch.h
@@ -24,16 +24,13 @@
     }
 };
 
-/// Measures the delay of timers for about a period. `figures` outlives the call.
-inline Awaitable<void> measureLoop(LoopFigures &figures, Duration period)
+/// Measures the delay of one timer. `figures` outlives the call.
+inline Awaitable<void> measureDelay(LoopFigures &figures)
 {
     static constexpr Duration interval = std::chrono::milliseconds(100);
-    const auto end = bootNow() + period;
-    while (bootNow() < end) {
-        const auto due = bootNow() + interval;
-        co_await pause(interval);
-        figures.maxDelay = std::max(figures.maxDelay, bootNow() - due);
-    }
+    const auto due = bootNow() + interval;
+    co_await pause(interval);
+    figures.maxDelay = std::max(figures.maxDelay, bootNow() - due);
 }
 
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/table_follower.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_follower.h
@@ -16,7 +16,8 @@
 {
     std::string table;
     std::vector<std::string> parts; ///< parts to scan at the start and after the feed lost history
-    std::chrono::milliseconds wait{2500}; ///< a feed without changes answers after this time
+    /// A feed without changes answers after this time, and only then tells that there were none.
+    std::chrono::milliseconds wait{2500};
     std::chrono::milliseconds pause{0}; ///< delay between two reads of the feed
 };
 
@@ -55,7 +56,7 @@
     /// All changes up to this version of the store have been passed to `onRows`.
     std::int64_t readVersion() const
     {
-        return this->version;
+        return this->passedOn;
     }
 
     /// Rows that the feed has brought since the start.
@@ -82,6 +83,7 @@
         // A feed that is already past this snapshot must not go back to the snapshot's version.
         if (this->version == store::absent)
             this->version = version;
+        this->passedOn = std::max(this->passedOn, version);
         if (!this->stopped)
             this->onRows(all, true);
         co_return true;
@@ -129,6 +131,7 @@
                 continue;
             }
             this->version = std::max(this->version, page->version);
+            this->passedOn = std::max(this->passedOn, this->version);
             this->fedRows += page->rows.size();
             if (!page->rows.empty())
                 this->onRows(page->rows, false);
@@ -149,7 +152,8 @@
     Store &store;
     FollowOptions options;
     OnRows onRows;
-    std::int64_t version = store::absent; // all changes up to this version were passed to `onRows`
+    std::int64_t version = store::absent; // where the feed goes on; absent: scan the table first
+    std::int64_t passedOn = store::absent; // never decreases, also when the feed's history is lost
     Instant answeredAt{};
     std::size_t fedRows = 0;
     bool isStoreReachable = true;
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -23,6 +23,7 @@
     std::function<void()> onChange; ///< called when the scheduler should plan again
     std::function<void(const std::string &why)> onFenced; ///< the worker knows a newer leader
     std::function<bool()> canOrder; ///< the lease was confirmed recently enough to give orders
+    std::function<bool()> canStart; ///< the rows read are recent enough to start tasks
 };
 
 template<WorkerCalls Worker>
@@ -209,7 +210,7 @@
         const auto until = this->scheduler.leaseUntil(this->id, now);
         // The order may have waited while its job or its worker changed.
         if (until && now < order.expires && this->scheduler.isStartWanted(order)
-            && this->events.canOrder())
+            && this->events.canStart())
             answer = co_await this->calls->start(order, *until, this->fence);
         if (this->stopped)
             co_return;
--- a/packages/coordination/src/job_node_test.cpp
+++ b/packages/coordination/src/job_node_test.cpp
@@ -336,7 +336,7 @@
 
 // Guards against counts that lack jobs which were accepted many seconds ago. The store confirms the
 // leader's lease all the time, while the leader's reads of the accepted jobs get no answer.
-TEST_CASE("A count of pending jobs includes all jobs that are older than two seconds", "[!mayfail]")
+TEST_CASE("A count of pending jobs includes all jobs that are older than two seconds")
 {
     const auto row = GENERATE(from_range(cases));
     CAPTURE(row.name);
--- a/packages/coordination/src/leader_intake_test.cpp
+++ b/packages/coordination/src/leader_intake_test.cpp
@@ -175,8 +175,8 @@
     jobs::StepSpec step;
     step.count = tasksPerJob;
     step.need = {1000, 100, 0};
-    step.perVmLimit = 1; // so that each job gets half of the worker
-    step.estimate = std::chrono::milliseconds(100);
+    step.perVmLimit = 1; // so that one job leaves room for the other
+    step.estimate = 100ms;
     jobs::QueueTerms terms;
     terms.queue = "q";
     terms.service = "s";
@@ -272,6 +272,9 @@
         options.sinceConfirmed = [this] {
             return this->leadership.sinceConfirmed();
         };
+        options.confirmations = [this]() -> const ReadIndex & {
+            return this->leadership.confirmations();
+        };
         options.orderLimit = LeadershipTimes{}.orderLimit;
         options.announce = [this](std::vector<std::string> vms) {
             return this->leadership.announce(std::move(vms));
@@ -346,7 +349,7 @@
 // Guards against tasks of a job that start many seconds after its cancellation was confirmed. The
 // store confirms the leader's lease all the time, while the leader's reads of the cancellations get
 // no answer.
-TEST_CASE("No task of a cancelled job starts later than the cancellation bound", "[!mayfail]")
+TEST_CASE("No task of a cancelled job starts later than the cancellation bound")
 {
     const auto row = GENERATE(from_range(cases));
     CAPTURE(row.name);
--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -111,6 +111,9 @@
         this->scheduler.listWorker(listing, bootNow());
         this->scheduler.setAllWorkersKnown();
         SessionEvents events{[] {}, [](const std::string &) {},
+                             [] {
+                                 return true;
+                             },
                              [] {
                                  return true;
                              }};
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -175,6 +175,8 @@
     /// expected, or its worker gets no new tasks. Members of a gang are sent to such a worker too,
     /// since the others would wait for them.
     bool isStartWanted(const StartOrder &order) const;
+    /// Like `plan`, but starts nothing.
+    Orders planStops(Instant now);
     void startAnswered(const StartOrder &order, OrderAnswer answer, Instant now);
     void stopAnswered(const StopOrder &order, OrderAnswer answer, Instant now);
     /// Adds a stop of the run to the orders of the next `plan`.
@@ -253,6 +255,7 @@
     /// slow.
     Duration maxLeaseDuration(Duration lease) const;
     std::string serviceOf(const Job &job) const;
+    void giveRequestedStops(Instant now, Orders &orders);
     void planService(const std::string &service, std::vector<Job *> &queue, Round &round);
     void planStep(Job &job, std::size_t occurrence, std::size_t step, Round &round);
     void planGang(Job &job, std::size_t occurrence, std::size_t step, Round &round);
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -116,6 +116,20 @@
             this->reconciledServices.insert(entry.first);
         this->planService(entry.first, entry.second, round);
     }
+    this->giveRequestedStops(now, round.orders);
+    return std::move(round.orders);
+}
+
+Orders Scheduler::planStops(Instant now)
+{
+    this->dropExpiredRuns(now);
+    Orders orders;
+    this->giveRequestedStops(now, orders);
+    return orders;
+}
+
+void Scheduler::giveRequestedStops(Instant now, Orders &orders)
+{
     for (auto &stop : std::exchange(this->requestedStops, {})) {
         auto *job = this->findJob(stop.task.job);
         auto *task = job ? job->find(stop.task) : nullptr;
@@ -131,9 +145,8 @@
         this->note(
             "stop", jobs::toString(stop.task),
             absl::StrCat("run=", stop.run, " worker=", stop.worker, " why=\"", stop.reason, "\""));
-        round.orders.stops.push_back(std::move(stop));
+        orders.stops.push_back(std::move(stop));
     }
-    return std::move(round.orders);
 }
 
 void Scheduler::planService(const std::string &service, std::vector<Job *> &queue, Round &round)
