scheduling-measure: all workers report, and the cost of written rows and a digest of the orders are printed

A worker without ends reported only if two conditions on the tick held at once.

After a report the number of listed workers is asked for, as each session does.

--- a/packages/scheduling/src/scheduling_measure.cpp
+++ b/packages/scheduling/src/scheduling_measure.cpp
@@ -1,6 +1,7 @@
 // Measures the processor time of the leader's decisions for a given number of workers and rate of
 // jobs. Workers execute orders at once and answer holds at a given rate, and the queues receive
-// jobs in turn. Prints CSV with one line per run.
+// jobs in turn. Prints CSV with one line per run; its last field is a digest of all orders, which
+// shows whether two builds decide the same.
 #include <sassafrasferry/scheduling/fleet_planner.h>
 
 #include <cstdio>
@@ -25,9 +26,20 @@
 struct Totals
 {
     double report = 0;
+    double record = 0;
     double plan = 0;
     double fleet = 0;
     std::size_t starts = 0;
+    std::size_t digest = 0; // of the orders so far
+
+    void addOrder(const std::string &receiver, const TaskId &task, std::int64_t run)
+    {
+        constexpr std::size_t factor = 1099511628211; // prime
+        for (const auto part :
+             {std::hash<std::string>()(receiver), std::hash<std::string>()(jobs::toString(task)),
+              std::hash<std::int64_t>()(run)})
+            this->digest = (this->digest ^ part) * factor;
+    }
 };
 
 struct RunningTask
@@ -100,6 +112,7 @@
     const auto end = now + policy::fromSeconds(seconds);
     double dueJobs = 0;
     std::size_t jobCount = 0;
+    std::size_t listedWorkers = 0;
     for (std::size_t tick = 0; now < end; ++tick, now += step) {
         dueJobs += jobsPerSecond * policy::seconds(step);
         for (; dueJobs >= 1; dueJobs -= 1) {
@@ -121,8 +134,8 @@
         auto begin = processorSeconds();
         for (auto &entry : workers) {
             auto &worker = entry.second;
-            const bool isDue = !worker.ends.empty() || (tick + entry.first.size()) % 100 == 0;
-            if (!isDue || (tick + std::hash<std::string>()(entry.first)) % 5 != 0)
+            const auto phase = tick + std::hash<std::string>()(entry.first);
+            if (phase % (worker.ends.empty() ? 100 : 5) != 0)
                 continue;
             const auto acknowledged = scheduler.acknowledged(entry.first);
             std::erase_if(worker.ends,
@@ -132,31 +145,42 @@
                 report.running.push_back({task.key.task, task.key.number, "", 50, 0});
             scheduler.leaseUntil(entry.first, now);
             scheduler.report(report, now, now);
+            listedWorkers = scheduler.listedWorkers(); // as each session does after a report
         }
+        totals.report += processorSeconds() - begin;
+        begin = processorSeconds();
         for (const auto &row : scheduler.takeDirty(1000, [](const std::string &) { return true; }))
             scheduler.recorded(row);
-        totals.report += processorSeconds() - begin;
+        totals.record += processorSeconds() - begin;
         begin = processorSeconds();
         const auto orders = scheduler.plan(now, 0);
         scheduler.takeNotes();
         totals.plan += processorSeconds() - begin;
         for (const auto &start : orders.starts) {
             ++totals.starts;
+            totals.addOrder(start.worker, start.task, start.run);
             workers[start.worker].running.push_back(
                 {{start.task, start.run},
                  now + 500ms + std::chrono::milliseconds(random() % 1000)});
             scheduler.startAnswered(start, OrderAnswer::Accepted, now);
         }
+        for (const auto &stop : orders.stops)
+            totals.addOrder(stop.worker, stop.task, -stop.run);
         if (tick % 6 != 0)
             continue;
         begin = processorSeconds();
-        for (const auto &order : fleet.plan(scheduler, now, 0))
+        for (const auto &order : fleet.plan(scheduler, now, 0)) {
+            totals.addOrder(order.vm, {order.pool, 0, 0, 0}, order.wave);
             fleet.handleAnswer(order, FleetAnswer::Refused, scheduler, now);
+        }
         totals.fleet += processorSeconds() - begin;
     }
-    std::printf(
-        "workers,jobs_per_s,starts,open_jobs,report_ms_per_s,plan_ms_per_s,fleet_ms_per_s\n");
-    std::printf("%zu,%.0f,%zu,%zu,%.2f,%.2f,%.2f\n", workerCount, jobsPerSecond, totals.starts,
-                scheduler.jobCount(), totals.report * 1000 / seconds, totals.plan * 1000 / seconds,
-                totals.fleet * 1000 / seconds);
+    if (listedWorkers != workerCount)
+        std::fprintf(stderr, "only %zu workers are listed\n", listedWorkers);
+    std::printf("workers,jobs_per_s,starts,open_jobs,report_ms_per_s,record_ms_per_s,plan_ms_per_s,"
+                "fleet_ms_per_s,orders\n");
+    std::printf("%zu,%.0f,%zu,%zu,%.2f,%.2f,%.2f,%.2f,%zx\n", workerCount, jobsPerSecond,
+                totals.starts, scheduler.jobCount(), totals.report * 1000 / seconds,
+                totals.record * 1000 / seconds, totals.plan * 1000 / seconds,
+                totals.fleet * 1000 / seconds, totals.digest);
 }
