Scheduler: the listed workers are counted as they change

Each session asks for the number of listed workers after each report of its worker, and the answer went through the whole table of workers.

The number is now kept up to date where `listed` changes. A worker counts from its first entry, as before. The simulations compare it with a full count at each round of a leader, and a new test goes through the ways in which a worker becomes listed or unlisted.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -227,6 +227,7 @@
     void dropRun(Worker &worker, const RunKey &key, Instant now);
     void dropRunsOfIncarnation(Worker &worker, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
+    void setListed(Worker &worker, bool isListed);
     bool isPresentIncarnation(const WorkerListing &listing, Instant now);
     bool isStartInFlight(const RunKey &key, Instant now);
     void dropExpiredRuns(Instant now);
@@ -263,6 +264,7 @@
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs; // unfinished
     std::unordered_map<std::string, JobState> finished; // final state is in the store
     std::map<std::string, Worker> workerTable;
+    std::size_t listedCount = 0; // workers with `listed`
     std::set<std::string> dirty; // jobs whose row in the store is out of date
     /// Unknown jobs whose runs or ends workers have listed, each with the ends that are applied
     /// once the job is known.
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -108,7 +108,7 @@
 struct Worker
 {
     WorkerListing listing;
-    bool listed = true; ///< has an entry in the list of workers
+    bool listed = false; ///< has an entry in the list of workers
     bool hasEnded = false; ///< this incarnation has ended; no calls are sent to it any more
     bool hasReported = false; ///< has reported to this leader in its current incarnation
     bool evacuating = false; ///< gets no new tasks: its VM will be moved or maintained
--- a/packages/scheduling/src/scheduler_answers.cpp
+++ b/packages/scheduling/src/scheduler_answers.cpp
@@ -56,7 +56,7 @@
         break;
     case OrderAnswer::OtherIncarnation:
         this->incarnationEnded(order.worker, EndEvidence::OtherIncarnation, now);
-        worker->listed = false;
+        this->setListed(*worker, false);
         break;
     case OrderAnswer::Malformed:
         worker->backOffUntil = now + this->times.healthBackOff;
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -44,7 +44,7 @@
             this->allWorkersKnown ? now : this->tookOverAt + this->times.inheritedLease;
     const bool wasDraining = worker.listing.draining;
     worker.listing = listing;
-    worker.listed = !worker.hasEnded;
+    this->setListed(worker, !worker.hasEnded);
     if (isNew || wasDraining != listing.draining) {
         this->note("worker", listing.id,
                    absl::StrCat("service=", listing.service, " draining=", listing.draining ? 1 : 0,
@@ -57,7 +57,7 @@
     const auto at = this->workerTable.find(id);
     if (at == this->workerTable.end())
         return;
-    at->second.listed = false;
+    this->setListed(at->second, false);
     this->note("worker-unlisted", id, absl::StrCat("runs=", at->second.runs.size()));
 }
 
@@ -68,7 +68,6 @@
     auto &worker = this->workerTable[id];
     worker.listing.id = id;
     worker.listing.service = service;
-    worker.listed = false;
     worker.inheritedUntil = this->tookOverAt + this->times.inheritedLease;
     this->note("worker-expected", id, absl::StrCat("service=", service));
 }
@@ -145,7 +144,7 @@
     worker->inheritedUntil = leaseEnd;
     // Calls carry the worker's id, so no other incarnation carries out a start still in flight.
     this->dropAllRuns(*worker, now);
-    worker->listed = false;
+    this->setListed(*worker, false);
     worker->hasEnded = true;
 }
 
@@ -162,9 +161,18 @@
 
 std::size_t Scheduler::listedWorkers() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(this->workerTable.begin(), this->workerTable.end(),
-                      [](const auto &entry) { return entry.second.listed; }));
+    return this->listedCount;
+}
+
+void Scheduler::setListed(Worker &worker, bool isListed)
+{
+    if (worker.listed == isListed)
+        return;
+    worker.listed = isListed;
+    if (isListed)
+        ++this->listedCount;
+    else
+        --this->listedCount;
 }
 
 std::optional<std::int64_t> Scheduler::leaseUntil(const std::string &id, Instant now)
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -223,6 +223,28 @@
     CHECK(bench.scheduler.listedWorkers() == 1);
 }
 
+TEST_CASE("workers count as listed from their entry until it is gone or they have ended")
+{
+    Bench bench(3);
+    auto &scheduler = bench.scheduler;
+    CHECK(scheduler.listedWorkers() == 3);
+    bench.list("w0", 1, 4000, "r0"); // the same entry again
+    bench.list("w1", 2, 4000, "r0"); // its next incarnation
+    scheduler.addUnlistedWorker("w9", "s");
+    CHECK(scheduler.listedWorkers() == 3);
+    scheduler.unlistWorker("w0");
+    scheduler.unlistWorker("w0");
+    CHECK(scheduler.listedWorkers() == 2);
+    bench.list("w0", 1, 4000, "r0");
+    CHECK(scheduler.listedWorkers() == 3);
+    scheduler.retireWorker("w2", EndEvidence::VmOrder, bench.now);
+    bench.list("w2", 1, 4000, "r1"); // a late entry
+    CHECK(scheduler.listedWorkers() == 2);
+    const StartOrder order{"w1", {"j", 0, 0, 0}, 1, "", "", "", {}};
+    scheduler.startAnswered(order, OrderAnswer::OtherIncarnation, bench.now);
+    CHECK(scheduler.listedWorkers() == 1);
+}
+
 // Guards against tasks that wait for seconds after a takeover. VMs moved shortly before still have
 // the entry of their earlier incarnation, which no longer answers; but the platform's list shows
 // that the VM has left it, so its runs have ended.
--- a/packages/scheduling/tests/fault_sequence_simulation.h
+++ b/packages/scheduling/tests/fault_sequence_simulation.h
@@ -306,6 +306,7 @@
         if (!leader->alive)
             return;
         this->sendOrders(leader);
+        this->invariants.checkCounts(leader->scheduler);
         if (leader->writesStore)
             this->sendVmOrders(leader);
     }
--- a/packages/scheduling/tests/job_simulation.h
+++ b/packages/scheduling/tests/job_simulation.h
@@ -263,6 +263,7 @@
             }
             this->hold(leader);
             this->sendOrders(leader);
+            this->invariants.checkCounts(leader->scheduler);
         }
     }
 
--- a/packages/scheduling/tests/task_invariants.h
+++ b/packages/scheduling/tests/task_invariants.h
@@ -79,6 +79,17 @@
                       [&](const auto &entry) { return now - entry.second <= reportSettleTime; });
     }
 
+    /// Compares what the scheduler keeps up to date at each change with a full count.
+    void checkCounts(const Scheduler &scheduler)
+    {
+        const auto &workers = scheduler.workers();
+        const auto listed = std::count_if(workers.begin(), workers.end(),
+                                          [](const auto &entry) { return entry.second.listed; });
+        if (scheduler.listedWorkers() != static_cast<std::size_t>(listed))
+            this->violations.push_back("listed workers: " + std::to_string(listed) + ", counted "
+                                       + std::to_string(scheduler.listedWorkers()));
+    }
+
     std::vector<std::string> violations;
     std::size_t starts = 0;
 
