Scheduler: a written row advances only the workers that wait for its job

For each row written, the scheduler went through all workers to see which ends of runs can now be acknowledged: with 350 workers and some hundred rows a second, some 100,000 looks a second, almost all in vain.

A worker's ends are acknowledged in order, so what holds it up is the first one, and that one waits for the row of one job. The scheduler now finds the workers by the job of their first pending end. Nothing else can free an end between two rows, with one exception: a job that was unknown when its end was reported, is added later and needs no row. Such a worker is looked at when the next row is written, whatever its job, as before.

New tests: ends on several workers, one job's row written; and the exception. The simulations compare each worker's awaited job with its first pending end.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -238,6 +238,8 @@
     void stopRunsOf(Job &job, const std::string &reason);
     void markDirty(Job &job);
     void advanceRecordedEnds(Worker &worker);
+    void advanceRecordedEnds(const std::set<std::string> &workers);
+    void setAwaitedJob(Worker &worker, std::string job);
     bool isReconciled(const std::string &service, Instant now) const;
     /// True if tasks of the job may run on a worker that has not reported to this leader yet.
     bool canHaveUnreportedRuns(const Job &job) const;
@@ -269,6 +271,10 @@
     /// Unknown jobs whose runs or ends workers have listed, each with the ends that are applied
     /// once the job is known.
     std::map<std::string, std::vector<ListedEnd>> orphans;
+    std::unordered_map<std::string, std::set<std::string>> awaitingWorkers; // by `awaitedJob`
+    /// Workers whose first pending end belongs to a job that was added since a row was last
+    /// recorded.
+    std::set<std::string> attachedWorkers;
     std::vector<StopOrder> requestedStops;
     std::map<std::string, QueueTimes> runTimes; // by queue
     std::map<std::string, double> arrivals; // core-seconds, by service
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -142,6 +142,9 @@
         Instant heldUntil{}; ///< if the job is unknown: not acknowledged before then
     };
     std::deque<PendingEnd> pendingEnds;
+    /// Job of the first pending end; empty if there is none. The scheduler finds the worker by it
+    /// when a row of the job has been written.
+    std::string awaitedJob;
 
     Resources room() const;
     /// True if it may run tasks that this leader does not know of: it has not reported in its
--- a/packages/scheduling/src/acknowledge_test.cpp
+++ b/packages/scheduling/src/acknowledge_test.cpp
@@ -166,6 +166,43 @@
     CHECK(bench.scheduler.acknowledged("w0") == 1);
 }
 
+TEST_CASE("an end is acknowledged on each worker that reported one of the recorded job")
+{
+    Bench bench(3, 1000);
+    bench.reportAll(3);
+    bench.add("j", {stepOf(2)});
+    bench.add("k", {stepOf(1)});
+    const auto starts = bench.plan().starts;
+    REQUIRE(starts.size() == 3);
+    bench.acceptAll({starts, {}, {}});
+    bench.now += 10ms;
+    for (const auto &order : starts)
+        bench.report(order.worker, {}, {endOf(order, 1, jobs::RunEnd::Done)});
+    const std::string recorded = GENERATE("j", "k");
+    for (const auto &row :
+         bench.scheduler.takeDirty(1, [&](const std::string &job) { return job == recorded; }))
+        bench.scheduler.recorded(row);
+    for (const auto &order : starts)
+        CHECK(bench.scheduler.acknowledged(order.worker) == (order.task.job == recorded ? 1 : 0));
+    bench.record();
+    for (const auto &order : starts)
+        CHECK(bench.scheduler.acknowledged(order.worker) == 1);
+}
+
+TEST_CASE("an end of a job that needs no row is acknowledged when any row is recorded")
+{
+    Bench bench(2, 4000, true);
+    bench.scheduler.setAllWorkersKnown();
+    bench.report("w0", {}, {{1, unknownTask, 1, jobs::RunEnd::Stopped, ""}});
+    bench.report("w1");
+    bench.add("j", {stepOf(1)});
+    bench.add(unknownTask.job, {stepOf(1)});
+    CHECK(bench.scheduler.acknowledged("w0") == 0);
+    bench.scheduler.cancelJob("j");
+    bench.record();
+    CHECK(bench.scheduler.acknowledged("w0") == 1);
+}
+
 // The room released must equal the room reserved, although the run's need was unknown at first.
 TEST_CASE("a run of a job that becomes known later reserves and releases its room once")
 {
--- a/packages/scheduling/src/orphan_runs.cpp
+++ b/packages/scheduling/src/orphan_runs.cpp
@@ -81,6 +81,8 @@
             if (end.job == job.id)
                 end.change = job.changes;
         }
+        if (entry.second.awaitedJob == job.id)
+            this->attachedWorkers.insert(entry.first);
         attachOrphanRuns(job, entry.second);
     }
 }
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -143,8 +143,11 @@
         this->finished[job->id] = job->state;
         this->jobs.erase(job->id);
     }
-    for (auto &entry : this->workerTable)
-        this->advanceRecordedEnds(entry.second);
+    // A worker that waits for another job is not affected, unless that job was just added.
+    if (const auto awaiting = this->awaitingWorkers.find(row.id);
+        awaiting != this->awaitingWorkers.end())
+        this->advanceRecordedEnds(std::set<std::string>(awaiting->second));
+    this->advanceRecordedEnds(std::exchange(this->attachedWorkers, {}));
 }
 
 void Scheduler::stopRunsOf(Job &job, const std::string &reason)
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -330,6 +330,30 @@
         worker.endsRecorded = end.number;
         worker.pendingEnds.pop_front();
     }
+    this->setAwaitedJob(worker, worker.pendingEnds.empty() ? "" : worker.pendingEnds.front().job);
+}
+
+void Scheduler::advanceRecordedEnds(const std::set<std::string> &workers)
+{
+    for (const auto &id : workers) {
+        if (auto *worker = this->findWorker(id))
+            this->advanceRecordedEnds(*worker);
+    }
+}
+
+void Scheduler::setAwaitedJob(Worker &worker, std::string job)
+{
+    if (worker.awaitedJob == job)
+        return;
+    if (const auto at = this->awaitingWorkers.find(worker.awaitedJob);
+        at != this->awaitingWorkers.end()) {
+        at->second.erase(worker.listing.id);
+        if (at->second.empty())
+            this->awaitingWorkers.erase(at);
+    }
+    worker.awaitedJob = std::move(job);
+    if (!worker.awaitedJob.empty())
+        this->awaitingWorkers[worker.awaitedJob].insert(worker.listing.id);
 }
 
 std::int64_t Scheduler::acknowledged(const std::string &id) const
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -132,6 +132,7 @@
     worker.endsSeen = 0;
     worker.endsRecorded = 0;
     worker.pendingEnds.clear();
+    this->setAwaitedJob(worker, "");
 }
 
 void Scheduler::retireWorker(const std::string &id, EndEvidence evidence, Instant now)
@@ -150,13 +151,19 @@
 
 void Scheduler::forgetWorkers(Instant now)
 {
-    std::erase_if(this->workerTable, [&](const auto &entry) {
-        const auto &worker = entry.second;
+    for (auto at = this->workerTable.begin(); at != this->workerTable.end();) {
+        auto &worker = at->second;
         const bool isUnresponsive = now - worker.lastAnswer > this->times.workerRetention
                                     && now - this->tookOverAt > this->times.workerRetention;
-        return !worker.listed && worker.runs.empty() && now > worker.inheritedUntil
-               && (worker.hasEnded || isUnresponsive);
-    });
+        const bool isGone = !worker.listed && worker.runs.empty() && now > worker.inheritedUntil
+                            && (worker.hasEnded || isUnresponsive);
+        if (!isGone) {
+            ++at;
+            continue;
+        }
+        this->setAwaitedJob(worker, "");
+        at = this->workerTable.erase(at);
+    }
 }
 
 std::size_t Scheduler::listedWorkers() const
--- a/packages/scheduling/tests/task_invariants.h
+++ b/packages/scheduling/tests/task_invariants.h
@@ -79,7 +79,8 @@
                       [&](const auto &entry) { return now - entry.second <= reportSettleTime; });
     }
 
-    /// Compares what the scheduler keeps up to date at each change with a full count.
+    /// Compares what the scheduler keeps up to date at each change with what a look at all workers
+    /// gives.
     void checkCounts(const Scheduler &scheduler)
     {
         const auto &workers = scheduler.workers();
@@ -88,6 +89,13 @@
         if (scheduler.listedWorkers() != static_cast<std::size_t>(listed))
             this->violations.push_back("listed workers: " + std::to_string(listed) + ", counted "
                                        + std::to_string(scheduler.listedWorkers()));
+        for (const auto &entry : workers) {
+            const auto &ends = entry.second.pendingEnds;
+            const auto awaited = ends.empty() ? "" : ends.front().job;
+            if (entry.second.awaitedJob != awaited)
+                this->violations.push_back(entry.first + " waits for '" + awaited + "', not '"
+                                           + entry.second.awaitedJob + "'");
+        }
     }
 
     std::vector<std::string> violations;
