Scheduler: a step whose need found no room in this round is not searched for tasks to start

When a queue is longer than its workers can take, most steps of its jobs need more than a need that was refused earlier in the round. Their tasks were still searched for one to start, for which `choose` then answered at once that there is no worker. The step is now left at that question. A step of lasting tasks is searched as before, since for it a refusal also reserves a worker.

--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -181,6 +181,9 @@
     const auto &spec = job.spec.steps[step];
     if (this->canHaveUnreportedRuns(job))
         return;
+    // `choose` would find no worker for any of the tasks, so looking for one to start is in vain.
+    if (!spec.lasting && round.wasRefused(spec.footprint()))
+        return;
     for (std::size_t i = 0; i < spec.count; ++i) {
         auto &task = job.at(occurrence, step, i);
         if (task.done || !task.runs.empty())
