Scheduler: the service of a job is not copied

`serviceOf` returned a copy of the name for each open job in each planning round and each count of the loads.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -249,7 +249,7 @@
     /// The longest time, by this leader's clock, that a lease may last on a worker whose clock runs
     /// slow.
     Duration maxLeaseDuration(Duration lease) const;
-    std::string serviceOf(const Job &job) const;
+    const std::string &serviceOf(const Job &job) const;
     void planService(const std::string &service, std::vector<Job *> &queue, Round &round);
     void planStep(Job &job, std::size_t occurrence, std::size_t step, Round &round);
     void planGang(Job &job, std::size_t occurrence, std::size_t step, Round &round);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -193,7 +193,7 @@
     return this->counters;
 }
 
-std::string Scheduler::serviceOf(const Job &job) const
+const std::string &Scheduler::serviceOf(const Job &job) const
 {
     return job.terms.service;
 }
