--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -233,6 +233,7 @@
     void dropRun(Worker &worker, const RunKey &key, Instant now);
     void dropRunsOfIncarnation(Worker &worker, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
+    void setListed(Worker &worker, bool isListed);
     bool isPresentIncarnation(const WorkerListing &listing, Instant now);
     bool isStartInFlight(const RunKey &key, Instant now);
     void dropExpiredRuns(Instant now);
@@ -243,6 +244,8 @@
     void stopRunsOf(Job &job, const std::string &reason);
     void markDirty(Job &job);
     void advanceRecordedEnds(Worker &worker);
+    void advanceRecordedEnds(const std::set<std::string> &workers);
+    void setAwaitedJob(Worker &worker, std::string job);
     bool isReconciled(const std::string &service, Instant now) const;
     /// True if tasks of the job may run on a worker that has not reported to this leader yet.
     bool canHaveUnreportedRuns(const Job &job) const;
@@ -254,8 +257,8 @@
     /// The longest time, by this leader's clock, that a lease may last on a worker whose clock runs
     /// slow.
     Duration maxLeaseDuration(Duration lease) const;
-    std::string serviceOf(const Job &job) const;
     void giveRequestedStops(Instant now, Orders &orders);
+    const std::string &serviceOf(const Job &job) const;
     void planService(const std::string &service, std::vector<Job *> &queue, Round &round);
     void planStep(Job &job, std::size_t occurrence, std::size_t step, Round &round);
     void planGang(Job &job, std::size_t occurrence, std::size_t step, Round &round);
@@ -272,10 +275,15 @@
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs; // unfinished
     std::unordered_map<std::string, JobState> finished; // final state is in the store
     std::map<std::string, Worker> workerTable;
+    std::size_t listedCount = 0; // workers with `listed`
     std::set<std::string> dirty; // jobs whose row in the store is out of date
     /// Unknown jobs whose runs or ends workers have listed, each with the ends that are applied
     /// once the job is known.
     std::map<std::string, std::vector<ListedEnd>> orphans;
+    std::unordered_map<std::string, std::set<std::string>> awaitingWorkers; // by `awaitedJob`
+    /// Workers whose first pending end belongs to a job that was added since a row was last
+    /// recorded.
+    std::set<std::string> attachedWorkers;
     std::vector<StopOrder> requestedStops;
     std::map<std::string, QueueTimes> runTimes; // by queue
     std::map<std::string, double> arrivals; // core-seconds, by service
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -108,7 +108,7 @@
 struct Worker
 {
     WorkerListing listing;
-    bool listed = true; ///< has an entry in the list of workers
+    bool listed = false; ///< has an entry in the list of workers
     bool hasEnded = false; ///< this incarnation has ended; no calls are sent to it any more
     bool hasReported = false; ///< has reported to this leader in its current incarnation
     bool evacuating = false; ///< gets no new tasks: its VM will be moved or maintained
@@ -142,6 +142,9 @@
         Instant heldUntil{}; ///< if the job is unknown: not acknowledged before then
     };
     std::deque<PendingEnd> pendingEnds;
+    /// Job of the first pending end; empty if there is none. The scheduler finds the worker by it
+    /// when a row of the job has been written.
+    std::string awaitedJob;
 
     Resources room() const;
     /// True if it may run tasks that this leader does not know of: it has not reported in its
