--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -242,8 +242,7 @@
         this->intakeFollower->begin(this->executor);
         this->beginRoster();
         this->workerFollower = std::make_shared<TableFollower<Store>>(
-            this->store,
-            FollowOptions{Platform::workerTable(), {""}, feedWait, listPause},
+            this->store, FollowOptions{Platform::workerTable(), {""}, feedWait, listPause},
             [self](const auto &rows, bool isWhole) { self->takeWorkers(rows, isWhole); });
         const auto readEntries = this->workerFollower;
         const bool knowsEntries = co_await readEntries->refreshUntilRead();
--- a/packages/coordination/include/sassafrasferry/coordination/read_index.h
+++ b/packages/coordination/include/sassafrasferry/coordination/read_index.h
@@ -1,5 +1,5 @@
-// Tells how old the rows are that were read of a table, by the versions at which the store confirmed
-// the lease.
+// Tells how old the rows are that were read of a table, by the versions at which the store
+// confirmed the lease.
 #pragma once
 
 #include <sassafrasferry/coordination/timing.h>
@@ -28,8 +28,8 @@
             this->confirmations.pop_front();
     }
 
-    /// All changes that the store acknowledged before this moment are contained in the changes up to
-    /// the version; the epoch if that is not known of any moment.
+    /// All changes that the store acknowledged before this moment are contained in the changes up
+    /// to the version; the epoch if that is not known of any moment.
     Instant coveredUntil(std::int64_t version) const
     {
         Instant covered{};
--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -110,10 +110,7 @@
         listing.born = firstBorn;
         this->scheduler.listWorker(listing, bootNow());
         this->scheduler.setAllWorkersKnown();
-        SessionEvents events{[] {}, [](const std::string &) {},
-                             [] {
-                                 return true;
-                             },
+        SessionEvents events{[] {}, [](const std::string &) {}, [] { return true; },
                              [] {
                                  return true;
                              }};
