A lease that is found to be held confirms the version of the read; small answers reserve no memory

Found by review, seen in no play: after an acquisition whose answer was lost, the lease row's old version was paired with the time of the later read, so rows could count as more recent than they are. Masked today, since each tenure reads the tables anew. Test: 2 assertions; without the change coveredUntil(newest - 1) is not the epoch.

The HTTP client grew its buffer after the read that completed an answer, too.

--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -304,7 +304,7 @@
             // Either this process acquired the lease and the answer was lost, or its release of the
             // lease was not applied, in which case the lease expires.
             if (!isHeldOff)
-                this->lead(this->version, now, this->pendingTenure);
+                this->lead(this->version, this->readAtVersion, now, this->pendingTenure);
             co_return;
         }
         this->leader = model::parseEndpoint(record.address());
@@ -354,16 +354,19 @@
         const auto transaction = this->transaction(this->record());
         const auto commit = co_await this->store.commit(transaction);
         if (commit.state == store::CommitState::Committed && !this->released)
-            this->lead(commit.version, begin, next);
+            this->lead(commit.version, commit.version, begin, next);
     }
 
-    void lead(std::int64_t fence, Instant confirmedWhen, const Tenure &next)
+    // The store had `confirmedVersion` at `confirmedWhen`. It is higher than the fence if the
+    // answer to the transaction that took the lease was lost.
+    void lead(std::int64_t fence, std::int64_t confirmedVersion, Instant confirmedWhen,
+              const Tenure &next)
     {
         this->tenure = next;
         this->tenure.fence = fence;
         this->version = fence;
         this->readIndex = {};
-        this->confirmed(fence, confirmedWhen);
+        this->confirmed(confirmedVersion, confirmedWhen);
         this->renewedAt = confirmedWhen;
         this->leading = true;
         this->leader = this->address;
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -181,3 +181,33 @@
     pair.runUntil([&] { return isAnnounced.has_value(); });
     CHECK(isAnnounced == false);
 }
+
+// Guards against rows that count as recent after an acquisition of the lease whose answer was lost:
+// the lease row's version is older than what others have stored until it is read again.
+TEST_CASE("A lease found to be held already confirms the version of the read")
+{
+    http::asio::io_context context;
+    MemoryStore store;
+    messages::LeaseRecord record;
+    record.set_holder("only");
+    record.set_incarnation(1);
+    record.set_term(1);
+    const store::PartTransaction lease{
+        table::lease, {}, {{table::lease, table::lease, record.SerializeAsString()}}, {}};
+    const store::PartTransaction other{"part", {}, {{"other", "key", ""}}, {}};
+    Leadership<MemoryStore> only(store, "only", {"127.0.0.1", 1}, 1,
+                                 {[](const Tenure &) {},
+                                  [](const auto &) {
+                                  }});
+    std::int64_t newest = store::absent;
+    spawn(context.get_executor(), "only", [&]() -> Awaitable<void> {
+        co_await store.commit(lease);
+        const auto commit = co_await store.commit(other);
+        newest = commit.version;
+        co_await only.run();
+    });
+    while (!only.isLeader())
+        context.run_one();
+    CHECK(only.confirmations().coveredUntil(newest - 1) == Instant{});
+    CHECK(only.confirmations().coveredUntil(newest) != Instant{});
+}
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -94,7 +94,8 @@
         if (++reception.reads == 1)
             reception.toFirstRead = Clock::now() - called;
         // Not before the first bytes: a connection may wait for seconds until they arrive.
-        buffer.reserve(readSize);
+        if (!error && !parser.is_done())
+            buffer.reserve(readSize);
     }
     reception.toEnd = Clock::now() - called;
     this->moved.received += reception.bytes;
