Orders about VMs that a lost leader left unanswered are its successor's to settle

Callers would see everything on a VM end at once: tasks lose an attempt and their work, a service loses replicas, and an end that was listed and is not in the store is lost. Leader A announces a VM in its lease row and sends an order; A or its answer is lost; B takes over and starts tasks on the VM; the platform executes the order.

Cause: a leader holds the VMs of its own unanswered orders and repeats these, but the knowledge ended with it. The lease row named VMs of recent orders, not which orders were open nor what they ordered; a restarted process ignored them; a new leader's first row dropped its predecessor's.

Ruled out as fixes: withholding work from all announced VMs for the hand-over delay (idle VMs after each takeover, and later calls still end work).

Change: the row lists each open order before it is sent and until it is answered. A leader adopts the orders of the row it takes, whoever wrote it, and writes them on. Their VMs get no work; after the hand-over delay it sends the same orders itself. The platform accepts an order that it has executed, so the answer settles it, whenever the first call is executed; where fences are checked, the first call is refused from then on. Work on the VM or a reporting worker of the target pool settles it sooner: the former leader gave the VM no work while its order was open. An order that may never have been sent is not repeated while the VM holds runs or ends that are not in the store, which would be lost. An adopted maintenance counts towards its wave's limit, because the repetition would exceed it otherwise.

--- a/packages/coordination/include/sassafrasferry/coordination/fleet_controller.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_controller.h
@@ -47,7 +47,10 @@
     {
         std::int64_t fence = 0;
         std::vector<std::string> deferredVms; ///< VMs of the predecessor's last orders
-        Instant deferredUntil{}; ///< no order is given about `deferredVms` before this time
+        /// Orders of earlier leaders that the platform may still execute.
+        std::vector<scheduling::OpenVmOrder> inheritedOrders;
+        /// No order is given about `deferredVms` and the VMs of `inheritedOrders` before this time.
+        Instant deferredUntil{};
         /// Records the VMs of the next orders for a successor. If it returns false, the orders must
         /// not be given.
         std::function<Awaitable<bool>(std::vector<std::string> vms)> announce;
@@ -77,10 +80,18 @@
         return vms;
     }
 
+    /// Orders that the platform may execute from now on, including inherited ones.
+    std::vector<scheduling::OpenVmOrder> openOrders() const
+    {
+        return this->planner.openOrders();
+    }
+
     void begin()
     {
         for (const auto &vm : this->options.deferredVms)
             this->planner.deferOrders(vm, this->options.deferredUntil);
+        for (const auto &order : this->options.inheritedOrders)
+            this->planner.adoptOrder(order, this->scheduler, this->options.deferredUntil);
         spawn(this->executor, "fleet", [self = this->shared_from_this()] {
             return restarted("fleet", [self] { return self->run(); });
         });
@@ -113,7 +124,11 @@
     {
         while (!this->stopped) {
             co_await pause(tick);
-            if (this->stopped || !this->options.canOrder())
+            if (this->stopped)
+                continue;
+            this->planner.releaseSettledVms(this->scheduler);
+            this->logNotes();
+            if (!this->options.canOrder())
                 continue;
             co_await this->loadWaves();
             co_await this->list();
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -65,8 +65,9 @@
         , leadership(store, this->options.name, this->options.peer, http::unixNow(),
                      {[this](const Tenure &tenure) { this->lead(tenure); },
                       [this](const std::string &) { this->dropLeader(); },
+                      [this] { return this->orderedVms(); },
                       [this] {
-                          return this->orderedVms();
+                          return this->openVmOrders();
                       }},
                      this->options.leadership)
     {}
@@ -417,6 +418,11 @@
         return this->leader ? this->leader->orderedVms() : std::vector<std::string>{};
     }
 
+    std::vector<scheduling::OpenVmOrder> openVmOrders() const
+    {
+        return this->leader ? this->leader->openVmOrders() : std::vector<scheduling::OpenVmOrder>{};
+    }
+
     // Runs in a coroutine of its own: the caller may be the part of the leader that failed, and
     // stepping down destroys the leader.
     void stepDown(const std::string &why, const std::string &successor)
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -132,6 +132,12 @@
                            : std::vector<std::string>{};
     }
 
+    /// Orders about VMs, of this leader or an earlier one, that the platform may still execute.
+    std::vector<scheduling::OpenVmOrder> openVmOrders() const
+    {
+        return this->fleet ? this->fleet->openOrders() : this->tenure.openVmOrders;
+    }
+
     scheduling::Scheduler &jobs()
     {
         return this->scheduler;
@@ -308,6 +314,7 @@
         typename FleetController<Store, Cloud>::Options fleetOptions;
         fleetOptions.fence = this->tenure.fence;
         fleetOptions.deferredVms = this->tenure.orderedVms;
+        fleetOptions.inheritedOrders = this->tenure.openVmOrders;
         fleetOptions.deferredUntil = this->tookOverAt + this->options.handOverDelay + vmOrderMargin;
         fleetOptions.canOrder = [self] {
             return self->canOrderVms();
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -6,6 +6,7 @@
 #include <sassafrasferry/coordination/timing.h>
 #include <sassafrasferry/messages/jobs.pb.h>
 #include <sassafrasferry/model/settings.h>
+#include <sassafrasferry/scheduling/open_vm_order.h>
 
 #include <functional>
 #include <optional>
@@ -53,6 +54,9 @@
     /// `orderedVms` contains all VMs about which the predecessor may have given recent orders.
     bool knowsPredecessorOrders = false;
     std::vector<std::string> orderedVms; ///< get no order before the hand-over delay is over
+    /// Orders of earlier leaders that the platform may still execute. The VMs get no work until it
+    /// is known that they were executed, or can't be any more.
+    std::vector<scheduling::OpenVmOrder> openVmOrders;
 };
 
 /// Takes, renews and watches the lease.
@@ -68,6 +72,11 @@
         std::function<std::vector<std::string>()> orderedVms = [] {
             return std::vector<std::string>{};
         };
+        /// Returns the orders about VMs that the platform may still execute, and those that wait to
+        /// be announced.
+        std::function<std::vector<scheduling::OpenVmOrder>()> openVmOrders = [] {
+            return std::vector<scheduling::OpenVmOrder>{};
+        };
     };
 
     Leadership(Store &store, std::string self, model::Endpoint address, std::int64_t incarnation,
@@ -191,7 +200,7 @@
         const auto begin = bootNow();
         this->isWriting = true;
         this->renewedAt = begin;
-        const auto transaction = this->transaction(this->record());
+        const auto transaction = this->transaction(this->record(this->events.openVmOrders()));
         const auto commit = co_await this->store.commit(transaction);
         this->isWriting = false;
         if (this->leading && commit.state == store::CommitState::Committed) {
@@ -206,8 +215,9 @@
     {
         if (!this->leading)
             co_return;
+        // Before the events of this tenure end.
+        auto record = this->record(this->events.openVmOrders());
         this->deposed(why);
-        auto record = this->record();
         record.clear_holder();
         record.clear_ordered_vms();
         record.set_successor(std::move(successor));
@@ -219,7 +229,7 @@
             LOG(WARNING) << "event=lease-not-released";
     }
 
-    messages::LeaseRecord record() const
+    messages::LeaseRecord record(const std::vector<scheduling::OpenVmOrder> &openVmOrders) const
     {
         messages::LeaseRecord record;
         record.set_holder(this->self);
@@ -231,6 +241,8 @@
             record.add_ordered_vms(vm);
         for (const auto &vm : this->announced)
             record.add_ordered_vms(vm);
+        for (const auto &order : openVmOrders)
+            *record.add_open_orders() = toMessage(order);
         return record;
     }
 
@@ -300,9 +312,13 @@
         messages::LeaseRecord record;
         if (!co_await this->readLease(record))
             co_return;
+        std::vector<scheduling::OpenVmOrder> openVmOrders;
+        for (const auto &order : record.open_orders())
+            openVmOrders.push_back(scheduling::openVmOrderFrom(order));
         if (this->isMine(record)) {
             // Either this process acquired the lease and the answer was lost, or its release of the
             // lease was not applied, in which case the lease expires.
+            this->pendingTenure.openVmOrders = std::move(openVmOrders);
             if (!isHeldOff)
                 this->lead(this->version, this->readAtVersion, now, this->pendingTenure);
             co_return;
@@ -319,6 +335,7 @@
         // Orders of an earlier process of this entry VM count as its own.
         if (!isEarlierProcess)
             next.orderedVms.assign(record.ordered_vms().begin(), record.ordered_vms().end());
+        next.openVmOrders = std::move(openVmOrders);
         if (!isFree && !isEarlierProcess && !isExpired) {
             this->freeSince = {};
             co_return;
@@ -351,7 +368,7 @@
         const auto begin = bootNow();
         this->pendingTenure = next;
         this->tenure.term = next.term;
-        const auto transaction = this->transaction(this->record());
+        const auto transaction = this->transaction(this->record(next.openVmOrders));
         const auto commit = co_await this->store.commit(transaction);
         if (commit.state == store::CommitState::Committed && !this->released)
             this->lead(commit.version, commit.version, begin, next);
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -3,6 +3,7 @@
 // scheduler.
 #pragma once
 
+#include <sassafrasferry/scheduling/open_vm_order.h>
 #include <sassafrasferry/scheduling/pool_sizing.h>
 
 #include <map>
@@ -49,20 +50,6 @@
     std::uint64_t changes = 0; ///< number of changes to `done` and `completed`
 };
 
-enum class FleetAction {
-    Move,
-    Maintain,
-};
-
-/// A call to the platform about a VM. Executing it ends everything that runs on the VM.
-struct FleetOrder
-{
-    FleetAction action = FleetAction::Move;
-    std::string vm;
-    std::string pool; ///< target pool of a move
-    std::int64_t wave = 0; ///< wave that a maintenance order belongs to
-};
-
 /// Outcome of a call to the platform.
 enum class FleetAnswer {
     Accepted, ///< the order was executed, now or by an earlier call
@@ -112,6 +99,13 @@
     void addWave(const Wave &wave, std::set<std::string> done, Instant now);
     /// Issues no order about the VM before `until`.
     void deferOrders(const std::string &vm, Instant until);
+    /// Takes over an order of an earlier leader that the platform may still execute. The VM gets no
+    /// work, and no order before `until`; then the order is sent again until it is answered.
+    void adoptOrder(const OpenVmOrder &open, Scheduler &scheduler, Instant until);
+    /// Gives work again to VMs whose adopted order has been executed or was never sent.
+    void releaseSettledVms(Scheduler &scheduler);
+    /// Orders that the platform may execute from now on, including adopted ones.
+    std::vector<OpenVmOrder> openOrders() const;
     std::vector<FleetOrder> plan(Scheduler &scheduler, Instant now, UnixMilliseconds unixNow);
     /// True if the order can be sent now: the VM still holds nothing that would be lost with it, or
     /// an earlier call of the order is unanswered, so that the platform may execute it in any case.
@@ -131,12 +125,16 @@
         Vm vm;
         Instant vmChangedAt{}; ///< when an accepted order last changed `vm`
         Instant noOrderBefore{}; ///< no order is issued before this time
-        bool hasOrderInProgress = false; ///< a call about the VM is in progress
+        /// Order that was planned, and whose call has not been answered or given up yet.
+        std::optional<FleetOrder> orderInProgress;
         /// Worker incarnation that the current order ends, whenever the platform executes it.
         std::string workerToEnd;
         /// Order whose call got no answer, so that the platform may still execute it. It is sent
         /// again until it is answered.
         std::optional<FleetOrder> unansweredOrder;
+        /// `unansweredOrder` is of an earlier leader, which may not have sent it, and this leader
+        /// has not sent it either.
+        bool isAdopted = false;
         bool listed = true;
         std::int64_t evacuatingForWave = 0; ///< wave that the worker is evacuated for; 0: none
         Instant evacuatingSince{};
@@ -165,8 +163,10 @@
     std::size_t countUnderMaintenance(const WaveProgress &progress) const;
     bool canReceiveOrder(const Entry &entry, const Round &round) const;
     bool isEmpty(const Entry &entry, const Round &round) const;
+    static bool isMaintenanceOpen(const Entry &entry);
     bool isMovable(const Entry &entry, const Round &round) const;
     void issueOrder(Entry &entry, FleetOrder order, Round &round);
+    void settleOrder(Entry &entry, Scheduler &scheduler);
     Entry *findSpareVm(const std::string &pool, std::size_t PoolNeed::*minimum, Round &round);
 
     FleetPlannerOptions options;
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -42,13 +42,13 @@
 bool FleetPlanner::hasPendingChanges() const
 {
     return std::any_of(this->vms.begin(), this->vms.end(), [](const auto &entry) {
-        return entry.second.vm.state != VmState::Up || entry.second.hasOrderInProgress;
+        return entry.second.vm.state != VmState::Up || entry.second.orderInProgress;
     });
 }
 
 bool FleetPlanner::canReceiveOrder(const Entry &entry, const Round &round) const
 {
-    return entry.listed && entry.vm.state == VmState::Up && !entry.hasOrderInProgress
+    return entry.listed && entry.vm.state == VmState::Up && !entry.orderInProgress
            && !entry.unansweredOrder && round.now >= entry.noOrderBefore;
 }
 
@@ -89,7 +89,7 @@
         // The new incarnation has registered, so the move or the maintenance has finished.
         const auto worker = round.workers.find(entry.first);
         if (worker != round.workers.end() && worker->second->hasReported
-            && !entry.second.hasOrderInProgress && entry.second.vm.state != VmState::Up
+            && !entry.second.orderInProgress && entry.second.vm.state != VmState::Up
             && worker->second->listing.service == entry.second.vm.pool)
             entry.second.vm.state = VmState::Up;
         // A VM that is evacuated for a wave takes no new work, so it adds no capacity to its pool.
@@ -117,19 +117,6 @@
     return std::move(round.orders);
 }
 
-// Work on a VM whose unanswered order may still be executed would be lost. The VM therefore stays
-// empty and the same order is sent again; the platform accepts an order that it already executed.
-void FleetPlanner::repeatUnansweredOrders(Round &round)
-{
-    for (auto &entry : this->vms) {
-        auto &vm = entry.second;
-        if (!vm.unansweredOrder || vm.hasOrderInProgress || round.now < vm.noOrderBefore)
-            continue;
-        const auto order = *vm.unansweredOrder;
-        this->issueOrder(vm, order, round);
-    }
-}
-
 void FleetPlanner::computeNeeds(Round &round)
 {
     this->sizing.recordArrivals(round.scheduler.takeArrivals(), round.now);
@@ -151,7 +138,7 @@
 
 void FleetPlanner::issueOrder(Entry &entry, FleetOrder order, Round &round)
 {
-    entry.hasOrderInProgress = true;
+    entry.orderInProgress = order;
     round.scheduler.holdVm(entry.vm.name);
     const auto at = round.workers.find(entry.vm.name);
     if (at != round.workers.end())
@@ -253,7 +240,7 @@
         CordonPool cordonPool{above(pool.need.desired), above(pool.need.minimum), {}};
         for (const auto *vm : pool.upVms) {
             const auto at = round.workers.find(vm->vm.name);
-            if (at == round.workers.end() || vm->hasOrderInProgress || vm->evacuatingForWave != 0
+            if (at == round.workers.end() || vm->orderInProgress || vm->evacuatingForWave != 0
                 || round.scheduler.hasLastingRuns(*at->second))
                 continue;
             cordonPool.candidates.push_back(
@@ -291,20 +278,11 @@
     }
 }
 
-// An unanswered order may be executed in any case, so it has to be sent again even if the VM is not
-// empty any more.
-bool FleetPlanner::canSend(const FleetOrder &order, const Scheduler &scheduler, Instant now) const
-{
-    const auto entry = this->vms.find(order.vm);
-    const bool mayStillBeExecuted = entry != this->vms.end() && entry->second.unansweredOrder;
-    return mayStillBeExecuted || scheduler.isVmEmpty(order.vm, now);
-}
-
 void FleetPlanner::handleAnswer(const FleetOrder &order, FleetAnswer answer, Scheduler &scheduler,
                                 Instant now)
 {
     auto &entry = this->vms[order.vm];
-    entry.hasOrderInProgress = false;
+    entry.orderInProgress.reset();
     const bool isMove = order.action == FleetAction::Move;
     if (answer != FleetAnswer::Accepted)
         this->notes.push_back({"fleet-refused", order.vm,
@@ -313,13 +291,12 @@
     const auto *incarnation = scheduler.workerOf(order.vm);
     const auto worker = incarnation ? incarnation->listing.id : std::string();
     if (answer == FleetAnswer::Accepted) {
-        scheduler.releaseVm(order.vm);
+        this->settleOrder(entry, scheduler);
         entry.vm.state = isMove ? VmState::Moving : VmState::Maintenance;
         entry.vmChangedAt = now;
         entry.evacuatingForWave = 0;
         if (isMove)
             entry.vm.pool = order.pool;
-        entry.unansweredOrder.reset();
         // A repeated order may have been executed on its first call. The current worker then
         // started afterwards, so only the incarnation from before the first call is ended.
         if (!entry.workerToEnd.empty())
@@ -334,11 +311,11 @@
             || (answer == FleetAnswer::Refused && entry.unansweredOrder);
         if (mayStillBeExecuted) {
             entry.unansweredOrder = order;
+            entry.isAdopted &= answer != FleetAnswer::NoAnswer;
             return;
         }
-        entry.unansweredOrder.reset();
-        scheduler.releaseVm(order.vm);
-        if (isMove && !worker.empty())
+        this->settleOrder(entry, scheduler);
+        if (entry.evacuatingForWave == 0 && !worker.empty())
             scheduler.cancelEvacuation(worker);
     }
     if (isMove) {
--- a/packages/scheduling/src/fleet_waves.cpp
+++ b/packages/scheduling/src/fleet_waves.cpp
@@ -28,6 +28,13 @@
     return this->waveTable;
 }
 
+// A VM whose order is in progress or unanswered may already be under maintenance.
+bool FleetPlanner::isMaintenanceOpen(const Entry &entry)
+{
+    const auto &order = entry.orderInProgress ? entry.orderInProgress : entry.unansweredOrder;
+    return order && order->action == FleetAction::Maintain;
+}
+
 std::size_t FleetPlanner::countUnderMaintenance(const WaveProgress &progress) const
 {
     std::size_t count = 0;
@@ -36,10 +43,7 @@
         if (at == this->vms.end())
             continue;
         const auto &entry = at->second;
-        // A VM whose order is in progress or unanswered may already be under maintenance.
-        const bool mayHaveBegun =
-            (entry.hasOrderInProgress || entry.unansweredOrder) && entry.evacuatingForWave != 0;
-        count += entry.vm.state == VmState::Maintenance || mayHaveBegun;
+        count += entry.vm.state == VmState::Maintenance || isMaintenanceOpen(entry);
     }
     return count;
 }
@@ -66,7 +70,7 @@
     std::map<std::string, std::size_t> evacuatingByPool;
     for (auto *entry : remaining) {
         const auto worker = round.workers.find(entry->vm.name);
-        if (entry->evacuatingForWave != 0 && !entry->hasOrderInProgress) {
+        if (entry->evacuatingForWave != 0 && !entry->orderInProgress) {
             ++evacuatingCount;
             ++evacuatingByPool[entry->vm.pool];
         }
--- a/packages/scheduling/src/vm_move_test.cpp
+++ b/packages/scheduling/src/vm_move_test.cpp
@@ -14,12 +14,14 @@
 
 constexpr std::array idOrders{IdOrder::Rising, IdOrder::Falling};
 
-/// All faults, each at times `step` ticks apart.
+/// All faults but late VM orders, each at times `step` ticks apart.
 std::vector<TimedMoveFault> faultsEvery(int step)
 {
     constexpr int lastTick = 90;
     std::vector<TimedMoveFault> result;
     for (const auto &row : enumNames(MoveFault{})) {
+        if (row.value == MoveFault::VmOrderLate)
+            continue;
         for (int tick = 1; tick <= lastTick; tick += step) {
             const auto vms = targetsVm(row.value) ? VmMoveSimulation::vmCount : 1;
             for (std::size_t vm = 0; vm < vms; ++vm)
@@ -87,6 +89,40 @@
     }
 }
 
+// Guards against tasks that lose an attempt and their work, and services that lose replicas: the
+// order of a lost leader is executed after a later leader has given the VM work.
+TEST_CASE("an order of a former leader ends no run that a later leader started")
+{
+    struct Case
+    {
+        MoveFault loss;
+        int ticksToNextLoss; ///< 0: a single loss
+    };
+    const auto row = GENERATE(Case{MoveFault::LeaderDies, 0}, Case{MoveFault::LeaderCannotWrite, 0},
+                              Case{MoveFault::AllRestart, 0}, Case{MoveFault::AllRestart, 9});
+    constexpr int lastTick = 90;
+    constexpr int tickStep = 2;
+    constexpr int maxTicksToLoss = 26;
+    constexpr int lossStep = 4;
+    std::size_t executedLate = 0;
+    for (int tick = 1; tick <= lastTick; tick += tickStep) {
+        for (int lossTick = tick; lossTick <= tick + maxTicksToLoss; lossTick += lossStep) {
+            std::vector<TimedMoveFault> faults{{MoveFault::VmOrderLate, tick, 0},
+                                               {row.loss, lossTick, 0}};
+            if (row.ticksToNextLoss > 0)
+                faults.push_back({row.loss, lossTick + row.ticksToNextLoss, 0});
+            for (const auto order : idOrders) {
+                VmMoveSimulation simulation(faults, order);
+                simulation.run();
+                executedLate += simulation.ordersOfFormerLeaders;
+                CAPTURE(toString(faults), order == IdOrder::Rising);
+                CHECK(simulation.violations() == std::vector<std::string>{});
+            }
+        }
+    }
+    CHECK(executedLate > 0);
+}
+
 // Run manually: FAULT_ORDERS=20000 FAULT_SEED=1 FAULT_COUNT=2 scheduling_test "[.moves]"
 TEST_CASE("no random sequence of faults during VM moves makes a task run twice", "[.moves]")
 {
--- a/packages/scheduling/tests/move_faults.h
+++ b/packages/scheduling/tests/move_faults.h
@@ -32,6 +32,7 @@
     LeaderDies,
     LeaderCannotWrite, ///< another leader starts, and this one keeps sending orders for seconds
     AllRestart, ///< all leaders die, and the same entry VM soon starts as leader again
+    VmOrderLate, ///< the next VM order is executed late, and its answer is lost
 };
 
 constexpr auto enumNames(MoveFault)
@@ -58,6 +59,7 @@
         model::EnumName{MoveFault::LeaderDies, "leader dies"},
         model::EnumName{MoveFault::LeaderCannotWrite, "leader cannot write"},
         model::EnumName{MoveFault::AllRestart, "all restart"},
+        model::EnumName{MoveFault::VmOrderLate, "VM order late"},
     };
 }
 
@@ -72,7 +74,8 @@
     const bool isOfPlatform =
         fault == MoveFault::EarlierEntryListed || fault == MoveFault::EntriesReadAgain
         || fault == MoveFault::VmOrderUnanswered || fault == MoveFault::VmOrderAnsweredLate
-        || fault == MoveFault::VmListStale || fault == MoveFault::JobCancelled;
+        || fault == MoveFault::VmOrderLate || fault == MoveFault::VmListStale
+        || fault == MoveFault::JobCancelled;
     return !isOfPlatform;
 }
 
--- a/packages/scheduling/tests/vm_move_calls.h
+++ b/packages/scheduling/tests/vm_move_calls.h
@@ -164,31 +164,50 @@
         leader->vmsListedAt = this->now;
         leader->planner.updateVms(this->listedVms(), this->now);
     }
-    for (const auto &order : leader->planner.plan(leader->scheduler, this->now, 0)) {
-        const auto vm = static_cast<std::size_t>(std::stoul(order.vm.substr(2)));
-        const bool isLost = this->takePendingFault(MoveFault::VmOrderUnanswered);
-        const bool isSlow = !isLost && this->takePendingFault(MoveFault::VmOrderAnsweredLate);
-        const auto answer =
-            isLost ? (this->execute(order, vm), FleetAnswer::NoAnswer) : this->execute(order, vm);
-        this->runAfter(isLost   ? callTimeout
-                       : isSlow ? lateVmAnswer
-                                : tickTime,
-                       [this, leader, order, answer] {
-                           if (leader->alive)
-                               leader->planner.handleAnswer(order, answer, leader->scheduler,
-                                                            this->now);
-                       });
+    const auto orders = leader->planner.plan(leader->scheduler, this->now, 0);
+    for (const auto &order : orders)
+        leader->orderedAt[order.vm] = this->now;
+    this->writeLease(*leader);
+    for (const auto &order : orders)
+        this->sendVmOrder(leader, order);
+}
+
+inline void VmMoveSimulation::sendVmOrder(const LeaderPointer &leader, const FleetOrder &order)
+{
+    const auto answer = [this, leader, order](FleetAnswer result, Duration delay) {
+        this->runAfter(delay, [this, leader, order, result] {
+            if (leader->alive)
+                leader->planner.handleAnswer(order, result, leader->scheduler, this->now);
+        });
+    };
+    if (this->takePendingFault(MoveFault::VmOrderLate)) {
+        this->runAfter(lateVmOrderDelay,
+                       [this, order, fence = leader->fence] { this->execute(order, fence); });
+        answer(FleetAnswer::NoAnswer, callTimeout);
+        return;
     }
+    const bool isLost = this->takePendingFault(MoveFault::VmOrderUnanswered);
+    const bool isSlow = !isLost && this->takePendingFault(MoveFault::VmOrderAnsweredLate);
+    const auto result = this->execute(order, leader->fence);
+    if (isLost)
+        answer(FleetAnswer::NoAnswer, callTimeout);
+    else
+        answer(result, isSlow ? lateVmAnswer : tickTime);
 }
 
-inline FleetAnswer VmMoveSimulation::execute(const FleetOrder &order, std::size_t vm)
+inline FleetAnswer VmMoveSimulation::execute(const FleetOrder &order, std::int64_t fence)
 {
+    const auto vm = static_cast<std::size_t>(std::stoul(order.vm.substr(2)));
     auto &target = this->fleet.vms[vm];
     const bool isMove = order.action == FleetAction::Move;
     if (isMove ? target.pool == order.pool : this->fleet.maintained.count(order.vm) != 0)
         return FleetAnswer::Accepted;
     if (target.state != VmState::Up)
         return FleetAnswer::Busy;
+    if (fence < this->leaders.back()->fence)
+        ++this->ordersOfFormerLeaders;
+    if (const auto *worker = this->fleet.workerAt(vm))
+        this->checkOrderEndsNothing(*worker, order, fence);
     this->fleet.endWorker(vm, this->now, [](const TaskId &) {});
     target.state = isMove ? VmState::Moving : VmState::Maintenance;
     if (isMove) {
@@ -205,4 +224,21 @@
     return FleetAnswer::Accepted;
 }
 
+// A run of a later leader shows that it gave the VM work while this order could still be executed.
+inline void VmMoveSimulation::checkOrderEndsNothing(const SimWorker &worker,
+                                                    const FleetOrder &order, std::int64_t fence)
+{
+    const auto check = [&](const char *what, const TaskId &task, std::int64_t run) {
+        if (run > (fence + 1) * runsPerTerm)
+            this->invariants.violations.push_back("an order of leader " + std::to_string(fence)
+                                                  + " about " + order.vm + " ended " + what
+                                                  + " of a later leader: " + jobs::toString(task)
+                                                  + " run " + std::to_string(run));
+    };
+    for (const auto &run : worker.runs)
+        check("a run", run.first.task, run.first.number);
+    for (const auto &end : worker.ends)
+        check("a listed end", end.task, end.run);
+}
+
 } // namespace sassafrasferry::scheduling::tests
--- a/packages/scheduling/tests/vm_move_leader.h
+++ b/packages/scheduling/tests/vm_move_leader.h
@@ -45,9 +45,36 @@
                 {vm.name, vm.pool, vm.worker, vm.state == VmState::Up}, listedBefore, this->now);
     }
     leader->scheduler.setAllWorkersKnown();
+    this->deferOrdersOfPredecessor(*leader);
+    this->writeLease(*leader);
     leader->planner.addWave({1, {"vm0", "vm2", "vm3"}, 10s, 1}, this->fleet.maintained, this->now);
 }
 
+inline void VmMoveSimulation::deferOrdersOfPredecessor(SimLeader &leader)
+{
+    messages::LeaseRecord lease;
+    lease.ParseFromString(this->leaseRow);
+    const auto until = this->now + handOverDelay + vmOrderMargin;
+    for (const auto &vm : lease.ordered_vms())
+        leader.planner.deferOrders(vm, until);
+    for (const auto &order : lease.open_orders())
+        leader.planner.adoptOrder(openVmOrderFrom(order), leader.scheduler, until);
+}
+
+inline void VmMoveSimulation::writeLease(SimLeader &leader)
+{
+    messages::LeaseRecord lease;
+    lease.set_term(leader.fence);
+    lease.set_announces_orders(true);
+    for (const auto &entry : leader.orderedAt) {
+        if (this->now - entry.second <= handOverDelay)
+            lease.add_ordered_vms(entry.first);
+    }
+    for (const auto &order : leader.planner.openOrders())
+        *lease.add_open_orders() = toMessage(order);
+    this->leaseRow = lease.SerializeAsString();
+}
+
 inline void VmMoveSimulation::readEntries(SimLeader &leader)
 {
     std::set<std::string> seen;
@@ -86,6 +113,7 @@
         this->hold(leader, id);
     if (!leader->alive)
         return;
+    leader->planner.releaseSettledVms(leader->scheduler);
     this->sendOrders(leader);
     if (leader->writesStore)
         this->sendVmOrders(leader);
@@ -100,6 +128,7 @@
     if (!leader->writesStore)
         return;
     leader->confirmedAt = this->now;
+    this->writeLease(*leader);
     const auto took = this->now < this->storeSlowUntil ? slowWriteTime : writeTime;
     // The store executes writes in the order in which they are sent.
     this->lastWriteAt = std::max(this->lastWriteAt, this->now + took);
--- a/packages/scheduling/tests/vm_move_simulation.h
+++ b/packages/scheduling/tests/vm_move_simulation.h
@@ -55,6 +55,8 @@
     static constexpr int tickCount = 130;
 
     std::size_t moves = 0; ///< the number of VM moves that were started
+    /// The number of VM orders that were executed after another leader had taken over.
+    std::size_t ordersOfFormerLeaders = 0;
     std::vector<std::string> notes; ///< decisions of the leaders, each with its tick
 
 private:
@@ -75,6 +77,12 @@
     static constexpr Duration hangTime = 3s;
     /// Until another worker answers at the address of a lost one.
     static constexpr Duration addressReuseDelay = 2s;
+    /// Until a delayed VM order is executed.
+    static constexpr Duration lateVmOrderDelay = 2500ms;
+    /// Minimum time between a leader's last order about a VM and its successor's first.
+    static constexpr Duration handOverDelay = 3s;
+    static constexpr Duration vmOrderMargin = 200ms;
+    static constexpr std::int64_t runsPerTerm = 1000;
     static constexpr Duration moveTime = 600ms;
     static constexpr Duration maintenanceTime = 1500ms;
     static constexpr Duration lateVmAnswer = 1s;
@@ -95,7 +103,7 @@
     {
         SimLeader(std::int64_t fence, Instant now)
             : fence(fence)
-            , scheduler(SchedulerTimes{}, fence * 1000, now)
+            , scheduler(SchedulerTimes{}, fence * runsPerTerm, now)
             , planner(FleetPlannerOptions{})
             , confirmedAt(now)
         {}
@@ -108,6 +116,7 @@
         Instant confirmedAt;
         Instant vmsListedAt{};
         std::map<std::string, Instant> nextHoldAt; // by worker: when the next hold is sent
+        std::map<std::string, Instant> orderedAt; // by VM: time of its last order
         // By worker: the incarnation in the entry that was read last.
         std::map<std::string, std::int64_t> seenIncarnations;
     };
@@ -250,6 +259,8 @@
     }
 
     void startLeader();
+    void deferOrdersOfPredecessor(SimLeader &leader);
+    void writeLease(SimLeader &leader);
     void readEntries(SimLeader &leader);
     void runLeader(const LeaderPointer &leader);
 
@@ -273,7 +284,10 @@
     std::optional<Duration> executionDelay(const std::string &id, bool isLate);
     void sendOrders(const LeaderPointer &leader);
     void sendVmOrders(const LeaderPointer &leader);
-    FleetAnswer execute(const FleetOrder &order, std::size_t vm);
+    void sendVmOrder(const LeaderPointer &leader, const FleetOrder &order);
+    FleetAnswer execute(const FleetOrder &order, std::int64_t fence);
+    void checkOrderEndsNothing(const SimWorker &worker, const FleetOrder &order,
+                               std::int64_t fence);
 
     std::vector<TimedMoveFault> faults;
     int tick = 0;
@@ -290,6 +304,7 @@
     std::map<std::string, SubmittedJob> submittedJobs;
     std::string newestJob = "lasting"; // id of the job
     std::map<std::string, messages::JobProgress> storedProgress; // the store, by job
+    std::string leaseRow; // the store's lease row
     std::vector<std::vector<Vm>> vmListHistory; // the list of VMs at each tick
     Instant vmListStaleUntil{};
     Instant storeSlowUntil{};
