--- a/packages/coordination/src/vm_order_hand_over_test.cpp
+++ b/packages/coordination/src/vm_order_hand_over_test.cpp
@@ -45,8 +45,8 @@
         if (this->vm->worker != this->id)
             co_return answer;
         answer.answer = scheduling::OrderAnswer::Accepted;
-        answer.report = {this->id, bornOf(this->id), bootNow().time_since_epoch() / 1ms,
-                         this->vm->running, {}};
+        answer.report = {
+            this->id, bornOf(this->id), bootNow().time_since_epoch() / 1ms, this->vm->running, {}};
         co_return answer;
     }
 
--- a/packages/scheduling/src/adopted_order_test.cpp
+++ b/packages/scheduling/src/adopted_order_test.cpp
@@ -60,9 +60,8 @@
     std::size_t countRepeats()
     {
         const auto orders = this->fixture.plan();
-        return static_cast<std::size_t>(
-            std::count_if(orders.begin(), orders.end(),
-                          [](const FleetOrder &order) { return order.vm == vm; }));
+        return static_cast<std::size_t>(std::count_if(
+            orders.begin(), orders.end(), [](const FleetOrder &order) { return order.vm == vm; }));
     }
 
     void pass(Duration duration)
@@ -107,16 +106,16 @@
         void (*change)(AdoptedMove &);
         bool isSettled;
     };
-    const auto row = GENERATE(Case{"nothing", [](AdoptedMove &) {}, false},
-                              Case{"a run that an earlier leader started",
-                                   [](AdoptedMove &adopted) { adopted.reportRun(); }, true},
-                              Case{"an end that is not in the store",
-                                   [](AdoptedMove &adopted) { adopted.reportEnd(); }, false},
-                              Case{"a worker of the target pool",
-                                   [](AdoptedMove &adopted) { adopted.listWorkerOf("two"); }, true},
-                              Case{"another worker of the same pool",
-                                   [](AdoptedMove &adopted) { adopted.listWorkerOf("one"); },
-                                   false});
+    const auto row =
+        GENERATE(Case{"nothing", [](AdoptedMove &) {}, false},
+                 Case{"a run that an earlier leader started",
+                      [](AdoptedMove &adopted) { adopted.reportRun(); }, true},
+                 Case{"an end that is not in the store",
+                      [](AdoptedMove &adopted) { adopted.reportEnd(); }, false},
+                 Case{"a worker of the target pool",
+                      [](AdoptedMove &adopted) { adopted.listWorkerOf("two"); }, true},
+                 Case{"another worker of the same pool",
+                      [](AdoptedMove &adopted) { adopted.listWorkerOf("one"); }, false});
     CAPTURE(row.name);
     AdoptedMove adopted;
     row.change(adopted);
@@ -138,8 +137,8 @@
     adopted.reportEnd();
     adopted.pass(3100ms);
     CHECK(adopted.countRepeats() == 0);
-    for (const auto &row : adopted.fixture.scheduler.takeDirty(
-             100, [](const std::string &) { return true; }))
+    for (const auto &row :
+         adopted.fixture.scheduler.takeDirty(100, [](const std::string &) { return true; }))
         adopted.fixture.scheduler.recorded(row);
     CHECK(adopted.countRepeats() == 1);
 }
@@ -179,9 +178,9 @@
 
 TEST_CASE("an open order is stored with all that its successor needs")
 {
-    const auto open = GENERATE(
-        OpenVmOrder{{FleetAction::Move, vm, "two", 0}, worker}, OpenVmOrder{move, ""},
-        OpenVmOrder{{FleetAction::Maintain, vm, "", 7}, worker});
+    const auto open =
+        GENERATE(OpenVmOrder{{FleetAction::Move, vm, "two", 0}, worker}, OpenVmOrder{move, ""},
+                 OpenVmOrder{{FleetAction::Maintain, vm, "", 7}, worker});
     const auto read = openVmOrderFrom(toMessage(open));
     CHECK(read.order.action == open.order.action);
     CHECK(read.order.vm == open.order.vm);
--- a/packages/scheduling/src/fleet_open_orders.cpp
+++ b/packages/scheduling/src/fleet_open_orders.cpp
@@ -1,5 +1,5 @@
-// Orders about VMs that the platform may still execute: those of this leader that got no answer, and
-// those that it adopted from an earlier leader.
+// Orders about VMs that the platform may still execute: those of this leader that got no answer,
+// and those that it adopted from an earlier leader.
 #include "fleet_round.h"
 
 #include <absl/strings/str_cat.h>
