A worker whose report is full of ends may hold further ones

Callers would see a task run twice (TWICE): a worker holds 501 ends that are not acknowledged when a leader takes over. Its report lists 500 (the most there are in one) and no run, the service counted as reconciled, and the task of the 501st end was started again.

Cause: any first report ended the wait for runs that the leader does not know. That a full list may lack ends was asked only before known runs were dropped. A VM counted as empty, too, once the 500 ends were in the store, so that an order about it could end the worker with the 501st.

Change: a worker whose last report is full may have unreported ends; its service is not reconciled, and its VM not empty, until a report that is not full. If it falls silent, it is waited for as long as a lease lasts, like one that has not reported to this leader.

Test: of 20 checks (499 and 500 ends, before and after the inherited lease) the rows of 500 failed before: VM empty, one start, VM empty after the last end was read.

--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -111,6 +111,8 @@
     bool listed = false; ///< has an entry in the list of workers
     bool hasEnded = false; ///< this incarnation has ended; no calls are sent to it any more
     bool hasReported = false; ///< has reported to this leader in its current incarnation
+    /// Its last report lists as many ends as fit, so that it may hold further ones.
+    bool canHaveUnlistedEnds = false;
     bool evacuating = false; ///< gets no new tasks: its VM will be moved or maintained
     bool cordoned = false; ///< gets no new tasks, so that its VM drains and can be moved
     /// A maintenance wave waits for its VM, so lasting tasks placed here would have to move again.
@@ -121,8 +123,8 @@
     double failureRate = 0; ///< exponentially weighted share of failures among its recent ends
     std::int64_t clock = 0; ///< last reported reading of its clock, milliseconds
     Instant clockReceivedAt{}; ///< time at which that reading arrived, by this leader's clock
-    /// Until when it may have unreported runs, started by an earlier leader or by a start that was
-    /// sent to an earlier incarnation.
+    /// Until when it may have unreported runs or ends, of starts by an earlier leader or of a start
+    /// that was sent to an earlier incarnation.
     Instant inheritedUntil{};
     /// Until when the current incarnation may run on a lease that was computed from the clock of
     /// the previous incarnation.
@@ -147,8 +149,9 @@
     std::string awaitedJob;
 
     Resources room() const;
-    /// True if it may run tasks that this leader does not know of: it has not reported in its
-    /// current incarnation, and earlier orders may be in effect until `inheritedUntil`.
+    /// True if it may run tasks, or hold ends of runs, that this leader does not know of: it has
+    /// not reported all in its current incarnation, and earlier orders may be in effect until
+    /// `inheritedUntil`.
     bool canHaveUnreportedRuns(Instant now) const;
     /// True if it is known to have no runs and all its ends are in the store, so that its VM can be
     /// moved or maintained. Before that, a new leader could learn of the ends only from the worker.
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -87,13 +87,13 @@
 {
     if (this->reconciledServices.count(service) != 0)
         return true;
-    if (now > this->tookOverAt + this->times.inheritedLease)
-        return true;
+    const bool hasLeaseExpired = now > this->tookOverAt + this->times.inheritedLease;
     const auto isKnown = [&](const auto &entry) {
         const auto &worker = entry.second;
-        return worker.listing.service != service || !worker.canHaveUnreportedRuns(now);
+        return worker.listing.service != service || !worker.canHaveUnreportedRuns(now)
+               || (hasLeaseExpired && !worker.canHaveUnlistedEnds);
     };
-    return this->allWorkersKnown
+    return (hasLeaseExpired || this->allWorkersKnown)
            && std::all_of(this->workerTable.begin(), this->workerTable.end(), isKnown);
 }
 
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -108,11 +108,15 @@
     worker.clockReceivedAt = now;
     worker.lastAnswer = now;
     worker.hasReported = true;
+    worker.canHaveUnlistedEnds = report.ended.size() >= maxListedEnds;
+    if (worker.canHaveUnlistedEnds)
+        worker.inheritedUntil =
+            std::max(worker.inheritedUntil, now + this->maxLeaseDuration(this->times.workerLease));
     for (const auto &end : report.ended)
         this->applyEnd(worker, end, now);
     for (const auto &listed : report.running)
         this->applyRunning(worker, listed, askedAt, now);
-    if (report.ended.size() < maxListedEnds)
+    if (!worker.canHaveUnlistedEnds)
         this->dropMissingRuns(worker, report, askedAt, now);
     this->advanceRecordedEnds(worker);
 }
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -127,6 +127,7 @@
         this->dropRunsOfIncarnation(worker, now);
     }
     worker.hasReported = false;
+    worker.canHaveUnlistedEnds = false;
     worker.clock = 0;
     worker.latestLeaseEnd = 0;
     worker.endsSeen = 0;
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -39,6 +39,33 @@
     }
 }
 
+// Guards against tasks that run twice: a worker lists a limited number of ends at a time, and a new
+// leader starts a task whose end is not listed yet.
+TEST_CASE("after a takeover tasks wait for ends that a full report leaves out")
+{
+    const std::size_t listed = GENERATE(499, 500); // 500 fill a report
+    const Duration later = GENERATE(0ms, 10800ms); // before and after the inherited lease
+    const bool isFull = listed == 500;
+    CAPTURE(listed, later / 1ms);
+    Bench bench(1, 4000, true);
+    bench.scheduler.setAllWorkersKnown();
+    bench.add("j", {stepOf(listed + 1, 1)}, true);
+    std::vector<ListedEnd> ends;
+    for (std::size_t i = 0; i <= listed; ++i)
+        ends.push_back(
+            {static_cast<std::int64_t>(i) + 1, {"j", 0, 0, i}, 5, jobs::RunEnd::Done, ""});
+    bench.now += later;
+    bench.report("w0", {}, {ends.begin(), ends.end() - 1});
+    bench.record();
+    CHECK(bench.scheduler.isVmEmpty("vm-w0", bench.now) != isFull);
+    CHECK(bench.plan().starts.size() == (isFull ? 0 : 1));
+    bench.report("w0", {}, {ends.back()});
+    bench.record();
+    CHECK(bench.scheduler.isVmEmpty("vm-w0", bench.now) == isFull);
+    CHECK(bench.plan().starts.empty());
+    CHECK(bench.scheduler.stateOf("j") == JobState::Completed);
+}
+
 TEST_CASE("a job that arrives after the takeover starts at once")
 {
     Bench bench(2, 4000, true);
--- a/packages/scheduling/src/worker.cpp
+++ b/packages/scheduling/src/worker.cpp
@@ -12,7 +12,8 @@
 
 bool Worker::canHaveUnreportedRuns(Instant now) const
 {
-    return !this->hasReported && !this->hasEnded && now <= this->inheritedUntil;
+    const bool hasReportedAll = this->hasReported && !this->canHaveUnlistedEnds;
+    return !hasReportedAll && !this->hasEnded && now <= this->inheritedUntil;
 }
 
 bool Worker::isEmpty(Instant now) const
