--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -170,6 +170,63 @@
     CHECK(pair.taken.orderedVms == vms);
 }
 
+// Guards against work on a VM that an open order of the leader before ends: the successor does not
+// know of the order if the first leader writes its row after it has dropped its orders.
+TEST_CASE("A successor learns the open orders of a leader that stops, steps down or is lost")
+{
+    enum class Ending {
+        Stops,
+        StepsDown,
+        IsLost,
+    };
+    const auto ending = GENERATE(Ending::Stops, Ending::StepsDown, Ending::IsLost);
+    CAPTURE(static_cast<int>(ending));
+    const scheduling::OpenVmOrder order{{scheduling::FleetAction::Move, "vm-7", "s", 0}, "w-7"};
+    const std::vector<std::string> vms{"vm-7"};
+    std::vector<scheduling::OpenVmOrder> orders{order};
+    LeadershipTimes times;
+    times.holdOff = std::chrono::seconds(60);
+    MemoryStore store;
+    Leadership<MemoryStore>::Events events;
+    events.onLead = [](const Tenure &) {
+    };
+    events.onLost = [&](const std::string &) {
+        orders.clear();
+    };
+    events.openVmOrders = [&] {
+        return orders;
+    };
+    Leadership<MemoryStore> first(store, "first", {"127.0.0.1", 1}, 1, events, times);
+    http::asio::io_context firstContext; // runs until the first one leads
+    spawn(firstContext.get_executor(), "first", [&] { return first.run(); });
+    while (!first.isLeader())
+        firstContext.run_one();
+    http::asio::io_context context;
+    spawn(context.get_executor(), "end", [&]() -> Awaitable<void> {
+        const std::string why = "stuck";
+        if (ending == Ending::Stops)
+            co_await first.release(vms);
+        else if (ending == Ending::StepsDown)
+            co_await first.stepDown(vms, why, std::string());
+        else
+            co_await first.announce(vms);
+    });
+    context.run();
+    Tenure taken;
+    events.onLead = [&](const Tenure &tenure) {
+        taken = tenure;
+    };
+    Leadership<MemoryStore> second(store, "second", {"127.0.0.1", 2}, 2, events, times);
+    context.restart();
+    spawn(context.get_executor(), "second", [&] { return second.run(); });
+    while (!second.isLeader())
+        context.run_one();
+    REQUIRE(taken.openVmOrders.size() == 1);
+    CHECK(taken.openVmOrders[0].order.vm == order.order.vm);
+    CHECK(taken.openVmOrders[0].order.pool == order.order.pool);
+    CHECK(taken.openVmOrders[0].worker == order.worker);
+}
+
 TEST_CASE("Orders that the store does not record are not announced")
 {
     Pair pair({});
