Logs tell why a lasting task waits, and what a new leader waits for

Today's log can't tell whether nobody planned, whether the leader waited for runs of its predecessor, or whether it found no VM: the leader logs starts, and nothing about tasks that don't start.

- event=service-reconciled: when the runs of earlier leaders are known.
- event=lead: whether it is the first, and for how long the lease row had stood still. event=leader-loop: whether all tables are read, and the age of the last confirmation.

The wait for a predecessor's leases moves to a function of its own. No decision changes.

--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -5,6 +5,7 @@
 #include <sassafrasferry/coordination/call_relay.h>
 #include <sassafrasferry/coordination/decision_log.h>
 #include <sassafrasferry/coordination/fleet_controller.h>
+#include <sassafrasferry/coordination/inherited_lease.h>
 #include <sassafrasferry/coordination/job_loader.h>
 #include <sassafrasferry/coordination/job_platform.h>
 #include <sassafrasferry/coordination/job_recorder.h>
@@ -155,13 +156,7 @@
     static scheduling::SchedulerTimes timesFor(const Options &options, const Tenure &tenure)
     {
         auto times = options.times;
-        // Runs started by a predecessor last for at most one worker lease after its last order. A
-        // predecessor that is not known to have stopped may give orders until its order limit.
-        times.inheritedLease =
-            policy::fromSeconds(policy::seconds(times.workerLease) * (1 + times.clockDrift))
-            + times.leaseMargin;
-        if (!tenure.predecessorStopped)
-            times.inheritedLease += options.orderLimit;
+        times.inheritedLease = inheritedLease(tenure, times, options.orderLimit);
         return times;
     }
 
@@ -448,7 +443,9 @@
             if (this->stopped || !follower || bootNow() - loggedAt < loadPeriod)
                 continue;
             loggedAt = bootNow();
-            LOG(INFO) << "event=leader-loop delay-ms=" << figures.maxDelay / milliseconds(1)
+            LOG(INFO) << "event=leader-loop ready=" << this->isReady()
+                      << " confirmed-ms=" << this->options.sinceConfirmed() / milliseconds(1)
+                      << " delay-ms=" << figures.maxDelay / milliseconds(1)
                       << " rounds=" << figures.rounds
                       << " rounds-ms=" << figures.roundTime / milliseconds(1)
                       << " max-round-ms=" << figures.maxRound / milliseconds(1)
@@ -467,6 +464,7 @@
         this->roster->forget(now);
         this->listedWorkers = this->scheduler.listedWorkers();
         logLoads(this->scheduler.loads(now, http::unixNow()));
+        this->scheduler.noteWaitingTasks(now);
     }
 
     http::asio::any_io_executor executor;
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -51,6 +51,9 @@
     /// process of this entry VM.
     bool predecessorStopped = false;
     bool isFirst = false; ///< no predecessor, or it was an earlier process of this entry VM
+    /// The lease row was first seen then as the predecessor last wrote it, so the store last
+    /// confirmed the predecessor's lease before.
+    Instant predecessorConfirmedBy{};
     /// `orderedVms` contains all VMs about which the predecessor may have given recent orders.
     bool knowsPredecessorOrders = false;
     std::vector<std::string> orderedVms; ///< get no order before the hand-over delay is over
@@ -330,6 +333,7 @@
         Tenure next;
         next.term = record.term() + 1;
         next.predecessorStopped = isFree || isEarlierProcess;
+        next.predecessorConfirmedBy = this->versionSince;
         next.isFirst = record.term() == 0 || isEarlierProcess;
         next.knowsPredecessorOrders = record.term() > 0 && (isFree || record.announces_orders());
         // Orders of an earlier process of this entry VM count as its own.
@@ -388,7 +392,9 @@
         this->leading = true;
         this->leader = this->address;
         LOG(INFO) << "event=lead fence=" << fence << " term=" << this->tenure.term
-                  << " predecessor-stopped=" << next.predecessorStopped;
+                  << " predecessor-stopped=" << next.predecessorStopped << " first=" << next.isFirst
+                  << " row-age-ms="
+                  << (bootNow() - next.predecessorConfirmedBy) / std::chrono::milliseconds(1);
         this->events.onLead(this->tenure);
     }
 
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -200,6 +200,8 @@
     /// Core-seconds of the jobs added to each service since the last call.
     std::map<std::string, double> takeArrivals();
 
+    /// Adds a note for each lasting task that has waited too long to be started, with the reason.
+    void noteWaitingTasks(Instant now);
     std::vector<DecisionNote> takeNotes();
     const SchedulerCounts &counts() const;
     const MechanismSet &mechanisms() const;
@@ -211,6 +213,7 @@
         double score = 0;
     };
     struct Round;
+    struct WorkerCensus;
 
     /// Run time models of a queue.
     struct QueueTimes
@@ -266,6 +269,8 @@
                    Round &round);
     void start(Job &job, const TaskId &id, Worker &worker, Round &round);
     void noteEnded(const Worker &worker, EndEvidence evidence);
+    WorkerCensus censusOf(const std::string &service, Instant now) const;
+    std::string waitReasonOf(const Job &job, Instant now) const;
     void note(std::string event, std::string subject, std::string detail);
 
     SchedulerTimes times;
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -112,8 +112,11 @@
             queues[this->serviceOf(*entry.second)].push_back(entry.second.get());
     }
     for (auto &entry : queues) {
-        if (this->isReconciled(entry.first, now))
-            this->reconciledServices.insert(entry.first);
+        if (this->isReconciled(entry.first, now)
+            && this->reconciledServices.insert(entry.first).second)
+            this->note(
+                "service-reconciled", entry.first,
+                absl::StrCat("after-ms=", (now - this->tookOverAt) / std::chrono::milliseconds(1)));
         this->planService(entry.first, entry.second, round);
     }
     this->giveRequestedStops(now, round.orders);
