A leader that takes its own lease again begins a new term

Cause: an outage of 6 s and more ends a leader by its order limit. When the store is back, the process reads the row, finds it is its own, and leads at once with the tenure of its first acquisition: the same term, `isFirst`, `predecessorStopped`. The new leader has no books, takes itself for the first of all, doesn't read the list of VMs, and where the workers' entries lapsed meanwhile it waits for nobody. The same holds after a step-down whose release the store did not apply. Class: state of one tenure taken for that of another.

Change: a process leads a term once. Its own row with a term that it has led is like that of an earlier process of it, which is known to have stopped: it takes the lease anew, with the next term, and gets the row's orders. Only an acquisition whose answer was lost (a later term) is led as it was taken.

"A successor learns the VMs of announced orders" let the leader's loop run on after its process had ended, with a limit shorter than its renewals, so that the lost leader took its lease again until the other came first. Now the loop ends with the process; the same three facts are checked, with the times of the product.

--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -318,9 +318,9 @@
         std::vector<scheduling::OpenVmOrder> openVmOrders;
         for (const auto &order : record.open_orders())
             openVmOrders.push_back(scheduling::openVmOrderFrom(order));
-        if (this->isMine(record)) {
-            // Either this process acquired the lease and the answer was lost, or its release of the
-            // lease was not applied, in which case the lease expires.
+        const bool isOwn = this->isMine(record);
+        // This process acquired the lease, and the answer was lost.
+        if (isOwn && record.term() > this->ledTerm) {
             this->pendingTenure.openVmOrders = std::move(openVmOrders);
             if (!isHeldOff)
                 this->lead(this->version, this->readAtVersion, now, this->pendingTenure);
@@ -328,11 +328,11 @@
         }
         this->leader = model::parseEndpoint(record.address());
         const bool isFree = record.holder().empty();
-        const bool isEarlierProcess = record.holder() == this->self;
+        const bool isEarlierProcess = record.holder() == this->self && !isOwn;
         const bool isExpired = bootNow() - this->versionSince > this->times.term;
         Tenure next;
         next.term = record.term() + 1;
-        next.predecessorStopped = isFree || isEarlierProcess;
+        next.predecessorStopped = isFree || isEarlierProcess || isOwn;
         next.predecessorConfirmedBy = this->versionSince;
         next.isFirst = record.term() == 0 || isEarlierProcess;
         next.knowsPredecessorOrders = record.term() > 0 && (isFree || record.announces_orders());
@@ -340,7 +340,7 @@
         if (!isEarlierProcess)
             next.orderedVms.assign(record.ordered_vms().begin(), record.ordered_vms().end());
         next.openVmOrders = std::move(openVmOrders);
-        if (!isFree && !isEarlierProcess && !isExpired) {
+        if (!isFree && !isEarlierProcess && !isOwn && !isExpired) {
             this->freeSince = {};
             co_return;
         }
@@ -348,7 +348,7 @@
             this->freeSince = now;
         if (isHeldOff)
             co_return;
-        if (isEarlierProcess || now - this->freeSince >= this->delayFor(record, now))
+        if (isEarlierProcess || isOwn || now - this->freeSince >= this->delayFor(record, now))
             co_await this->acquire(next);
     }
 
@@ -390,6 +390,7 @@
         this->confirmed(confirmedVersion, confirmedWhen);
         this->renewedAt = confirmedWhen;
         this->leading = true;
+        this->ledTerm = next.term;
         this->leader = this->address;
         LOG(INFO) << "event=lead fence=" << fence << " term=" << this->tenure.term
                   << " predecessor-stopped=" << next.predecessorStopped << " first=" << next.isFirst
@@ -434,6 +435,9 @@
     bool isWriting = false; // a write of the lease row is in progress
     std::vector<std::string> announced; // VMs of orders that wait for the write of the lease row
     Tenure pendingTenure; // tenure that begins if the attempt to acquire succeeds
+    /// Last term that this process led. A leader keeps its books in memory for one tenure, so a
+    /// term, with its run numbers, is never led twice.
+    std::int64_t ledTerm = 0;
     bool hasVersion = false;
     std::int64_t version = store::absent; // version of the lease row, as last read or written
     std::int64_t readAtVersion = store::absent; // of the store, when the lease row was last read
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -86,6 +86,60 @@
     CHECK(only.isLeader());
 }
 
+// Guards against tasks that run twice and tasks that are ended without need. The leader of a second
+// tenure has no books of the first one's runs. If it leads the same term, it takes itself for the
+// first leader of all, waits for no worker and reuses run numbers.
+TEST_CASE("A leader that takes its own lease again begins a new term")
+{
+    enum class Ending {
+        OrderLimit, ///< the store is away for longer than the leader may give orders
+        LostRelease, ///< it steps down, and the store does not apply the release
+    };
+    const auto ending = GENERATE(Ending::OrderLimit, Ending::LostRelease);
+    CAPTURE(static_cast<int>(ending));
+    LeadershipTimes times;
+    times.renew = std::chrono::milliseconds(20);
+    times.tick = std::chrono::milliseconds(5);
+    times.orderLimit = std::chrono::milliseconds(200);
+    times.holdOff = std::chrono::milliseconds(50);
+    http::asio::io_context context;
+    MemoryStore store;
+    std::vector<Tenure> tenures;
+    Leadership<MemoryStore> only(store, "only", {"127.0.0.1", 1}, 1,
+                                 {[&](const Tenure &tenure) { tenures.push_back(tenure); },
+                                  [](const auto &) {
+                                  }},
+                                 times);
+    spawn(context.get_executor(), "only", [&] { return only.run(); });
+    while (tenures.empty())
+        context.run_one();
+    bool isAnnounced = false;
+    const std::vector<std::string> vms{"vm-7"};
+    spawn(context.get_executor(), "announce",
+          [&]() -> Awaitable<void> { isAnnounced = co_await only.announce(vms); });
+    while (!isAnnounced)
+        context.run_one();
+    store.refusesCommits = true;
+    store.faultyTable = table::lease;
+    store.fault = ReadFault::Fails;
+    if (ending == Ending::LostRelease)
+        spawn(context.get_executor(), "step-down", [&] { return only.stepDown({}, "stuck", ""); });
+    while (only.isLeader())
+        context.run_one();
+    context.run_for(times.holdOff);
+    store.refusesCommits = false;
+    store.fault = ReadFault::None;
+    while (!only.isLeader())
+        context.run_one();
+    REQUIRE(tenures.size() == 2);
+    CHECK(tenures[1].term == tenures[0].term + 1);
+    CHECK(tenures[1].fence > tenures[0].fence);
+    CHECK(tenures[1].predecessorStopped);
+    CHECK_FALSE(tenures[1].isFirst);
+    CHECK(tenures[1].knowsPredecessorOrders);
+    CHECK(tenures[1].orderedVms == vms);
+}
+
 // Guards against a lease that passes from a weak leader to another weak entry VM. The leader names
 // the strongest entry VM as its successor, and the others delay their attempt to take the lease.
 TEST_CASE("A released lease is taken by the named successor first")
@@ -155,19 +209,33 @@
 // last orders are unknown.
 TEST_CASE("A successor learns the VMs of announced orders")
 {
-    LeadershipTimes times;
-    times.orderLimit = std::chrono::milliseconds(300);
-    Pair pair(times);
+    MemoryStore store;
+    Tenure taken;
+    Leadership<MemoryStore>::Events events;
+    events.onLead = [&](const Tenure &tenure) {
+        taken = tenure;
+    };
+    events.onLost = [](const std::string &) {
+    };
+    Leadership<MemoryStore> first(store, "first", {"127.0.0.1", 1}, 1, events);
+    http::asio::io_context firstContext; // does not run any more once the first one's process ends
+    spawn(firstContext.get_executor(), "first", [&] { return first.run(); });
+    while (!first.isLeader())
+        firstContext.run_one();
     bool isAnnounced = false;
     const std::vector<std::string> vms{"vm-7"};
-    spawn(pair.context.get_executor(), "announce",
-          [&]() -> Awaitable<void> { isAnnounced = co_await pair.first.announce(vms); });
-    pair.runUntil([&] { return isAnnounced; });
-    pair.first.deposed("its process ends");
-    pair.runUntil([&] { return pair.second.isLeader(); });
-    CHECK_FALSE(pair.taken.predecessorStopped);
-    CHECK(pair.taken.knowsPredecessorOrders);
-    CHECK(pair.taken.orderedVms == vms);
+    spawn(firstContext.get_executor(), "announce",
+          [&]() -> Awaitable<void> { isAnnounced = co_await first.announce(vms); });
+    while (!isAnnounced)
+        firstContext.run_one();
+    Leadership<MemoryStore> second(store, "second", {"127.0.0.1", 2}, 2, events);
+    http::asio::io_context context;
+    spawn(context.get_executor(), "second", [&] { return second.run(); });
+    while (!second.isLeader())
+        context.run_one();
+    CHECK_FALSE(taken.predecessorStopped);
+    CHECK(taken.knowsPredecessorOrders);
+    CHECK(taken.orderedVms == vms);
 }
 
 // Guards against work on a VM that an open order of the leader before ends: the successor does not
