Tests: a session keeps to the limit of leases, and a successor learns of it

"A session grants no lease beyond the limit of its leader's leases" is new; "A successor learns the VMs of announced orders" checks the rest as well.

--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -228,6 +228,7 @@
           [&]() -> Awaitable<void> { isAnnounced = co_await first.announce(vms); });
     while (!isAnnounced)
         firstContext.run_one();
+    const auto writtenBy = bootNow();
     Leadership<MemoryStore> second(store, "second", {"127.0.0.1", 2}, 2, events);
     http::asio::io_context context;
     spawn(context.get_executor(), "second", [&] { return second.run(); });
@@ -236,6 +237,9 @@
     CHECK_FALSE(taken.predecessorStopped);
     CHECK(taken.knowsPredecessorOrders);
     CHECK(taken.orderedVms == vms);
+    CHECK(taken.limitsLeases);
+    CHECK(taken.predecessorConfirmedBy >= writtenBy);
+    CHECK(taken.predecessorConfirmedBy + LeadershipTimes{}.term <= bootNow());
 }
 
 // Guards against work on a VM that an open order of the leader before ends: the successor does not
--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -9,6 +9,7 @@
 using namespace sassafrasferry;
 using namespace sassafrasferry::coordination;
 using scheduling::OrderAnswer;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -23,6 +24,7 @@
     std::int64_t clock = 1000;
     std::vector<scheduling::ListedEnd> ends;
     std::vector<std::int64_t> acknowledged; ///< by each hold, in order
+    std::vector<std::optional<std::int64_t>> leaseEnds; ///< by each hold, by the worker's clock
     std::vector<std::int64_t> unread; ///< numbers of ends that were dropped without being listed
     std::set<std::pair<std::int64_t, std::int64_t>> listed; ///< listed ends: born and number
     std::function<OrderAnswer(std::size_t call)> onHold; ///< called before each hold takes effect
@@ -70,6 +72,7 @@
     Awaitable<HoldAnswer> hold(HoldRequest request)
     {
         this->worker->acknowledged.push_back(request.acknowledged);
+        this->worker->leaseEnds.push_back(request.until);
         co_await pause(std::chrono::milliseconds(1));
         const auto answer = this->worker->onHold(this->worker->acknowledged.size());
         auto result = HoldAnswer{};
@@ -101,7 +104,7 @@
 /// Runs a session with a scripted worker.
 struct SessionFixture
 {
-    explicit SessionFixture(ScriptedWorker &worker)
+    explicit SessionFixture(ScriptedWorker &worker, Duration leaseLimit = std::chrono::hours(1))
         : scheduler(scheduling::SchedulerTimes{}, 0, bootNow() - takeover)
     {
         scheduling::WorkerListing listing;
@@ -114,6 +117,9 @@
                              [] {
                                  return true;
                              }};
+        events.leasesEndBy = [limit = bootNow() + leaseLimit] {
+            return limit;
+        };
         this->session = std::make_shared<WorkerSession<ScriptedCalls>>(
             this->context.get_executor(), this->scheduler, workerId,
             std::make_unique<ScriptedCalls>(ScriptedCalls{&worker}), 7, std::move(events));
@@ -138,6 +144,28 @@
 
 } // namespace
 
+// Guards against tasks that run twice: a lease outlasts the time for which a successor waits for a
+// worker that it can't reach.
+TEST_CASE("A session grants no lease beyond the limit of its leader's leases")
+{
+    const auto leaseLimit = GENERATE(std::chrono::seconds(2), std::chrono::seconds(0));
+    CAPTURE(leaseLimit.count());
+    ScriptedWorker worker;
+    worker.onHold = [](std::size_t) {
+        return OrderAnswer::Accepted;
+    };
+    const auto clock = worker.clock;
+    SessionFixture fixture(worker, leaseLimit);
+    fixture.run(worker, 4);
+    REQUIRE(worker.leaseEnds.size() >= 4);
+    for (std::size_t i = 1; i < worker.leaseEnds.size(); ++i) { // the first has no clock to go by
+        const auto end = worker.leaseEnds[i];
+        CHECK(end.has_value() == (leaseLimit > leaseLimit.zero()));
+        // The clock of the scripted worker goes by one with each hold.
+        CHECK(end.value_or(0) <= clock + static_cast<std::int64_t>(i) + leaseLimit / 1ms);
+    }
+}
+
 // Guards against tasks that run again after they were done: the worker restarted and kept its id,
 // and ends of the new incarnation were acknowledged with a number of the previous one.
 TEST_CASE("Ends of a restarted worker are not acknowledged before they are read")
