--- a/packages/coordination/include/sassafrasferry/coordination/inherited_lease.h
+++ b/packages/coordination/include/sassafrasferry/coordination/inherited_lease.h
@@ -14,7 +14,7 @@
 inline Duration inheritedLease(const Tenure &tenure, const scheduling::SchedulerTimes &times,
                                const LeadershipTimes &leadership, Instant now)
 {
-    // As measured here, for a lease on a worker whose clock runs slow.
+    // The time that a lease can last, by this entry VM's clock, on a worker whose clock runs slow.
     const auto longest = [&](Duration lease) {
         return policy::fromSeconds(policy::seconds(lease) * (1 + times.clockDrift))
                + times.leaseMargin;
