--- a/packages/coordination/include/sassafrasferry/coordination/inherited_lease.h
+++ b/packages/coordination/include/sassafrasferry/coordination/inherited_lease.h
@@ -1,7 +1,7 @@
 // How long tasks that a predecessor started may still run on a worker that does not answer.
 #pragma once
 
-#include <sassafrasferry/coordination/leadership.h>
+#include <sassafrasferry/coordination/tenure.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
 namespace sassafrasferry::coordination {
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -46,6 +46,33 @@
     Tenure taken; // the second one's tenure
 };
 
+/// One entry VM that competes for the lease of a store, and the tenures that it has led.
+struct Single
+{
+    explicit Single(LeadershipTimes times)
+        : only(store, "only", {"127.0.0.1", 1}, 1,
+               {[this](const Tenure &tenure) { this->tenures.push_back(tenure); },
+                [](const auto &) {
+                }},
+               times)
+    {
+        spawn(this->context.get_executor(), "only", [this] { return this->only.run(); });
+        this->runUntil([this] { return this->only.isLeader(); });
+    }
+
+    template<typename Condition>
+    void runUntil(Condition condition)
+    {
+        while (!condition())
+            this->context.run_one();
+    }
+
+    http::asio::io_context context;
+    MemoryStore store;
+    std::vector<Tenure> tenures;
+    Leadership<MemoryStore> only;
+};
+
 } // namespace
 
 // Guards against callers that wait forever for a leader that can't lead. Such a leader releases the
@@ -69,21 +96,11 @@
 {
     LeadershipTimes times;
     times.holdOff = std::chrono::milliseconds(200);
-    http::asio::io_context context;
-    MemoryStore store;
-    int tenures = 0;
-    Leadership<MemoryStore> only(store, "only", {"127.0.0.1", 1}, 1,
-                                 {[&](const Tenure &) { ++tenures; },
-                                  [](const auto &) {
-                                  }},
-                                 times);
-    spawn(context.get_executor(), "only", [&] { return only.run(); });
-    while (tenures == 0)
-        context.run_one();
-    spawn(context.get_executor(), "step-down", [&] { return only.stepDown({}, "stuck", ""); });
-    while (tenures == 1)
-        context.run_one();
-    CHECK(only.isLeader());
+    Single single(times);
+    spawn(single.context.get_executor(), "step-down",
+          [&] { return single.only.stepDown({}, "stuck", ""); });
+    single.runUntil([&] { return single.tenures.size() > 1; });
+    CHECK(single.only.isLeader());
 }
 
 // Guards against tasks that run twice and tasks that are ended without need. The leader of a second
@@ -102,35 +119,24 @@
     times.tick = std::chrono::milliseconds(5);
     times.orderLimit = std::chrono::milliseconds(200);
     times.holdOff = std::chrono::milliseconds(50);
-    http::asio::io_context context;
-    MemoryStore store;
-    std::vector<Tenure> tenures;
-    Leadership<MemoryStore> only(store, "only", {"127.0.0.1", 1}, 1,
-                                 {[&](const Tenure &tenure) { tenures.push_back(tenure); },
-                                  [](const auto &) {
-                                  }},
-                                 times);
-    spawn(context.get_executor(), "only", [&] { return only.run(); });
-    while (tenures.empty())
-        context.run_one();
+    Single single(times);
     bool isAnnounced = false;
     const std::vector<std::string> vms{"vm-7"};
-    spawn(context.get_executor(), "announce",
-          [&]() -> Awaitable<void> { isAnnounced = co_await only.announce(vms); });
-    while (!isAnnounced)
-        context.run_one();
-    store.refusesCommits = true;
-    store.faultyTable = table::lease;
-    store.fault = ReadFault::Fails;
+    spawn(single.context.get_executor(), "announce",
+          [&]() -> Awaitable<void> { isAnnounced = co_await single.only.announce(vms); });
+    single.runUntil([&] { return isAnnounced; });
+    single.store.refusesCommits = true;
+    single.store.faultyTable = table::lease;
+    single.store.fault = ReadFault::Fails;
     if (ending == Ending::LostRelease)
-        spawn(context.get_executor(), "step-down", [&] { return only.stepDown({}, "stuck", ""); });
-    while (only.isLeader())
-        context.run_one();
-    context.run_for(times.holdOff);
-    store.refusesCommits = false;
-    store.fault = ReadFault::None;
-    while (!only.isLeader())
-        context.run_one();
+        spawn(single.context.get_executor(), "step-down",
+              [&] { return single.only.stepDown({}, "stuck", ""); });
+    single.runUntil([&] { return !single.only.isLeader(); });
+    single.context.run_for(times.holdOff);
+    single.store.refusesCommits = false;
+    single.store.fault = ReadFault::None;
+    single.runUntil([&] { return single.only.isLeader(); });
+    const auto &tenures = single.tenures;
     REQUIRE(tenures.size() == 2);
     CHECK(tenures[1].term == tenures[0].term + 1);
     CHECK(tenures[1].fence > tenures[0].fence);
@@ -307,21 +313,11 @@
     times.renew = std::chrono::milliseconds(20);
     times.tick = std::chrono::milliseconds(5);
     times.orderLimit = std::chrono::milliseconds(200);
-    http::asio::io_context context;
-    MemoryStore store;
-    int tenures = 0;
-    Leadership<MemoryStore> only(store, "only", {"127.0.0.1", 1}, 1,
-                                 {[&](const Tenure &) { ++tenures; },
-                                  [](const auto &) {
-                                  }},
-                                 times);
-    spawn(context.get_executor(), "only", [&] { return only.run(); });
-    while (!only.isLeader())
-        context.run_one();
-    store.losesCommits = true; // reads of the row go on
-    context.run_for(times.orderLimit * 2);
-    CHECK(!only.isLeader());
-    CHECK(tenures == 1);
+    Single single(times);
+    single.store.losesCommits = true; // reads of the row go on
+    single.context.run_for(times.orderLimit * 2);
+    CHECK_FALSE(single.only.isLeader());
+    CHECK(single.tenures.size() == 1);
 }
 
 TEST_CASE("Orders that the store does not record are not announced")
