Logs tell how old a configuration was, and which connection an unanswered call used

The hypotheses on CONFIG could not be told apart: no line said how old the configuration was by which a request was routed, counted from the question or from the answer, nor whether an unanswered call of the store used a connection that had been idle.

--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -128,6 +128,7 @@
         }
         if (!queue)
             co_return http::textResponse(http::Status::not_found, "no such queue\n");
+        this->logOldConfiguration(queue->terms.queue);
         const auto route = *queue; // a copy: the configuration may change during the awaits
         const auto job = path.substr(route.prefix.size());
         switch (request.method()) {
@@ -153,6 +154,8 @@
     // A pending count may be two seconds old when its caller gets it. The rest of that time is for
     // the answer's way through another entry VM.
     static constexpr auto maxCountAge = std::chrono::milliseconds(1700);
+    // A request that is routed by a configuration of this age or more is logged.
+    static constexpr auto oldConfigurationAge = std::chrono::milliseconds(2000);
     static constexpr auto helloPeriod = std::chrono::milliseconds(250);
     static constexpr auto questionTimeout = std::chrono::milliseconds(400);
     static constexpr Duration maxHandInWait = std::chrono::milliseconds(900);
@@ -355,6 +358,18 @@
         }
     }
 
+    void logOldConfiguration(const std::string &queue) const
+    {
+        const auto now = bootNow();
+        const auto age = now - this->operators->coveredUntil();
+        if (age < oldConfigurationAge)
+            return;
+        const std::chrono::milliseconds unit(1);
+        LOG(WARNING) << "event=old-configuration queue=" << queue
+                     << " config=" << this->configuration().version << " age-ms=" << age / unit
+                     << " answered-ms=" << (now - this->operators->lastAnswer()) / unit;
+    }
+
     void dispatchEnvelope(const messages::JobEnvelope &envelope)
     {
         if (envelope.has_calls())
--- a/packages/coordination/include/sassafrasferry/coordination/table_follower.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_follower.h
@@ -53,6 +53,13 @@
         return this->answeredAt;
     }
 
+    /// All changes that the store acknowledged before this moment have been passed to `onRows`:
+    /// the time at which the newest answered question was sent; the epoch if none was answered.
+    Instant coveredUntil() const
+    {
+        return this->covered;
+    }
+
     /// All changes up to this version of the store have been passed to `onRows`.
     std::int64_t readVersion() const
     {
@@ -70,6 +77,7 @@
     {
         std::vector<store::PartRow> all;
         std::int64_t version = store::absent;
+        const auto askedAt = bootNow();
         for (const auto &part : this->options.parts) {
             const store::PartRange range{this->options.table, part, "", ""};
             auto page = co_await this->store.scan(range);
@@ -86,6 +94,7 @@
         this->passedOn = std::max(this->passedOn, version);
         if (!this->stopped)
             this->onRows(all, true);
+        this->covered = std::max(this->covered, askedAt);
         co_return true;
     }
 
@@ -114,6 +123,7 @@
                 }
                 continue;
             }
+            const auto askedAt = bootNow();
             auto page =
                 co_await this->store.feed(this->options.table, this->version, this->options.wait);
             if (this->stopped)
@@ -135,6 +145,7 @@
             this->fedRows += page->rows.size();
             if (!page->rows.empty())
                 this->onRows(page->rows, false);
+            this->covered = std::max(this->covered, askedAt);
             if (this->options.pause.count() > 0)
                 co_await pause(this->options.pause);
         }
@@ -146,7 +157,8 @@
             return;
         this->isStoreReachable = reached;
         LOG(WARNING) << "event=store-" << (reached ? "regained" : "lost")
-                     << " table=" << this->options.table << " version=" << this->version;
+                     << " table=" << this->options.table << " version=" << this->version
+                     << " age-ms=" << (bootNow() - this->covered) / std::chrono::milliseconds(1);
     }
 
     Store &store;
@@ -155,6 +167,7 @@
     std::int64_t version = store::absent; // where the feed goes on; absent: scan the table first
     std::int64_t passedOn = store::absent; // never decreases, also when the feed's history is lost
     Instant answeredAt{};
+    Instant covered{}; // never decreases
     std::size_t fedRows = 0;
     bool isStoreReachable = true;
     bool stopped = false;
--- a/packages/http/include/sassafrasferry/http/client.h
+++ b/packages/http/include/sassafrasferry/http/client.h
@@ -34,6 +34,13 @@
     std::size_t bytes = 0; ///< header and body
 };
 
+/// The connection that carried an exchange.
+struct ConnectionUse
+{
+    bool isReused = false; ///< it had carried earlier exchanges
+    std::chrono::steady_clock::duration idle{}; ///< if reused: time since its last answer
+};
+
 /// What became of one request.
 struct Exchange
 {
@@ -41,6 +48,7 @@
     absl::Status status; ///< the error, if not answered
     Response response; ///< whole, if answered
     AnswerReception reception; ///< of the bytes that arrived
+    ConnectionUse connection;
 };
 
 /// Bytes that a client has moved, headers included.
@@ -96,7 +104,8 @@
 
     using Parser = beast::http::response_parser<beast::http::string_body>;
 
-    std::unique_ptr<Stream> takeIdle();
+    /// The youngest idle connection that is fit for use; without a stream if there is none.
+    Idle takeIdle();
     /// Reads one answer. `called`: when the exchange began.
     Awaitable<beast::error_code> receive(Stream &stream, beast::flat_buffer &buffer, Parser &parser,
                                          AnswerReception &reception,
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -70,15 +70,15 @@
     return this->moved;
 }
 
-std::unique_ptr<Client::Stream> Client::takeIdle()
+Client::Idle Client::takeIdle()
 {
     while (!this->idle.empty()) {
         auto entry = std::move(this->idle.back());
         this->idle.pop_back();
         if (Clock::now() - entry.since < freshness || isQuiet(*entry.stream))
-            return std::move(entry.stream);
+            return entry;
     }
-    return nullptr;
+    return {};
 }
 
 Awaitable<beast::error_code> Client::receive(Stream &stream, beast::flat_buffer &buffer,
@@ -110,10 +110,13 @@
     auto token = asio::redirect_error(asio::use_awaitable, error);
     const auto called = Clock::now();
     const auto deadline = called + timeout;
-    auto stream = this->takeIdle();
+    auto taken = this->takeIdle();
+    auto stream = std::move(taken.stream);
     const bool isFresh = !stream;
     if (isFresh)
         stream = std::make_unique<Stream>(this->executor);
+    else
+        result.connection = {true, called - taken.since};
     if (abort) {
         if (abort->aborted()) {
             result.status = absl::CancelledError("given up");
--- a/packages/http/src/client_test.cpp
+++ b/packages/http/src/client_test.cpp
@@ -129,15 +129,19 @@
     Upstream upstream;
     asio::co_spawn(upstream.context, upstream.serve(whole, true), asio::detached);
     Client client(upstream.context.get_executor(), upstream.endpoint(), {});
+    std::vector<bool> isReused;
     asio::co_spawn(
         upstream.context,
         [&]() -> Awaitable<void> {
-            for (int i = 0; i < 3; ++i)
-                co_await client.exchange(get(), 10s);
+            for (int i = 0; i < 3; ++i) {
+                const auto exchange = co_await client.exchange(get(), 10s);
+                isReused.push_back(exchange.connection.isReused);
+            }
             upstream.context.stop();
         },
         asio::detached);
     upstream.context.run();
+    CHECK(isReused == std::vector{false, true, true});
     CHECK(upstream.accepted == 1);
     CHECK(client.idleCount() == 1);
 }
