--- a/packages/coordination/src/job_node_test.cpp
+++ b/packages/coordination/src/job_node_test.cpp
@@ -1,12 +1,6 @@
 // Tests the counts of pending jobs that a leading entry VM answers while it reads the table of
 // accepted jobs late or not at all.
-#include <sassafrasferry/coordination/job_node.h>
-
-#include <boost/asio/io_context.hpp>
-
-#include <catch2/catch.hpp>
-
-#include "../tests/feed_store.h"
+#include "../tests/test_node.h"
 
 using namespace sassafrasferry;
 using namespace sassafrasferry::coordination;
@@ -14,7 +8,6 @@
 
 namespace {
 
-constexpr const char *queueHost = "jobs";
 constexpr const char *queuePrefix = "/q/";
 constexpr Duration maxCountAge = 2s; // a count of pending jobs may be this old
 constexpr Duration submitFor = 2s;
@@ -22,127 +15,6 @@
 constexpr Duration roundPause = 100ms;
 constexpr Duration patience = 60s; // for what has to happen eventually
 
-/// A worker that never answers.
-struct SilentWorker
-{
-    SilentWorker(http::asio::any_io_executor, std::string, const model::Endpoint &)
-    {}
-
-    Awaitable<HoldAnswer> hold(HoldRequest)
-    {
-        co_return HoldAnswer{};
-    }
-
-    Awaitable<scheduling::OrderAnswer> start(const scheduling::StartOrder &, std::int64_t,
-                                             std::int64_t)
-    {
-        co_return scheduling::OrderAnswer::NoAnswer;
-    }
-
-    Awaitable<scheduling::OrderAnswer> stop(const scheduling::StopOrder &, std::int64_t)
-    {
-        co_return scheduling::OrderAnswer::NoAnswer;
-    }
-
-    Awaitable<scheduling::OrderAnswer> pace(const scheduling::PaceOrder &, std::int64_t)
-    {
-        co_return scheduling::OrderAnswer::NoAnswer;
-    }
-};
-
-struct EmptyCloud
-{
-    Awaitable<absl::StatusOr<std::vector<scheduling::Vm>>> list()
-    {
-        co_return std::vector<scheduling::Vm>{};
-    }
-
-    Awaitable<scheduling::FleetAnswer> sendOrder(scheduling::FleetOrder, std::int64_t)
-    {
-        co_return scheduling::FleetAnswer{};
-    }
-};
-
-/// A platform with one queue and no workers, so that no job starts.
-struct TestPlatform
-{
-    using Store = FeedStore;
-    using Worker = SilentWorker;
-    using Cloud = EmptyCloud;
-
-    static std::string workerTable()
-    {
-        return "workers";
-    }
-
-    static std::string operatorTable()
-    {
-        return "operators";
-    }
-
-    static std::string configurationKey()
-    {
-        return "configuration";
-    }
-
-    static std::string deadlineHeader()
-    {
-        return "Deadline-Ms";
-    }
-
-    static bool isWaveKey(const std::string &)
-    {
-        return false;
-    }
-
-    static absl::StatusOr<scheduling::Wave> decodeWave(const std::string &)
-    {
-        return absl::DataLossError("no waves here");
-    }
-
-    static WaveStatusRow waveStatus(std::int64_t, bool)
-    {
-        return {};
-    }
-
-    static absl::StatusOr<scheduling::WorkerListing> decodeListing(const std::string &,
-                                                                   const std::string &)
-    {
-        return absl::DataLossError("no workers here");
-    }
-
-    static absl::StatusOr<scheduling::Configuration> decodeConfiguration(const std::string &)
-    {
-        scheduling::Queue queue;
-        queue.terms.queue = "q";
-        queue.terms.service = "s";
-        queue.host = queueHost;
-        queue.prefix = queuePrefix;
-        scheduling::Configuration configuration;
-        configuration.version = 1;
-        configuration.queues.push_back(queue);
-        return configuration;
-    }
-
-    static absl::StatusOr<jobs::JobSpec> decodeJob(const std::string &)
-    {
-        jobs::StepSpec step;
-        step.count = 1;
-        step.estimate = 1s;
-        jobs::JobSpec spec;
-        spec.steps.push_back(step);
-        return spec;
-    }
-};
-
-// A loopback port that was free a moment ago.
-model::Endpoint freeEndpoint()
-{
-    http::asio::io_context context;
-    const http::Tcp::acceptor acceptor(context, {http::asio::ip::make_address("127.0.0.1"), 0});
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-}
-
 /// An answer to a request for the number of pending jobs.
 struct CountAnswer
 {
@@ -160,26 +32,13 @@
     }
 };
 
-/// An entry VM that leads, as there is no other one.
-class LeadingNode
+/// An entry VM whose accepted jobs are counted.
+class LeadingNode : public TestNode
 {
 public:
     LeadingNode()
+        : TestNode(std::string("1 ") + queuePrefix)
     {
-        NodeOptions options;
-        options.name = "only";
-        options.peer = freeEndpoint();
-        this->node = std::make_shared<JobNode<TestPlatform>>(this->context, this->store,
-                                                             this->cloud, std::move(options));
-        this->run([this]() -> Awaitable<void> {
-            const store::PartTransaction transaction{
-                "",
-                {},
-                {{TestPlatform::operatorTable(), TestPlatform::configurationKey(), ""}},
-                {}};
-            co_await this->store.commit(transaction);
-        });
-        REQUIRE(this->node->begin().ok());
         REQUIRE(this->awaitCount());
     }
 
@@ -208,7 +67,7 @@
             const auto answer = this->askCount();
             if (answer.isCount() && answer.count() == this->submittedJobs)
                 return true;
-            this->pauseRound();
+            this->pauseFor(roundPause);
         }
         return false;
     }
@@ -221,51 +80,9 @@
                           [&](Instant accepted) { return accepted + maxCountAge < time; }));
     }
 
-    void pauseRound()
-    {
-        this->run([]() -> Awaitable<void> { co_await pause(roundPause); });
-    }
-
-    FeedStore store;
     std::size_t submittedJobs = 0;
-    Instant stalledAt{}; ///< last time at which this process is known to have stood still
 
 private:
-    static constexpr Duration stall = 500ms;
-
-    http::Response request(http::Verb verb, const std::string &target)
-    {
-        http::Request request{verb, target, 11};
-        request.set(http::Field::host, queueHost);
-        http::Response response;
-        this->run([&]() -> Awaitable<void> {
-            response = co_await this->node->handle(std::move(request));
-        });
-        return response;
-    }
-
-    template<typename Body>
-    void run(Body body)
-    {
-        bool isOver = false;
-        spawn(this->context.get_executor(), "test", [&]() -> Awaitable<void> {
-            co_await body();
-            isOver = true;
-        });
-        while (!isOver) {
-            const auto begin = bootNow();
-            this->context.run_one();
-            if (bootNow() - begin > stall)
-                this->stalledAt = bootNow();
-        }
-    }
-
-    http::asio::io_context context;
-    // Keeps `run_one` from returning at once while no coroutine is active.
-    http::asio::executor_work_guard<http::asio::io_context::executor_type> work{
-        this->context.get_executor()};
-    EmptyCloud cloud;
-    std::shared_ptr<JobNode<TestPlatform>> node;
     std::vector<Instant> acceptedAt; // of each job
 };
 
@@ -316,7 +133,7 @@
             // A process that stood still has to get its lease confirmed first.
             findings.refusalsWithoutStall += answer.askedAt - node.stalledAt > maxCountAge ? 1 : 0;
         }
-        node.pauseRound();
+        node.pauseFor(roundPause);
     }
     return findings;
 }
--- a/packages/coordination/tests/feed_store.h
+++ b/packages/coordination/tests/feed_store.h
@@ -11,6 +11,7 @@
     None,
     Unanswered, ///< calls stay unanswered until the fault is over
     Fails,
+    Late, ///< calls are answered after `FeedStore::lateness` with the state at their begin
 };
 
 /// Satisfies `store::PartStore`. Its feeds answer with the changes of a table in order.
@@ -19,6 +20,7 @@
 public:
     FeedFault fault = FeedFault::None;
     std::string faultyFeed;
+    std::chrono::milliseconds lateness{0}; ///< of late answers
     bool isAway = false; ///< whether all calls fail without an effect
 
     http::Awaitable<store::PartCommit> commit(store::PartTransaction transaction)
@@ -51,6 +53,11 @@
                                                           std::chrono::milliseconds wait)
     {
         const auto answerBy = bootNow() + wait;
+        if (table == this->faultyFeed && this->fault == FeedFault::Late) {
+            const auto page = this->changesAfter(table, after);
+            co_await pause(this->lateness);
+            co_return page;
+        }
         for (;;) {
             co_await pause(feedStep);
             const auto fault = table == this->faultyFeed ? this->fault : FeedFault::None;
--- /dev/null
+++ b/packages/coordination/tests/test_node.h
@@ -0,0 +1,217 @@
+// One entry VM over an in-memory store, without workers.
+#pragma once
+
+#include <sassafrasferry/coordination/job_node.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+#include "feed_store.h"
+
+namespace sassafrasferry::coordination {
+
+constexpr const char *queueHost = "jobs";
+
+/// A worker that never answers.
+struct SilentWorker
+{
+    SilentWorker(http::asio::any_io_executor, std::string, const model::Endpoint &)
+    {}
+
+    Awaitable<HoldAnswer> hold(HoldRequest)
+    {
+        co_return HoldAnswer{};
+    }
+
+    Awaitable<scheduling::OrderAnswer> start(const scheduling::StartOrder &, std::int64_t,
+                                             std::int64_t)
+    {
+        co_return scheduling::OrderAnswer::NoAnswer;
+    }
+
+    Awaitable<scheduling::OrderAnswer> stop(const scheduling::StopOrder &, std::int64_t)
+    {
+        co_return scheduling::OrderAnswer::NoAnswer;
+    }
+
+    Awaitable<scheduling::OrderAnswer> pace(const scheduling::PaceOrder &, std::int64_t)
+    {
+        co_return scheduling::OrderAnswer::NoAnswer;
+    }
+};
+
+struct EmptyCloud
+{
+    Awaitable<absl::StatusOr<std::vector<scheduling::Vm>>> list()
+    {
+        co_return std::vector<scheduling::Vm>{};
+    }
+
+    Awaitable<scheduling::FleetAnswer> sendOrder(scheduling::FleetOrder, std::int64_t)
+    {
+        co_return scheduling::FleetAnswer{};
+    }
+};
+
+/// A platform without workers, so that no job starts.
+struct TestPlatform
+{
+    using Store = FeedStore;
+    using Worker = SilentWorker;
+    using Cloud = EmptyCloud;
+
+    static std::string workerTable()
+    {
+        return "workers";
+    }
+
+    static std::string operatorTable()
+    {
+        return "operators";
+    }
+
+    static std::string configurationKey()
+    {
+        return "configuration";
+    }
+
+    static std::string deadlineHeader()
+    {
+        return "Deadline-Ms";
+    }
+
+    static bool isWaveKey(const std::string &)
+    {
+        return false;
+    }
+
+    static absl::StatusOr<scheduling::Wave> decodeWave(const std::string &)
+    {
+        return absl::DataLossError("no waves here");
+    }
+
+    static WaveStatusRow waveStatus(std::int64_t, bool)
+    {
+        return {};
+    }
+
+    static absl::StatusOr<scheduling::WorkerListing> decodeListing(const std::string &,
+                                                                   const std::string &)
+    {
+        return absl::DataLossError("no workers here");
+    }
+
+    /// The value is the version, then the prefixes of the queues.
+    static absl::StatusOr<scheduling::Configuration> decodeConfiguration(const std::string &value)
+    {
+        std::istringstream words(value);
+        scheduling::Configuration configuration;
+        words >> configuration.version;
+        for (std::string prefix; words >> prefix;) {
+            scheduling::Queue queue;
+            queue.terms.queue = prefix;
+            queue.terms.service = "s";
+            queue.host = queueHost;
+            queue.prefix = prefix;
+            configuration.queues.push_back(queue);
+        }
+        return configuration;
+    }
+
+    static absl::StatusOr<jobs::JobSpec> decodeJob(const std::string &)
+    {
+        jobs::StepSpec step;
+        step.count = 1;
+        step.estimate = std::chrono::seconds(1);
+        jobs::JobSpec spec;
+        spec.steps.push_back(step);
+        return spec;
+    }
+};
+
+// A loopback port that was free a moment ago.
+inline model::Endpoint freeEndpoint()
+{
+    http::asio::io_context context;
+    const http::Tcp::acceptor acceptor(context, {http::asio::ip::make_address("127.0.0.1"), 0});
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+/// An entry VM that leads, as there is no other one. It runs until the process ends.
+class TestNode
+{
+public:
+    explicit TestNode(const std::string &configuration)
+    {
+        NodeOptions options;
+        options.name = "only";
+        options.peer = freeEndpoint();
+        this->node = std::make_shared<JobNode<TestPlatform>>(this->context, this->store,
+                                                             this->cloud, std::move(options));
+        this->configure(configuration);
+        REQUIRE(this->node->begin().ok());
+    }
+
+    /// Writes a configuration, as `TestPlatform::decodeConfiguration` reads it, into the store.
+    void configure(const std::string &configuration)
+    {
+        this->run([&]() -> Awaitable<void> {
+            const store::PartTransaction transaction{
+                "",
+                {},
+                {{TestPlatform::operatorTable(), TestPlatform::configurationKey(), configuration}},
+                {}};
+            co_await this->store.commit(transaction);
+        });
+    }
+
+    http::Response request(http::Verb verb, const std::string &target)
+    {
+        http::Request request{verb, target, 11};
+        request.set(http::Field::host, queueHost);
+        http::Response response;
+        this->run([&]() -> Awaitable<void> {
+            response = co_await this->node->handle(std::move(request));
+        });
+        return response;
+    }
+
+    void pauseFor(Duration duration)
+    {
+        this->run([duration]() -> Awaitable<void> { co_await pause(duration); });
+    }
+
+    FeedStore store;
+    Instant stalledAt{}; ///< last time at which this process is known to have stood still
+
+private:
+    static constexpr Duration stall = std::chrono::milliseconds(500);
+
+    template<typename Body>
+    void run(Body body)
+    {
+        bool isOver = false;
+        spawn(this->context.get_executor(), "test", [&]() -> Awaitable<void> {
+            co_await body();
+            isOver = true;
+        });
+        while (!isOver) {
+            const auto begin = bootNow();
+            this->context.run_one();
+            if (bootNow() - begin > stall)
+                this->stalledAt = bootNow();
+        }
+    }
+
+    http::asio::io_context context;
+    // Keeps `run_one` from returning at once while no coroutine is active.
+    http::asio::executor_work_guard<http::asio::io_context::executor_type> work{
+        this->context.get_executor()};
+    EmptyCloud cloud;
+    std::shared_ptr<JobNode<TestPlatform>> node;
+};
+
+} // namespace sassafrasferry::coordination
