After an unanswered request connections that were idle meanwhile are dropped

What callers would see: all open connections go silent without a reset while new ones work. Each further request used the next idle connection, up to 8 of them to the store, and waited its whole timeout, so that the configuration, or whatever else is read, stays old for several timeouts in a row.

Change: a request that timed out without a byte of an answer drops the connections whose last answer is older than that request. Those that were answered meanwhile stay.

The test fails before: the second request goes to the second silent connection ({Broken, Broken} instead of {Broken, Answered}).

--- a/packages/http/include/sassafrasferry/http/client.h
+++ b/packages/http/include/sassafrasferry/http/client.h
@@ -106,6 +106,8 @@
 
     /// The youngest idle connection that is fit for use; without a stream if there is none.
     Idle takeIdle();
+    /// Closes the connections that have been idle since `time` or longer.
+    void dropIdleSince(std::chrono::steady_clock::time_point time);
     /// Reads one answer. `called`: when the exchange began.
     Awaitable<beast::error_code> receive(Stream &stream, beast::flat_buffer &buffer, Parser &parser,
                                          AnswerReception &reception,
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -81,6 +81,11 @@
     return {};
 }
 
+void Client::dropIdleSince(Clock::time_point time)
+{
+    std::erase_if(this->idle, [time](const Idle &entry) { return entry.since <= time; });
+}
+
 Awaitable<beast::error_code> Client::receive(Stream &stream, beast::flat_buffer &buffer,
                                              Parser &parser, AnswerReception &reception,
                                              Clock::time_point called)
@@ -152,6 +157,9 @@
         abort->close = nullptr;
     if (error) {
         result.status = statusOf(error);
+        // A network fault that silences one connection may have silenced all that were open then.
+        if (error == beast::error::timeout && result.reception.bytes == 0)
+            this->dropIdleSince(called);
         co_return result;
     }
     // An answer whose end is only marked by the end of the connection cannot be told from one
--- a/packages/http/src/client_test.cpp
+++ b/packages/http/src/client_test.cpp
@@ -175,3 +175,48 @@
     CHECK(exchange.response.body().size() == row.body);
     CHECK(exchange.reception.reads <= row.reads);
 }
+
+// Guards against waiting for one silent connection after the other: all open connections have gone
+// silent without a reset, while new ones are served.
+TEST_CASE("After an unanswered request no connection that was idle meanwhile is used")
+{
+    Upstream upstream;
+    std::vector<Tcp::socket> silent; // open, and never answered again
+    Client client(upstream.context.get_executor(), upstream.endpoint(), {});
+    const std::size_t connections = 3;
+    std::vector<ExchangeState> states;
+    asio::co_spawn(
+        upstream.context,
+        [&]() -> Awaitable<void> {
+            for (std::size_t i = 0; i < connections; ++i) {
+                auto socket = co_await upstream.acceptor.async_accept(asio::use_awaitable);
+                beast::flat_buffer buffer;
+                Request request;
+                co_await beast::http::async_read(socket, buffer, request, asio::use_awaitable);
+                silent.push_back(std::move(socket));
+            }
+            for (auto &socket : silent)
+                co_await asio::async_write(socket, asio::buffer(whole), asio::use_awaitable);
+            co_await upstream.serve(whole, true);
+        },
+        asio::detached);
+    std::size_t open = connections;
+    for (std::size_t i = 0; i < connections; ++i) {
+        asio::co_spawn(
+            upstream.context,
+            [&]() -> Awaitable<void> {
+                co_await client.exchange(get(), 10s);
+                if (--open > 0)
+                    co_return;
+                for (int j = 0; j < 2; ++j) {
+                    const auto exchange = co_await client.exchange(get(), 2s);
+                    states.push_back(exchange.state);
+                }
+                upstream.context.stop();
+            },
+            asio::detached);
+    }
+    upstream.context.run();
+    const std::vector expected{ExchangeState::Broken, ExchangeState::Answered};
+    CHECK(states == expected);
+}
