A peer refuses jobs on a queue that was dropped after the sender's configuration

What callers would see: an entry VM that alone can't read the store routes a job by its old configuration and hands it in through a peer. The peer stores it unseen, also if it knows that the queue has been dropped: the job is accepted and runs.

Change: the peer brings its own configuration up to date, and refuses a job that was routed by an earlier version if it has no such queue. A version that the peer doesn't know yet is not held against the job.

The test fails before in 1 of 3 rows: the job on the dropped queue is stored.

--- a/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
@@ -30,8 +30,7 @@
 /// Follows the operators' table and reads it again for requests that would be routed by a
 /// configuration that may be outdated.
 template<typename Platform>
-class ConfigurationReader
-    : public std::enable_shared_from_this<ConfigurationReader<Platform>>
+class ConfigurationReader : public std::enable_shared_from_this<ConfigurationReader<Platform>>
 {
 public:
     using Store = typename Platform::Store;
--- a/packages/coordination/include/sassafrasferry/coordination/hand_in.h
+++ b/packages/coordination/include/sassafrasferry/coordination/hand_in.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/intake.h>
+#include <sassafrasferry/scheduling/queue.h>
 
 #include <optional>
 
@@ -24,6 +25,15 @@
     return neverStored ? IntakeResult::Refused : IntakeResult::Unknown;
 }
 
+/// Whether the job's queue is gone since the version by which the entry VM that accepted the job
+/// routed it.
+inline bool isQueueDropped(const messages::JobRecord &record,
+                           const scheduling::Configuration &configuration)
+{
+    return record.configuration() < configuration.version
+           && configuration.findQueue(record.queue()) == nullptr;
+}
+
 /// Stores a job through a peer if the store refuses it here or doesn't answer.
 ///
 /// The store may refuse or not answer some entry VMs while it serves others. Without a peer,
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -238,8 +238,18 @@
     {
         const auto patience = std::chrono::milliseconds(handedIn.patience_milliseconds());
         const auto deadline = bootNow() + patience;
-        const auto result =
-            co_await this->intake.submit(handedIn.job(), handedIn.record(), deadline);
+        messages::JobRecord record;
+        auto result = IntakeResult::Refused;
+        // The sender can't read the store, so its configuration may be old.
+        co_await this->operators->renew();
+        if (!record.ParseFromString(handedIn.record()))
+            LOG(ERROR) << "event=hand-in-unreadable job=" << handedIn.job();
+        else if (isQueueDropped(record, this->configuration()))
+            LOG(INFO) << "event=hand-in-refused job=" << handedIn.job()
+                      << " queue=" << record.queue() << " config=" << this->configuration().version
+                      << " sender-config=" << record.configuration();
+        else
+            result = co_await this->intake.submit(handedIn.job(), handedIn.record(), deadline);
         messages::JobAnswer answer;
         answer.set_hand_in_result(1 + static_cast<std::uint32_t>(result));
         co_return answer;
--- a/packages/coordination/src/configuration_age_test.cpp
+++ b/packages/coordination/src/configuration_age_test.cpp
@@ -70,6 +70,34 @@
     CHECK(node.requestTogether({"/a/", "/b/"}) == expected);
 }
 
+// Guards against jobs on a queue that was dropped while an entry VM was cut off from the store: it
+// routes them by its old configuration, and a peer stores them.
+TEST_CASE("A job that a peer hands in is refused if its queue has been dropped since")
+{
+    struct Row
+    {
+        std::string queue;
+        std::int64_t version; // of the sender's configuration
+        IntakeResult result;
+    };
+    const std::vector<Row> rows{
+        {"/a/", 1, IntakeResult::Refused}, // dropped in version 2
+        {"/b/", 1, IntakeResult::Stored}, // in force
+        {"/c/", 3, IntakeResult::Stored}, // added in a version that is not known here yet
+    };
+    const auto row = GENERATE_COPY(from_range(rows));
+    CAPTURE(row.queue);
+    auto &node = newNode();
+    node.store.faultyFeed = TestPlatform::operatorTable();
+    node.store.fault = FeedFault::Unanswered;
+    node.configure("2 /b/");
+    node.pauseFor(maxDelay);
+    messages::JobRecord record;
+    record.set_queue(row.queue);
+    record.set_configuration(row.version);
+    CHECK(node.handIn("j1", record) == row.result);
+}
+
 TEST_CASE("A pause of the process is noticed by the first update after it")
 {
     struct Row
--- a/packages/coordination/src/table_refresher_test.cpp
+++ b/packages/coordination/src/table_refresher_test.cpp
@@ -93,9 +93,8 @@
 
 std::size_t coveredCount(const std::vector<Outcome> &outcomes)
 {
-    return static_cast<std::size_t>(
-        std::count_if(outcomes.begin(), outcomes.end(),
-                      [](const auto &outcome) { return outcome.isCovered; }));
+    return static_cast<std::size_t>(std::count_if(
+        outcomes.begin(), outcomes.end(), [](const auto &outcome) { return outcome.isCovered; }));
 }
 
 } // namespace
--- a/packages/coordination/tests/test_node.h
+++ b/packages/coordination/tests/test_node.h
@@ -148,7 +148,7 @@
     {
         NodeOptions options;
         options.name = "only";
-        options.peer = freeEndpoint();
+        options.peer = this->endpoint;
         this->node = std::make_shared<JobNode<TestPlatform>>(this->context, this->store,
                                                              this->cloud, std::move(options));
         this->configure(configuration);
@@ -197,6 +197,27 @@
         return answers;
     }
 
+    /// Hands a job in as a peer would that can't store it; `nullopt` without an answer.
+    std::optional<IntakeResult> handIn(const std::string &job, const messages::JobRecord &record)
+    {
+        JobMessenger messenger(
+            this->context, freeEndpoint(), [](const auto &) { return messages::JobAnswer{}; },
+            [](auto) -> Awaitable<messages::JobAnswer> { co_return messages::JobAnswer{}; },
+            [](const auto &) {});
+        REQUIRE(messenger.open().ok());
+        messages::JobQuestion question;
+        question.mutable_hand_in()->set_job(job);
+        question.mutable_hand_in()->set_record(record.SerializeAsString());
+        question.mutable_hand_in()->set_patience_milliseconds(10000);
+        JobMessenger::Answer answer;
+        this->run([&]() -> Awaitable<void> {
+            answer = co_await messenger.ask(this->endpoint, question, std::chrono::seconds(10));
+        });
+        if (!answer || answer->hand_in_result() == 0)
+            return std::nullopt;
+        return static_cast<IntakeResult>(answer->hand_in_result() - 1);
+    }
+
     /// Keeps the process from handling anything.
     static void block(Duration duration)
     {
@@ -244,6 +265,7 @@
     http::asio::executor_work_guard<http::asio::io_context::executor_type> work{
         this->context.get_executor()};
     EmptyCloud cloud;
+    model::Endpoint endpoint = freeEndpoint();
     std::shared_ptr<JobNode<TestPlatform>> node;
 };
 
