--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -482,7 +482,7 @@
     NodeOptions options;
     Intake<Store> intake;
     StoredJobs<Store> stored;
-    std::shared_ptr<ConfigurationReader<Platform>> operators;
+    std::shared_ptr<ConfigurationReader<Platform>> operators; // follows the operators' table
     JobMessenger messenger;
     RelayClient relay;
     std::shared_ptr<RelayServer<typename Platform::Worker>> agent;
