--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -136,6 +136,13 @@
     Milliseconds step{0}; ///< time of its longest task
 };
 
+/// Work of a job that is left.
+struct RemainingWork
+{
+    double coreSeconds = 0;
+    bool isStarted = false; ///< a task runs or is done
+};
+
 /// Effect of the end of a run on its job.
 enum class EndEffect {
     None, ///< no change that a new leader needs to know of
@@ -175,6 +182,8 @@
     /// Replaces the estimates of the steps by times learned for the queue.
     void setStepTimes(std::vector<StepTimes> times);
     const StepTimes &expected(std::size_t step) const;
+    /// The work that is left in the first occurrence. A running task counts as half done.
+    RemainingWork remainingWork() const;
     /// Latest completion time at which the job counts as on time.
     Instant objective() const;
     /// Expected time of the critical path through the steps that are not done.
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -169,6 +169,24 @@
     return this->remainingPathTime;
 }
 
+RemainingWork Job::remainingWork() const
+{
+    RemainingWork work;
+    for (std::size_t step = 0; step < this->spec.steps.size(); ++step) {
+        const auto &spec = this->spec.steps[step];
+        double tasksLeft = 0;
+        for (std::size_t i = 0; i < spec.count; ++i) {
+            const auto &task = this->tasks[this->positionOf(0, step, i)];
+            const bool isRunning = !task.done && !task.runs.empty();
+            work.isStarted |= task.done || isRunning;
+            tasksLeft += task.done ? 0 : isRunning ? 0.5 : 1;
+        }
+        work.coreSeconds += tasksLeft * static_cast<double>(spec.footprint().cpu) / 1000
+                            * policy::seconds(Duration(this->expected(step).task));
+    }
+    return work;
+}
+
 Instant Job::objective() const
 {
     return this->acceptedAt + this->terms.target
