Jobs are divided among as many parts as the store's rates allow

From twice the planned load on the large site stored hardly any job (29,293 refused, 3,241 answers 504 at four times the load): all jobs shared two parts of the store, 400 transactions a second where the store takes 3,200. Writes waited in the queue of their part beyond 300 ms, a read passed by that queue, and the write was taken for lost and sent again.

The number of parts follows from the settings store.writesPerSecond and partWritesPerSecond: half of the store's transactions, 2 at the least (8 on the large site, 3 on the grown ones, 2 as before on the small ones). A leader lists the parts that hold rows, reads all of them side by side, and records a job in the part that holds it, so that entry VMs with other settings lose no job. A write is taken for lost only once an empty transaction of the same part, sent after it, has been carried out.

--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -40,9 +40,10 @@
 class Intake
 {
 public:
-    Intake(Store &store, http::asio::any_io_executor executor)
+    Intake(Store &store, http::asio::any_io_executor executor, JobParts parts = JobParts())
         : store(store)
         , executor(std::move(executor))
+        , parts(parts)
     {}
 
     /// Stores a job unless a row of it exists. Gives up at the deadline, or earlier if the store
@@ -53,10 +54,10 @@
     /// once, so that their callers can try another entry VM in time.
     Awaitable<IntakeResult> submit(std::string job, std::string record, Instant deadline)
     {
-        if (this->isRefusing(partOf(job)))
+        if (this->isRefusing(this->parts.partOf(job)))
             co_return IntakeResult::Refused;
         co_return co_await http::awaitCallback<IntakeResult>([&](auto done) {
-            const auto part = partOf(job);
+            const auto part = this->parts.partOf(job);
             auto item = std::make_shared<Item>();
             item->job = std::move(job);
             item->record = std::move(record);
@@ -224,6 +225,7 @@
 
     Store &store;
     http::asio::any_io_executor executor;
+    JobParts parts;
     std::map<std::string, Batch> queues; // waiting jobs by part
     std::map<std::string, bool> activeParts; // by part: whether its queue is being committed
     bool isFailing = false; // the last transaction was refused, or several in a row got no answer
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -30,6 +30,7 @@
         std::chrono::milliseconds(3000); ///< minimum time between two leaders' orders about a VM
     Duration stopWithin = std::chrono::milliseconds(5000); ///< from stop signal to exit
     double cores = 1.0; ///< processor cores of this entry VM
+    JobParts jobParts; ///< the same on all entry VMs, but while their settings change
 };
 
 template<JobPlatform Platform>
@@ -45,8 +46,8 @@
         , store(store)
         , cloud(cloud)
         , options(std::move(options))
-        , intake(store, this->executor)
-        , stored(store)
+        , intake(store, this->executor, this->options.jobParts)
+        , stored(store, this->options.jobParts)
         , operators(std::make_shared<ConfigurationReader<Platform>>(
               this->executor, store, this->options.configuration, this->operatorEvents()))
         , messenger(
@@ -280,21 +281,37 @@
                                      {{"state", std::string(model::nameOf(*state))}});
     }
 
+    // The state of the job in the leader's books; `nullopt` if no leader answers.
+    Awaitable<std::optional<scheduling::JobState>> stateFromLeader(std::string job)
+    {
+        if (this->leader && this->leader->isReady())
+            co_return this->leader->jobs().stateOf(job);
+        const auto address = this->otherLeader();
+        if (!address)
+            co_return std::nullopt;
+        messages::JobQuestion question;
+        question.set_job(std::move(job));
+        const auto answer = co_await this->messenger.ask(*address, question, questionTimeout);
+        if (!answer || !answer->leads() || !answer->ready())
+            co_return std::nullopt;
+        co_return static_cast<scheduling::JobState>(answer->state());
+    }
+
     Awaitable<http::Response> cancel(const std::string &job, Instant deadline)
     {
         if (!isJobId(job))
             co_return noSuchJob();
-        const auto state = co_await this->stored.stateOf(job);
-        if (!state)
+        const auto found = co_await this->stored.find(job);
+        if (!found)
             co_return retryLater("the store can't be read now");
-        if (*state == scheduling::JobState::Unknown)
+        if (found->state == scheduling::JobState::Unknown)
             co_return noSuchJob();
         auto outcome = std::string("over");
-        if (!jobs::isFinal(*state)) {
-            const bool isStored = co_await this->stored.cancel(job, deadline);
+        if (!jobs::isFinal(found->state)) {
+            const bool isStored = co_await this->stored.cancel(job, found->part, deadline);
             outcome = isStored ? "stored" : "unknown";
         }
-        LOG(INFO) << "event=cancel-asked job=" << job << " state=" << model::nameOf(*state)
+        LOG(INFO) << "event=cancel-asked job=" << job << " state=" << model::nameOf(found->state)
                   << " outcome=" << outcome;
         if (outcome == "unknown")
             co_return retryLater("the cancellation may not be stored");
@@ -403,6 +420,7 @@
         typename Leader<Platform>::Options leaderOptions;
         leaderOptions.times = this->options.times;
         leaderOptions.handOverDelay = this->options.handOverDelay;
+        leaderOptions.jobParts = this->options.jobParts;
         leaderOptions.relay = &this->relay;
         leaderOptions.leadership = this->options.leadership;
         leaderOptions.leasesEndBy = [this] {
--- a/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
@@ -2,11 +2,13 @@
 // part.
 #pragma once
 
+#include <sassafrasferry/coordination/concurrently.h>
 #include <sassafrasferry/coordination/fenced_part.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -23,13 +25,16 @@
         OnFailure onFailed; ///< a writer ended with an error; its part is not written any more
     };
 
+    /// `partNames`: all parts that hold rows of jobs, those of the layout `parts` among them.
     JobRecorder(http::asio::any_io_executor executor, Store &store,
-                scheduling::Scheduler &scheduler, std::int64_t fence, Events events)
+                scheduling::Scheduler &scheduler, std::int64_t fence, JobParts parts,
+                const std::vector<std::string> &partNames, Events events)
         : executor(executor)
         , scheduler(scheduler)
+        , parts(parts)
         , events(std::move(events))
     {
-        for (const auto &part : allJobParts())
+        for (const auto &part : partNames)
             this->writers.push_back(std::make_unique<PartWriter>(store, part, fence, executor));
     }
 
@@ -37,11 +42,11 @@
     /// this recorder was stopped.
     Awaitable<bool> open()
     {
-        for (auto &writer : this->writers) {
-            if (!co_await this->retryUntilWritten([&] { return writer->part.open(); }))
-                co_return false;
-        }
-        co_return true;
+        const auto openPart = [this](std::size_t index) -> Awaitable<bool> {
+            auto &part = this->writers[index]->part;
+            co_return co_await this->retryUntilWritten([&part] { return part.open(); });
+        };
+        co_return co_await allSucceed(this->writers.size(), openPart);
     }
 
     void begin()
@@ -69,6 +74,14 @@
         this->cancellations.insert(job);
     }
 
+    /// Notes the part that holds the job's rows, which an entry VM with another layout may have
+    /// chosen.
+    void notePart(const std::string &job, const std::string &part)
+    {
+        if (part != this->parts.partOf(job))
+            this->partsOfOtherLayouts[job] = part;
+    }
+
     /// Stops all writers. The scheduler is not accessed after this call.
     void stop()
     {
@@ -115,6 +128,12 @@
         co_return false;
     }
 
+    std::string partOf(const std::string &job) const
+    {
+        const auto at = this->partsOfOtherLayouts.find(job);
+        return at == this->partsOfOtherLayouts.end() ? this->parts.partOf(job) : at->second;
+    }
+
     Awaitable<void> run(PartWriter &writer)
     {
         while (!this->stopped) {
@@ -123,7 +142,7 @@
             if (this->stopped)
                 co_return;
             const auto rows = this->scheduler.takeDirty(
-                maxRows, [&](const std::string &job) { return partOf(job) == writer.part.name(); });
+                maxRows, [&](const std::string &job) { return this->partOf(job) == writer.part.name(); });
             if (rows.empty())
                 continue;
             std::vector<store::PartPut> puts;
@@ -140,8 +159,10 @@
                 co_return;
             for (const auto &row : rows) {
                 this->scheduler.recorded(row);
-                if (row.final)
-                    this->cancellations.erase(row.id);
+                if (!row.final)
+                    continue;
+                this->cancellations.erase(row.id);
+                this->partsOfOtherLayouts.erase(row.id);
             }
             this->events.onRecorded();
             if (this->scheduler.hasDirty())
@@ -151,9 +172,11 @@
 
     http::asio::any_io_executor executor;
     scheduling::Scheduler &scheduler; // not accessed after `stop`
+    JobParts parts;
     Events events;
     std::vector<std::unique_ptr<PartWriter>> writers; // one per part
     std::set<std::string> cancellations; // jobs whose cancellation row still exists
+    std::map<std::string, std::string> partsOfOtherLayouts; // by job; absent: as in `parts`
     bool stopped = false;
 };
 
--- a/packages/coordination/include/sassafrasferry/coordination/job_rows.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_rows.h
@@ -19,12 +19,35 @@
 constexpr const char *lease = "lease"; ///< a single row with the leader's lease
 } // namespace table
 
-/// Number of parts of each table of jobs. The store limits the transactions per second of a part.
-constexpr std::size_t jobPartCount = 2;
+/// The parts among which the rows of jobs are divided. All rows of a job share a part, so that one
+/// transaction can change them together.
+///
+/// The store carries out the transactions of a part one after another, a limited number per second.
+/// With too few parts the entry VMs of a large fleet wait for one another; each part more costs the
+/// leader transactions of its own.
+///
+/// Invariant: the parts of a layout are among those of each layout with more parts.
+class JobParts
+{
+public:
+    /// Of a store whose rates are unknown, and of versions before layouts of other sizes.
+    static constexpr std::size_t minCount = 2;
+
+    explicit JobParts(std::size_t count = minCount);
+
+    /// Enough parts for half of the store's transactions; the rest is for other rows.
+    /// Both rates are transactions per second, `partRate` those of one part.
+    static JobParts forRates(double storeRate, double partRate);
 
-/// Part that holds all rows of the job, so that one transaction can change them together.
-std::string partOf(const std::string &job);
-std::vector<std::string> allJobParts();
+    std::size_t count() const;
+    std::string partOf(const std::string &job) const;
+    std::vector<std::string> all() const;
+    /// Parts that may hold the job: first that of this layout, then that of the smallest one.
+    std::vector<std::string> candidatesOf(const std::string &job) const;
+
+private:
+    std::size_t partCount;
+};
 
 /// Key of the job's cancellation row in the intake table; it sorts right after the job's own key.
 std::string cancellationKey(const std::string &job);
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -59,6 +59,7 @@
         /// Loading counts as stalled after this long without a further part of the tables while the
         /// store confirms the lease. A slow store takes seconds for a part of many pages.
         Duration loadStall = std::chrono::seconds(8);
+        JobParts jobParts; ///< where this leader writes the rows of new jobs
     };
 
     Leader(http::asio::any_io_executor executor, Store &store, Cloud &cloud, const Tenure &tenure,
@@ -215,8 +216,12 @@
     Awaitable<void> run()
     {
         auto self = this->shared_from_this();
+        const bool knowsParts = co_await this->listJobParts();
+        if (!knowsParts)
+            co_return;
         this->recorder = std::make_shared<JobRecorder<Store>>(
             this->executor, this->store, this->scheduler, this->tenure.fence,
+            this->options.jobParts, this->jobPartNames,
             typename JobRecorder<Store>::Events{[self] { self->roster->acknowledgeRecorded(); },
                                                 [self](const std::string &why) {
                                                     if (!self->stopped)
@@ -236,7 +241,7 @@
         if (!isLoaded)
             co_return;
         this->intakeFollower = std::make_shared<TableFollower<Store>>(
-            this->store, FollowOptions{table::intake, allJobParts(), feedWait},
+            this->store, FollowOptions{table::intake, this->jobPartNames, feedWait},
             [self](const auto &rows, bool) { self->takeIntake(rows); });
         // Workers are called only after all jobs are loaded. Otherwise this leader would stop the
         // runs of jobs that it does not know, and acknowledge their ends, which are then lost.
@@ -341,10 +346,33 @@
                && bootNow() - this->tookOverAt > wait;
     }
 
+    // Entry VMs whose settings name other rates of the store keep jobs in other parts.
+    Awaitable<bool> listJobParts()
+    {
+        const auto own = this->options.jobParts.all();
+        std::set<std::string> names(own.begin(), own.end());
+        const std::vector<std::string> tables{table::intake, table::progress};
+        const auto list = [&](std::size_t index) -> Awaitable<bool> {
+            auto listed = co_await this->store.parts(tables[index]);
+            while (!listed.ok() && !this->stopped) {
+                co_await pause(retryPause);
+                listed = co_await this->store.parts(tables[index]);
+            }
+            if (this->stopped)
+                co_return false;
+            names.insert(listed->begin(), listed->end());
+            co_return true;
+        };
+        const bool isListed = co_await allSucceed(tables.size(), list);
+        this->jobPartNames.assign(names.begin(), names.end());
+        ++this->loadSteps;
+        co_return isListed;
+    }
+
     Awaitable<bool> loadProgress()
     {
-        for (const auto &part : allJobParts()) {
-            const store::PartRange range{table::progress, part, "", ""};
+        const auto loadPart = [this](std::size_t index) -> Awaitable<bool> {
+            const store::PartRange range{table::progress, this->jobPartNames[index], "", ""};
             auto page = co_await this->store.scan(range);
             while (!page.ok() && !this->stopped) {
                 co_await pause(retryPause);
@@ -354,12 +382,15 @@
                 co_return false;
             this->jobLoader.addProgress(page->rows);
             ++this->loadSteps;
-        }
-        co_return true;
+            co_return true;
+        };
+        co_return co_await allSucceed(this->jobPartNames.size(), loadPart);
     }
 
     void takeIntake(const std::vector<store::PartRow> &rows)
     {
+        for (const auto &row : rows)
+            this->recorder->notePart(parseIntakeKey(row.key).job, row.part);
         for (const auto &job : this->jobLoader.addIntake(rows))
             this->recorder->addCancellation(job);
         ++this->loadSteps;
@@ -479,6 +510,7 @@
     Instant tookOverAt;
     Options options;
     scheduling::Scheduler scheduler;
+    std::vector<std::string> jobPartNames; // parts that hold rows of jobs, set at the start
     std::shared_ptr<JobRecorder<Store>> recorder;
     JobLoader jobLoader;
     std::shared_ptr<Roster> roster;
--- a/packages/coordination/include/sassafrasferry/coordination/stored_jobs.h
+++ b/packages/coordination/include/sassafrasferry/coordination/stored_jobs.h
@@ -15,35 +15,46 @@
 class StoredJobs
 {
 public:
-    explicit StoredJobs(Store &store)
+    explicit StoredJobs(Store &store, JobParts parts = JobParts())
         : store(store)
+        , parts(parts)
     {}
 
     /// State of the job as stored; `nullopt` if the store can't be read.
     Awaitable<std::optional<scheduling::JobState>> stateOf(std::string job)
     {
-        const auto part = partOf(job);
-        const auto end = cancellationKey(job) + "~";
-        // The intake table is read first: rows move from it to the progress table, never back, so a
-        // job that moves between the two reads is still found.
-        const store::PartRange intakeRange{table::intake, part, job, end};
-        const auto intakePage = co_await this->store.scan(intakeRange);
-        if (!intakePage.ok())
-            co_return std::nullopt;
-        const store::PartRange progressRange{table::progress, part, job, end};
-        const auto progressPage = co_await this->store.scan(progressRange);
-        if (!progressPage.ok())
-            co_return std::nullopt;
-        co_return stateIn(job, intakePage->rows, progressPage->rows);
+        const auto found = co_await this->find(std::move(job));
+        co_return found ? std::optional(found->state) : std::nullopt;
+    }
+
+    /// State of the job and the part that holds it; `nullopt` if the store can't be read.
+    struct Found
+    {
+        scheduling::JobState state = scheduling::JobState::Unknown;
+        std::string part;
+    };
+    Awaitable<std::optional<Found>> find(std::string job)
+    {
+        Found found;
+        for (const auto &part : this->parts.candidatesOf(job)) {
+            const auto state = co_await this->stateIn(part, job);
+            if (!state)
+                co_return std::nullopt;
+            if (found.part.empty() || *state != scheduling::JobState::Unknown)
+                found = {*state, part};
+            if (found.state != scheduling::JobState::Unknown)
+                break;
+        }
+        co_return found;
     }
 
-    /// Writes the cancellation row and repeats the write, which is idempotent, until the store
-    /// confirms it. False if that doesn't happen before the deadline.
-    Awaitable<bool> cancel(std::string job, Instant deadline)
+    /// Writes the cancellation row to the job's part and repeats the write, which is idempotent,
+    /// until the store confirms it. False if that doesn't happen before the deadline.
+    Awaitable<bool> cancel(std::string job, std::string part, Instant deadline)
     {
         while (bootNow() < deadline) {
             store::PartTransaction transaction;
-            transaction.part = partOf(job);
+            transaction.part = part;
             transaction.puts.push_back({table::intake, cancellationKey(job), ""});
             const auto commit = co_await this->store.commit(std::move(transaction));
             if (commit.state == store::CommitState::Committed)
@@ -56,9 +67,25 @@
 private:
     static constexpr auto retryPause = std::chrono::milliseconds(100);
 
-    static scheduling::JobState stateIn(const std::string &job,
-                                        const std::vector<store::PartRow> &intake,
-                                        const std::vector<store::PartRow> &progress)
+    Awaitable<std::optional<scheduling::JobState>> stateIn(std::string part, std::string job)
+    {
+        const auto end = cancellationKey(job) + "~";
+        // The intake table is read first: rows move from it to the progress table, never back, so a
+        // job that moves between the two reads is still found.
+        const store::PartRange intakeRange{table::intake, part, job, end};
+        const auto intakePage = co_await this->store.scan(intakeRange);
+        if (!intakePage.ok())
+            co_return std::nullopt;
+        const store::PartRange progressRange{table::progress, part, job, end};
+        const auto progressPage = co_await this->store.scan(progressRange);
+        if (!progressPage.ok())
+            co_return std::nullopt;
+        co_return stateFrom(job, intakePage->rows, progressPage->rows);
+    }
+
+    static scheduling::JobState stateFrom(const std::string &job,
+                                          const std::vector<store::PartRow> &intake,
+                                          const std::vector<store::PartRow> &progress)
     {
         auto state = scheduling::JobState::Unknown;
         for (const auto &row : intake) {
@@ -81,6 +108,7 @@
     }
 
     Store &store;
+    JobParts parts;
 };
 
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/table_follower.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_follower.h
@@ -1,6 +1,7 @@
 // Follows a table of the store: reads all rows, then receives each change from the table's feed.
 #pragma once
 
+#include <sassafrasferry/coordination/concurrently.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/store/part_rows.h>
 
@@ -72,15 +73,19 @@
         std::vector<store::PartRow> all;
         std::int64_t version = store::absent;
         const auto askedAt = bootNow();
-        for (const auto &part : this->options.parts) {
-            const store::PartRange range{this->options.table, part, "", ""};
+        const auto readPart = [&](std::size_t index) -> Awaitable<bool> {
+            const store::PartRange range{this->options.table, this->options.parts[index], "", ""};
             auto page = co_await this->store.scan(range);
             if (!page.ok())
                 co_return false;
             if (version == store::absent || page->version < version)
                 version = page->version;
             std::move(page->rows.begin(), page->rows.end(), std::back_inserter(all));
-        }
+            co_return true;
+        };
+        const bool isRead = co_await allSucceed(this->options.parts.size(), readPart);
+        if (!isRead)
+            co_return false;
         // A feed that is already past this snapshot must not go back to the snapshot's version.
         if (this->version == store::absent)
             this->version = version;
--- a/packages/coordination/src/intake_test.cpp
+++ b/packages/coordination/src/intake_test.cpp
@@ -52,7 +52,7 @@
     const std::string first = "a0";
     for (int i = 1;; ++i) {
         const auto other = "a" + std::to_string(i);
-        if (partOf(other) == partOf(first))
+        if (JobParts().partOf(other) == JobParts().partOf(first))
             return {first, other};
     }
 }
@@ -96,7 +96,7 @@
     world.store.delay = 0ms;
     std::size_t stored = 0;
     spawn(world.context.get_executor(), "look", [&]() -> Awaitable<void> {
-        const store::PartRange range{table::intake, partOf(second), "", ""};
+        const store::PartRange range{table::intake, JobParts().partOf(second), "", ""};
         const auto page = co_await world.store.scan(range);
         for (const auto &row : page->rows)
             stored += row.key == second ? 1 : 0;
--- a/packages/coordination/src/job_loader_test.cpp
+++ b/packages/coordination/src/job_loader_test.cpp
@@ -21,19 +21,19 @@
     terms.service = "s";
     auto record = recordOf({"text", {step}, 0, 0, std::chrono::milliseconds(0)}, terms);
     record.set_accepted_milliseconds(http::unixNow());
-    return {table::intake, partOf(job), job, record.SerializeAsString(), 1, false};
+    return {table::intake, JobParts().partOf(job), job, record.SerializeAsString(), 1, false};
 }
 
 store::PartRow cancellationRow(const std::string &job)
 {
-    return {table::intake, partOf(job), cancellationKey(job), "", 1, false};
+    return {table::intake, JobParts().partOf(job), cancellationKey(job), "", 1, false};
 }
 
 store::PartRow progressRow(const std::string &job, JobState state)
 {
     messages::JobProgress progress;
     progress.set_state(static_cast<std::uint32_t>(state));
-    return {table::progress, partOf(job), job, progress.SerializeAsString(), 1, false};
+    return {table::progress, JobParts().partOf(job), job, progress.SerializeAsString(), 1, false};
 }
 
 store::PartRow unreadable(store::PartRow row)
--- a/packages/coordination/src/job_rows.cpp
+++ b/packages/coordination/src/job_rows.cpp
@@ -5,11 +5,15 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace sassafrasferry::coordination {
 
 namespace {
 
 constexpr char cancellationSuffix = '!';
+constexpr double jobShareOfRate = 0.5; // of the store's transactions
+constexpr int maxCount = 32; // parts that a leader can load within a takeover
 
 std::string partName(std::size_t index)
 {
@@ -18,19 +22,45 @@
 
 } // namespace
 
-std::string partOf(const std::string &job)
+JobParts::JobParts(std::size_t count)
+    : partCount(std::max(count, minCount))
+{}
+
+JobParts JobParts::forRates(double storeRate, double partRate)
+{
+    if (!(partRate > 0) || !(storeRate > 0))
+        return JobParts();
+    const auto wanted = std::min(storeRate * jobShareOfRate / partRate, double{maxCount});
+    return JobParts(static_cast<std::size_t>(wanted));
+}
+
+std::size_t JobParts::count() const
+{
+    return this->partCount;
+}
+
+std::string JobParts::partOf(const std::string &job) const
 {
-    return partName(XXH3_64bits(job.data(), job.size()) % jobPartCount);
+    return partName(XXH3_64bits(job.data(), job.size()) % this->partCount);
 }
 
-std::vector<std::string> allJobParts()
+std::vector<std::string> JobParts::all() const
 {
     std::vector<std::string> parts;
-    for (std::size_t i = 0; i < jobPartCount; ++i)
+    for (std::size_t i = 0; i < this->partCount; ++i)
         parts.push_back(partName(i));
     return parts;
 }
 
+std::vector<std::string> JobParts::candidatesOf(const std::string &job) const
+{
+    std::vector<std::string> parts{this->partOf(job)};
+    const auto former = JobParts().partOf(job);
+    if (former != parts.front())
+        parts.push_back(former);
+    return parts;
+}
+
 std::string cancellationKey(const std::string &job)
 {
     return job + cancellationSuffix;
--- a/packages/coordination/src/leader_intake_test.cpp
+++ b/packages/coordination/src/leader_intake_test.cpp
@@ -202,7 +202,7 @@
             co_await this->put(TestPlatform::workerTable(), "", workerId, "");
             for (const auto *job : {cancelledJob, otherJob}) {
                 const auto value = intakeValue();
-                co_await this->put(table::intake, partOf(job), job, value);
+                co_await this->put(table::intake, JobParts().partOf(job), job, value);
             }
         });
         spawn(this->context.get_executor(), "leadership",
@@ -241,7 +241,8 @@
         bool isStored = false;
         this->run([&]() -> Awaitable<void> {
             const auto deadline = bootNow() + patience;
-            isStored = co_await this->stored.cancel(cancelledJob, deadline);
+            isStored = co_await this->stored.cancel(cancelledJob, JobParts().partOf(cancelledJob),
+                                                     deadline);
         });
         REQUIRE(isStored);
         return bootNow();
--- a/packages/coordination/src/leader_test.cpp
+++ b/packages/coordination/src/leader_test.cpp
@@ -216,3 +216,53 @@
     context.run_for(std::chrono::milliseconds(600));
     CHECK(watched.expired());
 }
+
+// Guards against jobs that no leader knows after the rates of the store in the settings change, as
+// they are in parts that the new layout has not.
+TEST_CASE("A leader knows the jobs of all layouts of parts")
+{
+    struct Row
+    {
+        std::size_t stored; ///< parts of the layout by which the jobs were stored
+        std::size_t own; ///< parts of the leader's layout
+    };
+    const auto row = GENERATE(Row{2, 8}, Row{8, 2}, Row{8, 8}, Row{16, 3});
+    CAPTURE(row.stored, row.own);
+    constexpr int jobCount = 40;
+    http::asio::io_context context;
+    MemoryStore memory;
+    spawn(context.get_executor(), "store", [&]() -> Awaitable<void> {
+        messages::JobRecord record;
+        record.set_queue("q");
+        record.add_steps()->set_count(1);
+        for (int i = 0; i < jobCount; ++i) {
+            const auto job = "job" + std::to_string(i);
+            store::PartTransaction put{JobParts(row.stored).partOf(job),
+                                       {},
+                                       {{table::intake, job, record.SerializeAsString()}},
+                                       {}};
+            co_await memory.commit(put);
+        }
+    });
+    context.run_for(std::chrono::milliseconds(100));
+    context.restart();
+    ListedCloud cloud;
+    Tenure tenure;
+    tenure.fence = 7;
+    tenure.term = 2;
+    Leader<TestPlatform>::Options options;
+    options.jobParts = JobParts(row.own);
+    options.sinceConfirmed = [] {
+        return Duration::zero();
+    };
+    const scheduling::Configuration configuration;
+    auto leader = std::make_shared<Leader<TestPlatform>>(context.get_executor(), memory, cloud,
+                                                         tenure, std::move(options), configuration);
+    leader->begin();
+    context.run_for(std::chrono::milliseconds(300));
+    REQUIRE(leader->isReady());
+    for (int i = 0; i < jobCount; ++i)
+        CHECK(leader->jobs().stateOf("job" + std::to_string(i)) == scheduling::JobState::Queued);
+    leader->stop();
+    context.run_for(std::chrono::milliseconds(300));
+}
--- a/packages/coordination/src/table_refresher_test.cpp
+++ b/packages/coordination/src/table_refresher_test.cpp
@@ -35,6 +35,11 @@
         co_return store::PartPage{};
     }
 
+    Awaitable<absl::StatusOr<std::vector<std::string>>> parts(std::string)
+    {
+        co_return std::vector<std::string>{};
+    }
+
     Awaitable<absl::StatusOr<store::FeedPage>> feed(std::string, std::int64_t,
                                                     std::chrono::milliseconds)
     {
--- a/packages/coordination/tests/feed_store.h
+++ b/packages/coordination/tests/feed_store.h
@@ -49,6 +49,13 @@
         co_return co_await this->memory.scan(range);
     }
 
+    http::Awaitable<absl::StatusOr<std::vector<std::string>>> parts(std::string table)
+    {
+        if (this->isAway)
+            co_return absl::UnavailableError("the store is away");
+        co_return co_await this->memory.parts(std::move(table));
+    }
+
     http::Awaitable<absl::StatusOr<store::FeedPage>> feed(std::string table, std::int64_t after,
                                                           std::chrono::milliseconds wait)
     {
--- a/packages/coordination/tests/memory_store.h
+++ b/packages/coordination/tests/memory_store.h
@@ -5,6 +5,7 @@
 #include <sassafrasferry/store/part_rows.h>
 
 #include <map>
+#include <set>
 #include <stdexcept>
 #include <tuple>
 
@@ -73,6 +74,18 @@
         co_return page;
     }
 
+    http::Awaitable<absl::StatusOr<std::vector<std::string>>> parts(std::string table)
+    {
+        if (this->delay.count() > 0)
+            co_await pause(this->delay);
+        std::set<std::string> names;
+        for (const auto &entry : this->rows) {
+            if (std::get<0>(entry.first) == table)
+                names.insert(std::get<1>(entry.first));
+        }
+        co_return std::vector<std::string>(names.begin(), names.end());
+    }
+
     http::Awaitable<absl::StatusOr<store::FeedPage>> feed(std::string, std::int64_t,
                                                           std::chrono::milliseconds)
     {
--- a/packages/store/include/sassafrasferry/store/loss_probe.h
+++ b/packages/store/include/sassafrasferry/store/loss_probe.h
@@ -19,7 +19,7 @@
 /// Where answers get lost, a wait that suits the slowest store holds up everything behind the call:
 /// callers' jobs, and the renewal of the lease. A shorter wait would repeat calls to a store that
 /// is only slow, which then has twice the work. So after `suspicion` the store is asked something
-/// small: `probe` is true if it answers as quickly as usual. Then the call's answer is not coming.
+/// that it answers after the call: once `probe` is true, the call's answer is not coming.
 ///
 /// The call goes on until its own end; its late answer is dropped.
 template<typename Call, typename Probe>
--- a/packages/store/include/sassafrasferry/store/part_rows.h
+++ b/packages/store/include/sassafrasferry/store/part_rows.h
@@ -98,6 +98,10 @@
     {
         store.scan(range)
         } -> std::same_as<Awaitable<absl::StatusOr<PartPage>>>;
+    // The names of all parts of a table that hold rows.
+    {
+        store.parts(table)
+        } -> std::same_as<Awaitable<absl::StatusOr<std::vector<std::string>>>>;
     // What changed after a version, as soon as there is something.
     {
         store.feed(table, after, wait)
