A job whose answer is late is confirmed by the leader's books

While a transaction is late, or its result unknown, the leader is asked beside it, and the row is read once the store has given no proof; only what nothing proves by the caller's deadline is answered 504.

hand_in_test: a silent store whose row the leader knows; without the proof the result is unknown in all cases.

--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -177,10 +177,9 @@
         const auto begin = bootNow();
         const auto deadline = deadlineOf(request, Platform::deadlineHeader());
         const auto bytes = record.SerializeAsString();
-        const auto askPeer = [this, deadline](std::string job, std::string record) {
-            return this->handInThroughPeer(std::move(job), std::move(record), deadline);
-        };
-        const auto result = co_await handIn(this->intake, askPeer, job, bytes, deadline);
+        const auto handIn = std::make_shared<HandIn<Intake<Store>>>(
+            this->intake, this->handInRoutes(deadline), job, deadline);
+        const auto result = co_await handIn->run(bytes);
         LOG(INFO) << "event=submit job=" << job << " queue=" << queue.terms.queue
                   << " outcome=" << model::nameOf(result)
                   << " ms=" << policy::seconds(bootNow() - begin) * 1000
@@ -199,6 +198,29 @@
         co_return http::textResponse(http::Status::gateway_timeout, "ask again\n");
     }
 
+    HandInRoutes handInRoutes(Instant deadline)
+    {
+        return {[this, deadline](std::string job, std::string record) {
+                    return this->handInThroughPeer(std::move(job), std::move(record), deadline);
+                },
+                [this](std::string job) { return this->isKnownToLeader(std::move(job)); },
+                [this](std::string job) {
+                    return this->isSeenInStore(std::move(job));
+                }};
+    }
+
+    Awaitable<bool> isKnownToLeader(std::string job)
+    {
+        const auto state = co_await this->stateFromLeader(std::move(job));
+        co_return state && *state != scheduling::JobState::Unknown;
+    }
+
+    Awaitable<bool> isSeenInStore(std::string job)
+    {
+        const auto state = co_await this->stored.stateOf(std::move(job));
+        co_return state && *state != scheduling::JobState::Unknown;
+    }
+
     // The peer that stores a job in place of this entry VM: the leader if that is another entry VM,
     // else the strongest of the peers that sent hellos here. Entry VMs send hellos to the leader.
     std::optional<model::Endpoint> handInPeer() const
@@ -260,16 +282,7 @@
     {
         if (!isJobId(job))
             co_return noSuchJob();
-        std::optional<scheduling::JobState> state;
-        if (this->leader && this->leader->isReady()) {
-            state = this->leader->jobs().stateOf(job);
-        } else if (const auto address = this->otherLeader()) {
-            messages::JobQuestion question;
-            question.set_job(job);
-            const auto answer = co_await this->messenger.ask(*address, question, questionTimeout);
-            if (answer && answer->leads() && answer->ready())
-                state = static_cast<scheduling::JobState>(answer->state());
-        }
+        auto state = co_await this->stateFromLeader(job);
         // The leader may not yet have read a job that was stored just now.
         if (!state || *state == scheduling::JobState::Unknown)
             state = co_await this->stored.stateOf(job);
--- a/packages/coordination/src/hand_in_test.cpp
+++ b/packages/coordination/src/hand_in_test.cpp
@@ -33,6 +33,36 @@
     {IntakeResult::Unknown, std::nullopt, IntakeResult::Unknown},
 };
 
+/// Routes on which nobody stores a job or knows of it.
+HandInRoutes routesWithout()
+{
+    const auto knowsNothing = [](std::string) -> Awaitable<bool> {
+        co_return false;
+    };
+    return {[](std::string, std::string) -> Awaitable<std::optional<IntakeResult>> {
+                co_return IntakeResult::Refused;
+            },
+            knowsNothing, knowsNothing};
+}
+
+/// A job whose transaction gets no answer, and when others know that it is stored.
+struct ProofCase
+{
+    std::string name;
+    Duration knownToLeaderAfter;
+    Duration seenInStoreAfter;
+    IntakeResult result;
+    Duration answeredBefore;
+};
+
+constexpr Duration never = 1h;
+const std::vector<ProofCase> proofs{
+    {"the leader knows it at once", 0ms, never, IntakeResult::AlreadyStored, 600ms},
+    {"the leader knows it later", 800ms, never, IntakeResult::AlreadyStored, 1300ms},
+    {"only the store has it", never, 0ms, IntakeResult::AlreadyStored, 2000ms},
+    {"nobody knows it", never, never, IntakeResult::Unknown, 2800ms},
+};
+
 } // namespace
 
 // Guards against answering "refused" for a job that a peer has stored: the job would run although
@@ -53,13 +83,16 @@
     std::optional<IntakeResult> result;
     Duration took{};
     std::size_t asked = 0;
-    const auto askPeer = [&](std::string, std::string) -> Awaitable<std::optional<IntakeResult>> {
+    auto routes = routesWithout();
+    routes.askPeer = [&](std::string, std::string) -> Awaitable<std::optional<IntakeResult>> {
         ++asked;
         co_return IntakeResult::Stored;
     };
     spawn(context.get_executor(), "caller", [&]() -> Awaitable<void> {
         const auto begin = bootNow();
-        result = co_await handIn(own, askPeer, "job", "record", begin + 2600ms);
+        const auto handIn =
+            std::make_shared<HandIn<Intake<MemoryStore>>>(own, routes, "job", begin + 2600ms);
+        result = co_await handIn->run("record");
         took = bootNow() - begin;
     });
     while (!result)
@@ -68,3 +101,35 @@
     CHECK(asked == 1);
     CHECK(took < 1s);
 }
+
+// Guards against answering "may be stored" for a job that the leader has in its books: its caller
+// can't repeat the request, and nobody gets the result of the work.
+TEST_CASE("A job without an answer of the store is confirmed once the leader or a row proves it")
+{
+    const auto row = GENERATE(from_range(proofs));
+    CAPTURE(row.name);
+    http::asio::io_context context;
+    MemoryStore silent;
+    silent.delay = 5s;
+    Intake<MemoryStore> own(silent, context.get_executor());
+    const auto begin = bootNow();
+    auto routes = routesWithout();
+    routes.isKnownToLeader = [&](std::string) -> Awaitable<bool> {
+        co_return bootNow() - begin >= row.knownToLeaderAfter;
+    };
+    routes.isSeenInStore = [&](std::string) -> Awaitable<bool> {
+        co_return bootNow() - begin >= row.seenInStoreAfter;
+    };
+    std::optional<IntakeResult> result;
+    Duration took{};
+    spawn(context.get_executor(), "caller", [&]() -> Awaitable<void> {
+        const auto handIn =
+            std::make_shared<HandIn<Intake<MemoryStore>>>(own, routes, "job", begin + 2600ms);
+        result = co_await handIn->run("record");
+        took = bootNow() - begin;
+    });
+    while (!result)
+        context.run_one();
+    CHECK(result == row.result);
+    CHECK(took < row.answeredBefore);
+}
