Jobs that could only join a useless backlog are refused at once

The leader's planner derives an outlook for each service: the wait behind the work that can be on time, and the wait behind the late work of all services at half of the fleet's cores. Entry VMs learn it with the leader's answer to their hello, and refuse a job that can neither be on time nor end within three times its objective, with the time after which it is expected to be accepted. Without news of the last second all is accepted; so are lasting and timed jobs, and repeats of an id that the leader or the store knows. A refused write of the intake is logged with its state and duration (event=intake-failed).

--- a/packages/coordination/include/sassafrasferry/coordination/fleet_controller.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_controller.h
@@ -86,6 +86,14 @@
         return this->planner.openOrders();
     }
 
+    /// Outlook of each service; empty while it may be out of date.
+    std::map<std::string, scheduling::ServiceOutlook> outlooks() const
+    {
+        const bool isRecent = bootNow() - this->plannedAt < maxOutlookAge;
+        return isRecent ? this->planner.outlooks()
+                        : std::map<std::string, scheduling::ServiceOutlook>{};
+    }
+
     void begin()
     {
         for (const auto &vm : this->options.deferredVms)
@@ -108,6 +116,7 @@
     }
 
 private:
+    static constexpr Duration maxOutlookAge = std::chrono::milliseconds(1000);
     static scheduling::FleetPlannerOptions termsFor(const scheduling::Scheduler &scheduler)
     {
         scheduling::FleetPlannerOptions terms;
@@ -134,7 +143,8 @@
             co_await this->list();
             if (this->stopped || !this->hasListed)
                 continue;
-            auto orders = this->planner.plan(this->scheduler, bootNow(), http::unixNow());
+            this->plannedAt = bootNow();
+            auto orders = this->planner.plan(this->scheduler, this->plannedAt, http::unixNow());
             co_await this->announceAndGive(std::move(orders));
             this->logNotes();
             co_await this->recordWaves();
@@ -269,6 +279,7 @@
     scheduling::Scheduler &scheduler; // not accessed after `stop`
     Options options;
     scheduling::FleetPlanner planner;
+    Instant plannedAt{}; // start of the last planning round
     std::vector<scheduling::Wave> newWaves;
     std::map<std::int64_t, std::uint64_t> recordedChanges; // by wave number
     std::map<std::string, Instant> orderedAt; // by VM: time of its last order, or of the answer
--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -164,6 +164,7 @@
                 transaction.conditions.push_back({table::progress, item->job, store::absent});
                 transaction.puts.push_back({table::intake, item->job, item->record});
             }
+            const auto sentAt = bootNow();
             const auto answer = co_await this->store.commit(std::move(transaction));
             for (const auto &item : batch)
                 item->isSent = false;
@@ -176,6 +177,13 @@
             }
             const auto now = bootNow();
             this->recordFailure(answer.state, now);
+            if (answer.state != store::CommitState::Conflict)
+                LOG(WARNING) << "event=intake-failed part=" << part << " jobs=" << batch.size()
+                             << " state="
+                             << (answer.state == store::CommitState::Unknown ? "unknown"
+                                                                             : "not-applied")
+                             << " ms=" << (now - sentAt) / std::chrono::milliseconds(1)
+                             << " refusing=" << this->isFailing;
             if (answer.state == store::CommitState::Conflict)
                 this->answerAlreadyStored(batch, answer.current);
             for (const auto &item : batch)
