Admission by the expected wait is reverted; refusals of the store's writes are logged

Refused callers come back up to four times; a job of the second try counts as new and is placed as if it could be on time, while its caller has waited since the first. Conclusion: admission needs the time of a caller's first try, which nothing carries from a refusal to the next entry VM.

Kept: event=intake-failed, why a write of the intake failed and after how long.

--- a/packages/coordination/include/sassafrasferry/coordination/fleet_controller.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_controller.h
@@ -86,14 +86,6 @@
         return this->planner.openOrders();
     }
 
-    /// Outlook of each service; empty while it may be out of date.
-    std::map<std::string, scheduling::ServiceOutlook> outlooks() const
-    {
-        const bool isRecent = bootNow() - this->plannedAt < maxOutlookAge;
-        return isRecent ? this->planner.outlooks()
-                        : std::map<std::string, scheduling::ServiceOutlook>{};
-    }
-
     void begin()
     {
         for (const auto &vm : this->options.deferredVms)
@@ -116,7 +108,6 @@
     }
 
 private:
-    static constexpr Duration maxOutlookAge = std::chrono::milliseconds(1000);
     static scheduling::FleetPlannerOptions termsFor(const scheduling::Scheduler &scheduler)
     {
         scheduling::FleetPlannerOptions terms;
@@ -143,8 +134,7 @@
             co_await this->list();
             if (this->stopped || !this->hasListed)
                 continue;
-            this->plannedAt = bootNow();
-            auto orders = this->planner.plan(this->scheduler, this->plannedAt, http::unixNow());
+            auto orders = this->planner.plan(this->scheduler, bootNow(), http::unixNow());
             co_await this->announceAndGive(std::move(orders));
             this->logNotes();
             co_await this->recordWaves();
@@ -279,7 +269,6 @@
     scheduling::Scheduler &scheduler; // not accessed after `stop`
     Options options;
     scheduling::FleetPlanner planner;
-    Instant plannedAt{}; // start of the last planning round
     std::vector<scheduling::Wave> newWaves;
     std::map<std::int64_t, std::uint64_t> recordedChanges; // by wave number
     std::map<std::string, Instant> orderedAt; // by VM: time of its last order, or of the answer
--- a/packages/coordination/include/sassafrasferry/coordination/hand_in.h
+++ b/packages/coordination/include/sassafrasferry/coordination/hand_in.h
@@ -102,8 +102,8 @@
 
     Awaitable<void> store(std::string record)
     {
-        const auto result = co_await storeHereOrThroughPeer(
-            this->intake, this->routes, this->job, std::move(record), this->deadline);
+        const auto result = co_await storeHereOrThroughPeer(this->intake, this->routes, this->job,
+                                                            std::move(record), this->deadline);
         this->isResultUnknown = result == IntakeResult::Unknown;
         if (!this->isResultUnknown)
             this->answer(result);
--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -178,12 +178,7 @@
             const auto now = bootNow();
             this->recordFailure(answer.state, now);
             if (answer.state != store::CommitState::Conflict)
-                LOG(WARNING) << "event=intake-failed part=" << part << " jobs=" << batch.size()
-                             << " state="
-                             << (answer.state == store::CommitState::Unknown ? "unknown"
-                                                                             : "not-applied")
-                             << " ms=" << (now - sentAt) / std::chrono::milliseconds(1)
-                             << " refusing=" << this->isFailing;
+                this->logFailure(part, batch.size(), answer.state, now - sentAt);
             if (answer.state == store::CommitState::Conflict)
                 this->answerAlreadyStored(batch, answer.current);
             for (const auto &item : batch)
@@ -209,6 +204,15 @@
         this->isFailing = failed;
     }
 
+    void logFailure(const std::string &part, std::size_t jobs, store::CommitState state,
+                    Duration after) const
+    {
+        LOG(WARNING) << "event=intake-failed part=" << part << " jobs=" << jobs << " state="
+                     << (state == store::CommitState::Unknown ? "unknown" : "not-applied")
+                     << " after-ms=" << after / std::chrono::milliseconds(1)
+                     << " store-failing=" << this->isFailing;
+    }
+
     void answerAlreadyStored(const Batch &batch, const std::vector<store::PartRow> &rows)
     {
         for (const auto &item : batch) {
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -8,7 +8,6 @@
 #include <sassafrasferry/coordination/intake.h>
 #include <sassafrasferry/coordination/job_messenger.h>
 #include <sassafrasferry/coordination/leader.h>
-#include <sassafrasferry/coordination/overload_news.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/stored_jobs.h>
 #include <sassafrasferry/coordination/successor.h>
@@ -172,9 +171,6 @@
             co_return http::textResponse(http::Status::bad_request,
                                          std::string(spec.status().message()) + "\n");
         }
-        const auto retryIn = co_await this->overloadWait(queue.terms, job, *spec);
-        if (retryIn)
-            co_return retryLater("more work waits than can be done in time", *retryIn);
         auto record = recordOf(*spec, queue.terms);
         record.set_accepted_milliseconds(http::unixNow());
         record.set_configuration(this->configuration().version);
@@ -202,40 +198,6 @@
         co_return http::textResponse(http::Status::gateway_timeout, "ask again\n");
     }
 
-    // Time after which a job that is refused because of overload should be submitted again;
-    // `nullopt` if it is accepted. Work that lasts or comes later is always accepted.
-    Awaitable<std::optional<std::chrono::seconds>>
-    overloadWait(const jobs::QueueTerms &terms, std::string job, const jobs::JobSpec &spec)
-    {
-        const auto outlook = this->outlookOf(terms.service);
-        const auto submitted = scheduling::submittedJob(spec, terms);
-        if (!outlook || spec.isLasting() || spec.repetitions > 0
-            || scheduling::isAdmitted(submitted, *outlook))
-            co_return std::nullopt;
-        // An earlier request with this id may have been accepted.
-        const auto inLeader = co_await this->stateFromLeader(job);
-        const auto inStore = co_await this->stored.stateOf(job);
-        if (!isKnownToBeAbsent(inLeader, inStore))
-            co_return std::nullopt;
-        const auto wait =
-            policy::retryAfter(scheduling::timeToAdmission(submitted, *outlook), job);
-        LOG(INFO) << "event=submit job=" << job << " queue=" << terms.queue
-                  << " outcome=overload late-wait-ms="
-                  << outlook->lateWait / std::chrono::milliseconds(1)
-                  << " on-time-wait-ms=" << outlook->onTimeWait / std::chrono::milliseconds(1)
-                  << " retry-s=" << wait.count();
-        co_return wait;
-    }
-
-    std::optional<scheduling::ServiceOutlook> outlookOf(const std::string &service)
-    {
-        if (!this->leader)
-            return this->overload.outlookOf(service, bootNow());
-        const auto outlooks = this->leader->outlooks();
-        const auto at = outlooks.find(service);
-        return at == outlooks.end() ? std::nullopt : std::optional(at->second);
-    }
-
     HandInRoutes handInRoutes(Instant deadline)
     {
         return {[this, deadline](std::string job, std::string record) {
@@ -250,13 +212,13 @@
     Awaitable<bool> isKnownToLeader(std::string job)
     {
         const auto state = co_await this->stateFromLeader(std::move(job));
-        co_return state && *state != scheduling::JobState::Unknown;
+        co_return state &&*state != scheduling::JobState::Unknown;
     }
 
     Awaitable<bool> isSeenInStore(std::string job)
     {
         const auto state = co_await this->stored.stateOf(std::move(job));
-        co_return state && *state != scheduling::JobState::Unknown;
+        co_return state &&*state != scheduling::JobState::Unknown;
     }
 
     // The peer that stores a job in place of this entry VM: the leader if that is another entry VM,
@@ -407,8 +369,6 @@
         if (!answer.ready())
             return answer;
         answer.set_counts(this->leader->intakeAge() < maxCountAge);
-        if (SuccessorChoice::isHello(question))
-            OverloadNews::write(this->leader->outlooks(), answer);
         auto &jobs = this->leader->jobs();
         if (!question.job().empty())
             answer.set_state(static_cast<std::uint32_t>(jobs.stateOf(question.job())));
@@ -427,8 +387,6 @@
                 question.set_cores(this->isReady() ? this->options.cores : 0);
                 const auto answer =
                     co_await this->messenger.ask(*address, question, questionTimeout);
-                if (answer && answer->leads())
-                    this->overload.read(*answer, bootNow());
                 if (answer && answer->leads() && !answer->leaving())
                     this->leadership.noteLeaderAnswer(answer->lease_version());
                 else if (answer)
@@ -560,7 +518,6 @@
     RelayClient relay;
     std::shared_ptr<RelayServer<typename Platform::Worker>> agent;
     SuccessorChoice successors;
-    OverloadNews overload;
     Leadership<Store> leadership;
     std::shared_ptr<Leader<Platform>> leader; // null unless this entry VM leads
     bool stopping = false;
--- a/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
@@ -141,8 +141,9 @@
             co_await pause(batchDelay);
             if (this->stopped)
                 co_return;
-            const auto rows = this->scheduler.takeDirty(
-                maxRows, [&](const std::string &job) { return this->partOf(job) == writer.part.name(); });
+            const auto rows = this->scheduler.takeDirty(maxRows, [&](const std::string &job) {
+                return this->partOf(job) == writer.part.name();
+            });
             if (rows.empty())
                 continue;
             std::vector<store::PartPut> puts;
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -144,14 +144,6 @@
         return this->fleet ? this->fleet->openOrders() : this->tenure.openVmOrders;
     }
 
-    /// Outlook of each service; empty if it is unknown.
-    std::map<std::string, scheduling::ServiceOutlook> outlooks() const
-    {
-        return this->fleet && this->isReady()
-                   ? this->fleet->outlooks()
-                   : std::map<std::string, scheduling::ServiceOutlook>{};
-    }
-
     scheduling::Scheduler &jobs()
     {
         return this->scheduler;
--- a/packages/coordination/include/sassafrasferry/coordination/successor.h
+++ b/packages/coordination/include/sassafrasferry/coordination/successor.h
@@ -20,17 +20,13 @@
         : ownCores(ownCores)
     {}
 
-    /// Whether an entry VM asks on its own behalf, and not for a caller.
-    static bool isHello(const messages::JobQuestion &question)
-    {
-        return question.job().empty() && question.queue().empty() && !question.has_hand_in();
-    }
-
     /// Notes a question of an entry VM. Questions on behalf of callers are ignored, since they
     /// don't carry the number of cores.
     void noteQuestion(const messages::JobQuestion &question, Instant now)
     {
-        if (isHello(question))
+        const bool isHello =
+            question.job().empty() && question.queue().empty() && !question.has_hand_in();
+        if (isHello)
             this->peers[question.address()] = {question.cores(), now};
     }
 
--- a/packages/coordination/src/leader_intake_test.cpp
+++ b/packages/coordination/src/leader_intake_test.cpp
@@ -242,7 +242,7 @@
         this->run([&]() -> Awaitable<void> {
             const auto deadline = bootNow() + patience;
             isStored = co_await this->stored.cancel(cancelledJob, JobParts().partOf(cancelledJob),
-                                                     deadline);
+                                                    deadline);
         });
         REQUIRE(isStored);
         return bootNow();
--- a/packages/coordination/src/vm_order_hand_over_test.cpp
+++ b/packages/coordination/src/vm_order_hand_over_test.cpp
@@ -248,7 +248,9 @@
     terms.service = "s";
     auto record = recordOf({"text", {step}, 0, 0, 0ms}, terms);
     record.set_accepted_milliseconds(http::unixNow());
-    commit(store, {JobParts().partOf("job"), {}, {{table::intake, "job", record.SerializeAsString()}}, {}});
+    commit(
+        store,
+        {JobParts().partOf("job"), {}, {{table::intake, "job", record.SerializeAsString()}}, {}});
 }
 
 struct Case
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -3,7 +3,6 @@
 // scheduler.
 #pragma once
 
-#include <sassafrasferry/scheduling/admission.h>
 #include <sassafrasferry/scheduling/open_vm_order.h>
 #include <sassafrasferry/scheduling/pool_sizing.h>
 
@@ -115,8 +114,6 @@
                       Instant now);
 
     const std::map<std::int64_t, WaveProgress> &waves() const;
-    /// Outlook of each service, as of the last round.
-    const std::map<std::string, ServiceOutlook> &outlooks() const;
     /// True while a VM is not up or an order is in progress, so that the platform's list will
     /// change.
     bool hasPendingChanges() const;
@@ -179,7 +176,6 @@
     // "kind pool" pairs that the platform reported as impossible.
     std::set<std::string> impossibleMoves;
     std::vector<DecisionNote> notes;
-    std::map<std::string, ServiceOutlook> serviceOutlooks; // of the last round
 };
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -26,11 +26,6 @@
     }
 }
 
-const std::map<std::string, ServiceOutlook> &FleetPlanner::outlooks() const
-{
-    return this->serviceOutlooks;
-}
-
 void FleetPlanner::deferOrders(const std::string &vm, Instant until)
 {
     auto &entry = this->vms[vm];
@@ -128,10 +123,6 @@
     for (const auto &service : round.scheduler.configuration().services)
         round.pools[service.name].standby = service.standby;
     const auto loads = round.scheduler.loads(round.now, round.unixNow);
-    double fleetCores = 0;
-    for (const auto &entry : this->vms)
-        fleetCores += static_cast<double>(entry.second.vm.capacity.cpu) / 1000;
-    this->serviceOutlooks = outlooksOf(loads, fleetCores);
     for (auto &entry : round.pools) {
         auto &pool = entry.second;
         const auto at = loads.find(entry.first);
--- a/packages/scheduling/src/on_time_selection.cpp
+++ b/packages/scheduling/src/on_time_selection.cpp
@@ -5,7 +5,8 @@
 
 namespace {
 
-// Share of a job's slack that waiting may take; the rest is for tasks that run longer than expected.
+// Share of a job's slack that waiting may take; the rest is for tasks that run longer than
+// expected.
 constexpr double maxSlackShare = 0.6;
 
 } // namespace
