--- a/packages/coordination/include/sassafrasferry/coordination/hand_in.h
+++ b/packages/coordination/include/sassafrasferry/coordination/hand_in.h
@@ -99,6 +99,8 @@
     // An answer that takes longer is late: a sound store takes some 20 ms.
     static constexpr auto lateAfter = std::chrono::milliseconds(350);
     static constexpr auto lookPause = std::chrono::milliseconds(200);
+    // At the deadline the intake tells which jobs were never sent; that answer goes first.
+    static constexpr auto ownAnswerMargin = std::chrono::milliseconds(20);
 
     Awaitable<void> store(std::string record)
     {
@@ -121,6 +123,8 @@
             else
                 co_await pause(std::min<Duration>(lookPause, this->deadline - bootNow()));
         }
+        if (this->done)
+            co_await pause(ownAnswerMargin);
         this->answer(IntakeResult::Unknown);
     }
 
--- a/packages/coordination/src/hand_in_test.cpp
+++ b/packages/coordination/src/hand_in_test.cpp
@@ -133,3 +133,34 @@
     CHECK(result == row.result);
     CHECK(took < row.answeredBefore);
 }
+
+// Guards against answering "may be stored" at the deadline for a job that was never sent: its
+// caller could not try again.
+TEST_CASE("A job that still waits for its turn at the deadline is refused")
+{
+    http::asio::io_context context;
+    MemoryStore silent;
+    silent.delay = 5s;
+    Intake<MemoryStore> own(silent, context.get_executor());
+    const auto deadline = bootNow() + 600ms;
+    std::vector<std::string> jobs{"a"};
+    for (int i = 0; jobs.size() < 2; ++i) {
+        const auto other = "b" + std::to_string(i);
+        if (JobParts().partOf(other) == JobParts().partOf(jobs[0]))
+            jobs.push_back(other); // waits for the transaction of the first one
+    }
+    std::vector<std::optional<IntakeResult>> results(jobs.size());
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        spawn(context.get_executor(), "caller", [&, i]() -> Awaitable<void> {
+            const auto handIn = std::make_shared<HandIn<Intake<MemoryStore>>>(own, routesWithout(),
+                                                                              jobs[i], deadline);
+            results[i] = co_await handIn->run("record");
+        });
+        context.run_for(20ms);
+        context.restart();
+    }
+    while (!results[0] || !results[1])
+        context.run_one();
+    CHECK(results[0] == IntakeResult::Unknown);
+    CHECK(results[1] == IntakeResult::Refused);
+}
