A job in a part without a writer is recorded in the leader's own layout

Found in review, by reading: parts are listed at the takeover. An entry VM whose settings had changed since then could store jobs in a part that came later; the feed tells the leader of them, but no writer would take their ends. Such a job is recorded in the leader's own layout now, which each successor reads. job_parts_test has the case.

--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -212,13 +212,17 @@
     Awaitable<bool> isKnownToLeader(std::string job)
     {
         const auto state = co_await this->stateFromLeader(std::move(job));
-        co_return state &&*state != scheduling::JobState::Unknown;
+        const bool isKnown =
+            state.value_or(scheduling::JobState::Unknown) != scheduling::JobState::Unknown;
+        co_return isKnown;
     }
 
     Awaitable<bool> isSeenInStore(std::string job)
     {
         const auto state = co_await this->stored.stateOf(std::move(job));
-        co_return state &&*state != scheduling::JobState::Unknown;
+        const bool isSeen =
+            state.value_or(scheduling::JobState::Unknown) != scheduling::JobState::Unknown;
+        co_return isSeen;
     }
 
     // The peer that stores a job in place of this entry VM: the leader if that is another entry VM,
--- a/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_recorder.h
@@ -7,6 +7,7 @@
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -75,10 +76,14 @@
     }
 
     /// Notes the part that holds the job's rows, which an entry VM with another layout may have
-    /// chosen.
+    /// chosen. A part that came into use after this leader's takeover has no writer: then the
+    /// job's progress goes to the part of the own layout, where a successor reads it as well.
     void notePart(const std::string &job, const std::string &part)
     {
-        if (part != this->parts.partOf(job))
+        const bool isWritten =
+            std::any_of(this->writers.begin(), this->writers.end(),
+                        [&](const auto &writer) { return writer->part.name() == part; });
+        if (isWritten && part != this->parts.partOf(job))
             this->partsOfOtherLayouts[job] = part;
     }
 
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -389,8 +389,10 @@
 
     void takeIntake(const std::vector<store::PartRow> &rows)
     {
-        for (const auto &row : rows)
-            this->recorder->notePart(parseIntakeKey(row.key).job, row.part);
+        for (const auto &row : rows) {
+            if (!row.deleted)
+                this->recorder->notePart(parseIntakeKey(row.key).job, row.part);
+        }
         for (const auto &job : this->jobLoader.addIntake(rows))
             this->recorder->addCancellation(job);
         ++this->loadSteps;
