--- a/packages/scheduling/include/sassafrasferry/scheduling/on_time_selection.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/on_time_selection.h
@@ -8,6 +8,8 @@
 
 #include <sassafrasferry/policy/time.h>
 
+#include <vector>
+
 namespace sassafrasferry::scheduling {
 
 using policy::Duration;
@@ -22,23 +24,13 @@
     bool isStarted = false; ///< some of its tasks run or are done
 };
 
-class OnTimeSelection
-{
-public:
-    /// `cores`: of the workers, without those in use by lasting tasks.
-    OnTimeSelection(double cores, Instant now);
-
-    /// Whether the job can be on time beside those selected so far. Jobs are offered in the order
-    /// in which they are to start.
-    bool select(const BacklogJob &job);
-
-    /// Time until the work selected so far is done.
-    Duration wait() const;
-
-private:
-    double cores;
-    Instant now;
-    double selectedSeconds = 0; // core-seconds of the selected jobs
-};
+/// Whether each job can be on time beside the selected ones before it. Jobs are given in the order
+/// in which they are to start. `cores`: of the workers, without those in use by lasting tasks.
+///
+/// While nearly all can be on time, only jobs for which there is no time at all are passed over:
+/// the order by objective serves most then. When there is much more than can be done, each selected
+/// job keeps a part of its slack for errors of estimates, since others take the place of those
+/// passed over.
+std::vector<bool> selectOnTime(const std::vector<BacklogJob> &jobs, double cores, Instant now);
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/on_time_selection.cpp
+++ b/packages/scheduling/src/on_time_selection.cpp
@@ -5,35 +5,41 @@
 
 namespace {
 
-// Share of a job's slack that waiting may take; the rest is for tasks that run longer than
-// expected.
-constexpr double maxSlackShare = 0.6;
-
-} // namespace
-
-OnTimeSelection::OnTimeSelection(double cores, Instant now)
-    : cores(cores)
-    , now(now)
-{}
+// Share of a job's slack that waiting may take under much overload; the rest is for tasks that run
+// longer than expected.
+constexpr double cautiousSlackShare = 0.6;
+// Overload counts as much if the work passed over is at least this share of the selected work.
+constexpr double muchExcess = 0.5;
+
+/// A selection and its core-seconds.
+struct Selection
+{
+    std::vector<bool> isSelected; // by job
+    double selectedSeconds = 0;
+    double passedOverSeconds = 0;
+};
 
-Duration OnTimeSelection::wait() const
+Selection select(const std::vector<BacklogJob> &jobs, double cores, Instant now, double slackShare)
 {
-    if (this->selectedSeconds <= 0)
-        return Duration::zero();
-    return this->cores > 0 ? policy::fromSeconds(this->selectedSeconds / this->cores)
-                           : Duration::max();
+    Selection selection;
+    for (const auto &job : jobs) {
+        const auto slack = policy::seconds(job.objective - now - job.remainingPath);
+        const bool waitsTooLong = selection.selectedSeconds > slack * slackShare * cores;
+        const bool isSelected = slack >= 0 && (job.isStarted || !waitsTooLong);
+        selection.isSelected.push_back(isSelected);
+        (isSelected ? selection.selectedSeconds : selection.passedOverSeconds) += job.coreSeconds;
+    }
+    return selection;
 }
 
-bool OnTimeSelection::select(const BacklogJob &job)
+} // namespace
+
+std::vector<bool> selectOnTime(const std::vector<BacklogJob> &jobs, double cores, Instant now)
 {
-    const auto slack = policy::seconds(job.objective - this->now - job.remainingPath);
-    if (slack < 0)
-        return false;
-    const bool waitsTooLong = policy::seconds(this->wait()) > slack * maxSlackShare;
-    if (waitsTooLong && !job.isStarted)
-        return false;
-    this->selectedSeconds += job.coreSeconds;
-    return true;
+    auto selection = select(jobs, cores, now, 1);
+    if (selection.passedOverSeconds >= selection.selectedSeconds * muchExcess)
+        selection = select(jobs, cores, now, cautiousSlackShare);
+    return std::move(selection.isSelected);
 }
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -84,16 +84,22 @@
     return static_cast<double>(std::max<std::int64_t>(cpu, 0)) / 1000;
 }
 
-void passOverExcess(std::vector<RankedJob> &jobs, OnTimeSelection selection)
+void passOverExcess(std::vector<RankedJob> &jobs, double cores, Instant now)
 {
+    std::vector<RankedJob *> candidates;
+    std::vector<BacklogJob> backlog;
     for (auto &ranked : jobs) {
         if (!isWorthSelecting(ranked))
             continue;
         const auto &job = *ranked.job;
         const auto work = job.remainingWork();
-        if (!selection.select(
-                {job.objective(), job.remainingPath(), work.coreSeconds, work.isStarted}))
-            ranked.rank.prospect = Prospect::PassedOver;
+        candidates.push_back(&ranked);
+        backlog.push_back({job.objective(), job.remainingPath(), work.coreSeconds, work.isStarted});
+    }
+    const auto isSelected = selectOnTime(backlog, cores, now);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (!isSelected[i])
+            candidates[i]->rank.prospect = Prospect::PassedOver;
     }
     sortByRank(jobs);
 }
@@ -230,8 +236,7 @@
         rankedJobs.push_back({rankOf(*job, round.now, isLateLast), job});
     sortByRank(rankedJobs);
     if (this->mechanisms().has(Mechanism::OnTimeSelection))
-        passOverExcess(rankedJobs,
-                       OnTimeSelection(coresBesideLasting(round.workers, queue), round.now));
+        passOverExcess(rankedJobs, coresBesideLasting(round.workers, queue), round.now);
     for (const auto &ranked : rankedJobs) {
         auto &job = *ranked.job;
         for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
