Jobs of an earlier leader do not count as arriving work

All jobs loaded at the takeover counted as work that arrived in that instant, so the average of arriving work asked for more VMs than there are. Their running and ready tasks are counted on their own.

takeover_test failed before: takeArrivals() was not empty.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -50,7 +50,9 @@
             work += static_cast<double>(step.count) * static_cast<double>(step.footprint().cpu)
                     / 1000 * policy::seconds(Duration(job->expected(i).task));
     }
-    this->arrivals[this->serviceOf(*job)] += work;
+    // Jobs of an earlier leader arrived before; what is left of them counts as running or ready.
+    if (!job->inherited)
+        this->arrivals[this->serviceOf(*job)] += work;
     this->attachOrphans(*job);
     this->jobs.emplace(job->id, std::move(job));
 }
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -328,6 +328,17 @@
     CHECK(load.running.cpu == 3000);
 }
 
+// Guards against VMs that are moved after a takeover to pools whose surge is over: all work of the
+// earlier leader's jobs would seem to arrive in the instant in which they are loaded.
+TEST_CASE("jobs of an earlier leader do not count as arriving work")
+{
+    Bench bench(2, 4000, true);
+    bench.add("inherited", {stepOf(3)}, true);
+    CHECK(bench.scheduler.takeArrivals().empty());
+    bench.add("new", {stepOf(3)}, false);
+    CHECK(bench.scheduler.takeArrivals()["s"] > 0);
+}
+
 // Guards against tasks that wait for a worker that no longer exists: each call to its address,
 // which now belongs to another worker, would postpone the end of its lease.
 TEST_CASE("tasks start elsewhere at once when another worker answers at their worker's address")
