--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -1,6 +1,5 @@
 // Task placement: ranks the jobs of a service and chooses a worker for each task.
-#include <sassafrasferry/scheduling/on_time_selection.h>
-#include <sassafrasferry/scheduling/scheduler.h>
+#include "job_ranking.h"
 
 #include <algorithm>
 
@@ -21,89 +20,6 @@
 // Most workers reserved per round for higher-ranked tasks that found no room.
 constexpr std::size_t maxReserved = 2;
 
-/// Prospect of a job to meet its objective. Jobs of lower values are placed first.
-enum class Prospect {
-    OnTime,
-    PassedOver, ///< could meet its objective, but not beside the jobs that are placed first
-    Late,
-};
-
-/// Scheduling order of the jobs of a service: lower ranks are placed first.
-struct Rank
-{
-    Prospect prospect = Prospect::OnTime;
-    std::int64_t priority = 0;
-    Instant objective{};
-
-    auto operator<=>(const Rank &) const = default;
-};
-
-struct RankedJob
-{
-    Rank rank;
-    Job *job;
-};
-
-Rank rankOf(const Job &job, Instant now, bool isLateLast)
-{
-    if (job.spec.isLasting())
-        return {Prospect::OnTime, job.terms.priority, job.acceptedAt};
-    const auto objective = job.objective();
-    const bool isLate = isLateLast && now + job.remainingPath() > objective;
-    return {isLate ? Prospect::Late : Prospect::OnTime, job.terms.priority, objective};
-}
-
-void sortByRank(std::vector<RankedJob> &jobs)
-{
-    std::stable_sort(jobs.begin(), jobs.end(),
-                     [](const RankedJob &a, const RankedJob &b) { return a.rank < b.rank; });
-}
-
-bool isWorthSelecting(const RankedJob &ranked)
-{
-    const auto &spec = ranked.job->spec;
-    return ranked.rank.prospect == Prospect::OnTime && !spec.isLasting() && spec.repetitions == 0;
-}
-
-/// Cores of the workers that lasting tasks leave. `jobs`: all jobs of the service.
-double coresBesideLasting(const std::vector<Worker *> &workers, const std::vector<Job *> &jobs)
-{
-    std::int64_t cpu = 0;
-    for (const auto *worker : workers)
-        cpu += worker->listing.capacity.cpu;
-    for (auto *job : jobs) {
-        if (!job->spec.isLasting())
-            continue;
-        for (std::size_t step = 0; step < job->spec.steps.size(); ++step) {
-            for (std::size_t i = 0; i < job->spec.steps[step].count; ++i) {
-                if (!job->at(0, step, i).runs.empty())
-                    cpu -= job->spec.steps[step].footprint().cpu;
-            }
-        }
-    }
-    return static_cast<double>(std::max<std::int64_t>(cpu, 0)) / 1000;
-}
-
-void passOverExcess(std::vector<RankedJob> &jobs, double cores, Instant now)
-{
-    std::vector<RankedJob *> candidates;
-    std::vector<BacklogJob> backlog;
-    for (auto &ranked : jobs) {
-        if (!isWorthSelecting(ranked))
-            continue;
-        const auto &job = *ranked.job;
-        const auto work = job.remainingWork();
-        candidates.push_back(&ranked);
-        backlog.push_back({job.objective(), job.remainingPath(), work.coreSeconds, work.isStarted});
-    }
-    const auto isSelected = selectOnTime(backlog, cores, now);
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (!isSelected[i])
-            candidates[i]->rank.prospect = Prospect::PassedOver;
-    }
-    sortByRank(jobs);
-}
-
 std::size_t runsOfStep(const Worker &worker, const TaskId &step)
 {
     std::size_t count = 0;
@@ -229,14 +145,7 @@
     }
     if (round.workers.empty())
         return;
-    std::vector<RankedJob> rankedJobs;
-    rankedJobs.reserve(queue.size());
-    const bool isLateLast = this->mechanisms().has(Mechanism::LateLast);
-    for (auto *job : queue)
-        rankedJobs.push_back({rankOf(*job, round.now, isLateLast), job});
-    sortByRank(rankedJobs);
-    if (this->mechanisms().has(Mechanism::OnTimeSelection))
-        passOverExcess(rankedJobs, coresBesideLasting(round.workers, queue), round.now);
+    const auto rankedJobs = rankJobs(queue, round.workers, this->mechanisms(), round.now);
     for (const auto &ranked : rankedJobs) {
         auto &job = *ranked.job;
         for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
