--- a/packages/coordination/include/sassafrasferry/coordination/caller_request.h
+++ b/packages/coordination/include/sassafrasferry/coordination/caller_request.h
@@ -22,6 +22,9 @@
 http::Response retryLater(const std::string &why,
                           std::chrono::seconds wait = std::chrono::seconds(1));
 
+/// Response to a request for the number of a queue's jobs that have not started.
+http::Response pendingResponse(std::size_t count);
+
 /// Response 410.
 http::Response noSuchJob();
 
--- a/packages/coordination/include/sassafrasferry/coordination/job_messenger.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_messenger.h
@@ -15,6 +15,9 @@
 
 namespace sassafrasferry::coordination {
 
+/// Longest wait for a peer that answers from memory.
+constexpr auto questionTimeout = std::chrono::milliseconds(400);
+
 class JobMessenger
 {
 public:
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -4,35 +4,19 @@
 
 #include <sassafrasferry/coordination/caller_request.h>
 #include <sassafrasferry/coordination/configuration_reader.h>
-#include <sassafrasferry/coordination/hand_in.h>
-#include <sassafrasferry/coordination/intake.h>
 #include <sassafrasferry/coordination/job_messenger.h>
+#include <sassafrasferry/coordination/job_submission.h>
 #include <sassafrasferry/coordination/leader.h>
+#include <sassafrasferry/coordination/node_options.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/stored_jobs.h>
 #include <sassafrasferry/coordination/successor.h>
 
 #include <sassafrasferry/http/json.h>
 #include <sassafrasferry/http/server.h>
-#include <sassafrasferry/policy/retry_advice.h>
 
 namespace sassafrasferry::coordination {
 
-/// Name, addresses and timing of one entry VM.
-struct NodeOptions
-{
-    std::string name;
-    model::Endpoint peer; ///< address of this entry VM's peer port
-    scheduling::SchedulerTimes times;
-    LeadershipTimes leadership;
-    ConfigurationTimes configuration;
-    Duration handOverDelay =
-        std::chrono::milliseconds(3000); ///< minimum time between two leaders' orders about a VM
-    Duration stopWithin = std::chrono::milliseconds(5000); ///< from stop signal to exit
-    double cores = 1.0; ///< processor cores of this entry VM
-    JobParts jobParts; ///< the same on all entry VMs, but while their settings change
-};
-
 template<JobPlatform Platform>
 class JobNode : public std::enable_shared_from_this<JobNode<Platform>>
 {
@@ -53,8 +37,13 @@
         , messenger(
               context, this->options.peer,
               [this](const auto &question) { return this->answer(question); },
-              [this](auto handedIn) { return this->handleHandIn(std::move(handedIn)); },
+              [this](auto handedIn) { return this->submission.storeForPeer(std::move(handedIn)); },
               [this](const auto &envelope) { this->dispatchEnvelope(envelope); })
+        , submission({this->intake, this->stored, this->messenger, *this->operators,
+                      [this] { return this->handInPeer(); },
+                      [this](std::string job) {
+                          return this->stateFromLeader(std::move(job));
+                      }})
         , relay(this->executor, this->options.peer,
                 [this](const auto &peer, const auto &envelope) {
                     return this->messenger.send(peer, envelope);
@@ -135,7 +124,7 @@
         const auto job = path.substr(route.prefix.size());
         switch (request.method()) {
         case http::Verb::post:
-            co_return co_await this->submit(route, job, request);
+            co_return co_await this->submission.submit(route, job, request);
         case http::Verb::get:
             if (job.empty())
                 co_return co_await this->pending(route);
@@ -156,74 +145,6 @@
     // the answer's way through another entry VM.
     static constexpr auto maxCountAge = std::chrono::milliseconds(1700);
     static constexpr auto helloPeriod = std::chrono::milliseconds(250);
-    static constexpr auto questionTimeout = std::chrono::milliseconds(400);
-    static constexpr Duration maxHandInWait = std::chrono::milliseconds(900);
-
-    Awaitable<http::Response> submit(const scheduling::Queue &queue, const std::string &job,
-                                     const http::Request &request)
-    {
-        if (!isJobId(job))
-            co_return http::textResponse(http::Status::bad_request, "not the id of a job\n");
-        const auto spec = Platform::decodeJob(request.body());
-        if (!spec.ok()) {
-            LOG(WARNING) << "event=submit job=" << job << " queue=" << queue.terms.queue
-                         << " outcome=malformed error=\"" << spec.status().message() << '"';
-            co_return http::textResponse(http::Status::bad_request,
-                                         std::string(spec.status().message()) + "\n");
-        }
-        auto record = recordOf(*spec, queue.terms);
-        record.set_accepted_milliseconds(http::unixNow());
-        record.set_configuration(this->configuration().version);
-        const auto begin = bootNow();
-        const auto deadline = deadlineOf(request, Platform::deadlineHeader());
-        const auto bytes = record.SerializeAsString();
-        const auto handIn = std::make_shared<HandIn<Intake<Store>>>(
-            this->intake, this->handInRoutes(deadline), job, deadline);
-        const auto result = co_await handIn->run(bytes);
-        LOG(INFO) << "event=submit job=" << job << " queue=" << queue.terms.queue
-                  << " outcome=" << model::nameOf(result)
-                  << " ms=" << policy::seconds(bootNow() - begin) * 1000
-                  << " config=" << this->configuration().version;
-        switch (result) {
-        case IntakeResult::Stored:
-        case IntakeResult::AlreadyStored:
-            co_return http::jsonResponse(http::Status::ok, {{"state", "queued"}});
-        case IntakeResult::Refused:
-            co_return retryLater("the store takes no jobs now",
-                                 policy::retryAfter(this->intake.failingFor(), job));
-        case IntakeResult::Unknown:
-            break;
-        }
-        // Not answered as a refusal, because the job may be stored now or later.
-        co_return http::textResponse(http::Status::gateway_timeout, "ask again\n");
-    }
-
-    HandInRoutes handInRoutes(Instant deadline)
-    {
-        return {[this, deadline](std::string job, std::string record) {
-                    return this->handInThroughPeer(std::move(job), std::move(record), deadline);
-                },
-                [this](std::string job) { return this->isKnownToLeader(std::move(job)); },
-                [this](std::string job) {
-                    return this->isSeenInStore(std::move(job));
-                }};
-    }
-
-    Awaitable<bool> isKnownToLeader(std::string job)
-    {
-        const auto state = co_await this->stateFromLeader(std::move(job));
-        const bool isKnown =
-            state.value_or(scheduling::JobState::Unknown) != scheduling::JobState::Unknown;
-        co_return isKnown;
-    }
-
-    Awaitable<bool> isSeenInStore(std::string job)
-    {
-        const auto state = co_await this->stored.stateOf(std::move(job));
-        const bool isSeen =
-            state.value_or(scheduling::JobState::Unknown) != scheduling::JobState::Unknown;
-        co_return isSeen;
-    }
 
     // The peer that stores a job in place of this entry VM: the leader if that is another entry VM,
     // else the strongest of the peers that sent hellos here. Entry VMs send hellos to the leader.
@@ -235,53 +156,6 @@
         return model::parseEndpoint(this->successors.strongestPeer(bootNow()));
     }
 
-    Awaitable<std::optional<IntakeResult>> handInThroughPeer(std::string job, std::string record,
-                                                             Instant deadline)
-    {
-        const auto peer = this->handInPeer();
-        if (!peer)
-            co_return IntakeResult::Refused;
-        const auto patience = std::min<Duration>(deadline - bootNow(), maxHandInWait);
-        messages::JobQuestion question;
-        auto &handedIn = *question.mutable_hand_in();
-        handedIn.set_job(job);
-        handedIn.set_record(std::move(record));
-        handedIn.set_patience_milliseconds(
-            static_cast<std::uint32_t>(patience / std::chrono::milliseconds(1)));
-        const auto answer =
-            co_await this->messenger.ask(*peer, question, patience + questionTimeout / 2);
-        LOG(INFO) << "event=hand-in job=" << job << " peer=" << model::toString(*peer)
-                  << " answered=" << answer.has_value()
-                  << " result=" << (answer ? answer->hand_in_result() : 0);
-        if (!answer)
-            co_return std::nullopt;
-        // 0: the peer runs an earlier version without hand-ins and has stored nothing.
-        if (answer->hand_in_result() == 0)
-            co_return IntakeResult::Refused;
-        co_return static_cast<IntakeResult>(answer->hand_in_result() - 1);
-    }
-
-    Awaitable<messages::JobAnswer> handleHandIn(messages::HandIn handedIn)
-    {
-        const auto patience = std::chrono::milliseconds(handedIn.patience_milliseconds());
-        const auto deadline = bootNow() + patience;
-        messages::JobRecord record;
-        auto result = IntakeResult::Refused;
-        // The sender can't read the store, so its configuration may be old.
-        co_await this->operators->renew();
-        if (!record.ParseFromString(handedIn.record()))
-            LOG(ERROR) << "event=hand-in-unreadable job=" << handedIn.job();
-        else if (isQueueDropped(record, this->configuration()))
-            LOG(INFO) << "event=hand-in-refused job=" << handedIn.job()
-                      << " queue=" << record.queue() << " config=" << this->configuration().version
-                      << " sender-config=" << record.configuration();
-        else
-            result = co_await this->intake.submit(handedIn.job(), handedIn.record(), deadline);
-        messages::JobAnswer answer;
-        answer.set_hand_in_result(1 + static_cast<std::uint32_t>(result));
-        co_return answer;
-    }
-
     Awaitable<http::Response> state(const std::string &job)
     {
         if (!isJobId(job))
@@ -349,11 +223,6 @@
         co_return retryLater("the queue's leader can't be asked now");
     }
 
-    static http::Response pendingResponse(std::size_t count)
-    {
-        return http::jsonResponse(http::Status::ok, {{"pending", count}});
-    }
-
     std::optional<model::Endpoint> otherLeader() const
     {
         auto address = this->leadership.leaderAddress();
@@ -519,6 +388,7 @@
     StoredJobs<Store> stored;
     std::shared_ptr<ConfigurationReader<Platform>> operators; // follows the operators' table
     JobMessenger messenger;
+    JobSubmission<Platform> submission;
     RelayClient relay;
     std::shared_ptr<RelayServer<typename Platform::Worker>> agent;
     SuccessorChoice successors;
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/job_submission.h
@@ -0,0 +1,165 @@
+// Serves submissions of jobs on an entry VM: stores them here or through a peer, and answers what is
+// known of them.
+#pragma once
+
+#include <sassafrasferry/coordination/caller_request.h>
+#include <sassafrasferry/coordination/configuration_reader.h>
+#include <sassafrasferry/coordination/hand_in.h>
+#include <sassafrasferry/coordination/intake.h>
+#include <sassafrasferry/coordination/job_messenger.h>
+#include <sassafrasferry/coordination/job_platform.h>
+#include <sassafrasferry/coordination/stored_jobs.h>
+
+#include <sassafrasferry/http/json.h>
+#include <sassafrasferry/policy/retry_advice.h>
+
+namespace sassafrasferry::coordination {
+
+/// The parts of an entry VM that submissions use.
+template<JobPlatform Platform>
+struct SubmissionNode
+{
+    using Store = typename Platform::Store;
+
+    Intake<Store> &intake;
+    StoredJobs<Store> &stored;
+    JobMessenger &messenger;
+    ConfigurationReader<Platform> &operators;
+    /// Returns the peer that stores a job in place of this entry VM; `nullopt` if there is none.
+    std::function<std::optional<model::Endpoint>()> handInPeer;
+    /// Returns the state of a job in the leader's books; `nullopt` if no leader answers.
+    std::function<Awaitable<std::optional<scheduling::JobState>>(std::string job)> stateFromLeader;
+};
+
+template<JobPlatform Platform>
+class JobSubmission
+{
+public:
+    using Store = typename Platform::Store;
+
+    explicit JobSubmission(SubmissionNode<Platform> node)
+        : node(std::move(node))
+    {}
+
+    /// Answers a caller who submits a job on the queue.
+    Awaitable<http::Response> submit(const scheduling::Queue &queue, const std::string &job,
+                                     const http::Request &request)
+    {
+        if (!isJobId(job))
+            co_return http::textResponse(http::Status::bad_request, "not the id of a job\n");
+        const auto spec = Platform::decodeJob(request.body());
+        if (!spec.ok()) {
+            LOG(WARNING) << "event=submit job=" << job << " queue=" << queue.terms.queue
+                         << " outcome=malformed error=\"" << spec.status().message() << '"';
+            co_return http::textResponse(http::Status::bad_request,
+                                         std::string(spec.status().message()) + "\n");
+        }
+        auto record = recordOf(*spec, queue.terms);
+        record.set_accepted_milliseconds(http::unixNow());
+        record.set_configuration(this->node.operators.configuration().version);
+        const auto begin = bootNow();
+        const auto deadline = deadlineOf(request, Platform::deadlineHeader());
+        const auto bytes = record.SerializeAsString();
+        const auto handIn = std::make_shared<HandIn<Intake<Store>>>(
+            this->node.intake, this->handInRoutes(deadline), job, deadline);
+        const auto result = co_await handIn->run(bytes);
+        LOG(INFO) << "event=submit job=" << job << " queue=" << queue.terms.queue
+                  << " outcome=" << model::nameOf(result)
+                  << " ms=" << policy::seconds(bootNow() - begin) * 1000
+                  << " config=" << this->node.operators.configuration().version;
+        switch (result) {
+        case IntakeResult::Stored:
+        case IntakeResult::AlreadyStored:
+            co_return http::jsonResponse(http::Status::ok, {{"state", "queued"}});
+        case IntakeResult::Refused:
+            co_return retryLater("the store takes no jobs now",
+                                 policy::retryAfter(this->node.intake.failingFor(), job));
+        case IntakeResult::Unknown:
+            break;
+        }
+        // Not answered as a refusal, because the job may be stored now or later.
+        co_return http::textResponse(http::Status::gateway_timeout, "ask again\n");
+    }
+
+    /// Stores a job that a peer could not store itself.
+    Awaitable<messages::JobAnswer> storeForPeer(messages::HandIn handedIn)
+    {
+        const auto patience = std::chrono::milliseconds(handedIn.patience_milliseconds());
+        const auto deadline = bootNow() + patience;
+        messages::JobRecord record;
+        auto result = IntakeResult::Refused;
+        // The sender can't read the store, so its configuration may be old.
+        co_await this->node.operators.renew();
+        if (!record.ParseFromString(handedIn.record()))
+            LOG(ERROR) << "event=hand-in-unreadable job=" << handedIn.job();
+        else if (isQueueDropped(record, this->node.operators.configuration()))
+            LOG(INFO) << "event=hand-in-refused job=" << handedIn.job()
+                      << " queue=" << record.queue() << " config=" << this->node.operators.configuration().version
+                      << " sender-config=" << record.configuration();
+        else
+            result = co_await this->node.intake.submit(handedIn.job(), handedIn.record(), deadline);
+        messages::JobAnswer answer;
+        answer.set_hand_in_result(1 + static_cast<std::uint32_t>(result));
+        co_return answer;
+    }
+
+private:
+    static constexpr Duration maxHandInWait = std::chrono::milliseconds(900);
+
+    HandInRoutes handInRoutes(Instant deadline)
+    {
+        return {[this, deadline](std::string job, std::string record) {
+                    return this->handInThroughPeer(std::move(job), std::move(record), deadline);
+                },
+                [this](std::string job) { return this->isKnownToLeader(std::move(job)); },
+                [this](std::string job) {
+                    return this->isSeenInStore(std::move(job));
+                }};
+    }
+
+    Awaitable<bool> isKnownToLeader(std::string job)
+    {
+        const auto state = co_await this->node.stateFromLeader(std::move(job));
+        const bool isKnown =
+            state.value_or(scheduling::JobState::Unknown) != scheduling::JobState::Unknown;
+        co_return isKnown;
+    }
+
+    Awaitable<bool> isSeenInStore(std::string job)
+    {
+        const auto state = co_await this->node.stored.stateOf(std::move(job));
+        const bool isSeen =
+            state.value_or(scheduling::JobState::Unknown) != scheduling::JobState::Unknown;
+        co_return isSeen;
+    }
+
+    Awaitable<std::optional<IntakeResult>> handInThroughPeer(std::string job, std::string record,
+                                                             Instant deadline)
+    {
+        const auto peer = this->node.handInPeer();
+        if (!peer)
+            co_return IntakeResult::Refused;
+        const auto patience = std::min<Duration>(deadline - bootNow(), maxHandInWait);
+        messages::JobQuestion question;
+        auto &handedIn = *question.mutable_hand_in();
+        handedIn.set_job(job);
+        handedIn.set_record(std::move(record));
+        handedIn.set_patience_milliseconds(
+            static_cast<std::uint32_t>(patience / std::chrono::milliseconds(1)));
+        const auto answer =
+            co_await this->node.messenger.ask(*peer, question, patience + questionTimeout / 2);
+        LOG(INFO) << "event=hand-in job=" << job << " peer=" << model::toString(*peer)
+                  << " answered=" << answer.has_value()
+                  << " result=" << (answer ? answer->hand_in_result() : 0);
+        if (!answer)
+            co_return std::nullopt;
+        // 0: the peer runs an earlier version without hand-ins and has stored nothing.
+        if (answer->hand_in_result() == 0)
+            co_return IntakeResult::Refused;
+        co_return static_cast<IntakeResult>(answer->hand_in_result() - 1);
+    }
+
+    SubmissionNode<Platform> node;
+};
+
+} // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -9,6 +9,8 @@
 #include <sassafrasferry/coordination/job_loader.h>
 #include <sassafrasferry/coordination/job_platform.h>
 #include <sassafrasferry/coordination/job_recorder.h>
+#include <sassafrasferry/coordination/job_tables.h>
+#include <sassafrasferry/coordination/leader_options.h>
 #include <sassafrasferry/coordination/leadership.h>
 #include <sassafrasferry/coordination/load_watch.h>
 #include <sassafrasferry/coordination/loop_watch.h>
@@ -33,34 +35,7 @@
     using Worker = RelayedWorker<typename Platform::Worker>;
     using Roster = WorkerRoster<Platform, Worker>;
 
-    struct Options
-    {
-        scheduling::SchedulerTimes times;
-        std::function<void(const std::string &why)> onDeposed;
-        OnFailure onFailed; ///< called when this process can't lead at present
-        std::function<Duration()> sinceConfirmed; ///< time since the store last confirmed the lease
-        std::function<std::int64_t()> leaseVersion; ///< of the lease row, for the log
-        /// Returns the moments at which the store confirmed the lease.
-        std::function<const ReadIndex &()> confirmations = []() -> const ReadIndex & {
-            static const ReadIndex none;
-            return none;
-        };
-        RelayClient *relay = nullptr; ///< relays the calls to workers when there are many of them
-        LeadershipTimes leadership; ///< of the lease that this leader holds
-        /// Returns the latest end of a lease that may be granted to a worker now.
-        std::function<Instant()> leasesEndBy = [] {
-            return Instant::max();
-        };
-        /// Records the VMs of the next orders for a successor. The orders are given only if it
-        /// returns true.
-        std::function<Awaitable<bool>(std::vector<std::string>)> announce;
-        /// Minimum time between a leader's last order about a VM and its successor's first.
-        Duration handOverDelay = std::chrono::milliseconds(3000);
-        /// Loading counts as stalled after this long without a further part of the tables while the
-        /// store confirms the lease. A slow store takes seconds for a part of many pages.
-        Duration loadStall = std::chrono::seconds(8);
-        JobParts jobParts; ///< where this leader writes the rows of new jobs
-    };
+    using Options = LeaderOptions;
 
     Leader(http::asio::any_io_executor executor, Store &store, Cloud &cloud, const Tenure &tenure,
            Options options, scheduling::Configuration configuration)
@@ -180,7 +155,6 @@
     // The pause between two rounds is this many times the duration of the last round, so that
     // planning leaves time to process answers.
     static constexpr int planPauseFactor = 4;
-    static constexpr auto retryPause = std::chrono::milliseconds(50);
     // Delay between reads of the worker entries, and so of the news of a drain. Workers write their
     // entries every one or two seconds.
     static constexpr std::chrono::milliseconds listPause{250};
@@ -216,9 +190,11 @@
     Awaitable<void> run()
     {
         auto self = this->shared_from_this();
-        const bool knowsParts = co_await this->listJobParts();
-        if (!knowsParts)
+        JobTables<Store> tables(this->store, [self] { return self->stopped; });
+        this->jobPartNames = co_await tables.listParts(this->options.jobParts);
+        if (this->jobPartNames.empty())
             co_return;
+        ++this->loadSteps;
         this->recorder = std::make_shared<JobRecorder<Store>>(
             this->executor, this->store, this->scheduler, this->tenure.fence,
             this->options.jobParts, this->jobPartNames,
@@ -237,7 +213,11 @@
         ++this->loadSteps;
         if (!isOpen)
             co_return;
-        const bool isLoaded = co_await this->loadProgress();
+        const auto takeProgress = [self](const std::vector<store::PartRow> &rows) {
+            self->jobLoader.addProgress(rows);
+            ++self->loadSteps;
+        };
+        const bool isLoaded = co_await tables.loadProgress(this->jobPartNames, takeProgress);
         if (!isLoaded)
             co_return;
         this->intakeFollower = std::make_shared<TableFollower<Store>>(
@@ -346,47 +326,6 @@
                && bootNow() - this->tookOverAt > wait;
     }
 
-    // Entry VMs whose settings name other rates of the store keep jobs in other parts.
-    Awaitable<bool> listJobParts()
-    {
-        const auto own = this->options.jobParts.all();
-        std::set<std::string> names(own.begin(), own.end());
-        const std::vector<std::string> tables{table::intake, table::progress};
-        const auto list = [&](std::size_t index) -> Awaitable<bool> {
-            auto listed = co_await this->store.parts(tables[index]);
-            while (!listed.ok() && !this->stopped) {
-                co_await pause(retryPause);
-                listed = co_await this->store.parts(tables[index]);
-            }
-            if (this->stopped)
-                co_return false;
-            names.insert(listed->begin(), listed->end());
-            co_return true;
-        };
-        const bool isListed = co_await allSucceed(tables.size(), list);
-        this->jobPartNames.assign(names.begin(), names.end());
-        ++this->loadSteps;
-        co_return isListed;
-    }
-
-    Awaitable<bool> loadProgress()
-    {
-        const auto loadPart = [this](std::size_t index) -> Awaitable<bool> {
-            const store::PartRange range{table::progress, this->jobPartNames[index], "", ""};
-            auto page = co_await this->store.scan(range);
-            while (!page.ok() && !this->stopped) {
-                co_await pause(retryPause);
-                page = co_await this->store.scan(range);
-            }
-            if (this->stopped)
-                co_return false;
-            this->jobLoader.addProgress(page->rows);
-            ++this->loadSteps;
-            co_return true;
-        };
-        co_return co_await allSucceed(this->jobPartNames.size(), loadPart);
-    }
-
     void takeIntake(const std::vector<store::PartRow> &rows)
     {
         for (const auto &row : rows) {
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/node_options.h
@@ -0,0 +1,28 @@
+// Options of an entry VM that schedules jobs.
+#pragma once
+
+#include <sassafrasferry/coordination/configuration_reader.h>
+#include <sassafrasferry/coordination/job_rows.h>
+#include <sassafrasferry/coordination/leadership.h>
+#include <sassafrasferry/scheduling/scheduler.h>
+
+#include <string>
+
+namespace sassafrasferry::coordination {
+
+/// Name, addresses and timing of one entry VM.
+struct NodeOptions
+{
+    std::string name;
+    model::Endpoint peer; ///< address of this entry VM's peer port
+    scheduling::SchedulerTimes times;
+    LeadershipTimes leadership;
+    ConfigurationTimes configuration;
+    Duration handOverDelay =
+        std::chrono::milliseconds(3000); ///< minimum time between two leaders' orders about a VM
+    Duration stopWithin = std::chrono::milliseconds(5000); ///< from stop signal to exit
+    double cores = 1.0; ///< processor cores of this entry VM
+    JobParts jobParts; ///< the same on all entry VMs, but while their settings change
+};
+
+} // namespace sassafrasferry::coordination
--- a/packages/coordination/src/caller_request.cpp
+++ b/packages/coordination/src/caller_request.cpp
@@ -51,6 +51,11 @@
     return response;
 }
 
+http::Response pendingResponse(std::size_t count)
+{
+    return http::jsonResponse(http::Status::ok, {{"pending", count}});
+}
+
 http::Response noSuchJob()
 {
     return http::textResponse(http::Status::gone, "no such job\n");
--- a/packages/coordination/src/leader_intake_test.cpp
+++ b/packages/coordination/src/leader_intake_test.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "../tests/busy_worker.h"
 #include "../tests/feed_store.h"
 
 using namespace sassafrasferry;
@@ -17,116 +18,13 @@
 
 namespace {
 
-constexpr const char *workerId = "w-1";
 constexpr const char *cancelledJob = "cancelled";
 constexpr const char *otherJob = "other";
 constexpr std::size_t tasksPerJob = 2000;
-constexpr Duration taskTime = 100ms;
 constexpr Duration cancellationBound = 3s; // no start of a cancelled job is sent later than this
 constexpr Duration calmTime = 4s; // longer than a feed without changes takes to answer
 constexpr Duration patience = 60s; // for what has to happen eventually
 
-/// A start that the worker received.
-struct Start
-{
-    std::string job;
-    Instant at{};
-};
-
-/// A worker whose runs are done after `taskTime`.
-struct BusyWorker
-{
-    struct ActiveRun
-    {
-        scheduling::ListedRun listed;
-        Instant endsAt{};
-    };
-
-    std::vector<Start> starts;
-    std::vector<ActiveRun> running;
-    std::vector<scheduling::ListedEnd> ends; ///< listed until they are acknowledged
-    std::int64_t endCount = 0;
-    std::int64_t born = 100;
-
-    void finishRuns()
-    {
-        for (const auto &run : this->running) {
-            if (run.endsAt <= bootNow())
-                this->addEnd(run, jobs::RunEnd::Done);
-        }
-        std::erase_if(this->running, [](const auto &run) { return run.endsAt <= bootNow(); });
-    }
-
-    void stopRun(const scheduling::StopOrder &order)
-    {
-        std::erase_if(this->running, [&](const auto &run) {
-            const bool isStopped = run.listed.task == order.task && run.listed.run == order.run;
-            if (isStopped)
-                this->addEnd(run, jobs::RunEnd::Stopped);
-            return isStopped;
-        });
-    }
-
-    scheduling::WorkerReport report() const
-    {
-        scheduling::WorkerReport report{workerId, this->born, 0, {}, this->ends};
-        report.clock = bootNow().time_since_epoch() / 1ms;
-        for (const auto &run : this->running)
-            report.running.push_back(run.listed);
-        return report;
-    }
-
-private:
-    void addEnd(const ActiveRun &run, jobs::RunEnd end)
-    {
-        this->ends.push_back({++this->endCount, run.listed.task, run.listed.run, end, ""});
-    }
-};
-
-/// The leader's client of the only worker.
-struct BusyWorkerCalls
-{
-    static inline BusyWorker *worker = nullptr;
-
-    BusyWorkerCalls(http::asio::any_io_executor, std::string, const model::Endpoint &)
-    {}
-
-    Awaitable<HoldAnswer> hold(HoldRequest request)
-    {
-        std::erase_if(this->worker->ends,
-                      [&](const auto &end) { return end.number <= request.acknowledged; });
-        const auto answerBy = bootNow() + request.wait;
-        this->worker->finishRuns();
-        while (this->worker->ends.empty() && bootNow() < answerBy) {
-            co_await pause(5ms);
-            this->worker->finishRuns();
-        }
-        HoldAnswer answer;
-        answer.answer = OrderAnswer::Accepted;
-        answer.report = this->worker->report();
-        co_return answer;
-    }
-
-    Awaitable<OrderAnswer> start(const scheduling::StartOrder &order, std::int64_t, std::int64_t)
-    {
-        const auto now = bootNow();
-        this->worker->starts.push_back({order.task.job, now});
-        this->worker->running.push_back({{order.task, order.run, "", 100, 0}, now + taskTime});
-        co_return OrderAnswer::Accepted;
-    }
-
-    Awaitable<OrderAnswer> stop(const scheduling::StopOrder &order, std::int64_t)
-    {
-        this->worker->stopRun(order);
-        co_return OrderAnswer::Accepted;
-    }
-
-    Awaitable<OrderAnswer> pace(const scheduling::PaceOrder &, std::int64_t)
-    {
-        co_return OrderAnswer::Accepted;
-    }
-};
-
 struct EmptyCloud
 {
     Awaitable<absl::StatusOr<std::vector<scheduling::Vm>>> list()
--- a/packages/scheduling/src/job_ranking.h
+++ b/packages/scheduling/src/job_ranking.h
@@ -31,7 +31,8 @@
     Job *job;
 };
 
-/// Ranks all jobs of a service, lowest rank first. `workers`: those of the service that accept tasks.
+/// Ranks all jobs of a service, lowest rank first. `workers`: those of the service that accept
+/// tasks.
 std::vector<RankedJob> rankJobs(const std::vector<Job *> &jobs,
                                 const std::vector<Worker *> &workers,
                                 const MechanismSet &mechanisms, Instant now);
