--- a/packages/coordination/include/sassafrasferry/coordination/caller_request.h
+++ b/packages/coordination/include/sassafrasferry/coordination/caller_request.h
@@ -25,6 +25,9 @@
 /// Response to a request for the number of a queue's jobs that have not started.
 http::Response pendingResponse(std::size_t count);
 
+/// Response 429: a task of the job needs more than the customer may use at all.
+http::Response aboveCap();
+
 /// Response 410.
 http::Response noSuchJob();
 
--- a/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
@@ -12,6 +12,8 @@
 {
     /// A change has to be in force this long after the store acknowledged it.
     Duration maxDelay = std::chrono::milliseconds(2000);
+    /// A removed key must not be served this long after the store acknowledged its removal.
+    std::optional<Duration> maxKeyRemovalDelay;
 
     /// An older configuration is read again first.
     Duration maxAge() const
@@ -19,12 +21,39 @@
         return this->maxDelay * 3 / 4;
     }
 
+    /// A leader that is further behind starts no tasks of customers with a cap.
+    Duration maxLag() const
+    {
+        return this->maxDelay - clockMargin;
+    }
+
+    /// Bounds on the age of the configuration by which a key is judged.
+    policy::KeyTimes keyTimes() const
+    {
+        if (!this->maxKeyRemovalDelay)
+            return {this->maxDelay, Duration::max()};
+        return {this->maxDelay, *this->maxKeyRemovalDelay - clockMargin};
+    }
+
+    /// With an older configuration an entry VM asks the balancer for no further callers. The
+    /// balancer needs time to notice, so this comes well before keys are refused.
+    Duration maxReadyAge() const
+    {
+        return this->maxKeyRemovalDelay ? std::min(maxSilence, *this->maxKeyRemovalDelay / 2)
+                                        : maxSilence;
+    }
+
     /// A feed without changes tells only of the time before it was asked, so that the age of an
     /// unchanged configuration reaches twice this time.
     std::chrono::milliseconds feedWait() const
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(this->maxDelay / 4);
     }
+
+private:
+    static constexpr Duration maxSilence = std::chrono::milliseconds(4500);
+    // For clocks that run at different speeds here and at the store.
+    static constexpr Duration clockMargin = std::chrono::milliseconds(200);
 };
 
 /// Follows the operators' table and reads it again for requests that would be routed by a
@@ -60,16 +89,33 @@
         return this->rows.configuration();
     }
 
+    /// The keys of that configuration's customers.
+    const CustomerKeys &keys() const
+    {
+        return this->rows.keys();
+    }
+
     /// All waves that operators have ordered, by wave number.
     const std::map<std::int64_t, scheduling::Wave> &waves() const
     {
         return this->rows.waves();
     }
 
+    const ConfigurationTimes &bounds() const
+    {
+        return this->times;
+    }
+
     /// Time since the store was asked the newest question that it answered.
     Duration age() const
     {
-        return bootNow() - this->follower->coveredUntil();
+        return bootNow() - this->coveredUntil();
+    }
+
+    /// Every change that the store acknowledged before this moment is known.
+    Instant coveredUntil() const
+    {
+        return this->follower->coveredUntil();
     }
 
     /// Reads the configuration again if it is too old or if this process has paused since it was
--- a/packages/coordination/include/sassafrasferry/coordination/decision_log.h
+++ b/packages/coordination/include/sassafrasferry/coordination/decision_log.h
@@ -17,4 +17,7 @@
 /// Logs one line per service with its queued and running work and its capacity.
 void logLoads(const std::map<std::string, scheduling::ServiceLoad> &loads);
 
+/// One line for each customer that uses most of its cap.
+void logCustomerUsage(const scheduling::CustomerUsage &usage);
+
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/hand_in.h
+++ b/packages/coordination/include/sassafrasferry/coordination/hand_in.h
@@ -1,6 +1,7 @@
 // Stores a submitted job from this entry VM or, if the store doesn't serve it, through a peer.
 #pragma once
 
+#include <sassafrasferry/coordination/customer_keys.h>
 #include <sassafrasferry/coordination/intake.h>
 #include <sassafrasferry/scheduling/queue.h>
 
@@ -12,18 +13,22 @@
 
 namespace sassafrasferry::coordination {
 
+/// Whether the store has shown what it holds under the job's id.
+constexpr bool isProven(IntakeResult result)
+{
+    return result == IntakeResult::Stored || result == IntakeResult::AlreadyStored
+           || result == IntakeResult::Taken;
+}
+
 /// Outcome for a job after this entry VM and then a peer tried to store it. `peer` is `nullopt` if
 /// the peer did not answer, in which case it may have stored the job.
 constexpr IntakeResult combineResults(IntakeResult own, std::optional<IntakeResult> peer)
 {
-    const auto isStored = [](IntakeResult result) {
-        return result == IntakeResult::Stored || result == IntakeResult::AlreadyStored;
-    };
-    if (isStored(own))
+    if (isProven(own))
         return own;
     if (!peer)
         return IntakeResult::Unknown;
-    if (isStored(*peer))
+    if (isProven(*peer))
         return *peer;
     const bool neverStored = own == IntakeResult::Refused && *peer == IntakeResult::Refused;
     return neverStored ? IntakeResult::Refused : IntakeResult::Unknown;
@@ -38,6 +43,15 @@
            && configuration.findQueue(record.queue()) == nullptr;
 }
 
+/// Whether the key that the job came with was removed after the version by which the entry VM that
+/// accepted the job checked it. `digest`: of that key; empty if none was needed.
+inline bool isKeyRemoved(const messages::JobRecord &record, const std::string &digest,
+                         const scheduling::Configuration &configuration, const CustomerKeys &keys)
+{
+    return !digest.empty() && record.configuration() < configuration.version
+           && keys.holderOf(digest) == nullptr;
+}
+
 /// Where a job can be stored, and where it is known that it is stored.
 struct HandInRoutes
 {
@@ -62,7 +76,7 @@
                                                Instant deadline)
 {
     const auto own = co_await intake.submit(job, record, deadline);
-    if (own == IntakeResult::Stored || own == IntakeResult::AlreadyStored || bootNow() >= deadline)
+    if (isProven(own) || bootNow() >= deadline)
         co_return own;
     const auto peer = co_await routes.askPeer(std::move(job), std::move(record));
     co_return combineResults(own, peer);
--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -24,6 +24,7 @@
     AlreadyStored, ///< a row of the job existed before
     Refused, ///< the job was not stored and will not be stored later
     Unknown, ///< the job may be stored now or later
+    Taken, ///< not stored: a job of another customer has this id
 };
 
 constexpr auto enumNames(IntakeResult)
@@ -33,6 +34,7 @@
         model::EnumName{IntakeResult::AlreadyStored, "known"},
         model::EnumName{IntakeResult::Refused, "refused"},
         model::EnumName{IntakeResult::Unknown, "unknown"},
+        model::EnumName{IntakeResult::Taken, "taken"},
     };
 }
 
@@ -216,11 +218,12 @@
     void answerAlreadyStored(const Batch &batch, const std::vector<store::PartRow> &rows)
     {
         for (const auto &item : batch) {
-            const bool exists = std::any_of(rows.begin(), rows.end(), [&](const auto &row) {
+            const auto stored = std::find_if(rows.begin(), rows.end(), [&](const auto &row) {
                 return row.key == item->job && row.version != store::absent;
             });
-            if (exists)
-                item->answer(IntakeResult::AlreadyStored);
+            if (stored != rows.end())
+                item->answer(hasSameCustomer(item->record, *stored) ? IntakeResult::AlreadyStored
+                                                                    : IntakeResult::Taken);
         }
     }
 
--- a/packages/coordination/include/sassafrasferry/coordination/job_loader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_loader.h
@@ -29,7 +29,7 @@
 
 private:
     void addStored(const std::string &id, const std::string &bytes);
-    void addFinished(const std::string &id, scheduling::JobState state);
+    void addFinished(const std::string &id, const messages::JobProgress &progress);
 
     scheduling::Scheduler &scheduler;
     std::map<std::string, messages::JobProgress> storedProgress; // by job; empty once complete
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -42,7 +42,7 @@
         , submission({this->intake, this->stored, this->messenger, *this->operators,
                       [this] { return this->handInPeer(); },
                       [this](std::string job) {
-                          return this->stateFromLeader(std::move(job));
+                          return this->askLeader(std::move(job));
                       }})
         , relay(this->executor, this->options.peer,
                 [this](const auto &peer, const auto &envelope) {
@@ -83,7 +83,7 @@
     bool isReady() const
     {
         return !this->stopping && this->configuration().version > 0
-               && this->operators->age() < maxConfigurationSilence;
+               && this->operators->age() < this->options.configuration.maxReadyAge();
     }
 
     /// Makes `isReady` false, so that no further callers are routed here.
@@ -120,25 +120,21 @@
             co_return http::textResponse(http::Status::not_found, "no such queue\n");
         if (!isCurrent)
             this->logOldConfiguration(queue->terms.queue);
-        const auto route = *queue; // a copy: the configuration may change during the awaits
-        const auto job = path.substr(route.prefix.size());
-        switch (request.method()) {
-        case http::Verb::post:
-            co_return co_await this->submission.submit(route, job, request);
-        case http::Verb::get:
-            if (job.empty())
-                co_return co_await this->pending(route);
-            co_return co_await this->state(job);
-        case http::Verb::delete_:
-            co_return co_await this->cancel(job, deadlineOf(request, Platform::deadlineHeader()));
-        default:
-            co_return http::textResponse(http::Status::method_not_allowed, "not a method here\n");
+        const auto caller = this->identify(request, *queue);
+        switch (this->accessOf(caller, *queue)) {
+        case policy::Access::Allowed:
+            break;
+        case policy::Access::Unauthenticated:
+            co_return keyRequired();
+        case policy::Access::Unavailable:
+            co_return retryLater("the keys can't be checked now",
+                                 policy::retryAfter(this->operators->age(), path));
         }
+        const auto route = *queue; // a copy: the configuration may change during the awaits
+        co_return co_await this->serve(route, caller, path.substr(route.prefix.size()), request);
     }
 
 private:
-    // Not ready while the configuration is older than this: the store doesn't answer.
-    static constexpr auto maxConfigurationSilence = std::chrono::milliseconds(4500);
     // The lease is handed to a stronger entry VM only if the store confirmed it within this time.
     static constexpr auto maxConfirmationAge = std::chrono::milliseconds(1500);
     // A pending count may be two seconds old when its caller gets it. The rest of that time is for
@@ -146,6 +142,45 @@
     static constexpr auto maxCountAge = std::chrono::milliseconds(1700);
     static constexpr auto helloPeriod = std::chrono::milliseconds(250);
 
+    Caller identify(const http::Request &request, const scheduling::Queue &queue) const
+    {
+        return this->options.checksKeys ? identifyCaller(request, queue, this->operators->keys())
+                                        : Caller{};
+    }
+
+    policy::Access accessOf(const Caller &caller, const scheduling::Queue &queue) const
+    {
+        const auto age = this->operators->age();
+        const auto access =
+            policy::decideAccess(caller.key, age, this->operators->bounds().keyTimes());
+        if (access != policy::Access::Allowed) {
+            LOG(INFO) << "event=call-refused queue=" << queue.terms.queue
+                      << " access=" << model::nameOf(access) << " key=" << model::nameOf(caller.key)
+                      << " customer=" << caller.customer
+                      << " config=" << this->configuration().version
+                      << " age-ms=" << age / std::chrono::milliseconds(1);
+        }
+        return access;
+    }
+
+    Awaitable<http::Response> serve(const scheduling::Queue &queue, const Caller &caller,
+                                    const std::string &job, const http::Request &request)
+    {
+        switch (request.method()) {
+        case http::Verb::post:
+            co_return co_await this->submission.submit(queue, caller, job, request);
+        case http::Verb::get:
+            if (job.empty())
+                co_return co_await this->pending(queue);
+            co_return co_await this->state(job, caller.customer);
+        case http::Verb::delete_:
+            co_return co_await this->cancel(job, caller.customer,
+                                            deadlineOf(request, Platform::deadlineHeader()));
+        default:
+            co_return http::textResponse(http::Status::method_not_allowed, "not a method here\n");
+        }
+    }
+
     // The peer that stores a job in place of this entry VM: the leader if that is another entry VM,
     // else the strongest of the peers that sent hellos here. Entry VMs send hellos to the leader.
     std::optional<model::Endpoint> handInPeer() const
@@ -156,27 +191,33 @@
         return model::parseEndpoint(this->successors.strongestPeer(bootNow()));
     }
 
-    Awaitable<http::Response> state(const std::string &job)
+    Awaitable<http::Response> state(const std::string &job, const std::string &customer)
     {
         if (!isJobId(job))
             co_return noSuchJob();
-        auto state = co_await this->stateFromLeader(job);
+        auto known = co_await this->askLeader(job);
+        const bool isWhole = known && (known->customer || !this->options.checksKeys);
         // The leader may not yet have read a job that was stored just now.
-        if (!state || *state == scheduling::JobState::Unknown)
-            state = co_await this->stored.stateOf(job);
-        if (!state)
-            co_return retryLater("the job's state can't be read now");
-        if (*state == scheduling::JobState::Unknown)
+        if (!isWhole || known->state == scheduling::JobState::Unknown) {
+            const auto found = co_await this->stored.find(job);
+            if (!found)
+                co_return retryLater("the job's state can't be read now");
+            known = KnownJob{found->state, found->customer};
+        }
+        const bool isVisible = policy::mayKnowJob(customer, known->customer.value_or(""));
+        if (known->state == scheduling::JobState::Unknown || !isVisible)
             co_return noSuchJob();
         co_return http::jsonResponse(http::Status::ok,
-                                     {{"state", std::string(model::nameOf(*state))}});
+                                     {{"state", std::string(model::nameOf(known->state))}});
     }
 
-    // The state of the job in the leader's books; `nullopt` if no leader answers.
-    Awaitable<std::optional<scheduling::JobState>> stateFromLeader(std::string job)
+    // What the leader's books tell of the job; `nullopt` if no leader answers.
+    Awaitable<std::optional<KnownJob>> askLeader(std::string job)
     {
-        if (this->leader && this->leader->isReady())
-            co_return this->leader->jobs().stateOf(job);
+        if (this->leader && this->leader->isReady()) {
+            auto &jobs = this->leader->jobs();
+            co_return KnownJob{jobs.stateOf(job), jobs.customerOf(job)};
+        }
         const auto address = this->otherLeader();
         if (!address)
             co_return std::nullopt;
@@ -185,17 +226,23 @@
         const auto answer = co_await this->messenger.ask(*address, question, questionTimeout);
         if (!answer || !answer->leads() || !answer->ready())
             co_return std::nullopt;
-        co_return static_cast<scheduling::JobState>(answer->state());
+        KnownJob known;
+        known.state = static_cast<scheduling::JobState>(answer->state());
+        if (answer->has_customer())
+            known.customer = answer->customer();
+        co_return known;
     }
 
-    Awaitable<http::Response> cancel(const std::string &job, Instant deadline)
+    Awaitable<http::Response> cancel(const std::string &job, const std::string &customer,
+                                     Instant deadline)
     {
         if (!isJobId(job))
             co_return noSuchJob();
         const auto found = co_await this->stored.find(job);
         if (!found)
             co_return retryLater("the store can't be read now");
-        if (found->state == scheduling::JobState::Unknown)
+        if (found->state == scheduling::JobState::Unknown
+            || !policy::mayKnowJob(customer, found->customer))
             co_return noSuchJob();
         auto outcome = std::string("over");
         if (!jobs::isFinal(found->state)) {
@@ -243,8 +290,10 @@
             return answer;
         answer.set_counts(this->leader->intakeAge() < maxCountAge);
         auto &jobs = this->leader->jobs();
-        if (!question.job().empty())
+        if (!question.job().empty()) {
             answer.set_state(static_cast<std::uint32_t>(jobs.stateOf(question.job())));
+            answer.set_customer(jobs.customerOf(question.job()));
+        }
         if (!question.queue().empty())
             answer.set_pending(static_cast<std::uint32_t>(jobs.pendingJobCount(question.queue())));
         return answer;
@@ -255,6 +304,7 @@
         for (;;) {
             if (this->leadership.isLeader()) {
                 this->handOverToStronger();
+                co_await this->operators->renew();
             } else if (const auto address = this->otherLeader()) {
                 messages::JobQuestion question;
                 question.set_cores(this->isReady() ? this->options.cores : 0);
@@ -307,6 +357,10 @@
         leaderOptions.times = this->options.times;
         leaderOptions.handOverDelay = this->options.handOverDelay;
         leaderOptions.jobParts = this->options.jobParts;
+        leaderOptions.configurationCoveredUntil = [this] {
+            return this->operators->coveredUntil();
+        };
+        leaderOptions.maxConfigurationLag = this->options.configuration.maxLag();
         leaderOptions.relay = &this->relay;
         leaderOptions.leadership = this->options.leadership;
         leaderOptions.leasesEndBy = [this] {
--- a/packages/coordination/include/sassafrasferry/coordination/job_rows.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_rows.h
@@ -64,4 +64,10 @@
 messages::JobRecord recordOf(const jobs::JobSpec &spec, const jobs::QueueTerms &terms);
 jobs::QueueTerms termsFrom(const messages::JobRecord &record);
 
+/// The customer of the job in a row of the intake or progress table; empty if the row names none.
+std::string customerOfRow(const store::PartRow &row);
+
+/// Whether a submitted record repeats the job of a row. Rows of earlier versions name no customer.
+bool hasSameCustomer(const std::string &record, const store::PartRow &row);
+
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/job_submission.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_submission.h
@@ -1,5 +1,5 @@
-// Serves submissions of jobs on an entry VM: stores them here or through a peer, and answers what is
-// known of them.
+// Serves submissions of jobs on an entry VM: stores them here or through a peer, and answers what
+// is known of them.
 #pragma once
 
 #include <sassafrasferry/coordination/caller_request.h>
@@ -15,6 +15,13 @@
 
 namespace sassafrasferry::coordination {
 
+/// A job as the leader knows it.
+struct KnownJob
+{
+    scheduling::JobState state = scheduling::JobState::Unknown;
+    std::optional<std::string> customer; ///< absent from leaders of earlier versions
+};
+
 /// The parts of an entry VM that submissions use.
 template<JobPlatform Platform>
 struct SubmissionNode
@@ -27,8 +34,8 @@
     ConfigurationReader<Platform> &operators;
     /// Returns the peer that stores a job in place of this entry VM; `nullopt` if there is none.
     std::function<std::optional<model::Endpoint>()> handInPeer;
-    /// Returns the state of a job in the leader's books; `nullopt` if no leader answers.
-    std::function<Awaitable<std::optional<scheduling::JobState>>(std::string job)> stateFromLeader;
+    /// Returns what the leader's books tell of a job; `nullopt` if no leader answers.
+    std::function<Awaitable<std::optional<KnownJob>>(std::string job)> askLeader;
 };
 
 template<JobPlatform Platform>
@@ -42,8 +49,8 @@
     {}
 
     /// Answers a caller who submits a job on the queue.
-    Awaitable<http::Response> submit(const scheduling::Queue &queue, const std::string &job,
-                                     const http::Request &request)
+    Awaitable<http::Response> submit(const scheduling::Queue &queue, const Caller &caller,
+                                     const std::string &job, const http::Request &request)
     {
         if (!isJobId(job))
             co_return http::textResponse(http::Status::bad_request, "not the id of a job\n");
@@ -54,17 +61,24 @@
             co_return http::textResponse(http::Status::bad_request,
                                          std::string(spec.status().message()) + "\n");
         }
+        const auto *customer = this->node.operators.configuration().findCustomer(caller.customer);
+        if (customer && !scheduling::canEverRun(*spec, customer->cap)) {
+            LOG(WARNING) << "event=submit job=" << job << " queue=" << queue.terms.queue
+                         << " customer=" << caller.customer << " outcome=above-cap";
+            co_return aboveCap();
+        }
         auto record = recordOf(*spec, queue.terms);
         record.set_accepted_milliseconds(http::unixNow());
         record.set_configuration(this->node.operators.configuration().version);
+        record.set_customer(caller.customer);
         const auto begin = bootNow();
         const auto deadline = deadlineOf(request, Platform::deadlineHeader());
         const auto bytes = record.SerializeAsString();
         const auto handIn = std::make_shared<HandIn<Intake<Store>>>(
-            this->node.intake, this->handInRoutes(deadline), job, deadline);
+            this->node.intake, this->handInRoutes(caller, deadline), job, deadline);
         const auto result = co_await handIn->run(bytes);
         LOG(INFO) << "event=submit job=" << job << " queue=" << queue.terms.queue
-                  << " outcome=" << model::nameOf(result)
+                  << " customer=" << caller.customer << " outcome=" << model::nameOf(result)
                   << " ms=" << policy::seconds(bootNow() - begin) * 1000
                   << " config=" << this->node.operators.configuration().version;
         switch (result) {
@@ -74,6 +88,8 @@
         case IntakeResult::Refused:
             co_return retryLater("the store takes no jobs now",
                                  policy::retryAfter(this->node.intake.failingFor(), job));
+        case IntakeResult::Taken:
+            co_return http::textResponse(http::Status::conflict, "the id can't be used\n");
         case IntakeResult::Unknown:
             break;
         }
@@ -92,9 +108,10 @@
         co_await this->node.operators.renew();
         if (!record.ParseFromString(handedIn.record()))
             LOG(ERROR) << "event=hand-in-unreadable job=" << handedIn.job();
-        else if (isQueueDropped(record, this->node.operators.configuration()))
+        else if (!this->isStillAllowed(record, handedIn.key_digest()))
             LOG(INFO) << "event=hand-in-refused job=" << handedIn.job()
-                      << " queue=" << record.queue() << " config=" << this->node.operators.configuration().version
+                      << " queue=" << record.queue() << " customer=" << record.customer()
+                      << " config=" << this->node.operators.configuration().version
                       << " sender-config=" << record.configuration();
         else
             result = co_await this->node.intake.submit(handedIn.job(), handedIn.record(), deadline);
@@ -106,46 +123,60 @@
 private:
     static constexpr Duration maxHandInWait = std::chrono::milliseconds(900);
 
-    HandInRoutes handInRoutes(Instant deadline)
+    bool isStillAllowed(const messages::JobRecord &record, const std::string &keyDigest) const
     {
-        return {[this, deadline](std::string job, std::string record) {
-                    return this->handInThroughPeer(std::move(job), std::move(record), deadline);
+        const auto &operators = this->node.operators;
+        return !isQueueDropped(record, operators.configuration())
+               && !isKeyRemoved(record, keyDigest, operators.configuration(), operators.keys());
+    }
+
+    HandInRoutes handInRoutes(const Caller &caller, Instant deadline)
+    {
+        return {[this, deadline, digest = caller.keyDigest](std::string job, std::string record) {
+                    messages::HandIn handedIn;
+                    handedIn.set_job(std::move(job));
+                    handedIn.set_record(std::move(record));
+                    handedIn.set_key_digest(digest);
+                    return this->handInThroughPeer(std::move(handedIn), deadline);
+                },
+                [this, customer = caller.customer](std::string job) {
+                    return this->isKnownToLeader(std::move(job), customer);
                 },
-                [this](std::string job) { return this->isKnownToLeader(std::move(job)); },
-                [this](std::string job) {
-                    return this->isSeenInStore(std::move(job));
+                [this, customer = caller.customer](std::string job) {
+                    return this->isSeenInStore(std::move(job), customer);
                 }};
     }
 
-    Awaitable<bool> isKnownToLeader(std::string job)
+    // A leader of an earlier version doesn't tell whose job it is, which proves nothing.
+    Awaitable<bool> isKnownToLeader(std::string job, std::string customer)
     {
-        const auto state = co_await this->node.stateFromLeader(std::move(job));
-        const bool isKnown =
-            state.value_or(scheduling::JobState::Unknown) != scheduling::JobState::Unknown;
+        const auto known = co_await this->node.askLeader(std::move(job));
+        const bool isKnown = known && known->state != scheduling::JobState::Unknown
+                             && (customer.empty() || known->customer)
+                             && policy::mayKnowJob(customer, known->customer.value_or(""));
         co_return isKnown;
     }
 
-    Awaitable<bool> isSeenInStore(std::string job)
+    Awaitable<bool> isSeenInStore(std::string job, std::string customer)
     {
-        const auto state = co_await this->node.stored.stateOf(std::move(job));
-        const bool isSeen =
-            state.value_or(scheduling::JobState::Unknown) != scheduling::JobState::Unknown;
+        const auto found = co_await this->node.stored.find(std::move(job));
+        const bool isSeen = found && found->state != scheduling::JobState::Unknown
+                            && policy::mayKnowJob(customer, found->customer);
         co_return isSeen;
     }
 
-    Awaitable<std::optional<IntakeResult>> handInThroughPeer(std::string job, std::string record,
+    Awaitable<std::optional<IntakeResult>> handInThroughPeer(messages::HandIn handedIn,
                                                              Instant deadline)
     {
         const auto peer = this->node.handInPeer();
         if (!peer)
             co_return IntakeResult::Refused;
         const auto patience = std::min<Duration>(deadline - bootNow(), maxHandInWait);
-        messages::JobQuestion question;
-        auto &handedIn = *question.mutable_hand_in();
-        handedIn.set_job(job);
-        handedIn.set_record(std::move(record));
         handedIn.set_patience_milliseconds(
             static_cast<std::uint32_t>(patience / std::chrono::milliseconds(1)));
+        const auto job = handedIn.job();
+        messages::JobQuestion question;
+        *question.mutable_hand_in() = std::move(handedIn);
         const auto answer =
             co_await this->node.messenger.ask(*peer, question, patience + questionTimeout / 2);
         LOG(INFO) << "event=hand-in job=" << job << " peer=" << model::toString(*peer)
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -288,10 +288,19 @@
     bool canStart() const
     {
         const auto newest = this->options.confirmations().newest();
-        return this->canOrder() && newest - this->coveredUntil(this->intakeFollower) < maxReadLag
+        return this->canOrder() && this->knowsCaps(newest)
+               && newest - this->coveredUntil(this->intakeFollower) < maxReadLag
                && newest - this->coveredUntil(this->workerFollower) < maxReadLag;
     }
 
+    // A cap that was cut has to be kept once its configuration is in force.
+    bool knowsCaps(Instant newestConfirmation) const
+    {
+        const auto lag = newestConfirmation - this->options.configurationCoveredUntil();
+        return !this->scheduler.configuration().hasCaps()
+               || lag < this->options.maxConfigurationLag;
+    }
+
     void beginFleet()
     {
         auto self = this->shared_from_this();
@@ -441,6 +450,7 @@
         this->roster->forget(now);
         this->listedWorkers = this->scheduler.listedWorkers();
         logLoads(this->scheduler.loads(now, http::unixNow()));
+        logCustomerUsage(this->scheduler.customerUsage(http::unixNow()));
         this->scheduler.noteWaitingTasks(now);
     }
 
--- a/packages/coordination/include/sassafrasferry/coordination/leader_options.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader_options.h
@@ -40,6 +40,13 @@
     /// Loading counts as stalled after this long without a further part of the tables while the
     /// store confirms the lease. A slow store takes seconds for a part of many pages.
     Duration loadStall = std::chrono::seconds(8);
+    /// Returns the time until which every change of the configuration is known.
+    std::function<Instant()> configurationCoveredUntil = [] {
+        return Instant::max();
+    };
+    /// With customers' caps in force tasks are started only while the configuration is at most this
+    /// far behind the store's last confirmation of the lease.
+    Duration maxConfigurationLag = std::chrono::milliseconds(2000);
     JobParts jobParts; ///< where this leader writes the rows of new jobs
 };
 
--- a/packages/coordination/include/sassafrasferry/coordination/node_options.h
+++ b/packages/coordination/include/sassafrasferry/coordination/node_options.h
@@ -18,6 +18,7 @@
     scheduling::SchedulerTimes times;
     LeadershipTimes leadership;
     ConfigurationTimes configuration;
+    bool checksKeys = false; ///< callers need a customer's key, but on anonymous queues
     Duration handOverDelay =
         std::chrono::milliseconds(3000); ///< minimum time between two leaders' orders about a VM
     Duration stopWithin = std::chrono::milliseconds(5000); ///< from stop signal to exit
--- a/packages/coordination/include/sassafrasferry/coordination/operator_rows.h
+++ b/packages/coordination/include/sassafrasferry/coordination/operator_rows.h
@@ -1,6 +1,7 @@
 // Rows of the operators' table: the current configuration and the maintenance waves.
 #pragma once
 
+#include <sassafrasferry/coordination/customer_keys.h>
 #include <sassafrasferry/scheduling/fleet_planner.h>
 #include <sassafrasferry/store/part_rows.h>
 
@@ -42,6 +43,12 @@
         return this->inForce;
     }
 
+    /// The keys of that configuration's customers.
+    const CustomerKeys &keys() const
+    {
+        return this->keysInForce;
+    }
+
     /// All waves that operators have ordered, by wave number.
     const std::map<std::int64_t, scheduling::Wave> &waves() const
     {
@@ -72,13 +79,16 @@
         if (configuration->version <= this->inForce.version)
             return;
         this->inForce = *std::move(configuration);
+        this->keysInForce = CustomerKeys(this->inForce.customers);
         LOG(INFO) << "event=configuration version=" << this->inForce.version
-                  << " queues=" << this->inForce.queues.size();
+                  << " queues=" << this->inForce.queues.size()
+                  << " customers=" << this->inForce.customers.size();
         this->events.onConfiguration();
     }
 
     Events events;
     scheduling::Configuration inForce; // its version only increases
+    CustomerKeys keysInForce; // of `inForce`
     std::map<std::int64_t, scheduling::Wave> waveTable;
 };
 
--- a/packages/coordination/include/sassafrasferry/coordination/stored_jobs.h
+++ b/packages/coordination/include/sassafrasferry/coordination/stored_jobs.h
@@ -27,21 +27,23 @@
         co_return found ? std::optional(found->state) : std::nullopt;
     }
 
-    /// State of the job and the part that holds it; `nullopt` if the store can't be read.
+    /// State and customer of the job, and the part that holds it; `nullopt` if the store can't be
+    /// read.
     struct Found
     {
         scheduling::JobState state = scheduling::JobState::Unknown;
         std::string part;
+        std::string customer;
     };
     Awaitable<std::optional<Found>> find(std::string job)
     {
         Found found;
         for (const auto &part : this->parts.candidatesOf(job)) {
-            const auto state = co_await this->stateIn(part, job);
-            if (!state)
+            auto here = co_await this->findIn(part, job);
+            if (!here)
                 co_return std::nullopt;
-            if (found.part.empty() || *state != scheduling::JobState::Unknown)
-                found = {*state, part};
+            if (found.part.empty() || here->state != scheduling::JobState::Unknown)
+                found = *std::move(here);
             if (found.state != scheduling::JobState::Unknown)
                 break;
         }
@@ -67,7 +69,7 @@
 private:
     static constexpr auto retryPause = std::chrono::milliseconds(100);
 
-    Awaitable<std::optional<scheduling::JobState>> stateIn(std::string part, std::string job)
+    Awaitable<std::optional<Found>> findIn(std::string part, std::string job)
     {
         const auto end = cancellationKey(job) + "~";
         // The intake table is read first: rows move from it to the progress table, never back, so a
@@ -80,7 +82,11 @@
         const auto progressPage = co_await this->store.scan(progressRange);
         if (!progressPage.ok())
             co_return std::nullopt;
-        co_return stateFrom(job, intakePage->rows, progressPage->rows);
+        Found found;
+        found.state = stateFrom(job, intakePage->rows, progressPage->rows);
+        found.part = part;
+        found.customer = customerFrom(job, intakePage->rows, progressPage->rows);
+        co_return found;
     }
 
     static scheduling::JobState stateFrom(const std::string &job,
@@ -107,6 +113,19 @@
         return state;
     }
 
+    static std::string customerFrom(const std::string &job,
+                                    const std::vector<store::PartRow> &intake,
+                                    const std::vector<store::PartRow> &progress)
+    {
+        for (const auto *rows : {&intake, &progress}) {
+            for (const auto &row : *rows) {
+                if (row.key == job)
+                    return customerOfRow(row);
+            }
+        }
+        return {};
+    }
+
     Store &store;
     JobParts parts;
 };
--- a/packages/coordination/src/caller_request.cpp
+++ b/packages/coordination/src/caller_request.cpp
@@ -56,6 +56,12 @@
     return http::jsonResponse(http::Status::ok, {{"pending", count}});
 }
 
+http::Response aboveCap()
+{
+    return http::textResponse(http::Status::too_many_requests,
+                              "a task of the job needs more than the customer's cap\n");
+}
+
 http::Response noSuchJob()
 {
     return http::textResponse(http::Status::gone, "no such job\n");
--- a/packages/coordination/src/decision_log.cpp
+++ b/packages/coordination/src/decision_log.cpp
@@ -7,6 +7,12 @@
 
 namespace sassafrasferry::coordination {
 
+namespace {
+
+constexpr double loggedShareOfCap = 0.8;
+
+} // namespace
+
 void logRound(const std::vector<scheduling::DecisionNote> &notes, Instant at)
 {
     if (notes.empty())
@@ -27,9 +33,20 @@
                   << " jobs=" << load.jobs << " cpu=" << load.capacity.cpu
                   << " free=" << load.room.cpu << " lasting=" << load.lasting.cpu
                   << " running=" << load.running.cpu << " ready=" << load.ready.cpu
-                  << " ready-core-s=" << load.readySeconds
+                  << " capped=" << load.capped.cpu << " ready-core-s=" << load.readySeconds
                   << " on-time-core-s=" << load.onTimeSeconds;
     }
 }
 
+void logCustomerUsage(const scheduling::CustomerUsage &usage)
+{
+    for (const auto &[name, entry] : usage.entries()) {
+        const auto logged = loggedShareOfCap * static_cast<double>(entry.cap.cpu);
+        if (entry.cap.cpu > 0 && static_cast<double>(entry.used.cpu) >= logged)
+            LOG(INFO) << "event=customer-near-cap customer=" << name << " cpu=" << entry.used.cpu
+                      << " cap-cpu=" << entry.cap.cpu << " memory-mb=" << entry.used.memory
+                      << " cap-memory-mb=" << entry.cap.memory;
+    }
+}
+
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/src/job_loader.cpp
+++ b/packages/coordination/src/job_loader.cpp
@@ -53,7 +53,7 @@
     for (const auto &entry : this->storedProgress) {
         const auto state = static_cast<scheduling::JobState>(entry.second.state());
         if (jobs::isFinal(state))
-            this->addFinished(entry.first, state);
+            this->addFinished(entry.first, entry.second);
     }
     this->storedProgress.clear();
     this->complete = true;
@@ -82,6 +82,7 @@
         std::clamp<std::int64_t>(http::unixNow() - record.accepted_milliseconds(), 0, maxAge));
     auto job =
         std::make_unique<jobs::Job>(id, jobs::specFrom(record), termsFrom(record), bootNow() - age);
+    job->customer = record.customer();
     job->inherited = !this->complete;
     if (const auto at = this->storedProgress.find(id); at != this->storedProgress.end()) {
         job->restore(at->second);
@@ -90,10 +91,11 @@
     this->scheduler.addJob(std::move(job));
 }
 
-void JobLoader::addFinished(const std::string &id, scheduling::JobState state)
+void JobLoader::addFinished(const std::string &id, const messages::JobProgress &progress)
 {
     auto job = std::make_unique<jobs::Job>(id, jobs::JobSpec{}, jobs::QueueTerms{}, bootNow());
-    job->state = state;
+    job->state = static_cast<scheduling::JobState>(progress.state());
+    job->customer = progress.customer();
     this->scheduler.addJob(std::move(job));
 }
 
--- a/packages/coordination/src/job_rows.cpp
+++ b/packages/coordination/src/job_rows.cpp
@@ -1,6 +1,8 @@
 // Keys, parts and contents of the rows of jobs in the store.
 #include <sassafrasferry/coordination/job_rows.h>
 
+#include <sassafrasferry/policy/caller_access.h>
+
 #include <absl/strings/str_cat.h>
 
 #include <xxhash.h>
@@ -98,4 +100,26 @@
     return terms;
 }
 
+namespace {
+
+template<typename Message>
+std::string customerIn(const std::string &bytes)
+{
+    Message message;
+    return message.ParseFromString(bytes) ? message.customer() : "";
+}
+
+} // namespace
+
+std::string customerOfRow(const store::PartRow &row)
+{
+    return row.table == table::intake ? customerIn<messages::JobRecord>(row.value)
+                                      : customerIn<messages::JobProgress>(row.value);
+}
+
+bool hasSameCustomer(const std::string &record, const store::PartRow &row)
+{
+    return policy::mayKnowJob(customerIn<messages::JobRecord>(record), customerOfRow(row));
+}
+
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/tests/memory_store.h
+++ b/packages/coordination/tests/memory_store.h
@@ -40,11 +40,17 @@
         if (this->losesCommits)
             co_return commit;
         commit.state = store::CommitState::Conflict;
+        bool isMet = true;
         for (const auto &condition : transaction.conditions) {
-            if (this->versionOf({condition.table, transaction.part, condition.key})
-                != condition.version)
-                co_return commit;
+            const auto at = this->rows.find({condition.table, transaction.part, condition.key});
+            const auto version = at == this->rows.end() ? store::absent : at->second.version;
+            isMet = isMet && version == condition.version;
+            if (at != this->rows.end())
+                commit.current.push_back(at->second);
         }
+        if (!isMet)
+            co_return commit;
+        commit.current.clear();
         commit.state = store::CommitState::Committed;
         commit.version = ++this->version;
         for (const auto &put : transaction.puts)
@@ -95,12 +101,6 @@
 private:
     using Key = std::tuple<std::string, std::string, std::string>; // table, part, key
 
-    std::int64_t versionOf(const Key &key) const
-    {
-        const auto at = this->rows.find(key);
-        return at == this->rows.end() ? store::absent : at->second.version;
-    }
-
     std::map<Key, store::PartRow> rows;
     std::int64_t version = store::absent;
 };
--- a/packages/coordination/tests/test_node.h
+++ b/packages/coordination/tests/test_node.h
@@ -3,6 +3,8 @@
 
 #include <sassafrasferry/coordination/job_node.h>
 
+#include <sassafrasferry/store/digest.h>
+
 #include <boost/asio/io_context.hpp>
 
 #include <catch2/catch.hpp>
@@ -104,14 +106,21 @@
         return absl::DataLossError("no workers here");
     }
 
-    /// The value is the version, then the prefixes of the queues.
+    /// The value is the version, then the prefixes of the queues and, as `CUSTOMER:KEY`, the keys
+    /// of customers. A prefix that begins with `/open` needs no key.
     static absl::StatusOr<scheduling::Configuration> decodeConfiguration(const std::string &value)
     {
         std::istringstream words(value);
         scheduling::Configuration configuration;
         words >> configuration.version;
         for (std::string prefix; words >> prefix;) {
+            if (const auto colon = prefix.find(':'); colon != std::string::npos) {
+                configuration.customers.push_back(
+                    {prefix.substr(0, colon), {store::sha256(prefix.substr(colon + 1))}, 0, {}});
+                continue;
+            }
             scheduling::Queue queue;
+            queue.isAnonymous = prefix.rfind("/open", 0) == 0;
             queue.terms.queue = prefix;
             queue.terms.service = "s";
             queue.host = queueHost;
@@ -144,9 +153,8 @@
 class TestNode
 {
 public:
-    explicit TestNode(const std::string &configuration)
+    explicit TestNode(const std::string &configuration, NodeOptions options = NodeOptions())
     {
-        NodeOptions options;
         options.name = "only";
         options.peer = this->endpoint;
         this->node = std::make_shared<JobNode<TestPlatform>>(this->context, this->store,
@@ -169,14 +177,30 @@
     }
 
     http::Response request(http::Verb verb, const std::string &target)
+    {
+        return this->send(requestOf(verb, target));
+    }
+
+    /// With the key in the header that the platform uses.
+    http::Response request(http::Verb verb, const std::string &target, const std::string &key)
+    {
+        auto request = requestOf(verb, target);
+        request.set(http::Field::authorization, "Token " + key);
+        return this->send(std::move(request));
+    }
+
+    http::Response send(const http::Request &request)
     {
         http::Response response;
-        this->run([&]() -> Awaitable<void> {
-            response = co_await this->node->handle(requestOf(verb, target));
-        });
+        this->run([&]() -> Awaitable<void> { response = co_await this->node->handle(request); });
         return response;
     }
 
+    bool isReady() const
+    {
+        return this->node->isReady();
+    }
+
     /// Begins all GET requests in this order before the first of them is answered.
     std::vector<http::Status> requestTogether(const std::vector<std::string> &targets)
     {
@@ -198,16 +222,20 @@
     }
 
     /// Hands a job in as a peer would that can't store it; `nullopt` without an answer.
-    std::optional<IntakeResult> handIn(const std::string &job, const messages::JobRecord &record)
+    std::optional<IntakeResult> handIn(const std::string &job, const messages::JobRecord &record,
+                                       const std::string &keyDigest = "")
     {
-        JobMessenger messenger(
+        // Kept, as an operation of its port may still be under way when the answer has come.
+        this->senders.push_back(std::make_unique<JobMessenger>(
             this->context, freeEndpoint(), [](const auto &) { return messages::JobAnswer{}; },
             [](auto) -> Awaitable<messages::JobAnswer> { co_return messages::JobAnswer{}; },
-            [](const auto &) {});
+            [](const auto &) {}));
+        auto &messenger = *this->senders.back();
         REQUIRE(messenger.open().ok());
         messages::JobQuestion question;
         question.mutable_hand_in()->set_job(job);
         question.mutable_hand_in()->set_record(record.SerializeAsString());
+        question.mutable_hand_in()->set_key_digest(keyDigest);
         question.mutable_hand_in()->set_patience_milliseconds(10000);
         JobMessenger::Answer answer;
         this->run([&]() -> Awaitable<void> {
@@ -264,6 +292,7 @@
     // Keeps `run_one` from returning at once while no coroutine is active.
     http::asio::executor_work_guard<http::asio::io_context::executor_type> work{
         this->context.get_executor()};
+    std::vector<std::unique_ptr<JobMessenger>> senders; // of jobs that were handed in
     EmptyCloud cloud;
     model::Endpoint endpoint = freeEndpoint();
     std::shared_ptr<JobNode<TestPlatform>> node;
--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -193,6 +193,7 @@
     const JobSpec spec;
     QueueTerms terms;
     const Instant acceptedAt;
+    std::string customer; ///< whose key it came with; empty: none
     JobState state = JobState::Queued;
     /// True if its tasks may have runs that were not reported to this process yet.
     bool inherited = false;
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -198,6 +198,7 @@
     messages::JobProgress row;
     row.set_state(static_cast<std::uint32_t>(this->state));
     row.set_queue(this->terms.queue);
+    row.set_customer(this->customer);
     if (isFinal(this->state))
         return row;
     std::string bits((this->tasks.size() + 7) / 8, '\0');
--- a/packages/scheduling/include/sassafrasferry/scheduling/queue.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/queue.h
@@ -22,6 +22,17 @@
     std::string host;
     std::string prefix;
     std::optional<AdviceTerms> advice;
+    bool isAnonymous = false; ///< callers need no key
+};
+
+/// A customer: it submits jobs with its keys, and its tasks share the workers with those of others.
+struct Customer
+{
+    std::string name;
+    std::vector<std::string> keyDigests; ///< SHA-256 of each API key, in hexadecimal
+    double weight = 0; ///< its share when workers are short, in jobs per second
+    /// What its tasks may use at a time, over all services. In each resource 0 is no limit.
+    jobs::Resources cap;
 };
 
 /// A pool of workers that run the same kind of job.
@@ -38,12 +49,16 @@
     std::int64_t version = 0;
     std::vector<Queue> queues;
     std::vector<Service> services;
+    std::vector<Customer> customers;
     std::int64_t bodyBytes = 256LL * 1024; ///< largest request body
 
     const Queue *findQueue(std::string_view name) const;
     /// The queue of the host with the longest prefix that matches the path.
     const Queue *route(std::string_view host, std::string_view path) const;
     const Service *findService(std::string_view name) const;
+    const Customer *findCustomer(std::string_view name) const;
+    /// True if a customer has a cap.
+    bool hasCaps() const;
 };
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -3,6 +3,7 @@
 // reads a clock.
 #pragma once
 
+#include <sassafrasferry/scheduling/customer_usage.h>
 #include <sassafrasferry/scheduling/estimate_model.h>
 #include <sassafrasferry/scheduling/mechanisms.h>
 #include <sassafrasferry/scheduling/orders.h>
@@ -73,6 +74,7 @@
     Resources running; ///< in use by other tasks
     Resources lateRunning; ///< part of `running` in use by jobs that will miss their objective
     Resources ready; ///< need of the tasks that could start at once if there were room
+    Resources capped; ///< need of the tasks that wait only because of their customers' caps
     double readySeconds = 0; ///< core-seconds of these ready tasks
     double onTimeSeconds = 0; ///< part of `readySeconds` of jobs that can meet their objective
     double laterSeconds = 0; ///< core-seconds of tasks that depend on unfinished steps
@@ -110,6 +112,8 @@
     /// Returns false if there is no unfinished job with this id.
     bool cancelJob(const std::string &id);
     JobState stateOf(const std::string &id) const;
+    /// Customer of the job; empty if it has none or is unknown.
+    std::string customerOf(const std::string &id) const;
     std::size_t pendingJobCount(const std::string &queue) const;
     Job *findJob(const std::string &id);
     std::size_t jobCount() const;
@@ -199,6 +203,9 @@
     /// Demand and capacity of each service that has workers or jobs.
     std::map<std::string, ServiceLoad> loads(Instant now, UnixMilliseconds unixNow);
 
+    /// What each customer with a cap may have running, over all services.
+    CustomerUsage customerUsage(UnixMilliseconds unixNow) const;
+
     /// Core-seconds of the jobs added to each service since the last call.
     std::map<std::string, double> takeArrivals();
 
@@ -243,7 +250,9 @@
     bool isStartInFlight(const RunKey &key, Instant now);
     void dropExpiredRuns(Instant now);
     void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
-                 bool canMeetObjective, Instant now, UnixMilliseconds unixNow);
+                 bool canMeetObjective, Instant now, UnixMilliseconds unixNow,
+                 CustomerUsage &usage);
+    void addUnreportedUse(Job &job, UnixMilliseconds unixNow, CustomerUsage &usage) const;
     bool isAvailable(const jobs::Run &run, Instant now) const;
     bool canEvict(Job &job, const TaskId &id, Instant now) const;
     void stopRunsOf(Job &job, const std::string &reason);
@@ -252,6 +261,7 @@
     void advanceRecordedEnds(const std::set<std::string> &workers);
     void setAwaitedJob(Worker &worker, std::string job);
     bool isReconciled(const std::string &service, Instant now) const;
+    void noteIfReconciled(const std::string &service, Instant now);
     /// True if tasks of the job may run on a worker that has not reported to this leader yet.
     bool canHaveUnreportedRuns(const Job &job) const;
     /// True if the worker is listed and will neither be drained nor evacuated nor moved.
@@ -280,7 +290,12 @@
     Instant tookOverAt;
     Configuration config;
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs; // unfinished
-    std::unordered_map<std::string, JobState> finished; // final state is in the store
+    struct FinishedJob
+    {
+        JobState state = JobState::Unknown;
+        std::string customer;
+    };
+    std::unordered_map<std::string, FinishedJob> finished; // final state is in the store
     std::map<std::string, Worker> workerTable;
     std::size_t listedCount = 0; // workers with `listed`
     std::set<std::string> dirty; // jobs whose row in the store is out of date
--- a/packages/scheduling/src/job_ranking.cpp
+++ b/packages/scheduling/src/job_ranking.cpp
@@ -30,6 +30,15 @@
     return ranked.rank.prospect == Prospect::OnTime && !spec.isLasting() && spec.repetitions == 0;
 }
 
+/// Whether the customer's cap leaves no room for any task of the job.
+bool isHeldByCap(const Job &job, const CustomerUsage &usage)
+{
+    const auto &steps = job.spec.steps;
+    return std::none_of(steps.begin(), steps.end(), [&](const jobs::StepSpec &step) {
+        return usage.hasRoom(job.customer, step.need);
+    });
+}
+
 /// Cores of the workers that lasting tasks leave. `jobs`: all jobs of the service.
 double coresBesideLasting(const std::vector<Worker *> &workers, const std::vector<Job *> &jobs)
 {
@@ -49,12 +58,13 @@
     return static_cast<double>(std::max<std::int64_t>(cpu, 0)) / 1000;
 }
 
-void passOverExcess(std::vector<RankedJob> &jobs, double cores, Instant now)
+void passOverExcess(std::vector<RankedJob> &jobs, double cores, const CustomerUsage &usage,
+                    Instant now)
 {
     std::vector<RankedJob *> candidates;
     std::vector<BacklogJob> backlog;
     for (auto &ranked : jobs) {
-        if (!isWorthSelecting(ranked))
+        if (!isWorthSelecting(ranked) || isHeldByCap(*ranked.job, usage))
             continue;
         const auto &job = *ranked.job;
         const auto work = job.remainingWork();
@@ -72,7 +82,7 @@
 } // namespace
 
 std::vector<RankedJob> rankJobs(const std::vector<Job *> &jobs,
-                                const std::vector<Worker *> &workers,
+                                const std::vector<Worker *> &workers, const CustomerUsage &usage,
                                 const MechanismSet &mechanisms, Instant now)
 {
     std::vector<RankedJob> ranked;
@@ -82,7 +92,7 @@
         ranked.push_back({rankOf(*job, now, isLateLast), job});
     sortByRank(ranked);
     if (mechanisms.has(Mechanism::OnTimeSelection))
-        passOverExcess(ranked, coresBesideLasting(workers, jobs), now);
+        passOverExcess(ranked, coresBesideLasting(workers, jobs), usage, now);
     return ranked;
 }
 
--- a/packages/scheduling/src/queue.cpp
+++ b/packages/scheduling/src/queue.cpp
@@ -1,6 +1,8 @@
 // Lookups in the configuration.
 #include <sassafrasferry/scheduling/queue.h>
 
+#include <algorithm>
+
 namespace sassafrasferry::scheduling {
 
 const Queue *Configuration::findQueue(std::string_view name) const
@@ -33,4 +35,19 @@
     return nullptr;
 }
 
+const Customer *Configuration::findCustomer(std::string_view name) const
+{
+    for (const auto &customer : this->customers) {
+        if (customer.name == name)
+            return &customer;
+    }
+    return nullptr;
+}
+
+bool Configuration::hasCaps() const
+{
+    return std::any_of(this->customers.begin(), this->customers.end(),
+                       [](const auto &customer) { return customer.cap != jobs::Resources{}; });
+}
+
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -33,7 +33,7 @@
     if (this->jobs.count(job->id) != 0 || this->finished.count(job->id) != 0)
         return;
     if (jobs::isFinal(job->state) && job->changes == job->recordedChanges) {
-        this->finished[job->id] = job->state;
+        this->finished[job->id] = {job->state, job->customer};
         return;
     }
     if (const auto *queue = this->config.findQueue(job->terms.queue))
@@ -86,7 +86,7 @@
 JobState Scheduler::stateOf(const std::string &id) const
 {
     if (const auto at = this->finished.find(id); at != this->finished.end())
-        return at->second;
+        return at->second.state;
     const auto at = this->jobs.find(id);
     if (at == this->jobs.end())
         return JobState::Unknown;
@@ -99,6 +99,14 @@
     return job.state;
 }
 
+std::string Scheduler::customerOf(const std::string &id) const
+{
+    if (const auto at = this->finished.find(id); at != this->finished.end())
+        return at->second.customer;
+    const auto at = this->jobs.find(id);
+    return at == this->jobs.end() ? std::string() : at->second->customer;
+}
+
 std::size_t Scheduler::pendingJobCount(const std::string &queue) const
 {
     std::size_t count = 0;
@@ -142,7 +150,7 @@
         this->note("job-end", job->id,
                    absl::StrCat("state=", std::string(model::nameOf(job->state))));
     if (isEndRecorded && !job->hasRuns()) {
-        this->finished[job->id] = job->state;
+        this->finished[job->id] = {job->state, job->customer};
         this->jobs.erase(job->id);
     }
     // A worker that waits for another job is not affected, unless that job was just added.
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -122,6 +122,7 @@
 std::map<std::string, ServiceLoad> Scheduler::loads(Instant now, UnixMilliseconds unixNow)
 {
     std::map<std::string, ServiceLoad> loads;
+    auto usage = this->customerUsage(unixNow);
     for (const auto &entry : this->workerTable) {
         const auto &worker = entry.second;
         if (!this->takesWork(worker, now))
@@ -140,14 +141,15 @@
         const bool canMeetObjective = now + job.remainingPath() <= job.objective();
         for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
             for (std::size_t step = 0; step < job.spec.steps.size(); ++step)
-                this->addLoad(load, job, occurrence, step, canMeetObjective, now, unixNow);
+                this->addLoad(load, job, occurrence, step, canMeetObjective, now, unixNow, usage);
         }
     }
     return loads;
 }
 
 void Scheduler::addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
-                        bool canMeetObjective, Instant now, UnixMilliseconds unixNow)
+                        bool canMeetObjective, Instant now, UnixMilliseconds unixNow,
+                        CustomerUsage &usage)
 {
     const auto &spec = job.spec.steps[step];
     if (job.tasksLeft(occurrence, step) == 0)
@@ -170,6 +172,8 @@
                 load.lateRunning += need;
         } else if (!isOpen) {
             load.laterSeconds += coreSeconds;
+        } else if (!usage.take(job.customer, spec.need)) {
+            load.capped += need;
         } else {
             load.ready += need;
             load.hasStarvedTask |=
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -45,6 +45,7 @@
     Instant now;
     UnixMilliseconds unixNow = 0;
     Orders orders;
+    CustomerUsage usage; // includes the starts of this round
     std::vector<Worker *> workers; // workers of the current service that accept tasks
     std::set<const Worker *> reserved; // kept free for higher-ranked tasks that found no room
     /// Resource needs that found no room. Room only shrinks during a round, so no need of at least
@@ -79,6 +80,14 @@
            && std::all_of(this->workerTable.begin(), this->workerTable.end(), isKnown);
 }
 
+void Scheduler::noteIfReconciled(const std::string &service, Instant now)
+{
+    if (!this->isReconciled(service, now) || !this->reconciledServices.insert(service).second)
+        return;
+    this->note("service-reconciled", service,
+               absl::StrCat("after-ms=", (now - this->tookOverAt) / std::chrono::milliseconds(1)));
+}
+
 bool Scheduler::canHaveUnreportedRuns(const Job &job) const
 {
     return job.inherited && this->reconciledServices.count(this->serviceOf(job)) == 0;
@@ -87,20 +96,16 @@
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
 {
     this->dropExpiredRuns(now);
-    Round round{now, unixNow, {}, {}, {}, {}};
     std::map<std::string, std::vector<Job *>> queues;
     for (auto &entry : this->jobs) {
         if (!jobs::isFinal(entry.second->state))
             queues[this->serviceOf(*entry.second)].push_back(entry.second.get());
     }
-    for (auto &entry : queues) {
-        if (this->isReconciled(entry.first, now)
-            && this->reconciledServices.insert(entry.first).second)
-            this->note(
-                "service-reconciled", entry.first,
-                absl::StrCat("after-ms=", (now - this->tookOverAt) / std::chrono::milliseconds(1)));
+    for (const auto &entry : queues)
+        this->noteIfReconciled(entry.first, now);
+    Round round{now, unixNow, {}, this->customerUsage(unixNow), {}, {}, {}};
+    for (auto &entry : queues)
         this->planService(entry.first, entry.second, round);
-    }
     this->giveRequestedStops(now, round.orders);
     return std::move(round.orders);
 }
@@ -145,7 +150,8 @@
     }
     if (round.workers.empty())
         return;
-    const auto rankedJobs = rankJobs(queue, round.workers, this->mechanisms(), round.now);
+    const auto rankedJobs =
+        rankJobs(queue, round.workers, round.usage, this->mechanisms(), round.now);
     for (const auto &ranked : rankedJobs) {
         auto &job = *ranked.job;
         for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
@@ -174,6 +180,8 @@
         auto &task = job.at(occurrence, step, i);
         if (task.done || !task.runs.empty())
             continue;
+        if (!round.usage.hasRoom(job.customer, spec.need))
+            return;
         auto *worker = this->choose(job, task, occurrence, step, round);
         if (!worker) {
             // Reserve a worker; otherwise small tasks of lower-ranked jobs would take all room as
@@ -206,6 +214,8 @@
             return;
         number = std::max(number, task.lastRun + 1);
     }
+    if (!round.usage.hasRoom(job.customer, spec.need, spec.count))
+        return;
     // All or none: members waiting for one that found no room would occupy theirs without working.
     struct Reservation
     {
@@ -305,6 +315,7 @@
     task.runs.push_back(run);
     worker.runs[{id, run.number}] = need;
     worker.used += need;
+    round.usage.add(job.customer, job.spec.steps[id.step].need);
     ++this->counters.starts;
     this->note("start", jobs::toString(id),
                absl::StrCat("run=", run.number, " worker=", worker.listing.id, " room=",
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -79,7 +79,7 @@
     if (removed != 0)
         task->idleSince = now;
     if (jobs::isFinal(job->state) && job->recordedChanges >= job->changes && !job->hasRuns()) {
-        this->finished[job->id] = job->state;
+        this->finished[job->id] = {job->state, job->customer};
         this->jobs.erase(key.task.job);
     }
 }
