--- a/packages/coordination/src/customer_access_test.cpp
+++ b/packages/coordination/src/customer_access_test.cpp
@@ -51,8 +51,10 @@
         http::Verb verb;
         const char *target;
     };
-    const std::vector<Row> rows{{http::Verb::post, "j1"}, {http::Verb::get, "j1"},
-                                {http::Verb::delete_, "j1"}, {http::Verb::get, ""}};
+    const std::vector<Row> rows{{http::Verb::post, "j1"},
+                                {http::Verb::get, "j1"},
+                                {http::Verb::delete_, "j1"},
+                                {http::Verb::get, ""}};
     for (const auto &row : rows) {
         CAPTURE(std::string(row.target));
         const auto withoutKey = node.request(row.verb, std::string("/a/") + row.target);
--- a/packages/coordination/src/customer_keys.cpp
+++ b/packages/coordination/src/customer_keys.cpp
@@ -83,8 +83,7 @@
 
 http::Response keyRequired()
 {
-    auto response =
-        http::textResponse(http::Status::unauthorized, "a valid API key is required\n");
+    auto response = http::textResponse(http::Status::unauthorized, "a valid API key is required\n");
     response.set(http::Field::www_authenticate, std::string(scheme));
     return response;
 }
--- a/packages/coordination/tests/busy_worker.h
+++ b/packages/coordination/tests/busy_worker.h
@@ -94,7 +94,8 @@
         co_return answer;
     }
 
-    Awaitable<scheduling::OrderAnswer> start(const scheduling::StartOrder &order, std::int64_t, std::int64_t)
+    Awaitable<scheduling::OrderAnswer> start(const scheduling::StartOrder &order, std::int64_t,
+                                             std::int64_t)
     {
         const auto now = bootNow();
         this->worker->starts.push_back({order.task.job, now});
--- a/packages/scheduling/include/sassafrasferry/scheduling/customer_usage.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/customer_usage.h
@@ -42,8 +42,8 @@
     std::unordered_map<std::string, Entry> byCustomer; // only those with a cap
 };
 
-/// Whether a customer with this cap can ever run all tasks of the job: each task, and each gang as a
-/// whole, fits in the cap.
+/// Whether a customer with this cap can ever run all tasks of the job: each task, and each gang as
+/// a whole, fits in the cap.
 bool canEverRun(const jobs::JobSpec &job, const jobs::Resources &cap);
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/customer_cap_test.cpp
+++ b/packages/scheduling/src/customer_cap_test.cpp
@@ -1,5 +1,5 @@
-// The scheduler keeps each customer within its cap: beside starts without an answer, after a cut and
-// after a takeover.
+// The scheduler keeps each customer within its cap: beside starts without an answer, after a cut
+// and after a takeover.
 #include "../tests/scheduler_bench.h"
 
 #include <catch2/catch.hpp>
--- a/packages/scheduling/src/customer_usage.cpp
+++ b/packages/scheduling/src/customer_usage.cpp
@@ -9,7 +9,8 @@
 
 bool isWithin(std::int64_t used, std::int64_t need, std::int64_t cap)
 {
-    // Without a need the resource doesn't hold the task back, even if its cap was cut below the use.
+    // Without a need the resource doesn't hold the task back, even if its cap was cut below the
+    // use.
     return cap == 0 || need == 0 || used + need <= cap;
 }
 
