--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -2,6 +2,7 @@
 // table, and runs the leader while it holds the lease.
 #pragma once
 
+#include <sassafrasferry/coordination/caller_check.h>
 #include <sassafrasferry/coordination/caller_request.h>
 #include <sassafrasferry/coordination/configuration_reader.h>
 #include <sassafrasferry/coordination/job_messenger.h>
@@ -34,6 +35,7 @@
         , stored(store, this->options.jobParts)
         , operators(std::make_shared<ConfigurationReader<Platform>>(
               this->executor, store, this->options.configuration, this->operatorEvents()))
+        , callerCheck(*this->operators, this->options.checksKeys)
         , messenger(
               context, this->options.peer,
               [this](const auto &question) { return this->answer(question); },
@@ -120,18 +122,12 @@
             co_return http::textResponse(http::Status::not_found, "no such queue\n");
         if (!isCurrent)
             this->logOldConfiguration(queue->terms.queue);
-        const auto caller = this->identify(request, *queue);
-        switch (this->accessOf(caller, *queue)) {
-        case policy::Access::Allowed:
-            break;
-        case policy::Access::Unauthenticated:
-            co_return keyRequired();
-        case policy::Access::Unavailable:
-            co_return retryLater("the keys can't be checked now",
-                                 policy::retryAfter(this->operators->age(), path));
-        }
+        const auto check = this->callerCheck.check(request, *queue);
+        if (check.refusal)
+            co_return *check.refusal;
         const auto route = *queue; // a copy: the configuration may change during the awaits
-        co_return co_await this->serve(route, caller, path.substr(route.prefix.size()), request);
+        co_return co_await this->serve(route, check.caller, path.substr(route.prefix.size()),
+                                       request);
     }
 
 private:
@@ -142,27 +138,6 @@
     static constexpr auto maxCountAge = std::chrono::milliseconds(1700);
     static constexpr auto helloPeriod = std::chrono::milliseconds(250);
 
-    Caller identify(const http::Request &request, const scheduling::Queue &queue) const
-    {
-        return this->options.checksKeys ? identifyCaller(request, queue, this->operators->keys())
-                                        : Caller{};
-    }
-
-    policy::Access accessOf(const Caller &caller, const scheduling::Queue &queue) const
-    {
-        const auto age = this->operators->age();
-        const auto access =
-            policy::decideAccess(caller.key, age, this->operators->bounds().keyTimes());
-        if (access != policy::Access::Allowed) {
-            LOG(INFO) << "event=call-refused queue=" << queue.terms.queue
-                      << " access=" << model::nameOf(access) << " key=" << model::nameOf(caller.key)
-                      << " customer=" << caller.customer
-                      << " config=" << this->configuration().version
-                      << " age-ms=" << age / std::chrono::milliseconds(1);
-        }
-        return access;
-    }
-
     Awaitable<http::Response> serve(const scheduling::Queue &queue, const Caller &caller,
                                     const std::string &job, const http::Request &request)
     {
@@ -441,6 +416,7 @@
     Intake<Store> intake;
     StoredJobs<Store> stored;
     std::shared_ptr<ConfigurationReader<Platform>> operators; // follows the operators' table
+    CallerCheck<Platform> callerCheck;
     JobMessenger messenger;
     JobSubmission<Platform> submission;
     RelayClient relay;
--- a/packages/coordination/src/customer_keys_test.cpp
+++ b/packages/coordination/src/customer_keys_test.cpp
@@ -75,3 +75,25 @@
     CHECK(keys.holderOf("") == nullptr);
     CHECK(keys.holderOf(store::sha256("")) == nullptr);
 }
+
+// By hand: prints the time of a lookup with its digest, beside 1,000 customers with 10 keys each.
+TEST_CASE("the time to find the holder of a key", "[.measure]")
+{
+    constexpr int lookups = 200000;
+    std::vector<scheduling::Customer> customers;
+    for (int i = 0; i < 1000; ++i) {
+        std::vector<std::string> keys;
+        for (int j = 0; j < 10; ++j)
+            keys.push_back("key-" + std::to_string(i) + "-" + std::to_string(j));
+        customers.push_back(customerWith("customer" + std::to_string(i), keys));
+    }
+    const CustomerKeys keys(customers);
+    http::Request request{http::Verb::get, "/", 11};
+    request.set(http::Field::authorization, "Token key-500-5");
+    const scheduling::Queue queue;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < lookups; ++i)
+        REQUIRE(identifyCaller(request, queue, keys).key == KeyState::Held);
+    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begin;
+    WARN(took.count() / lookups << " us a call");
+}
