--- a/fuzz/customers_fuzz.cpp
+++ b/fuzz/customers_fuzz.cpp
@@ -1,5 +1,5 @@
-// Feeds arbitrary bytes to the parsers of customers' keys: the header of a call and the customers of a
-// configuration. A key must not show up in a message about a faulty configuration.
+// Feeds arbitrary bytes to the parsers of customers' keys: the header of a call and the customers
+// of a configuration. A key must not show up in a message about a faulty configuration.
 #include <sassafrasferry/coordination/customer_keys.h>
 #include <sassafrasferry/platform/decode.h>
 
