A job above its customer's cap is refused only if it is not stored

Cause, by reading: a caller repeats a request whose answer was lost, the cap was cut meanwhile, and 429 says that the job never runs, though it is stored and runs once the cap is raised. Change: the store is asked first; 200 if the job is there, 409 if it is another customer's, 503 if the store can't tell.

--- a/packages/coordination/include/sassafrasferry/coordination/caller_request.h
+++ b/packages/coordination/include/sassafrasferry/coordination/caller_request.h
@@ -28,6 +28,9 @@
 /// Response 429: a task of the job needs more than the customer may use at all.
 http::Response aboveCap();
 
+/// Response 409: a job of another customer has the id.
+http::Response idTaken();
+
 /// Response 410.
 http::Response noSuchJob();
 
--- a/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
@@ -21,7 +21,7 @@
         return this->maxDelay * 3 / 4;
     }
 
-    /// A leader that is further behind starts no tasks of customers with a cap.
+    /// A leader whose configuration is further behind starts no tasks while customers have caps.
     Duration maxLag() const
     {
         return this->maxDelay - clockMargin;
--- a/packages/coordination/include/sassafrasferry/coordination/job_submission.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_submission.h
@@ -63,9 +63,11 @@
         }
         const auto *customer = this->node.operators.configuration().findCustomer(caller.customer);
         if (customer && !scheduling::canEverRun(*spec, customer->cap)) {
+            auto answer = co_await this->answerAboveCap(job, caller.customer);
             LOG(WARNING) << "event=submit job=" << job << " queue=" << queue.terms.queue
-                         << " customer=" << caller.customer << " outcome=above-cap";
-            co_return aboveCap();
+                         << " customer=" << caller.customer
+                         << " outcome=above-cap status=" << answer.result_int();
+            co_return answer;
         }
         auto record = recordOf(*spec, queue.terms);
         record.set_accepted_milliseconds(http::unixNow());
@@ -89,7 +91,7 @@
             co_return retryLater("the store takes no jobs now",
                                  policy::retryAfter(this->node.intake.failingFor(), job));
         case IntakeResult::Taken:
-            co_return http::textResponse(http::Status::conflict, "the id can't be used\n");
+            co_return idTaken();
         case IntakeResult::Unknown:
             break;
         }
@@ -123,6 +125,20 @@
 private:
     static constexpr Duration maxHandInWait = std::chrono::milliseconds(900);
 
+    // The cap may have been cut after the job was accepted, and then the caller repeats the
+    // request.
+    Awaitable<http::Response> answerAboveCap(std::string job, std::string customer)
+    {
+        const auto found = co_await this->node.stored.find(std::move(job));
+        if (!found)
+            co_return retryLater("it can't be told now whether the job is stored");
+        if (found->state == scheduling::JobState::Unknown)
+            co_return aboveCap();
+        if (!policy::mayKnowJob(customer, found->customer))
+            co_return idTaken();
+        co_return http::jsonResponse(http::Status::ok, {{"state", "queued"}});
+    }
+
     bool isStillAllowed(const messages::JobRecord &record, const std::string &keyDigest) const
     {
         const auto &operators = this->node.operators;
--- a/packages/coordination/src/caller_request.cpp
+++ b/packages/coordination/src/caller_request.cpp
@@ -62,6 +62,11 @@
                               "a task of the job needs more than the customer's cap\n");
 }
 
+http::Response idTaken()
+{
+    return http::textResponse(http::Status::conflict, "the id can't be used\n");
+}
+
 http::Response noSuchJob()
 {
     return http::textResponse(http::Status::gone, "no such job\n");
--- a/packages/coordination/src/customer_access_test.cpp
+++ b/packages/coordination/src/customer_access_test.cpp
@@ -118,6 +118,25 @@
     CHECK(becomes(node, "k1", http::Status::ok, patience));
 }
 
+// Guards against telling a caller that its job doesn't run, when it was accepted before the cap was
+// cut and runs once the cap is raised.
+TEST_CASE("a job above its customer's cap is refused unless it is stored")
+{
+    auto &node = newNode("1 /a/ /open/ first:k1=100 second:k2");
+    REQUIRE(node.request(http::Verb::post, "/a/j1", "k1").result() == http::Status::ok);
+    node.configure("2 /a/ /open/ first:k1=99 second:k2 third:k3");
+    REQUIRE(becomes(node, "k3", http::Status::ok, patience));
+    CHECK(node.request(http::Verb::post, "/a/j2", "k1").result()
+          == http::Status::too_many_requests);
+    CHECK(node.request(http::Verb::post, "/a/j1", "k1").result() == http::Status::ok);
+    REQUIRE(node.request(http::Verb::post, "/a/j3", "k2").result() == http::Status::ok);
+    CHECK(node.request(http::Verb::post, "/a/j3", "k1").result() == http::Status::conflict);
+    node.store.isAway = true;
+    CHECK(node.request(http::Verb::post, "/a/j4", "k1").result()
+          == http::Status::service_unavailable);
+    node.store.isAway = false;
+}
+
 // Guards against a removed key with which a peer stores a job for an entry VM that does not know of
 // the removal.
 TEST_CASE("a job that a peer hands in is refused if its key has been removed since")
--- a/packages/coordination/tests/test_node.h
+++ b/packages/coordination/tests/test_node.h
@@ -16,6 +16,7 @@
 namespace sassafrasferry::coordination {
 
 constexpr const char *queueHost = "jobs";
+constexpr std::int64_t taskNeed = 100; // of each job's only task, in millicores
 
 /// A worker that never answers.
 struct SilentWorker
@@ -106,8 +107,9 @@
         return absl::DataLossError("no workers here");
     }
 
-    /// The value is the version, then the prefixes of the queues and, as `CUSTOMER:KEY`, the keys
-    /// of customers. A prefix that begins with `/open` needs no key.
+    /// The value is the version, then the prefixes of the queues and, as `CUSTOMER:KEY` or
+    /// `CUSTOMER:KEY=CAP`, the keys of customers and their caps in millicores. A prefix that begins
+    /// with `/open` needs no key.
     static absl::StatusOr<scheduling::Configuration> decodeConfiguration(const std::string &value)
     {
         std::istringstream words(value);
@@ -115,8 +117,12 @@
         words >> configuration.version;
         for (std::string prefix; words >> prefix;) {
             if (const auto colon = prefix.find(':'); colon != std::string::npos) {
+                const auto equals = prefix.find('=');
+                const auto key = prefix.substr(colon + 1, equals - colon - 1);
+                const auto cap =
+                    equals == std::string::npos ? 0 : std::stoll(prefix.substr(equals + 1));
                 configuration.customers.push_back(
-                    {prefix.substr(0, colon), {store::sha256(prefix.substr(colon + 1))}, 0, {}});
+                    {prefix.substr(0, colon), {store::sha256(key)}, 0, {cap, 0, 0}});
                 continue;
             }
             scheduling::Queue queue;
@@ -134,6 +140,7 @@
     {
         jobs::StepSpec step;
         step.count = 1;
+        step.need.cpu = taskNeed;
         step.estimate = std::chrono::seconds(1);
         jobs::JobSpec spec;
         spec.steps.push_back(step);
