Simulations of the scheduler are ctest entries of their own

The simulations took almost all of it, one after the other in one process. Change: the cases tagged job-faults, fault-pairs and move-faults are entries of their own, up to four entries run beside each other, and those with sockets or clocks still one at a time.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -34,15 +34,29 @@
     target_link_libraries(sassafrasferry_${name} PUBLIC project_options ${ARG_USES})
 endfunction()
 
-# add_package_tests(NAME SOURCES ... USES ...): one Catch2 program, one ctest entry.
+# add_package_tests(NAME SOURCES ... USES ... SEPARATE_TAGS ...): one Catch2 program with one ctest
+# entry, and one more for the test cases of each of the tags, which run on virtual time alone.
 function(add_package_tests name)
     if(SASSAFRASFERRY_DEPLOY)
         return()
     endif()
-    cmake_parse_arguments(ARG "" "" "SOURCES;USES" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "SOURCES;USES;SEPARATE_TAGS" ${ARGN})
     add_executable(${name}_test ${ARG_SOURCES})
     target_include_directories(${name}_test PRIVATE src)
     target_link_libraries(${name}_test PRIVATE project_options catch_main ${ARG_USES})
-    add_test(NAME ${name} COMMAND ${name}_test)
-    set_tests_properties(${name} PROPERTIES TIMEOUT 600)
+    set(tests ${name})
+    # Without a test to include, the framework would run hidden ones, too.
+    set(others "")
+    if(ARG_SEPARATE_TAGS)
+        set(others "~[.]")
+    endif()
+    foreach(tag ${ARG_SEPARATE_TAGS})
+        add_test(NAME ${name}_${tag} COMMAND ${name}_test "[${tag}]")
+        list(APPEND tests ${name}_${tag})
+        string(APPEND others "~[${tag}]")
+    endforeach()
+    add_test(NAME ${name} COMMAND ${name}_test ${others})
+    set_tests_properties(${tests} PROPERTIES TIMEOUT 600)
+    # Tests with sockets and clocks run one at a time.
+    set_tests_properties(${name} PROPERTIES RESOURCE_LOCK clock)
 endfunction()
--- a/packages/scheduling/src/fault_sequence_test.cpp
+++ b/packages/scheduling/src/fault_sequence_test.cpp
@@ -67,7 +67,7 @@
 // Guards against a second run of a task, against orders that end more lasting tasks than may be
 // unavailable, and against a reachable VM that the leader no longer uses. Each of these failures
 // can be caused by one of the pairs below.
-TEST_CASE("known pairs of faults violate no guarantee")
+TEST_CASE("known pairs of faults violate no guarantee", "[fault-pairs]")
 {
     struct Case
     {
@@ -110,7 +110,7 @@
 
 // Guards against the same failures after pairs of faults that are not listed above. Tries each pair
 // at times 1.7 s apart.
-TEST_CASE("pairs of all kinds of faults violate no guarantee")
+TEST_CASE("pairs of all kinds of faults violate no guarantee", "[fault-pairs]")
 {
     const auto faults = Sweep{17, 70}.ofAll();
     CHECK(tryPairs(faults, faults) == "");
--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -67,7 +67,7 @@
 // Guards against a job that never ends, and against a job that runs and is billed twice. Faults
 // occur for 30 s while jobs are submitted. All jobs must end in the 60 s without faults that
 // follow.
-TEST_CASE("Every job ends exactly once under random faults")
+TEST_CASE("Every job ends exactly once under random faults", "[job-faults]")
 {
     for (const auto &row : cases) {
         std::size_t starts = 0;
--- a/packages/scheduling/src/vm_move_test.cpp
+++ b/packages/scheduling/src/vm_move_test.cpp
@@ -63,14 +63,14 @@
 
 // Guards against a second run of a task, and against a start after an end that the leader knows of,
 // if a fault occurs while VMs are moved.
-TEST_CASE("no single fault during VM moves makes a task run twice")
+TEST_CASE("no single fault during VM moves makes a task run twice", "[move-faults]")
 {
     for (const auto &fault : faultsEvery(5))
         CHECK(tryFaults({fault}) == "");
 }
 
 // Guards against the same failures after two faults that make a leader's view of a VM wrong.
-TEST_CASE("no two faults in VM lists and VM orders make a task run twice")
+TEST_CASE("no two faults in VM lists and VM orders make a task run twice", "[move-faults]")
 {
     std::vector<TimedMoveFault> first;
     std::vector<TimedMoveFault> second;
@@ -91,7 +91,7 @@
 
 // Guards against tasks that lose an attempt and their work, and services that lose replicas: the
 // order of a lost leader is executed after a later leader has given the VM work.
-TEST_CASE("an order of a former leader ends no run that a later leader started")
+TEST_CASE("an order of a former leader ends no run that a later leader started", "[move-faults]")
 {
     struct Case
     {
