After a takeover new jobs wait until the workers know the new leader

Cause: a job that was stored after a new leader had loaded its tables started at once, while entry VMs that didn't know the new leader yet handed it to the former one, too. Such a job's tasks didn't count against its customer's cap either. Ruled out: waiting for the lease to be confirmed past the job's row, which would delay every job by the time between two confirmations; marking jobs by the leader that their entry VM knows, which leaves the former leader's own reads of the intake. Change: until the service's workers have reported, new jobs count as possibly started like loaded ones, but for at most 1.5 s after the takeover, in which workers that can be reached answer. Not after a hand-over by a leader that has stopped. The simulation of jobs hands new jobs to a former leader for 0.5 s and lets a new leader call workers up to 0.2 s late.

--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -137,6 +137,7 @@
     {
         auto times = options.times;
         times.inheritedLease = inheritedLease(tenure, times, options.leadership, bootNow());
+        times.surveyTime = tenure.predecessorStopped ? Duration{} : minSurveyTime;
         return times;
     }
 
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -35,6 +35,8 @@
     /// How long after a takeover an unreachable worker may still run tasks that the previous leader
     /// started.
     Duration inheritedLease = std::chrono::milliseconds(10700);
+    /// After a takeover workers that can be reached answer the first call within this time.
+    Duration surveyTime = std::chrono::milliseconds(1500);
     Duration starvationTime = std::chrono::milliseconds(900); ///< longest wait of a lasting task
     /// A lasting task counts as available only if its worker reported within this time. Holds are
     /// answered within a second.
@@ -312,6 +314,8 @@
     std::vector<DecisionNote> notes;
     SchedulerCounts counters;
     bool allWorkersKnown = false;
+    bool isSurveyOver =
+        false; // as of the last round: all workers that can be reached have answered
     std::map<std::string, std::string> incarnations; // current worker of each VM
     std::set<std::string> heldVms; // VMs with an open order
     std::set<std::string> reconciledServices; // services without unreported runs
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -90,12 +90,15 @@
 
 bool Scheduler::canHaveUnreportedRuns(const Job &job) const
 {
-    return job.inherited && this->reconciledServices.count(this->serviceOf(job)) == 0;
+    // A former leader that lives on may start new jobs, too, until the workers know this leader.
+    return (job.inherited || !this->isSurveyOver)
+           && this->reconciledServices.count(this->serviceOf(job)) == 0;
 }
 
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
 {
     this->dropExpiredRuns(now);
+    this->isSurveyOver = now >= this->tookOverAt + this->times.surveyTime;
     std::map<std::string, std::vector<Job *>> queues;
     for (auto &entry : this->jobs) {
         if (!jobs::isFinal(entry.second->state))
--- a/packages/scheduling/tests/fault_rates.h
+++ b/packages/scheduling/tests/fault_rates.h
@@ -27,7 +27,9 @@
     /// How long a leader may send orders after it lost the store.
     Duration orderLimit = 6500ms;
     Duration takeover = 1600ms; ///< until another leader starts
+    Duration leaderNews = 500ms; ///< until all entry VMs know a new leader
     Duration holdInterval = 100ms; ///< between two holds at a worker
+    Duration firstHoldDelay = 200ms; ///< longest until a new leader calls a worker first
     Duration writeDelay = 30ms; ///< until a row is in the store
 };
 
