The simulation of jobs changes a customer's cap and checks that no start exceeds it

Cause: caps were shown by tests of single events only; no play without caps broke QUOTA. Change: eight cases in which half of the jobs belong to a customer whose cap is drawn anew (5 to 20 cores, 0.3 times a second) while orders are late, answers are lost, workers are cut off and leaders die or go on without the store; two services, as one may have reported to a new leader while the other has not. A start may follow a cap for 3 s after it was replaced; at most 1.1 times the cap and one task more run.

--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -1,6 +1,6 @@
 // Runs jobs under random faults on virtual time. No task may run twice at the same time or again
-// after an acknowledged end, start before the steps that it depends on are done, or exceed its
-// attempts. Every job must end.
+// after an acknowledged end, start before the steps that it depends on are done, exceed its
+// attempts, or bring its customer above its cap. Every job must end.
 #include "../tests/job_simulation.h"
 
 #include <catch2/catch.hpp>
@@ -43,6 +43,24 @@
     {"runs fail", {.failure = 0.2}},
     {"late orders across takeovers", {.lateOrder = 0.1, .leaderLoss = 0.3, .storeLoss = 0.2}},
     {"cuts across takeovers", {.partition = 0.15, .leaderLoss = 0.3, .storeLoss = 0.3}},
+    {"caps change", {.capChange = 0.3}},
+    {"caps change, orders are carried out late", {.lateOrder = 0.1, .capChange = 0.3}},
+    {"caps change, answers are lost", {.lostAnswer = 0.1, .capChange = 0.3}},
+    {"caps change, workers are cut off and run on", {.partition = 0.15, .capChange = 0.3}},
+    {"caps change, leaders die", {.leaderLoss = 0.3, .capChange = 0.3}},
+    {"caps change, leaders lose the store and go on", {.storeLoss = 0.3, .capChange = 0.3}},
+    {"caps change, cuts across takeovers",
+     {.partition = 0.15, .leaderLoss = 0.3, .storeLoss = 0.3, .capChange = 0.3}},
+    {"caps change beside all",
+     {.lostAnswer = 0.05,
+      .lateOrder = 0.05,
+      .crash = 0.05,
+      .permanentLoss = 0.02,
+      .partition = 0.1,
+      .leaderLoss = 0.1,
+      .storeLoss = 0.1,
+      .failure = 0.1,
+      .capChange = 0.3}},
     {"all",
      {.lostAnswer = 0.05,
       .lateOrder = 0.05,
@@ -71,6 +89,7 @@
 {
     for (const auto &row : cases) {
         std::size_t starts = 0;
+        std::size_t startsAtCap = 0;
         for (std::uint64_t seed = 1; seed <= seedsPerCase(); ++seed) {
             JobSimulation simulation(seed, row.faults);
             for (int i = 0; i < 30; ++i) {
@@ -82,7 +101,9 @@
             CHECK(simulation.violations() == std::vector<std::string>{});
             CHECK(simulation.unfinishedJobs() == 0);
             starts += simulation.starts();
+            startsAtCap += simulation.startsAtCap;
         }
-        WARN(row.name << ": " << starts << " starts");
+        WARN(row.name << ": " << starts << " starts, " << startsAtCap << " at the cap");
+        CHECK((startsAtCap > 0) == (row.faults.capChange > 0));
     }
 }
--- a/packages/scheduling/tests/fault_rates.h
+++ b/packages/scheduling/tests/fault_rates.h
@@ -19,6 +19,9 @@
     double leaderLoss = 0; ///< the leader dies
     double storeLoss = 0; ///< the leader loses the store, and keeps sending orders for seconds
     double failure = 0; ///< a run fails
+    /// An operator changes the cap of the customer that half of the jobs belong to. At 0 there are
+    /// no customers.
+    double capChange = 0;
 };
 
 /// Times of the I/O around the scheduler, which the simulation performs in its place.
@@ -30,6 +33,9 @@
     Duration leaderNews = 500ms; ///< until all entry VMs know a new leader
     Duration holdInterval = 100ms; ///< between two holds at a worker
     Duration firstHoldDelay = 200ms; ///< longest until a new leader calls a worker first
+    Duration configurationDelay = 1s; ///< longest until a leader with the store knows a new cap
+    /// A start may still follow a cap that was replaced this long ago.
+    Duration capGrace = 3s;
     Duration writeDelay = 30ms; ///< until a row is in the store
 };
 
--- a/packages/scheduling/tests/job_simulation.h
+++ b/packages/scheduling/tests/job_simulation.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace sassafrasferry::scheduling::tests {
 
@@ -24,14 +25,22 @@
         : random(seed)
         , faults(faults)
     {
-        for (int i = 0; i < workerCount; ++i)
-            this->addWorker();
+        if (faults.capChange > 0) {
+            this->services = {"s", "t"};
+            this->changeCap();
+        }
+        for (std::size_t i = 0; i < workerCount; ++i)
+            this->addWorker(this->serviceOf(i));
         this->startLeader();
     }
 
     void addJob(const std::string &id, jobs::JobSpec spec)
     {
         this->submittedJobs[id] = spec;
+        const auto number = this->submittedJobs.size();
+        if (this->faults.capChange > 0 && number % 2 == 0)
+            this->jobsOfCustomer.insert(id);
+        this->serviceOfJob[id] = this->serviceOf(number / 2);
         for (auto &leader : this->leaders) {
             if (leader->alive && this->isHandedJobs(*leader))
                 this->addJobTo(*leader, id, false);
@@ -46,6 +55,9 @@
             this->now += step;
             if (withFaults)
                 this->injectFaults();
+            else
+                this->restoreCap();
+            this->passOnCap();
             this->events.run(this->now);
             this->runWorkers();
             this->runLeaders();
@@ -77,11 +89,14 @@
     }
 
     std::size_t takeovers = 0;
+    std::size_t startsAtCap = 0; ///< starts after which the customer had less than a task left
 
 private:
-    static constexpr int workerCount = 6;
+    static constexpr std::size_t workerCount = 6;
     static constexpr Duration step = 5ms;
     static constexpr std::uint32_t maxAttempts = 4;
+    static constexpr auto customer = "a";
+    static constexpr std::int64_t mostCores = 20; // of the customer's cap
 
     struct SimLeader
     {
@@ -98,6 +113,8 @@
         bool alive = true;
         bool hasStore = true;
         Instant confirmedAt;
+        std::size_t knownCaps = 0; // the number of caps that were in force up to its configuration
+        Instant nextCapAt{};
         std::map<std::string, Instant> nextHoldAt; // by worker: when the next hold is sent
         std::deque<std::pair<Instant, DirtyJob>> writes;
     };
@@ -127,13 +144,14 @@
         this->events.add(this->now + delay, std::move(callback));
     }
 
-    void addWorker()
+    void addWorker(const std::string &service)
     {
         SimWorker worker;
         worker.id = "w" + std::to_string(this->workers.size());
         worker.born = ++this->incarnationCount;
         worker.startedAt = this->now;
         worker.clockRate = std::uniform_real_distribution<double>(0.98, 1)(this->random);
+        this->serviceOfWorker[worker.id] = service;
         this->workers.push_back(worker);
     }
 
@@ -151,9 +169,11 @@
                 this->workers[i].alive = false;
                 this->workers[i].isLost = true;
                 this->workers[i].runs.clear();
-                this->addWorker();
+                this->addWorker(this->serviceOfWorker[this->workers[i].id]);
             }
         }
+        if (this->chance(this->faults.capChange * tick))
+            this->changeCap();
         auto &leader = *this->leaders.back();
         const bool dies = this->chance(this->faults.leaderLoss * tick);
         const bool losesStore = !dies && this->chance(this->faults.storeLoss * tick);
@@ -164,6 +184,90 @@
         this->nextLeaderAt = this->now + this->times.takeover;
     }
 
+    void changeCap()
+    {
+        constexpr std::int64_t least = 5; // cores
+        const auto cores =
+            std::uniform_int_distribution<std::int64_t>(least, mostCores)(this->random);
+        this->caps.push_back({this->now, cores * 1000});
+    }
+
+    // The smallest caps leave too little room for all jobs to end in time.
+    void restoreCap()
+    {
+        if (!this->caps.empty() && this->caps.back().cpu != mostCores * 1000)
+            this->caps.push_back({this->now, mostCores * 1000});
+    }
+
+    // Leaders with the store learn of a new cap late.
+    void passOnCap()
+    {
+        for (const auto &leader : this->leaders) {
+            if (!leader->hasStore || leader->knownCaps == this->caps.size())
+                continue;
+            if (leader->nextCapAt == Instant{})
+                leader->nextCapAt =
+                    this->now + this->randomDuration(0ms, this->times.configurationDelay);
+            if (this->now >= leader->nextCapAt)
+                this->configure(*leader);
+        }
+    }
+
+    void configure(SimLeader &leader)
+    {
+        leader.knownCaps = this->caps.size();
+        leader.nextCapAt = {};
+        Configuration configuration;
+        configuration.version = static_cast<std::int64_t>(leader.knownCaps) + 1;
+        for (const auto &service : this->services) {
+            Queue queue;
+            queue.terms = termsOf(service);
+            configuration.queues.push_back(queue);
+        }
+        if (!this->caps.empty())
+            configuration.customers = {{customer, {}, 0, {this->caps.back().cpu, 0, 0}}};
+        leader.scheduler.setConfiguration(configuration);
+    }
+
+    // The largest cap that a start may follow now.
+    std::int64_t largestCapInForce() const
+    {
+        std::int64_t largest = this->caps.back().cpu;
+        for (std::size_t i = 0; i + 1 < this->caps.size(); ++i) {
+            if (this->now - this->caps[i + 1].since < this->times.capGrace)
+                largest = std::max(largest, this->caps[i].cpu);
+        }
+        return largest;
+    }
+
+    std::int64_t usedByCustomer() const
+    {
+        std::int64_t used = 0;
+        for (const auto &worker : this->workers) {
+            for (const auto &run : worker.runs) {
+                const auto &task = run.first.task;
+                if (worker.alive && this->jobsOfCustomer.count(task.job) != 0)
+                    used += this->submittedJobs.at(task.job).steps[task.step].need.cpu;
+            }
+        }
+        return used;
+    }
+
+    // At most 1.1 times the cap and one task more may run.
+    void checkCap(const RunKey &key)
+    {
+        if (this->jobsOfCustomer.count(key.task.job) == 0)
+            return;
+        const auto need = this->submittedJobs.at(key.task.job).steps[key.task.step].need.cpu;
+        const auto used = this->usedByCustomer();
+        const auto cap = this->largestCapInForce();
+        if (used * 10 > cap * 11)
+            this->invariants.violations.push_back("above the cap: " + std::to_string(used) + " of "
+                                                  + std::to_string(cap) + " before "
+                                                  + jobs::toString(key.task));
+        this->startsAtCap += used + need * 2 > cap ? 1 : 0;
+    }
+
     void runWorkers()
     {
         for (auto &worker : this->workers) {
@@ -198,6 +302,7 @@
             }
         }
         this->invariants.checkStart(worker, key, others, this->submittedJobs.at(key.task.job));
+        this->checkCap(key);
     }
 
     void startLeader()
@@ -205,12 +310,7 @@
         ++this->takeovers;
         const auto fence = static_cast<std::int64_t>(this->takeovers);
         auto leader = std::make_shared<SimLeader>(fence, this->now, SchedulerTimes{});
-        Configuration configuration;
-        configuration.version = 1;
-        Queue queue;
-        queue.terms = terms();
-        configuration.queues.push_back(queue);
-        leader->scheduler.setConfiguration(configuration);
+        this->configure(*leader);
         this->leaders.push_back(leader);
         for (const auto &entry : this->submittedJobs)
             this->addJobTo(*leader, entry.first, true);
@@ -218,11 +318,17 @@
         leader->scheduler.setAllWorkersKnown();
     }
 
-    static jobs::QueueTerms terms()
+    // With two services one may have reported all its runs to a new leader while the other has not.
+    const std::string &serviceOf(std::size_t index) const
+    {
+        return this->services[index % this->services.size()];
+    }
+
+    static jobs::QueueTerms termsOf(const std::string &service)
     {
         jobs::QueueTerms terms;
-        terms.queue = "q";
-        terms.service = "s";
+        terms.queue = "queue-of-" + service;
+        terms.service = service;
         terms.maxAttempts = maxAttempts;
         terms.stretch = 2;
         return terms;
@@ -230,8 +336,11 @@
 
     void addJobTo(SimLeader &leader, const std::string &id, bool isLoading)
     {
-        auto job = std::make_unique<Job>(id, this->submittedJobs[id], terms(), this->now);
+        auto job = std::make_unique<Job>(id, this->submittedJobs[id],
+                                         termsOf(this->serviceOfJob.at(id)), this->now);
         job->inherited = isLoading;
+        if (this->jobsOfCustomer.count(id) != 0)
+            job->customer = customer;
         if (const auto row = this->storedProgress.find(id); row != this->storedProgress.end()) {
             job->restore(row->second);
             job->recordedChanges = job->changes;
@@ -247,7 +356,7 @@
             WorkerListing listing;
             listing.id = worker.id;
             listing.born = worker.born;
-            listing.service = "s";
+            listing.service = this->serviceOfWorker[worker.id];
             listing.capacity = {4000, 100000, 0};
             leader.scheduler.listWorker(listing, this->now);
         }
@@ -400,6 +509,16 @@
     std::int64_t incarnationCount = 0;
     EventQueue events;
     std::map<std::string, jobs::JobSpec> submittedJobs;
+    std::vector<std::string> services{"s"};
+    std::map<std::string, std::string> serviceOfWorker;
+    std::map<std::string, std::string> serviceOfJob;
+    std::set<std::string> jobsOfCustomer;
+    struct Cap
+    {
+        Instant since;
+        std::int64_t cpu;
+    };
+    std::vector<Cap> caps; // the customer's, oldest first
     std::map<std::string, messages::JobProgress> storedProgress; // the store, by job
     TaskInvariants invariants{maxAttempts};
 };
