Customers are found by their number where use is added up against caps

Cause: a planning round looked a customer up by name for each run, each step and each open task, and built a table of all customers by name each time. Change: a job keeps its customer's place in the configuration, set when either changes; CustomerUsage::accountOf gives one customer's use for many tasks. scheduling-measure takes a number of customers as its fourth argument.

--- a/packages/coordination/src/decision_log.cpp
+++ b/packages/coordination/src/decision_log.cpp
@@ -40,11 +40,12 @@
 
 void logCustomerUsage(const scheduling::CustomerUsage &usage)
 {
-    for (const auto &[name, entry] : usage.entries()) {
+    for (const auto &entry : usage.entries()) {
         const auto logged = loggedShareOfCap * static_cast<double>(entry.cap.cpu);
         if (entry.cap.cpu > 0 && static_cast<double>(entry.used.cpu) >= logged)
-            LOG(INFO) << "event=customer-near-cap customer=" << name << " cpu=" << entry.used.cpu
-                      << " cap-cpu=" << entry.cap.cpu << " memory-mb=" << entry.used.memory
+            LOG(INFO) << "event=customer-near-cap customer=" << entry.customer
+                      << " cpu=" << entry.used.cpu << " cap-cpu=" << entry.cap.cpu
+                      << " memory-mb=" << entry.used.memory
                       << " cap-memory-mb=" << entry.cap.memory;
     }
 }
--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -7,6 +7,7 @@
 #include <sassafrasferry/policy/time.h>
 
 #include <array>
+#include <limits>
 #include <optional>
 
 namespace sassafrasferry::jobs {
@@ -152,6 +153,9 @@
     JobFailed,
 };
 
+/// Number of a job without a customer, or of one that the configuration doesn't list.
+constexpr auto noCustomer = std::numeric_limits<std::size_t>::max();
+
 /// An accepted job: its specification, its tasks and their runs.
 class Job
 {
@@ -194,6 +198,7 @@
     QueueTerms terms;
     const Instant acceptedAt;
     std::string customer; ///< whose key it came with; empty: none
+    std::size_t customerNumber = noCustomer; ///< the customer's place in the configuration
     JobState state = JobState::Queued;
     /// True if its tasks may have runs that were not reported to this process yet.
     bool inherited = false;
--- a/packages/scheduling/include/sassafrasferry/scheduling/customer_usage.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/customer_usage.h
@@ -4,7 +4,6 @@
 #include <sassafrasferry/scheduling/queue.h>
 
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace sassafrasferry::scheduling {
@@ -20,26 +19,39 @@
     /// Resources of a customer that are in use or count as such.
     struct Entry
     {
+        std::string customer;
         jobs::Resources cap; ///< in each resource 0 is no limit
         jobs::Resources used;
     };
 
+    /// The use of one customer, for many tasks after one lookup. Valid as long as the usage.
+    class Account
+    {
+    public:
+        /// True if the need, `count` times, fits in what the customer's cap leaves. Always true
+        /// without a cap.
+        bool hasRoom(const jobs::Resources &need, std::size_t count = 1) const;
+        void add(const jobs::Resources &need);
+        /// Adds the need if there is room for it.
+        bool take(const jobs::Resources &need);
+
+    private:
+        friend class CustomerUsage;
+        explicit Account(Entry *entry);
+
+        Entry *entry; // null without a cap
+    };
+
     CustomerUsage() = default;
     explicit CustomerUsage(const std::vector<Customer> &customers);
 
-    /// False if no customer has a cap, so that there is nothing to add up.
-    bool hasCaps() const;
-    void add(const std::string &customer, const jobs::Resources &need);
-    /// True if the need, `count` times, fits in what the customer's cap leaves. Always true without
-    /// a cap.
-    bool hasRoom(const std::string &customer, const jobs::Resources &need,
-                 std::size_t count = 1) const;
-    /// Adds the need if there is room for it.
-    bool take(const std::string &customer, const jobs::Resources &need);
-    const std::unordered_map<std::string, Entry> &entries() const;
+    /// `number`: the customer's place in the list; from its length on, no customer.
+    Account accountOf(std::size_t number);
+    /// Of all customers, in the order of the list.
+    const std::vector<Entry> &entries() const;
 
 private:
-    std::unordered_map<std::string, Entry> byCustomer; // only those with a cap
+    std::vector<Entry> accounts;
 };
 
 /// Whether a customer with this cap can ever run all tasks of the job: each task, and each gang as
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -253,8 +253,9 @@
     void dropExpiredRuns(Instant now);
     void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
                  bool canMeetObjective, Instant now, UnixMilliseconds unixNow,
-                 CustomerUsage &usage);
-    void addUnreportedUse(Job &job, UnixMilliseconds unixNow, CustomerUsage &usage) const;
+                 CustomerUsage::Account account);
+    std::size_t numberOf(const std::string &customer) const;
+    void addUnreportedUse(Job &job, UnixMilliseconds unixNow, CustomerUsage::Account account) const;
     bool isAvailable(const jobs::Run &run, Instant now) const;
     bool canEvict(Job &job, const TaskId &id, Instant now) const;
     void stopRunsOf(Job &job, const std::string &reason);
@@ -291,6 +292,7 @@
     std::int64_t runBase;
     Instant tookOverAt;
     Configuration config;
+    std::unordered_map<std::string, std::size_t> customerNumbers; // places in `config.customers`
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs; // unfinished
     struct FinishedJob
     {
--- a/packages/scheduling/src/customer_usage.cpp
+++ b/packages/scheduling/src/customer_usage.cpp
@@ -30,45 +30,44 @@
 
 CustomerUsage::CustomerUsage(const std::vector<Customer> &customers)
 {
-    for (const auto &customer : customers) {
-        if (customer.cap != jobs::Resources{})
-            this->byCustomer[customer.name].cap = customer.cap;
-    }
+    this->accounts.reserve(customers.size());
+    for (const auto &customer : customers)
+        this->accounts.push_back({customer.name, customer.cap, {}});
 }
 
-bool CustomerUsage::hasCaps() const
+CustomerUsage::Account CustomerUsage::accountOf(std::size_t number)
 {
-    return !this->byCustomer.empty();
+    const bool hasCap =
+        number < this->accounts.size() && this->accounts[number].cap != jobs::Resources{};
+    return Account(hasCap ? &this->accounts[number] : nullptr);
 }
 
-void CustomerUsage::add(const std::string &customer, const jobs::Resources &need)
+CustomerUsage::Account::Account(Entry *entry)
+    : entry(entry)
+{}
+
+bool CustomerUsage::Account::hasRoom(const jobs::Resources &need, std::size_t count) const
 {
-    if (const auto at = this->byCustomer.find(customer); at != this->byCustomer.end())
-        at->second.used += need;
+    return !this->entry || isWithin(this->entry->used, times(need, count), this->entry->cap);
 }
 
-bool CustomerUsage::hasRoom(const std::string &customer, const jobs::Resources &need,
-                            std::size_t count) const
+void CustomerUsage::Account::add(const jobs::Resources &need)
 {
-    const auto at = this->byCustomer.find(customer);
-    return at == this->byCustomer.end()
-           || isWithin(at->second.used, times(need, count), at->second.cap);
+    if (this->entry)
+        this->entry->used += need;
 }
 
-bool CustomerUsage::take(const std::string &customer, const jobs::Resources &need)
+bool CustomerUsage::Account::take(const jobs::Resources &need)
 {
-    const auto at = this->byCustomer.find(customer);
-    if (at == this->byCustomer.end())
-        return true;
-    if (!isWithin(at->second.used, need, at->second.cap))
+    if (!this->hasRoom(need))
         return false;
-    at->second.used += need;
+    this->add(need);
     return true;
 }
 
-const std::unordered_map<std::string, CustomerUsage::Entry> &CustomerUsage::entries() const
+const std::vector<CustomerUsage::Entry> &CustomerUsage::entries() const
 {
-    return this->byCustomer;
+    return this->accounts;
 }
 
 bool canEverRun(const jobs::JobSpec &job, const jobs::Resources &cap)
--- a/packages/scheduling/src/customer_usage_test.cpp
+++ b/packages/scheduling/src/customer_usage_test.cpp
@@ -42,23 +42,26 @@
     };
     for (const auto &row : rows) {
         CustomerUsage usage({customerWith("a", row.cap)});
-        usage.add("a", row.used);
+        usage.accountOf(0).add(row.used);
         CAPTURE(row.cap.cpu, row.used.cpu, row.need.cpu, row.count);
-        CHECK(usage.hasRoom("a", row.need, row.count) == row.hasRoom);
+        CHECK(usage.accountOf(0).hasRoom(row.need, row.count) == row.hasRoom);
         if (row.count == 1)
-            CHECK(usage.take("a", row.need) == row.hasRoom);
+            CHECK(usage.accountOf(0).take(row.need) == row.hasRoom);
     }
 }
 
 TEST_CASE("only customers with a cap are limited")
 {
     CustomerUsage usage({customerWith("a", {}), customerWith("b", {1, 0, 0})});
-    CHECK(usage.hasCaps());
-    CHECK(usage.take("a", {1000, 0, 0}));
-    CHECK(usage.take("", {1000, 0, 0}));
-    CHECK(usage.take("b", {1, 0, 0}));
-    CHECK_FALSE(usage.take("b", {1, 0, 0}));
-    CHECK_FALSE(CustomerUsage({customerWith("a", {})}).hasCaps());
+    CHECK(usage.accountOf(0).take({1000, 0, 0}));
+    CHECK(usage.accountOf(jobs::noCustomer).take({1000, 0, 0}));
+    CHECK(usage.accountOf(1).take({1, 0, 0}));
+    CHECK_FALSE(usage.accountOf(1).take({1, 0, 0}));
+    Configuration configuration;
+    configuration.customers = {customerWith("a", {})};
+    CHECK_FALSE(configuration.hasCaps());
+    configuration.customers.push_back(customerWith("b", {0, 0, 1}));
+    CHECK(configuration.hasCaps());
 }
 
 TEST_CASE("a job whose largest task or gang is above the cap can never run")
--- a/packages/scheduling/src/job_ranking.cpp
+++ b/packages/scheduling/src/job_ranking.cpp
@@ -31,12 +31,12 @@
 }
 
 /// Whether the customer's cap leaves no room for any task of the job.
-bool isHeldByCap(const Job &job, const CustomerUsage &usage)
+bool isHeldByCap(const Job &job, CustomerUsage &usage)
 {
+    const auto account = usage.accountOf(job.customerNumber);
     const auto &steps = job.spec.steps;
-    return std::none_of(steps.begin(), steps.end(), [&](const jobs::StepSpec &step) {
-        return usage.hasRoom(job.customer, step.need);
-    });
+    return std::none_of(steps.begin(), steps.end(),
+                        [&](const jobs::StepSpec &step) { return account.hasRoom(step.need); });
 }
 
 /// Cores of the workers that lasting tasks leave. `jobs`: all jobs of the service.
@@ -58,8 +58,7 @@
     return static_cast<double>(std::max<std::int64_t>(cpu, 0)) / 1000;
 }
 
-void passOverExcess(std::vector<RankedJob> &jobs, double cores, const CustomerUsage &usage,
-                    Instant now)
+void passOverExcess(std::vector<RankedJob> &jobs, double cores, CustomerUsage &usage, Instant now)
 {
     std::vector<RankedJob *> candidates;
     std::vector<BacklogJob> backlog;
@@ -82,7 +81,7 @@
 } // namespace
 
 std::vector<RankedJob> rankJobs(const std::vector<Job *> &jobs,
-                                const std::vector<Worker *> &workers, const CustomerUsage &usage,
+                                const std::vector<Worker *> &workers, CustomerUsage &usage,
                                 const MechanismSet &mechanisms, Instant now)
 {
     std::vector<RankedJob> ranked;
--- a/packages/scheduling/src/job_ranking.h
+++ b/packages/scheduling/src/job_ranking.h
@@ -34,7 +34,7 @@
 /// Ranks all jobs of a service, lowest rank first. `workers`: those of the service that accept
 /// tasks.
 std::vector<RankedJob> rankJobs(const std::vector<Job *> &jobs,
-                                const std::vector<Worker *> &workers, const CustomerUsage &usage,
+                                const std::vector<Worker *> &workers, CustomerUsage &usage,
                                 const MechanismSet &mechanisms, Instant now);
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -16,8 +16,12 @@
     if (configuration.version < this->config.version)
         return;
     this->config = std::move(configuration);
+    this->customerNumbers.clear();
+    for (std::size_t i = 0; i < this->config.customers.size(); ++i)
+        this->customerNumbers.emplace(this->config.customers[i].name, i);
     for (auto &entry : this->jobs) {
         auto &job = *entry.second;
+        job.customerNumber = this->numberOf(job.customer);
         if (const auto *queue = this->config.findQueue(job.terms.queue))
             job.terms = queue->terms;
     }
@@ -38,6 +42,7 @@
     }
     if (const auto *queue = this->config.findQueue(job->terms.queue))
         job->terms = queue->terms;
+    job->customerNumber = this->numberOf(job->customer);
     this->note("job", job->id,
                absl::StrCat("queue=", job->terms.queue, " service=", job->terms.service, " steps=",
                             job->spec.steps.size(), " tasks=", job->spec.tasksPerOccurrence(),
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -139,9 +139,10 @@
         auto &load = loads[this->serviceOf(job)];
         ++load.jobs;
         const bool canMeetObjective = now + job.remainingPath() <= job.objective();
+        const auto account = usage.accountOf(job.customerNumber);
         for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
             for (std::size_t step = 0; step < job.spec.steps.size(); ++step)
-                this->addLoad(load, job, occurrence, step, canMeetObjective, now, unixNow, usage);
+                this->addLoad(load, job, occurrence, step, canMeetObjective, now, unixNow, account);
         }
     }
     return loads;
@@ -149,7 +150,7 @@
 
 void Scheduler::addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
                         bool canMeetObjective, Instant now, UnixMilliseconds unixNow,
-                        CustomerUsage &usage)
+                        CustomerUsage::Account account)
 {
     const auto &spec = job.spec.steps[step];
     if (job.tasksLeft(occurrence, step) == 0)
@@ -172,7 +173,7 @@
                 load.lateRunning += need;
         } else if (!isOpen) {
             load.laterSeconds += coreSeconds;
-        } else if (!usage.take(job.customer, spec.need)) {
+        } else if (!account.take(spec.need)) {
             load.capped += need;
         } else {
             load.ready += need;
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -179,11 +179,12 @@
     // `choose` would find no worker for any of the tasks, so looking for one to start is in vain.
     if (!spec.lasting && round.wasRefused(spec.footprint()))
         return;
+    const auto account = round.usage.accountOf(job.customerNumber);
     for (std::size_t i = 0; i < spec.count; ++i) {
         auto &task = job.at(occurrence, step, i);
         if (task.done || !task.runs.empty())
             continue;
-        if (!round.usage.hasRoom(job.customer, spec.need))
+        if (!account.hasRoom(spec.need))
             return;
         auto *worker = this->choose(job, task, occurrence, step, round);
         if (!worker) {
@@ -217,7 +218,7 @@
             return;
         number = std::max(number, task.lastRun + 1);
     }
-    if (!round.usage.hasRoom(job.customer, spec.need, spec.count))
+    if (!round.usage.accountOf(job.customerNumber).hasRoom(spec.need, spec.count))
         return;
     // All or none: members waiting for one that found no room would occupy theirs without working.
     struct Reservation
@@ -318,7 +319,7 @@
     task.runs.push_back(run);
     worker.runs[{id, run.number}] = need;
     worker.used += need;
-    round.usage.add(job.customer, job.spec.steps[id.step].need);
+    round.usage.accountOf(job.customerNumber).add(job.spec.steps[id.step].need);
     ++this->counters.starts;
     this->note("start", jobs::toString(id),
                absl::StrCat("run=", run.number, " worker=", worker.listing.id, " room=",
--- a/packages/scheduling/src/scheduling_measure.cpp
+++ b/packages/scheduling/src/scheduling_measure.cpp
@@ -1,7 +1,8 @@
 // Measures the processor time of the leader's decisions for a given number of workers and rate of
 // jobs. Workers execute orders at once and answer holds at a given rate, and the queues receive
-// jobs in turn. Prints CSV with one line per run; its last field is a digest of all orders, which
-// shows whether two builds decide the same.
+// jobs in turn, from a given number of customers with caps that are never reached. Prints CSV with
+// one line per run; its last field is a digest of all orders, which shows whether two builds decide
+// the same.
 #include <sassafrasferry/scheduling/fleet_planner.h>
 
 #include <cstdio>
@@ -17,6 +18,7 @@
 
 constexpr int services = 4;
 constexpr Duration step = 10ms;
+constexpr std::int64_t unreachedCap = 1'000'000'000; // millicores and megabytes
 
 double processorSeconds()
 {
@@ -78,6 +80,7 @@
     const auto workerCount = static_cast<std::size_t>(argc > 1 ? std::atoi(argv[1]) : 48);
     const double jobsPerSecond = argc > 2 ? std::atof(argv[2]) : 20;
     const double seconds = argc > 3 ? std::atof(argv[3]) : 20;
+    const auto customerCount = static_cast<std::size_t>(argc > 4 ? std::atoi(argv[4]) : 0);
     std::mt19937_64 random(1);
     Instant now(1h);
     Scheduler scheduler({}, 0, now);
@@ -91,6 +94,9 @@
         configuration.queues.push_back(queue);
         configuration.services.push_back({serviceName(i), true, false});
     }
+    for (std::size_t i = 0; i < customerCount; ++i)
+        configuration.customers.push_back(
+            {"customer" + std::to_string(i), {}, 0, {unreachedCap, unreachedCap, 0}});
     scheduler.setConfiguration(configuration);
     std::map<std::string, SimWorker> workers;
     for (std::size_t i = 0; i < workerCount; ++i) {
@@ -119,6 +125,8 @@
             const auto queueIndex = (tick / 400) % services;
             auto job = std::make_unique<Job>("job" + std::to_string(jobCount++), randomJob(random),
                                              configuration.queues[queueIndex].terms, now);
+            if (customerCount > 0)
+                job->customer = configuration.customers[jobCount % customerCount].name;
             scheduler.addJob(std::move(job));
         }
         for (auto &entry : workers) {
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -115,11 +115,11 @@
     bench.scheduler.addJob(std::move(job));
     bench.report("w0");
     bench.plan();
-    CHECK(bench.scheduler.customerUsage(0).entries().at("a").used.cpu == 2000);
+    CHECK(bench.scheduler.customerUsage(0).entries().at(0).used.cpu == 2000);
     bench.report("w1");
     const auto orders = bench.plan();
     CHECK(orders.starts.size() == 2);
-    CHECK(bench.scheduler.customerUsage(0).entries().at("a").used.cpu == 2000);
+    CHECK(bench.scheduler.customerUsage(0).entries().at(0).used.cpu == 2000);
 }
 
 // A worker that is cut off from the store has no entry in the list of workers; only the list of VMs
