The simulations with caps and those with late VM orders are ctest entries of their own

Change: the cases with caps are a test case of their own with the tag cap-faults, the case of late VM orders has the tag late-vm-orders; same cases, seeds and checks.

--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -43,6 +43,19 @@
     {"runs fail", {.failure = 0.2}},
     {"late orders across takeovers", {.lateOrder = 0.1, .leaderLoss = 0.3, .storeLoss = 0.2}},
     {"cuts across takeovers", {.partition = 0.15, .leaderLoss = 0.3, .storeLoss = 0.3}},
+    {"all",
+     {.lostAnswer = 0.05,
+      .lateOrder = 0.05,
+      .crash = 0.05,
+      .permanentLoss = 0.02,
+      .partition = 0.1,
+      .leaderLoss = 0.1,
+      .storeLoss = 0.1,
+      .failure = 0.1}},
+};
+
+// Half of the jobs belong to a customer whose cap changes.
+const std::vector<Case> capCases{
     {"caps change", {.capChange = 0.3}},
     {"caps change, orders are carried out late", {.lateOrder = 0.1, .capChange = 0.3}},
     {"caps change, answers are lost", {.lostAnswer = 0.1, .capChange = 0.3}},
@@ -61,15 +74,6 @@
       .storeLoss = 0.1,
       .failure = 0.1,
       .capChange = 0.3}},
-    {"all",
-     {.lostAnswer = 0.05,
-      .lateOrder = 0.05,
-      .crash = 0.05,
-      .permanentLoss = 0.02,
-      .partition = 0.1,
-      .leaderLoss = 0.1,
-      .storeLoss = 0.1,
-      .failure = 0.1}},
 };
 
 // Can be set for manual runs: WORLD_SEEDS=1000.
@@ -80,12 +84,7 @@
     return text ? std::strtoull(text, nullptr, 10) : defaultCount;
 }
 
-} // namespace
-
-// Guards against a job that never ends, and against a job that runs and is billed twice. Faults
-// occur for 30 s while jobs are submitted. All jobs must end in the 60 s without faults that
-// follow.
-TEST_CASE("Every job ends exactly once under random faults", "[job-faults]")
+void checkCases(const std::vector<Case> &cases)
 {
     for (const auto &row : cases) {
         std::size_t starts = 0;
@@ -107,3 +106,20 @@
         CHECK((startsAtCap > 0) == (row.faults.capChange > 0));
     }
 }
+
+} // namespace
+
+// Guards against a job that never ends, and against a job that runs and is billed twice. Faults
+// occur for 30 s while jobs are submitted. All jobs must end in the 60 s without faults that
+// follow.
+TEST_CASE("Every job ends exactly once under random faults", "[job-faults]")
+{
+    checkCases(cases);
+}
+
+// Guards against starts that bring a customer above its cap, and against jobs that wait at a cap
+// for good.
+TEST_CASE("Jobs end and keep to their customer's cap under random faults", "[cap-faults]")
+{
+    checkCases(capCases);
+}
--- a/packages/scheduling/src/vm_move_test.cpp
+++ b/packages/scheduling/src/vm_move_test.cpp
@@ -91,7 +91,7 @@
 
 // Guards against tasks that lose an attempt and their work, and services that lose replicas: the
 // order of a lost leader is executed after a later leader has given the VM work.
-TEST_CASE("an order of a former leader ends no run that a later leader started", "[move-faults]")
+TEST_CASE("an order of a former leader ends no run that a later leader started", "[late-vm-orders]")
 {
     struct Case
     {
