--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -100,7 +100,7 @@
             CHECK(simulation.violations() == std::vector<std::string>{});
             CHECK(simulation.unfinishedJobs() == 0);
             starts += simulation.starts();
-            startsAtCap += simulation.startsAtCap;
+            startsAtCap += simulation.startsAtCap();
         }
         WARN(row.name << ": " << starts << " starts, " << startsAtCap << " at the cap");
         CHECK((startsAtCap > 0) == (row.faults.capChange > 0));
--- a/packages/scheduling/tests/fault_sequence_simulation.h
+++ b/packages/scheduling/tests/fault_sequence_simulation.h
@@ -6,6 +6,7 @@
 
 #include "availability_watch.h"
 #include "event_queue.h"
+#include "fault_sequence_setup.h"
 #include "injected_fault.h"
 #include "sim_fleet.h"
 #include "task_invariants.h"
@@ -16,7 +17,7 @@
 
 using namespace std::chrono_literals;
 
-class FaultSequenceSimulation
+class FaultSequenceSimulation : FaultSequenceSetup
 {
 public:
     explicit FaultSequenceSimulation(std::vector<TimedFault> faults)
@@ -54,68 +55,9 @@
         return all;
     }
 
-    static constexpr std::size_t vmCount = 3;
+    using FaultSequenceSetup::vmCount;
 
 private:
-    static constexpr int tickCount = 120;
-    static constexpr Duration tickTime = 100ms;
-    static constexpr std::size_t lastingTasks = 2;
-    static constexpr std::size_t maxUnavailable = 1;
-    static constexpr std::uint32_t maxAttempts = 4;
-    /// How long a leader may send orders after it lost the store.
-    static constexpr Duration orderLimit = 6500ms;
-    static constexpr Duration takeover = 1600ms; ///< until another leader starts
-    static constexpr Duration holdWait = 1s; ///< until a hold is answered if no run ends
-    static constexpr Duration retryDelay = 100ms; ///< until an unreachable worker is called again
-    static constexpr Duration callTimeout = 800ms;
-    static constexpr Duration holdDelay = 300ms;
-    static constexpr Duration lateOrderDelay = 2500ms; ///< until a delayed order is executed
-    static constexpr Duration downTime = 8s;
-    static constexpr Duration partitionTime = 6s;
-    /// Until a VM in maintenance has a new worker.
-    static constexpr Duration maintenanceTime = 1500ms;
-    static constexpr Duration listPeriod = 1s;
-    static constexpr Duration plainTime = 2s; ///< run time of a task of the plain job
-    /// Until a VM that became reachable again must be in use.
-    static constexpr Duration rejoinTime = 2s;
-
-    struct SimLeader
-    {
-        SimLeader(std::int64_t fence, Instant now)
-            : fence(fence)
-            , scheduler(SchedulerTimes{}, fence * 1000, now)
-            , planner(FleetPlannerOptions{})
-            , confirmedAt(now)
-        {}
-
-        std::int64_t fence;
-        Scheduler scheduler;
-        FleetPlanner planner;
-        bool alive = true;
-        bool readsStore = true;
-        bool writesStore = true;
-        Instant confirmedAt;
-        Instant vmsListedAt{};
-        std::map<std::string, Instant> nextHoldAt; // by worker: when the next hold is sent
-    };
-
-    static jobs::QueueTerms terms()
-    {
-        return {"q", "s", 0, maxAttempts, 2, 600ms};
-    }
-
-    static jobs::StepSpec stepOf(bool lasting)
-    {
-        jobs::StepSpec step;
-        step.count = lasting ? lastingTasks : 1;
-        step.need = {1000, 100, 0};
-        step.estimate = 1s;
-        step.lasting = lasting;
-        step.perVmLimit = lasting ? 1 : 0;
-        step.maxUnavailable = lasting ? maxUnavailable : 0;
-        return step;
-    }
-
     void runAfter(Duration delay, std::function<void()> callback)
     {
         this->events.add(this->now + delay, std::move(callback));
@@ -206,11 +148,6 @@
         this->lastStarted = key.task;
     }
 
-    static Duration durationOf(const TaskId &task)
-    {
-        return task.job == "lasting" ? Duration(1h) : Duration(plainTime);
-    }
-
     void addViolation(const std::string &what)
     {
         this->otherViolations.push_back(what + " at " + std::to_string(this->tick));
@@ -248,13 +185,7 @@
     {
         const auto fence = static_cast<std::int64_t>(this->leaders.size() + 1);
         auto leader = std::make_shared<SimLeader>(fence, this->now);
-        Configuration configuration;
-        configuration.version = 1;
-        Queue queue;
-        queue.terms = terms();
-        configuration.queues.push_back(queue);
-        configuration.services.push_back({"s", true, false});
-        leader->scheduler.setConfiguration(configuration);
+        leader->scheduler.setConfiguration(configuration());
         for (const auto &entry : this->specs) {
             auto job = std::make_unique<Job>(entry.first, entry.second, terms(), this->now);
             job->inherited = fence > 1;
--- a/packages/scheduling/tests/job_simulation.h
+++ b/packages/scheduling/tests/job_simulation.h
@@ -4,17 +4,17 @@
 // the guarantees given to callers.
 #pragma once
 
+#include "customer_caps.h"
 #include "event_queue.h"
 #include "fault_rates.h"
+#include "sim_calls.h"
+#include "sim_leader.h"
+#include "sim_random.h"
 #include "sim_worker.h"
 #include "task_invariants.h"
 
 #include <algorithm>
-#include <deque>
-#include <functional>
 #include <memory>
-#include <random>
-#include <set>
 
 namespace sassafrasferry::scheduling::tests {
 
@@ -27,7 +27,7 @@
     {
         if (faults.capChange > 0) {
             this->services = {"s", "t"};
-            this->changeCap();
+            this->caps.change(this->random, this->now);
         }
         for (std::size_t i = 0; i < workerCount; ++i)
             this->addWorker(this->serviceOf(i));
@@ -39,7 +39,7 @@
         this->submittedJobs[id] = spec;
         const auto number = this->submittedJobs.size();
         if (this->faults.capChange > 0 && number % 2 == 0)
-            this->jobsOfCustomer.insert(id);
+            this->caps.addJob(id);
         this->serviceOfJob[id] = this->serviceOf(number / 2);
         for (auto &leader : this->leaders) {
             if (leader->alive && this->isHandedJobs(*leader))
@@ -56,7 +56,7 @@
             if (withFaults)
                 this->injectFaults();
             else
-                this->restoreCap();
+                this->caps.restore(this->now);
             this->passOnCap();
             this->events.run(this->now);
             this->runWorkers();
@@ -88,36 +88,16 @@
         return this->invariants.starts;
     }
 
+    std::size_t startsAtCap() const
+    {
+        return this->caps.startsAtCap;
+    }
+
     std::size_t takeovers = 0;
-    std::size_t startsAtCap = 0; ///< starts after which the customer had less than a task left
 
 private:
     static constexpr std::size_t workerCount = 6;
     static constexpr Duration step = 5ms;
-    static constexpr std::uint32_t maxAttempts = 4;
-    static constexpr auto customer = "a";
-    static constexpr std::int64_t mostCores = 20; // of the customer's cap
-
-    struct SimLeader
-    {
-        explicit SimLeader(std::int64_t fence, Instant now, SchedulerTimes times)
-            : fence(fence)
-            , startedAt(now)
-            , scheduler(times, fence * 1000, now)
-            , confirmedAt(now)
-        {}
-
-        std::int64_t fence;
-        Instant startedAt;
-        Scheduler scheduler;
-        bool alive = true;
-        bool hasStore = true;
-        Instant confirmedAt;
-        std::size_t knownCaps = 0; // the number of caps that were in force up to its configuration
-        Instant nextCapAt{};
-        std::map<std::string, Instant> nextHoldAt; // by worker: when the next hold is sent
-        std::deque<std::pair<Instant, DirtyJob>> writes;
-    };
 
     // Entry VMs hand new jobs to the leader that they know. They learn of a newer one late.
     bool isHandedJobs(const SimLeader &leader) const
@@ -128,29 +108,13 @@
                    && this->now - newest.startedAt < this->times.leaderNews);
     }
 
-    bool chance(double probability)
-    {
-        return std::uniform_real_distribution<double>(0, 1)(this->random) < probability;
-    }
-
-    Duration randomDuration(Duration least, Duration most)
-    {
-        return Duration(std::uniform_int_distribution<Duration::rep>(least.count(),
-                                                                     most.count())(this->random));
-    }
-
-    void runAfter(Duration delay, std::function<void()> callback)
-    {
-        this->events.add(this->now + delay, std::move(callback));
-    }
-
     void addWorker(const std::string &service)
     {
         SimWorker worker;
         worker.id = "w" + std::to_string(this->workers.size());
         worker.born = ++this->incarnationCount;
         worker.startedAt = this->now;
-        worker.clockRate = std::uniform_real_distribution<double>(0.98, 1)(this->random);
+        worker.clockRate = this->random.between(0.98, 1.0);
         this->serviceOfWorker[worker.id] = service;
         this->workers.push_back(worker);
     }
@@ -161,22 +125,23 @@
         for (std::size_t i = 0; i < this->workers.size(); ++i) {
             if (!this->workers[i].alive)
                 continue;
-            if (this->chance(this->faults.crash * tick))
+            if (this->random.chance(this->faults.crash * tick))
                 this->workers[i].restart(++this->incarnationCount, this->now);
-            if (this->chance(this->faults.partition * tick))
-                this->workers[i].partitionedUntil = this->now + this->randomDuration(1s, 9s);
-            if (this->chance(this->faults.permanentLoss * tick)) {
+            if (this->random.chance(this->faults.partition * tick))
+                this->workers[i].partitionedUntil =
+                    this->now + this->random.between(Duration(1s), Duration(9s));
+            if (this->random.chance(this->faults.permanentLoss * tick)) {
                 this->workers[i].alive = false;
                 this->workers[i].isLost = true;
                 this->workers[i].runs.clear();
                 this->addWorker(this->serviceOfWorker[this->workers[i].id]);
             }
         }
-        if (this->chance(this->faults.capChange * tick))
-            this->changeCap();
+        if (this->random.chance(this->faults.capChange * tick))
+            this->caps.change(this->random, this->now);
         auto &leader = *this->leaders.back();
-        const bool dies = this->chance(this->faults.leaderLoss * tick);
-        const bool losesStore = !dies && this->chance(this->faults.storeLoss * tick);
+        const bool dies = this->random.chance(this->faults.leaderLoss * tick);
+        const bool losesStore = !dies && this->random.chance(this->faults.storeLoss * tick);
         if (!leader.alive || !leader.hasStore || (!dies && !losesStore))
             return;
         leader.alive = !dies;
@@ -184,30 +149,15 @@
         this->nextLeaderAt = this->now + this->times.takeover;
     }
 
-    void changeCap()
-    {
-        constexpr std::int64_t least = 5; // cores
-        const auto cores =
-            std::uniform_int_distribution<std::int64_t>(least, mostCores)(this->random);
-        this->caps.push_back({this->now, cores * 1000});
-    }
-
-    // The smallest caps leave too little room for all jobs to end in time.
-    void restoreCap()
-    {
-        if (!this->caps.empty() && this->caps.back().cpu != mostCores * 1000)
-            this->caps.push_back({this->now, mostCores * 1000});
-    }
-
     // Leaders with the store learn of a new cap late.
     void passOnCap()
     {
         for (const auto &leader : this->leaders) {
-            if (!leader->hasStore || leader->knownCaps == this->caps.size())
+            if (!leader->hasStore || leader->knownCaps == this->caps.count())
                 continue;
             if (leader->nextCapAt == Instant{})
                 leader->nextCapAt =
-                    this->now + this->randomDuration(0ms, this->times.configurationDelay);
+                    this->now + this->random.between(Duration(0), this->times.configurationDelay);
             if (this->now >= leader->nextCapAt)
                 this->configure(*leader);
         }
@@ -215,57 +165,11 @@
 
     void configure(SimLeader &leader)
     {
-        leader.knownCaps = this->caps.size();
+        leader.knownCaps = this->caps.count();
         leader.nextCapAt = {};
-        Configuration configuration;
+        auto configuration = configurationOf(this->services, this->caps.customers());
         configuration.version = static_cast<std::int64_t>(leader.knownCaps) + 1;
-        for (const auto &service : this->services) {
-            Queue queue;
-            queue.terms = termsOf(service);
-            configuration.queues.push_back(queue);
-        }
-        if (!this->caps.empty())
-            configuration.customers = {{customer, {}, 0, {this->caps.back().cpu, 0, 0}}};
-        leader.scheduler.setConfiguration(configuration);
-    }
-
-    // The largest cap that a start may follow now.
-    std::int64_t largestCapInForce() const
-    {
-        std::int64_t largest = this->caps.back().cpu;
-        for (std::size_t i = 0; i + 1 < this->caps.size(); ++i) {
-            if (this->now - this->caps[i + 1].since < this->times.capGrace)
-                largest = std::max(largest, this->caps[i].cpu);
-        }
-        return largest;
-    }
-
-    std::int64_t usedByCustomer() const
-    {
-        std::int64_t used = 0;
-        for (const auto &worker : this->workers) {
-            for (const auto &run : worker.runs) {
-                const auto &task = run.first.task;
-                if (worker.alive && this->jobsOfCustomer.count(task.job) != 0)
-                    used += this->submittedJobs.at(task.job).steps[task.step].need.cpu;
-            }
-        }
-        return used;
-    }
-
-    // At most 1.1 times the cap and one task more may run.
-    void checkCap(const RunKey &key)
-    {
-        if (this->jobsOfCustomer.count(key.task.job) == 0)
-            return;
-        const auto need = this->submittedJobs.at(key.task.job).steps[key.task.step].need.cpu;
-        const auto used = this->usedByCustomer();
-        const auto cap = this->largestCapInForce();
-        if (used * 10 > cap * 11)
-            this->invariants.violations.push_back("above the cap: " + std::to_string(used) + " of "
-                                                  + std::to_string(cap) + " before "
-                                                  + jobs::toString(key.task));
-        this->startsAtCap += used + need * 2 > cap ? 1 : 0;
+        leader.scheduler.setConfiguration(std::move(configuration));
     }
 
     void runWorkers()
@@ -281,8 +185,9 @@
         return {
             [this, id = worker.id](const RunKey &key) { this->checkStart(id, key); },
             [this] {
-                const auto endsAt = this->now + this->randomDuration(200ms, 2500ms);
-                return SimRun{endsAt, this->chance(this->faults.failure)};
+                const auto endsAt =
+                    this->now + this->random.between(Duration(200ms), Duration(2500ms));
+                return SimRun{endsAt, this->random.chance(this->faults.failure)};
             },
             [this](const TaskId &task, jobs::RunEnd end) { this->invariants.runEnded(task, end); },
             [this](const ListedEnd &end) {
@@ -302,7 +207,12 @@
             }
         }
         this->invariants.checkStart(worker, key, others, this->submittedJobs.at(key.task.job));
-        this->checkCap(key);
+        if (!this->caps.ownsJob(key.task.job))
+            return;
+        auto violation =
+            this->caps.checkStart(key.task, this->workers, this->submittedJobs, this->now);
+        if (!violation.empty())
+            this->invariants.violations.push_back(std::move(violation));
     }
 
     void startLeader()
@@ -324,23 +234,13 @@
         return this->services[index % this->services.size()];
     }
 
-    static jobs::QueueTerms termsOf(const std::string &service)
-    {
-        jobs::QueueTerms terms;
-        terms.queue = "queue-of-" + service;
-        terms.service = service;
-        terms.maxAttempts = maxAttempts;
-        terms.stretch = 2;
-        return terms;
-    }
-
     void addJobTo(SimLeader &leader, const std::string &id, bool isLoading)
     {
         auto job = std::make_unique<Job>(id, this->submittedJobs[id],
                                          termsOf(this->serviceOfJob.at(id)), this->now);
         job->inherited = isLoading;
-        if (this->jobsOfCustomer.count(id) != 0)
-            job->customer = customer;
+        if (this->caps.ownsJob(id))
+            job->customer = CustomerCaps::customer;
         if (const auto row = this->storedProgress.find(id); row != this->storedProgress.end()) {
             job->restore(row->second);
             job->recordedChanges = job->changes;
@@ -399,39 +299,6 @@
         }
     }
 
-    // Calls a worker. The call may not arrive or be executed late, and its answer may be lost.
-    void exchange(const std::shared_ptr<SimLeader> &leader, std::size_t index, std::int64_t born,
-                  std::function<OrderAnswer(SimWorker &)> call,
-                  std::function<void(OrderAnswer)> answered)
-    {
-        const auto timeout = 800ms;
-        const auto answerAfter = [this, leader, answered](OrderAnswer answer, Duration delay) {
-            this->runAfter(delay, [leader, answered, answer] {
-                if (leader->alive)
-                    answered(answer);
-            });
-        };
-        if (this->chance(this->faults.lateOrder)) {
-            this->runAfter(this->randomDuration(2s, 12s), [this, index, born, call] {
-                auto &worker = this->workers[index];
-                if (worker.isReachable(this->now) && worker.born == born)
-                    call(worker);
-            });
-            answerAfter(OrderAnswer::NoAnswer, timeout);
-            return;
-        }
-        this->runAfter(this->randomDuration(1ms, 20ms), [this, index, call, answerAfter, timeout] {
-            auto &worker = this->workers[index];
-            if (!worker.isReachable(this->now)) {
-                answerAfter(OrderAnswer::NoAnswer, timeout);
-                return;
-            }
-            const auto answer = call(worker);
-            const bool isLost = this->chance(this->faults.lostAnswer);
-            answerAfter(isLost ? OrderAnswer::NoAnswer : answer, isLost ? timeout : 3ms);
-        });
-    }
-
     void hold(const std::shared_ptr<SimLeader> &leader)
     {
         for (std::size_t i = 0; i < this->workers.size(); ++i) {
@@ -439,22 +306,20 @@
             const auto [entry, isNew] = leader->nextHoldAt.try_emplace(id, this->now);
             auto &next = entry->second;
             if (isNew && leader->fence > 1)
-                next += this->randomDuration(0ms, this->times.firstHoldDelay);
+                next += this->random.between(Duration(0), this->times.firstHoldDelay);
             if (this->now < next || !leader->scheduler.findWorker(id))
                 continue;
             next = this->now + this->times.holdInterval;
             const auto asked = this->now;
             const auto ack = leader->scheduler.acknowledged(id);
             const auto until = leader->scheduler.leaseUntil(id, this->now);
-            this->runAfter(this->randomDuration(1ms, 20ms), [this, leader, i, asked, ack, until] {
-                auto &worker = this->workers[i];
-                if (!worker.isReachable(this->now))
-                    return;
-                const auto report =
-                    worker.hold(leader->fence, ack, until, this->now, this->callbacksFor(worker));
-                if (this->chance(this->faults.lostAnswer))
-                    return;
-                this->runAfter(this->randomDuration(1ms, 20ms), [this, leader, report, asked] {
+            this->calls.hold<std::optional<WorkerReport>>(
+                i,
+                [this, leader, ack, until](SimWorker &worker) {
+                    return worker.hold(leader->fence, ack, until, this->now,
+                                       this->callbacksFor(worker));
+                },
+                [this, leader, asked](const std::optional<WorkerReport> &report) {
                     if (!leader->alive)
                         return;
                     if (report)
@@ -462,7 +327,6 @@
                     else
                         leader->alive = false; // the worker knows a newer leader
                 });
-            });
         }
     }
 
@@ -476,30 +340,32 @@
                 leader->scheduler.startAnswered(start, OrderAnswer::NotSent, this->now);
                 continue;
             }
-            this->exchange(
-                leader, index, this->workers[index].born,
+            this->calls.order(
+                index, this->workers[index].born,
                 [this, start, until, fence = leader->fence](SimWorker &worker) {
                     return worker.start(start, *until, fence, this->now,
                                         this->callbacksFor(worker));
                 },
                 [this, leader, start](OrderAnswer answer) {
-                    leader->scheduler.startAnswered(start, answer, this->now);
+                    if (leader->alive)
+                        leader->scheduler.startAnswered(start, answer, this->now);
                 });
         }
         for (const auto &stop : orders.stops) {
             const auto index = static_cast<std::size_t>(std::stoul(stop.worker.substr(1)));
-            this->exchange(
-                leader, index, this->workers[index].born,
+            this->calls.order(
+                index, this->workers[index].born,
                 [this, stop, fence = leader->fence](SimWorker &worker) {
                     return worker.stop(stop, fence, this->callbacksFor(worker));
                 },
                 [this, leader, stop](OrderAnswer answer) {
-                    leader->scheduler.stopAnswered(stop, answer, this->now);
+                    if (leader->alive)
+                        leader->scheduler.stopAnswered(stop, answer, this->now);
                 });
         }
     }
 
-    std::mt19937_64 random;
+    SimRandom random;
     FaultRates faults;
     SimulationTimes times;
     Instant now = Instant(1h);
@@ -508,17 +374,12 @@
     std::vector<std::shared_ptr<SimLeader>> leaders; // the newest is last
     std::int64_t incarnationCount = 0;
     EventQueue events;
-    std::map<std::string, jobs::JobSpec> submittedJobs;
+    SimCalls calls{this->random, this->faults, this->events, this->workers, this->now};
+    SubmittedJobs submittedJobs;
+    CustomerCaps caps;
     std::vector<std::string> services{"s"};
     std::map<std::string, std::string> serviceOfWorker;
     std::map<std::string, std::string> serviceOfJob;
-    std::set<std::string> jobsOfCustomer;
-    struct Cap
-    {
-        Instant since;
-        std::int64_t cpu;
-    };
-    std::vector<Cap> caps; // the customer's, oldest first
     std::map<std::string, messages::JobProgress> storedProgress; // the store, by job
     TaskInvariants invariants{maxAttempts};
 };
--- /dev/null
+++ b/packages/scheduling/tests/sim_calls.h
@@ -0,0 +1,99 @@
+// Calls of simulated leaders to workers: they take time, may not arrive or be executed late, and
+// their answers may be lost.
+#pragma once
+
+#include "sim_random.h"
+#include "event_queue.h"
+#include "fault_rates.h"
+#include "sim_worker.h"
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace sassafrasferry::scheduling::tests {
+
+/// The parts of the simulation outlive it.
+class SimCalls
+{
+public:
+    SimCalls(SimRandom &random, const FaultRates &faults, EventQueue &events,
+             std::vector<SimWorker> &workers, const Instant &now)
+        : random(random)
+        , faults(faults)
+        , events(events)
+        , workers(workers)
+        , now(now)
+    {}
+
+    /// Calls the worker at `index` with an order for the incarnation `born`. `answered` is called
+    /// in any case.
+    void order(std::size_t index, std::int64_t born, std::function<OrderAnswer(SimWorker &)> call,
+               std::function<void(OrderAnswer)> answered)
+    {
+        if (this->random.chance(this->faults.lateOrder)) {
+            this->runAfter(this->random.between(Duration(2s), Duration(12s)), [this, index, born, call] {
+                auto &worker = this->workers[index];
+                if (worker.isReachable(this->now) && worker.born == born)
+                    call(worker);
+            });
+            this->answerAfter(timeout, OrderAnswer::NoAnswer, answered);
+            return;
+        }
+        this->runAfter(this->travelTime(), [this, index, call, answered] {
+            auto &worker = this->workers[index];
+            if (!worker.isReachable(this->now)) {
+                this->answerAfter(timeout, OrderAnswer::NoAnswer, answered);
+                return;
+            }
+            const auto answer = call(worker);
+            const bool isLost = this->random.chance(this->faults.lostAnswer);
+            this->answerAfter(isLost ? timeout : answerTime,
+                              isLost ? OrderAnswer::NoAnswer : answer, answered);
+        });
+    }
+
+    /// Calls the worker at `index`, whose answer goes to `answered` if both arrive.
+    template<typename Answer>
+    void hold(std::size_t index, std::function<Answer(SimWorker &)> call,
+              std::function<void(const Answer &)> answered)
+    {
+        this->runAfter(this->travelTime(), [this, index, call, answered] {
+            auto &worker = this->workers[index];
+            if (!worker.isReachable(this->now))
+                return;
+            const auto answer = call(worker);
+            if (this->random.chance(this->faults.lostAnswer))
+                return;
+            this->runAfter(this->travelTime(), [answer, answered] { answered(answer); });
+        });
+    }
+
+private:
+    static constexpr Duration timeout = 800ms;
+    static constexpr Duration answerTime = 3ms;
+
+    Duration travelTime()
+    {
+        return this->random.between(Duration(1ms), Duration(20ms));
+    }
+
+    void runAfter(Duration delay, std::function<void()> callback)
+    {
+        this->events.add(this->now + delay, std::move(callback));
+    }
+
+    void answerAfter(Duration delay, OrderAnswer answer,
+                     const std::function<void(OrderAnswer)> &answered)
+    {
+        this->runAfter(delay, [answered, answer] { answered(answer); });
+    }
+
+    SimRandom &random;
+    const FaultRates &faults;
+    EventQueue &events;
+    std::vector<SimWorker> &workers;
+    const Instant &now;
+};
+
+} // namespace sassafrasferry::scheduling::tests
