Queries of callers, a leader's right to give orders and the lease row have files of their own

Change: JobQueries leaves JobNode, OrderGate and the times leave Leader, what the lease row tells a successor leaves Leadership, and whether a claim's outcome can become known leaves KeyedFlow.

--- a/packages/coordination/include/sassafrasferry/coordination/call_relay.h
+++ b/packages/coordination/include/sassafrasferry/coordination/call_relay.h
@@ -69,6 +69,14 @@
     bool expiring = false; // the loop that expires unanswered calls is running
 };
 
+/// The relay to use for so many workers, or null: with few workers the leader calls them directly,
+/// since a relay adds a few milliseconds.
+inline RelayClient *relayFor(RelayClient *relay, std::size_t workers)
+{
+    constexpr std::size_t minWorkers = 100;
+    return workers >= minWorkers && relay->isOpen() ? relay : nullptr;
+}
+
 /// The relay's side: makes calls to workers on behalf of a leader.
 template<WorkerCalls Worker>
 class RelayServer : public std::enable_shared_from_this<RelayServer<Worker>>
--- a/packages/coordination/include/sassafrasferry/coordination/decision_log.h
+++ b/packages/coordination/include/sassafrasferry/coordination/decision_log.h
@@ -1,7 +1,7 @@
 // Log lines about the leader's scheduling decisions and the load of services.
 #pragma once
 
-#include <sassafrasferry/coordination/timing.h>
+#include <sassafrasferry/coordination/loop_watch.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
 #include <map>
@@ -17,6 +17,19 @@
 /// Logs one line per service with its queued and running work and its capacity.
 void logLoads(const std::map<std::string, scheduling::ServiceLoad> &loads);
 
+/// Where a leader stands in the store's history.
+struct LeaderProgress
+{
+    bool isReady = false;
+    Duration sinceConfirmed{}; ///< time since the store last confirmed the lease
+    std::size_t intakeRows = 0; ///< rows of jobs that were read
+    std::int64_t intakeVersion = 0;
+    std::int64_t leaseVersion = 0;
+};
+
+/// Tells a busy event loop, long planning rounds and a reader that is behind the store apart.
+void logLeaderLoop(const LoopFigures &figures, const LeaderProgress &progress);
+
 /// One line for each customer that uses most of its cap.
 void logCustomerUsage(const scheduling::CustomerUsage &usage);
 
--- a/packages/coordination/include/sassafrasferry/coordination/inherited_lease.h
+++ b/packages/coordination/include/sassafrasferry/coordination/inherited_lease.h
@@ -28,4 +28,14 @@
     return std::max<Duration>(longest(leadership.leaseLimit) - passed, minSurveyTime);
 }
 
+/// The times of the scheduler of a leader that took over at `now`.
+inline scheduling::SchedulerTimes timesAfterTakeover(scheduling::SchedulerTimes times,
+                                                     const Tenure &tenure,
+                                                     const LeadershipTimes &leadership, Instant now)
+{
+    times.inheritedLease = inheritedLease(tenure, times, leadership, now);
+    times.surveyTime = tenure.predecessorStopped ? Duration{} : minSurveyTime;
+    return times;
+}
+
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -6,6 +6,7 @@
 #include <sassafrasferry/coordination/caller_request.h>
 #include <sassafrasferry/coordination/configuration_reader.h>
 #include <sassafrasferry/coordination/job_messenger.h>
+#include <sassafrasferry/coordination/job_queries.h>
 #include <sassafrasferry/coordination/job_submission.h>
 #include <sassafrasferry/coordination/leader.h>
 #include <sassafrasferry/coordination/node_options.h>
@@ -13,7 +14,6 @@
 #include <sassafrasferry/coordination/stored_jobs.h>
 #include <sassafrasferry/coordination/successor.h>
 
-#include <sassafrasferry/http/json.h>
 #include <sassafrasferry/http/server.h>
 
 namespace sassafrasferry::coordination {
@@ -41,10 +41,15 @@
               [this](const auto &question) { return this->answer(question); },
               [this](auto handedIn) { return this->submission.storeForPeer(std::move(handedIn)); },
               [this](const auto &envelope) { this->dispatchEnvelope(envelope); })
+        , queries({this->stored, this->messenger, this->options.checksKeys,
+                   [this] { return this->readyLeader(); },
+                   [this] {
+                       return this->otherLeader();
+                   }})
         , submission({this->intake, this->stored, this->messenger, *this->operators,
                       [this] { return this->handInPeer(); },
                       [this](std::string job) {
-                          return this->askLeader(std::move(job));
+                          return this->queries.askLeader(std::move(job));
                       }})
         , relay(this->executor, this->options.peer,
                 [this](const auto &peer, const auto &envelope) {
@@ -133,9 +138,6 @@
 private:
     // The lease is handed to a stronger entry VM only if the store confirmed it within this time.
     static constexpr auto maxConfirmationAge = std::chrono::milliseconds(1500);
-    // A pending count may be two seconds old when its caller gets it. The rest of that time is for
-    // the answer's way through another entry VM.
-    static constexpr auto maxCountAge = std::chrono::milliseconds(1700);
     static constexpr auto helloPeriod = std::chrono::milliseconds(250);
 
     Awaitable<http::Response> serve(const scheduling::Queue &queue, const Caller &caller,
@@ -146,11 +148,11 @@
             co_return co_await this->submission.submit(queue, caller, job, request);
         case http::Verb::get:
             if (job.empty())
-                co_return co_await this->pending(queue);
-            co_return co_await this->state(job, caller.customer);
+                co_return co_await this->queries.pending(queue);
+            co_return co_await this->queries.state(job, caller.customer);
         case http::Verb::delete_:
-            co_return co_await this->cancel(job, caller.customer,
-                                            deadlineOf(request, Platform::deadlineHeader()));
+            co_return co_await this->queries.cancel(
+                job, caller.customer, deadlineOf(request, Platform::deadlineHeader()));
         default:
             co_return http::textResponse(http::Status::method_not_allowed, "not a method here\n");
         }
@@ -166,85 +168,6 @@
         return model::parseEndpoint(this->successors.strongestPeer(bootNow()));
     }
 
-    Awaitable<http::Response> state(const std::string &job, const std::string &customer)
-    {
-        if (!isJobId(job))
-            co_return noSuchJob();
-        auto known = co_await this->askLeader(job);
-        const bool isWhole = known && (known->customer || !this->options.checksKeys);
-        // The leader may not yet have read a job that was stored just now.
-        if (!isWhole || known->state == scheduling::JobState::Unknown) {
-            const auto found = co_await this->stored.find(job);
-            if (!found)
-                co_return retryLater("the job's state can't be read now");
-            known = KnownJob{found->state, found->customer};
-        }
-        const bool isVisible = policy::mayKnowJob(customer, known->customer.value_or(""));
-        if (known->state == scheduling::JobState::Unknown || !isVisible)
-            co_return noSuchJob();
-        co_return http::jsonResponse(http::Status::ok,
-                                     {{"state", std::string(model::nameOf(known->state))}});
-    }
-
-    // What the leader's books tell of the job; `nullopt` if no leader answers.
-    Awaitable<std::optional<KnownJob>> askLeader(std::string job)
-    {
-        if (this->leader && this->leader->isReady()) {
-            auto &jobs = this->leader->jobs();
-            co_return KnownJob{jobs.stateOf(job), jobs.customerOf(job)};
-        }
-        const auto address = this->otherLeader();
-        if (!address)
-            co_return std::nullopt;
-        messages::JobQuestion question;
-        question.set_job(std::move(job));
-        const auto answer = co_await this->messenger.ask(*address, question, questionTimeout);
-        if (!answer || !answer->leads() || !answer->ready())
-            co_return std::nullopt;
-        KnownJob known;
-        known.state = static_cast<scheduling::JobState>(answer->state());
-        if (answer->has_customer())
-            known.customer = answer->customer();
-        co_return known;
-    }
-
-    Awaitable<http::Response> cancel(const std::string &job, const std::string &customer,
-                                     Instant deadline)
-    {
-        if (!isJobId(job))
-            co_return noSuchJob();
-        const auto found = co_await this->stored.find(job);
-        if (!found)
-            co_return retryLater("the store can't be read now");
-        if (found->state == scheduling::JobState::Unknown
-            || !policy::mayKnowJob(customer, found->customer))
-            co_return noSuchJob();
-        auto outcome = std::string("over");
-        if (!jobs::isFinal(found->state)) {
-            const bool isStored = co_await this->stored.cancel(job, found->part, deadline);
-            outcome = isStored ? "stored" : "unknown";
-        }
-        LOG(INFO) << "event=cancel-asked job=" << job << " state=" << model::nameOf(found->state)
-                  << " outcome=" << outcome;
-        if (outcome == "unknown")
-            co_return retryLater("the cancellation may not be stored");
-        co_return http::jsonResponse(http::Status::ok, {{"state", "cancelled"}});
-    }
-
-    Awaitable<http::Response> pending(const scheduling::Queue &queue)
-    {
-        if (this->leader && this->leader->isReady() && this->leader->intakeAge() < maxCountAge)
-            co_return pendingResponse(this->leader->jobs().pendingJobCount(queue.terms.queue));
-        if (const auto address = this->otherLeader()) {
-            messages::JobQuestion question;
-            question.set_queue(queue.terms.queue);
-            const auto answer = co_await this->messenger.ask(*address, question, questionTimeout);
-            if (answer && answer->leads() && answer->counts())
-                co_return pendingResponse(answer->pending());
-        }
-        co_return retryLater("the queue's leader can't be asked now");
-    }
-
     std::optional<model::Endpoint> otherLeader() const
     {
         auto address = this->leadership.leaderAddress();
@@ -253,6 +176,11 @@
         return address;
     }
 
+    std::shared_ptr<Leader<Platform>> readyLeader() const
+    {
+        return this->leader && this->leader->isReady() ? this->leader : nullptr;
+    }
+
     messages::JobAnswer answer(const messages::JobQuestion &question)
     {
         messages::JobAnswer answer;
@@ -418,6 +346,7 @@
     std::shared_ptr<ConfigurationReader<Platform>> operators; // follows the operators' table
     CallerCheck<Platform> callerCheck;
     JobMessenger messenger;
+    JobQueries<Platform> queries;
     JobSubmission<Platform> submission;
     RelayClient relay;
     std::shared_ptr<RelayServer<typename Platform::Worker>> agent;
--- a/packages/coordination/include/sassafrasferry/coordination/job_submission.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_submission.h
@@ -8,6 +8,7 @@
 #include <sassafrasferry/coordination/intake.h>
 #include <sassafrasferry/coordination/job_messenger.h>
 #include <sassafrasferry/coordination/job_platform.h>
+#include <sassafrasferry/coordination/known_job.h>
 #include <sassafrasferry/coordination/stored_jobs.h>
 
 #include <sassafrasferry/http/json.h>
@@ -15,13 +16,6 @@
 
 namespace sassafrasferry::coordination {
 
-/// A job as the leader knows it.
-struct KnownJob
-{
-    scheduling::JobState state = scheduling::JobState::Unknown;
-    std::optional<std::string> customer; ///< absent from leaders of earlier versions
-};
-
 /// The parts of an entry VM that submissions use.
 template<JobPlatform Platform>
 struct SubmissionNode
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -11,9 +11,10 @@
 #include <sassafrasferry/coordination/job_recorder.h>
 #include <sassafrasferry/coordination/job_tables.h>
 #include <sassafrasferry/coordination/leader_options.h>
-#include <sassafrasferry/coordination/leadership.h>
+#include <sassafrasferry/coordination/leader_timing.h>
 #include <sassafrasferry/coordination/load_watch.h>
 #include <sassafrasferry/coordination/loop_watch.h>
+#include <sassafrasferry/coordination/order_gate.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/table_follower.h>
 #include <sassafrasferry/coordination/vm_survey.h>
@@ -34,7 +35,6 @@
     using Cloud = typename Platform::Cloud;
     using Worker = RelayedWorker<typename Platform::Worker>;
     using Roster = WorkerRoster<Platform, Worker>;
-
     using Options = LeaderOptions;
 
     Leader(http::asio::any_io_executor executor, Store &store, Cloud &cloud, const Tenure &tenure,
@@ -43,9 +43,11 @@
         , store(store)
         , cloud(cloud)
         , tenure(tenure)
-        , tookOverAt(bootNow())
         , options(std::move(options))
-        , scheduler(timesFor(this->options, tenure), tenure.term * runsPerTerm, bootNow())
+        , gate(this->options, this->tenure, bootNow())
+        , scheduler(
+              timesAfterTakeover(this->options.times, tenure, this->options.leadership, bootNow()),
+              tenure.term * runsPerTerm, bootNow())
         , jobLoader(this->scheduler)
         , planWake(executor)
     {
@@ -54,11 +56,10 @@
 
     void begin()
     {
-        this->spawnPart("lead", [self = this->shared_from_this()] { return self->run(); });
-        this->spawnPart("load-watch",
-                        [self = this->shared_from_this()] { return watchLoad(self->loadWatch()); });
-        this->spawnPart("loop-watch",
-                        [self = this->shared_from_this()] { return self->logLoop(); });
+        auto self = this->shared_from_this();
+        this->spawnPart("lead", [self] { return self->run(); });
+        this->spawnPart("load-watch", [self] { return watchLoad(self->loadWatch()); });
+        this->spawnPart("loop-watch", [self] { return self->logLoop(); });
     }
 
     /// Stops giving orders and recording.
@@ -131,40 +132,6 @@
     }
 
 private:
-    using milliseconds = std::chrono::milliseconds;
-
-    static scheduling::SchedulerTimes timesFor(const Options &options, const Tenure &tenure)
-    {
-        auto times = options.times;
-        times.inheritedLease = inheritedLease(tenure, times, options.leadership, bootNow());
-        times.surveyTime = tenure.predecessorStopped ? Duration{} : minSurveyTime;
-        return times;
-    }
-
-    // Exceeds the number of starts of one task in one term, so that run numbers of different terms
-    // are distinct.
-    static constexpr std::int64_t runsPerTerm = 1000;
-    // Orders about VMs are given only if the lease was confirmed within this time. It is shorter
-    // than the term after which another entry VM may take the lease, so that a successor need not
-    // add the whole limit to its wait.
-    static constexpr Duration vmOrderLimit = std::chrono::milliseconds(800);
-    static constexpr Duration vmOrderMargin = std::chrono::milliseconds(200);
-    static constexpr auto loadPeriod = std::chrono::seconds(1);
-    static constexpr auto planTick = std::chrono::milliseconds(50);
-    // Ends and answers that arrive within this time are handled by one planning round.
-    static constexpr auto planBatchDelay = std::chrono::milliseconds(2);
-    // The pause between two rounds is this many times the duration of the last round, so that
-    // planning leaves time to process answers.
-    static constexpr int planPauseFactor = 4;
-    // Delay between reads of the worker entries, and so of the news of a drain. Workers write their
-    // entries every one or two seconds.
-    static constexpr std::chrono::milliseconds listPause{250};
-    // Of the feeds of jobs and workers. A feed without changes proves that there were none only
-    // when it answers, and pending counts must be less than two seconds old.
-    static constexpr std::chrono::milliseconds feedWait{500};
-    // Less than the time after which a cancelled job's tasks must not start (3 s).
-    static constexpr Duration maxReadLag = std::chrono::milliseconds(2000);
-
     template<typename Body>
     void spawnPart(std::string_view name, Body body)
     {
@@ -260,21 +227,6 @@
         this->planWake.notify();
     }
 
-    // With fewer workers the leader calls them directly, since a relay adds a few milliseconds.
-    static constexpr std::size_t minWorkersForRelay = 100;
-
-    RelayClient *relay() const
-    {
-        const bool hasManyWorkers = this->listedWorkers >= minWorkersForRelay;
-        return hasManyWorkers && this->options.relay->isOpen() ? this->options.relay : nullptr;
-    }
-
-    // After a suspension of the process its state may be outdated, so it must not give orders.
-    bool canOrder() const
-    {
-        return this->options.sinceConfirmed() < this->options.leadership.orderLimit;
-    }
-
     using Follower = std::shared_ptr<TableFollower<Store>>;
 
     Instant coveredUntil(const Follower &follower) const
@@ -283,23 +235,14 @@
                         : Instant{};
     }
 
-    // While the store confirms the lease, other entry VMs can store cancellations and workers can
-    // report that they drain. Starts then pause while the rows read here are too old to tell. While
-    // the store confirms nothing, no row is behind the last confirmation, and starts go on.
     bool canStart() const
     {
-        const auto newest = this->options.confirmations().newest();
-        return this->canOrder() && this->knowsCaps(newest)
-               && newest - this->coveredUntil(this->intakeFollower) < maxReadLag
-               && newest - this->coveredUntil(this->workerFollower) < maxReadLag;
+        return this->gate.canStart(this->readTimes(), this->scheduler.configuration().hasCaps());
     }
 
-    // A cap that was cut has to be kept once its configuration is in force.
-    bool knowsCaps(Instant newestConfirmation) const
+    ReadTimes readTimes() const
     {
-        const auto lag = newestConfirmation - this->options.configurationCoveredUntil();
-        return !this->scheduler.configuration().hasCaps()
-               || lag < this->options.maxConfigurationLag;
+        return {this->coveredUntil(this->intakeFollower), this->coveredUntil(this->workerFollower)};
     }
 
     void beginFleet()
@@ -309,9 +252,9 @@
         fleetOptions.fence = this->tenure.fence;
         fleetOptions.deferredVms = this->tenure.orderedVms;
         fleetOptions.inheritedOrders = this->tenure.openVmOrders;
-        fleetOptions.deferredUntil = this->tookOverAt + this->options.handOverDelay + vmOrderMargin;
+        fleetOptions.deferredUntil = this->gate.deferredUntil();
         fleetOptions.canOrder = [self] {
-            return self->canOrderVms();
+            return self->isReady() && self->gate.canOrderVms();
         };
         fleetOptions.announce = this->options.announce;
         fleetOptions.statusRow = &Platform::waveStatus;
@@ -325,17 +268,6 @@
         this->fleet->begin();
     }
 
-    // A predecessor of an earlier version does not announce its orders, and may have sent one just
-    // before the store stopped confirming its lease.
-    bool canOrderVms() const
-    {
-        const auto wait = this->tenure.isFirst || this->tenure.knowsPredecessorOrders
-                              ? Duration::zero()
-                              : this->options.handOverDelay + vmOrderMargin;
-        return this->isReady() && this->options.sinceConfirmed() < vmOrderLimit
-               && bootNow() - this->tookOverAt > wait;
-    }
-
     void takeIntake(const std::vector<store::PartRow> &rows)
     {
         for (const auto &row : rows) {
@@ -363,15 +295,16 @@
                 self->options.onDeposed(why);
         };
         events.canOrder = [self] {
-            return self->canOrder();
+            return self->gate.canOrder();
         };
         events.canStart = [self] {
             return self->canStart();
         };
         events.leasesEndBy = this->options.leasesEndBy;
         const auto makeWorker = [self](const std::string &id, const model::Endpoint &address) {
-            return std::make_unique<Worker>(self->executor, id, address,
-                                            [self] { return self->relay(); });
+            return std::make_unique<Worker>(self->executor, id, address, [self] {
+                return relayFor(self->options.relay, self->listedWorkers);
+            });
         };
         this->roster = std::make_shared<Roster>(this->executor, this->scheduler, this->tenure.fence,
                                                 makeWorker, std::move(events));
@@ -392,12 +325,14 @@
                 std::max<Duration>(planBatchDelay, planPauseFactor * this->lastPlanDuration));
             if (this->stopped)
                 co_return;
-            if (!this->isReady() || !this->canOrder())
+            if (!this->isReady() || !this->gate.canOrder())
                 continue;
             const auto begin = bootNow();
-            this->noteStartsAllowed(this->canStart());
-            this->roster->give(this->startsAllowed ? this->scheduler.plan(begin, http::unixNow())
-                                                   : this->scheduler.planStops(begin));
+            const bool startsAllowed = this->canStart();
+            this->startLog.note(startsAllowed, this->options.confirmations().newest(),
+                                this->readTimes());
+            this->roster->give(startsAllowed ? this->scheduler.plan(begin, http::unixNow())
+                                             : this->scheduler.planStops(begin));
             this->lastPlanDuration = bootNow() - begin;
             this->loopFigures.addRound(this->lastPlanDuration);
             logRound(this->scheduler.takeNotes(), begin);
@@ -407,19 +342,6 @@
         }
     }
 
-    void noteStartsAllowed(bool areAllowed)
-    {
-        if (areAllowed == this->startsAllowed)
-            return;
-        this->startsAllowed = areAllowed;
-        const auto newest = this->options.confirmations().newest();
-        LOG(WARNING) << "event=starts-" << (areAllowed ? "resumed" : "paused") << " intake-lag-ms="
-                     << (newest - this->coveredUntil(this->intakeFollower)) / milliseconds(1)
-                     << " workers-lag-ms="
-                     << (newest - this->coveredUntil(this->workerFollower)) / milliseconds(1);
-    }
-
-    // Tells a busy event loop, long planning rounds and a reader that is behind the store apart.
     Awaitable<void> logLoop()
     {
         auto loggedAt = bootNow();
@@ -430,15 +352,9 @@
             if (this->stopped || !follower || bootNow() - loggedAt < loadPeriod)
                 continue;
             loggedAt = bootNow();
-            LOG(INFO) << "event=leader-loop ready=" << this->isReady()
-                      << " confirmed-ms=" << this->options.sinceConfirmed() / milliseconds(1)
-                      << " delay-ms=" << figures.maxDelay / milliseconds(1)
-                      << " rounds=" << figures.rounds
-                      << " rounds-ms=" << figures.roundTime / milliseconds(1)
-                      << " max-round-ms=" << figures.maxRound / milliseconds(1)
-                      << " intake-rows=" << follower->feedRows()
-                      << " intake-version=" << follower->readVersion() << " lease-version="
-                      << (this->options.leaseVersion ? this->options.leaseVersion() : 0);
+            logLeaderLoop(figures, {this->isReady(), this->options.sinceConfirmed(),
+                                    follower->feedRows(), follower->readVersion(),
+                                    this->options.leaseVersion ? this->options.leaseVersion() : 0});
             figures = {};
         }
     }
@@ -459,8 +375,8 @@
     Store &store;
     Cloud &cloud;
     Tenure tenure;
-    Instant tookOverAt;
     Options options;
+    OrderGate gate;
     scheduling::Scheduler scheduler;
     std::vector<std::string> jobPartNames; // parts that hold rows of jobs, set at the start
     std::shared_ptr<JobRecorder<Store>> recorder;
@@ -477,7 +393,7 @@
     LoopFigures loopFigures; // since the last line about the event loop
     std::size_t loadSteps = 0; // number of table reads completed so far
     bool knowsWorkers = false;
-    bool startsAllowed = true; // the rows read are recent enough, as of the last planning round
+    StartLog startLog;
     bool stopped = false;
 };
 
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/job_rows.h>
+#include <sassafrasferry/coordination/lease_row.h>
 #include <sassafrasferry/coordination/read_index.h>
 #include <sassafrasferry/coordination/tenure.h>
 #include <sassafrasferry/coordination/timing.h>
@@ -165,7 +166,7 @@
         this->isWriting = true;
         this->renewedAt = begin;
         const auto record = this->record(this->events.openVmOrders(), begin);
-        const auto transaction = this->transaction(record);
+        const auto transaction = leaseTransaction(record, this->version);
         const auto commit = co_await this->store.commit(transaction);
         this->isWriting = false;
         if (this->leading && commit.state == store::CommitState::Committed) {
@@ -188,7 +189,7 @@
         record.set_successor(std::move(successor));
         for (auto &vm : orderedVms)
             record.add_ordered_vms(std::move(vm));
-        const auto transaction = this->transaction(record);
+        const auto transaction = leaseTransaction(record, this->version);
         const auto commit = co_await this->store.commit(transaction);
         if (commit.state != store::CommitState::Committed)
             LOG(WARNING) << "event=lease-not-released";
@@ -213,14 +214,6 @@
         return record;
     }
 
-    store::PartTransaction transaction(const messages::LeaseRecord &record) const
-    {
-        return {table::lease,
-                {{table::lease, table::lease, this->version}},
-                {{table::lease, table::lease, record.SerializeAsString()}},
-                {}};
-    }
-
     void noteVersion(std::int64_t newVersion)
     {
         if (newVersion == this->version && this->hasVersion)
@@ -230,15 +223,7 @@
         this->versionSince = bootNow();
     }
 
-    /// The store's answer that this process holds the lease.
-    struct Confirmation
-    {
-        Instant writtenAt; ///< when the write was sent that made the lease row
-        std::int64_t version = store::absent; ///< of the store, when it answered
-        Instant askedAt; ///< when the call was sent that this answers
-    };
-
-    void confirmed(const Confirmation &confirmation)
+    void confirmed(const LeaseConfirmation &confirmation)
     {
         this->confirmedAt = std::max(this->confirmedAt, confirmation.writtenAt);
         this->readIndex.confirm(confirmation.version, confirmation.askedAt);
@@ -246,7 +231,7 @@
 
     // A read confirms the lease as of the write that made the row. A successor may have seen the
     // same row before the read, and counts its wait from then.
-    Confirmation readConfirmation(const messages::LeaseRecord &record, Instant askedAt) const
+    LeaseConfirmation readConfirmation(const messages::LeaseRecord &record, Instant askedAt) const
     {
         const Instant writtenAt{std::chrono::milliseconds(record.renewed_milliseconds())};
         return {writtenAt, this->readAtVersion, askedAt};
@@ -295,9 +280,7 @@
         messages::LeaseRecord record;
         if (!co_await this->readLease(record))
             co_return;
-        std::vector<scheduling::OpenVmOrder> openVmOrders;
-        for (const auto &order : record.open_orders())
-            openVmOrders.push_back(scheduling::openVmOrderFrom(order));
+        auto openVmOrders = openVmOrdersOf(record);
         const bool isOwn = this->isMine(record);
         // This process acquired the lease, and the answer was lost.
         if (isOwn && record.term() > this->ledTerm) {
@@ -311,16 +294,8 @@
         const bool isFree = record.holder().empty();
         const bool isEarlierProcess = record.holder() == this->self && !isOwn;
         const bool isExpired = bootNow() - this->versionSince > this->times.term;
-        Tenure next;
-        next.term = record.term() + 1;
-        next.predecessorStopped = isFree || isEarlierProcess || isOwn;
+        auto next = tenureAfter(record, isEarlierProcess, isOwn);
         next.predecessorConfirmedBy = this->versionSince;
-        next.limitsLeases = record.renewed_milliseconds() != 0;
-        next.isFirst = record.term() == 0 || isEarlierProcess;
-        next.knowsPredecessorOrders = record.term() > 0 && (isFree || record.announces_orders());
-        // Orders of an earlier process of this entry VM count as its own.
-        if (!isEarlierProcess)
-            next.orderedVms.assign(record.ordered_vms().begin(), record.ordered_vms().end());
         next.openVmOrders = std::move(openVmOrders);
         if (!isFree && !isEarlierProcess && !isOwn && !isExpired) {
             this->freeSince = {};
@@ -330,37 +305,25 @@
             this->freeSince = now;
         if (isHeldOff)
             co_return;
-        if (isEarlierProcess || isOwn || now - this->freeSince >= this->delayFor(record, now))
+        if (isEarlierProcess || isOwn
+            || now - this->freeSince
+                   >= takeDelayFor(record, this->address, now - this->startedAt, this->times))
             co_await this->acquire(next);
     }
 
-    // Recently started processes come first: in a rolling restart they have already been restarted.
-    Duration delayFor(const messages::LeaseRecord &record, Instant now) const
-    {
-        if (!record.holder().empty())
-            return this->times.takeDelay;
-        if (!record.successor().empty())
-            return record.successor() == model::toString(this->address)
-                       ? Duration::zero()
-                       : this->times.takeDelay + this->times.successorLead;
-        const auto age = std::min(now - this->startedAt, this->times.maxAgeDelayAt);
-        return this->times.takeDelay
-               + this->times.maxAgeDelay * (age / std::chrono::milliseconds(1))
-                     / (this->times.maxAgeDelayAt / std::chrono::milliseconds(1));
-    }
-
     Awaitable<void> acquire(Tenure next)
     {
         const auto begin = bootNow();
         this->pendingTenure = next;
         this->tenure.term = next.term;
-        const auto transaction = this->transaction(this->record(next.openVmOrders, begin));
+        const auto transaction =
+            leaseTransaction(this->record(next.openVmOrders, begin), this->version);
         const auto commit = co_await this->store.commit(transaction);
         if (commit.state == store::CommitState::Committed && !this->released)
             this->lead(commit.version, next, {begin, commit.version, begin});
     }
 
-    void lead(std::int64_t fence, const Tenure &next, const Confirmation &confirmation)
+    void lead(std::int64_t fence, const Tenure &next, const LeaseConfirmation &confirmation)
     {
         this->tenure = next;
         this->tenure.fence = fence;
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/lease_row.h
@@ -0,0 +1,73 @@
+// The lease row, and what it means for the entry VM that leads next.
+#pragma once
+
+#include <sassafrasferry/coordination/job_rows.h>
+#include <sassafrasferry/coordination/tenure.h>
+#include <sassafrasferry/messages/jobs.pb.h>
+#include <sassafrasferry/model/settings.h>
+
+#include <algorithm>
+
+namespace sassafrasferry::coordination {
+
+/// The store's answer that a process holds the lease.
+struct LeaseConfirmation
+{
+    Instant writtenAt; ///< when the write was sent that made the lease row
+    std::int64_t version = store::absent; ///< of the store, when it answered
+    Instant askedAt; ///< when the call was sent that this answers
+};
+
+/// Writes the lease row if it still has the version.
+inline store::PartTransaction leaseTransaction(const messages::LeaseRecord &record,
+                                               std::int64_t version)
+{
+    return {table::lease,
+            {{table::lease, table::lease, version}},
+            {{table::lease, table::lease, record.SerializeAsString()}},
+            {}};
+}
+
+inline std::vector<scheduling::OpenVmOrder> openVmOrdersOf(const messages::LeaseRecord &record)
+{
+    std::vector<scheduling::OpenVmOrder> orders;
+    for (const auto &order : record.open_orders())
+        orders.push_back(scheduling::openVmOrderFrom(order));
+    return orders;
+}
+
+/// The tenure that follows the lease row. `isEarlierProcess`: an earlier process of this entry VM
+/// holds the lease; `isOwn`: this process does.
+inline Tenure tenureAfter(const messages::LeaseRecord &record, bool isEarlierProcess, bool isOwn)
+{
+    const bool isFree = record.holder().empty();
+    Tenure next;
+    next.term = record.term() + 1;
+    next.predecessorStopped = isFree || isEarlierProcess || isOwn;
+    next.limitsLeases = record.renewed_milliseconds() != 0;
+    next.isFirst = record.term() == 0 || isEarlierProcess;
+    next.knowsPredecessorOrders = record.term() > 0 && (isFree || record.announces_orders());
+    // Orders of an earlier process of this entry VM count as its own.
+    if (!isEarlierProcess)
+        next.orderedVms.assign(record.ordered_vms().begin(), record.ordered_vms().end());
+    return next;
+}
+
+/// How long the entry VM at `address` waits before it takes the free lease. Recently started
+/// processes come first: in a rolling restart they have already been restarted.
+inline Duration takeDelayFor(const messages::LeaseRecord &record, const model::Endpoint &address,
+                             Duration processAge, const LeadershipTimes &times)
+{
+    if (!record.holder().empty())
+        return times.takeDelay;
+    if (!record.successor().empty())
+        return record.successor() == model::toString(address)
+                   ? Duration::zero()
+                   : times.takeDelay + times.successorLead;
+    const auto age = std::min(processAge, times.maxAgeDelayAt);
+    return times.takeDelay
+           + times.maxAgeDelay * (age / std::chrono::milliseconds(1))
+                 / (times.maxAgeDelayAt / std::chrono::milliseconds(1));
+}
+
+} // namespace sassafrasferry::coordination
--- /dev/null
+++ b/packages/coordination/include/sassafrasferry/coordination/order_gate.h
@@ -0,0 +1,104 @@
+// Tells when a leader may give orders: by the age of its lease's confirmation, and by the age of
+// the rows that it has read.
+#pragma once
+
+#include <sassafrasferry/coordination/leader_options.h>
+#include <sassafrasferry/coordination/tenure.h>
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+namespace sassafrasferry::coordination {
+
+/// The moments up to which a leader knows all changes of the tables that it follows.
+struct ReadTimes
+{
+    Instant intake{};
+    Instant workers{};
+};
+
+/// `options` and `tenure` outlive it.
+class OrderGate
+{
+public:
+    OrderGate(const LeaderOptions &options, const Tenure &tenure, Instant tookOverAt)
+        : options(options)
+        , tenure(tenure)
+        , tookOverAt(tookOverAt)
+    {}
+
+    /// After a suspension of the process its state may be outdated, so it must not give orders.
+    bool canOrder() const
+    {
+        return this->options.sinceConfirmed() < this->options.leadership.orderLimit;
+    }
+
+    /// While the store confirms the lease, other entry VMs can store cancellations and workers can
+    /// report that they drain. Starts then pause while the rows read here are too old to tell.
+    /// While the store confirms nothing, no row is behind the last confirmation, and starts go on.
+    /// `hasCaps`: a customer has a cap.
+    bool canStart(const ReadTimes &readTimes, bool hasCaps) const
+    {
+        const auto newest = this->options.confirmations().newest();
+        return this->canOrder() && (!hasCaps || this->knowsCaps(newest))
+               && newest - readTimes.intake < maxReadLag && newest - readTimes.workers < maxReadLag;
+    }
+
+    /// A predecessor of an earlier version does not announce its orders, and may have sent one just
+    /// before the store stopped confirming its lease.
+    bool canOrderVms() const
+    {
+        const bool knowsOrders = this->tenure.isFirst || this->tenure.knowsPredecessorOrders;
+        return this->options.sinceConfirmed() < vmOrderLimit
+               && (knowsOrders || bootNow() > this->deferredUntil());
+    }
+
+    /// No order is given before about a VM that the predecessor gave one about.
+    Instant deferredUntil() const
+    {
+        return this->tookOverAt + this->options.handOverDelay + vmOrderMargin;
+    }
+
+private:
+    // Less than the time after which a cancelled job's tasks must not start (3 s).
+    static constexpr Duration maxReadLag = std::chrono::milliseconds(2000);
+    // Orders about VMs are given only if the lease was confirmed within this time. It is shorter
+    // than the term after which another entry VM may take the lease, so that a successor need not
+    // add the whole limit to its wait.
+    static constexpr Duration vmOrderLimit = std::chrono::milliseconds(800);
+    static constexpr Duration vmOrderMargin = std::chrono::milliseconds(200);
+
+    // A cap that was cut has to be kept once its configuration is in force.
+    bool knowsCaps(Instant newestConfirmation) const
+    {
+        const auto lag = newestConfirmation - this->options.configurationCoveredUntil();
+        return lag < this->options.maxConfigurationLag;
+    }
+
+    const LeaderOptions &options;
+    const Tenure &tenure;
+    Instant tookOverAt;
+};
+
+/// Logs when starts pause and resume.
+class StartLog
+{
+public:
+    void note(bool areAllowed, Instant newestConfirmation, const ReadTimes &readTimes)
+    {
+        using std::chrono::milliseconds;
+        if (areAllowed == this->wereAllowed)
+            return;
+        this->wereAllowed = areAllowed;
+        LOG(WARNING) << "event=starts-" << (areAllowed ? "resumed" : "paused") << " intake-lag-ms="
+                     << (newestConfirmation - readTimes.intake) / milliseconds(1)
+                     << " workers-lag-ms="
+                     << (newestConfirmation - readTimes.workers) / milliseconds(1);
+    }
+
+private:
+    bool wereAllowed = true;
+};
+
+} // namespace sassafrasferry::coordination
--- a/packages/coordination/src/decision_log.cpp
+++ b/packages/coordination/src/decision_log.cpp
@@ -38,6 +38,19 @@
     }
 }
 
+void logLeaderLoop(const LoopFigures &figures, const LeaderProgress &progress)
+{
+    using std::chrono::milliseconds;
+    LOG(INFO) << "event=leader-loop ready=" << progress.isReady
+              << " confirmed-ms=" << progress.sinceConfirmed / milliseconds(1)
+              << " delay-ms=" << figures.maxDelay / milliseconds(1) << " rounds=" << figures.rounds
+              << " rounds-ms=" << figures.roundTime / milliseconds(1)
+              << " max-round-ms=" << figures.maxRound / milliseconds(1)
+              << " intake-rows=" << progress.intakeRows
+              << " intake-version=" << progress.intakeVersion
+              << " lease-version=" << progress.leaseVersion;
+}
+
 void logCustomerUsage(const scheduling::CustomerUsage &usage)
 {
     for (const auto &entry : usage.entries()) {
--- a/packages/entry/src/request/claim_settler.h
+++ b/packages/entry/src/request/claim_settler.h
@@ -23,6 +23,16 @@
     std::size_t maxInlineBytes = 16UL * 1024;
 };
 
+/// Whether the outcome of an open claim can become known without further action. `word`: the
+/// worker's reply.
+inline bool canBecomeKnown(const policy::Claim &existing, const policy::WorkerWord &word)
+{
+    if (word.state == policy::RunState::Running || word.state == policy::RunState::Done)
+        return true;
+    return word.state == policy::RunState::NeverSeen && existing.startRefusal
+           && word.workerStartedAt + policy::clockTolerance < existing.claimedAt;
+}
+
 /// Settles a claim whose request is no longer in progress by querying the worker named in the
 /// claim. Any entry VM may do this at any time, because writes are conditional on the claim's
 /// version.
--- a/packages/entry/src/request/keyed_flow.h
+++ b/packages/entry/src/request/keyed_flow.h
@@ -145,7 +145,7 @@
             break;
         case policy::Settlement::Open:
             // Waiting only helps if the outcome can become known without further action.
-            if (this->canBecomeKnown(existing.claim, settled.word))
+            if (canBecomeKnown(existing.claim, settled.word))
                 answer = co_await this->waitBeforeReread(AnswerReason::NotSettled);
             else
                 answer = entryAnswer(model::Outcome::Unknown, AnswerReason::NotSettled,
@@ -155,14 +155,6 @@
         co_return answer;
     }
 
-    bool canBecomeKnown(const policy::Claim &existing, const policy::WorkerWord &word) const
-    {
-        if (word.state == policy::RunState::Running || word.state == policy::RunState::Done)
-            return true;
-        return word.state == policy::RunState::NeverSeen && existing.startRefusal
-               && word.workerStartedAt + policy::clockTolerance < existing.claimedAt;
-    }
-
     // Claims the key and sends the request, trying other workers until one has run it. Returns no
     // answer if another request has claimed the key first.
     Awaitable<MaybeAnswer> claimAndSend()
@@ -378,7 +370,7 @@
             if (settled.settlement == policy::Settlement::NotRun)
                 co_return entryAnswer(model::Outcome::NotRun, AnswerReason::WorkerSilent,
                                       this->environment.retryAfter(this->request.service));
-            if (!this->canBecomeKnown(this->claim, settled.word))
+            if (!canBecomeKnown(this->claim, settled.word))
                 break;
             co_await this->environment.pause(this->poll);
             this->poll = std::min(2 * this->poll, KeyedRequestLimits{}.maxPollInterval);
