Logs tell how old a leader's knowledge is, and which relayed starts are slow

The hypotheses on UNASKED can't be told apart by the log: a line 'start' says neither when the store last confirmed the leader's lease nor when the start reached its worker, and a stop that got no answer leaves no line. Rounds now carry confirmed-ms and intake-age-ms; a relay logs a start that took 0.5 s or more (relayed-start-slow: on the way, and in its call); stop-refused names the answer. A call to a relay carries the leader's wall clock for that line alone. No decision changes.

--- a/packages/coordination/include/sassafrasferry/coordination/call_relay.h
+++ b/packages/coordination/include/sassafrasferry/coordination/call_relay.h
@@ -8,6 +8,7 @@
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/timing.h>
 #include <sassafrasferry/coordination/worker_calls.h>
+#include <sassafrasferry/http/clock.h>
 #include <sassafrasferry/messages/jobs.pb.h>
 #include <sassafrasferry/model/settings.h>
 
@@ -24,6 +25,10 @@
 messages::WorkerCall stopCall(const scheduling::StopOrder &order, std::int64_t fence);
 messages::WorkerCall paceCall(const scheduling::PaceOrder &order, std::int64_t fence);
 HoldAnswer holdAnswerFrom(const std::string &worker, const messages::WorkerCallAnswer &answer);
+/// Logs a start that reached its worker late: whether the time passed between leader and relay or
+/// in the relay's call. `receivedAt`: by the relay, Unix milliseconds.
+void logSlowStart(const messages::WorkerCall &call, std::int64_t receivedAt,
+                  scheduling::OrderAnswer answer);
 messages::WorkerCallAnswer answerRecord(const HoldAnswer &answer);
 
 /// The leader's side: sends calls to relays and returns the answers to the callers.
@@ -160,7 +165,9 @@
             order.payload = call.payload();
             order.checkpoint = call.checkpoint();
             order.ticket = call.ticket();
+            const auto receivedAt = http::unixNow();
             result = co_await worker->start(order, call.until(), call.fence());
+            logSlowStart(call, receivedAt, result);
         } else if (task && call.kind() == messages::WorkerCall::STOP) {
             scheduling::StopOrder order;
             order.worker = call.worker();
--- a/packages/coordination/include/sassafrasferry/coordination/decision_log.h
+++ b/packages/coordination/include/sassafrasferry/coordination/decision_log.h
@@ -10,9 +10,17 @@
 
 namespace sassafrasferry::coordination {
 
+/// How old the knowledge is by which a round decided.
+struct RoundKnowledge
+{
+    Duration sinceConfirmed{}; ///< time since the store last confirmed the lease
+    Duration intakeAge{}; ///< jobs and cancellations that were stored since may be unknown
+};
+
 /// Logs the notes of a scheduling round as one log record of many lines. A record for each note
 /// would cost the leader more time than the decisions themselves.
-void logRound(const std::vector<scheduling::DecisionNote> &notes, Instant at);
+void logRound(const std::vector<scheduling::DecisionNote> &notes, Instant at,
+              const RoundKnowledge &knowledge);
 
 /// Logs one line per service with its queued and running work and its capacity.
 void logLoads(const std::map<std::string, scheduling::ServiceLoad> &loads);
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -335,7 +335,8 @@
                                              : this->scheduler.planStops(begin));
             this->lastPlanDuration = bootNow() - begin;
             this->loopFigures.addRound(this->lastPlanDuration);
-            logRound(this->scheduler.takeNotes(), begin);
+            logRound(this->scheduler.takeNotes(), begin,
+                     {this->options.sinceConfirmed(), this->intakeAge()});
             if (this->scheduler.hasDirty())
                 this->recorder->wake();
             this->logLoadsPeriodically(begin);
--- a/packages/coordination/src/call_relay.cpp
+++ b/packages/coordination/src/call_relay.cpp
@@ -2,6 +2,7 @@
 #include <sassafrasferry/coordination/call_relay.h>
 
 #include <sassafrasferry/http/await_callback.h>
+#include <sassafrasferry/http/clock.h>
 
 #include <algorithm>
 
@@ -19,6 +20,8 @@
 constexpr std::size_t minRelays = 3;
 constexpr auto batchDelay = std::chrono::milliseconds(2);
 constexpr auto expiryTick = std::chrono::milliseconds(100);
+// Relayed starts that take longer are logged.
+constexpr std::chrono::milliseconds slowStart{500};
 
 messages::WorkerCall orderCall(messages::WorkerCall::Kind kind, const jobs::TaskId &task,
                                std::int64_t run, std::int64_t fence)
@@ -73,6 +76,18 @@
     return call;
 }
 
+void logSlowStart(const messages::WorkerCall &call, std::int64_t receivedAt,
+                  scheduling::OrderAnswer answer)
+{
+    const auto onTheWay = receivedAt - call.sent_milliseconds();
+    const auto called = http::unixNow() - receivedAt;
+    if (call.sent_milliseconds() == 0 || onTheWay + called < slowStart.count())
+        return;
+    LOG(WARNING) << "event=relayed-start-slow of=" << call.task() << " run=" << call.run()
+                 << " worker=" << call.worker() << " on-the-way-ms=" << onTheWay
+                 << " call-ms=" << called << " answer=" << model::nameOf(answer);
+}
+
 HoldAnswer holdAnswerFrom(const std::string &worker, const messages::WorkerCallAnswer &record)
 {
     HoldAnswer answer;
@@ -168,6 +183,7 @@
         }
         const auto number = this->numbers.next();
         call.set_number(number);
+        call.set_sent_milliseconds(http::unixNow());
         this->pending[number] = {done, bootNow() + timeout};
         *this->batches[*relay].add_calls() = std::move(call);
         if (!std::exchange(this->flushing, true))
--- a/packages/coordination/src/decision_log.cpp
+++ b/packages/coordination/src/decision_log.cpp
@@ -13,12 +13,16 @@
 
 } // namespace
 
-void logRound(const std::vector<scheduling::DecisionNote> &notes, Instant at)
+void logRound(const std::vector<scheduling::DecisionNote> &notes, Instant at,
+              const RoundKnowledge &knowledge)
 {
     if (notes.empty())
         return;
     const auto time = at.time_since_epoch() / std::chrono::milliseconds(1);
-    auto lines = absl::StrCat("event=round notes=", notes.size());
+    auto lines =
+        absl::StrCat("event=round notes=", notes.size(),
+                     " confirmed-ms=", knowledge.sinceConfirmed / std::chrono::milliseconds(1),
+                     " intake-age-ms=", knowledge.intakeAge / std::chrono::milliseconds(1));
     for (const auto &note : notes)
         absl::StrAppend(&lines, "\nt=", time, " event=", note.event, " of=", note.subject, " ",
                         note.detail);
--- a/packages/scheduling/src/scheduler_answers.cpp
+++ b/packages/scheduling/src/scheduler_answers.cpp
@@ -77,6 +77,11 @@
         this->incarnationEnded(order.worker, EndEvidence::OtherIncarnation, now);
         return;
     }
+    if (answer != OrderAnswer::Accepted) {
+        this->note("stop-refused", jobs::toString(order.task),
+                   absl::StrCat("run=", order.run, " worker=", order.worker,
+                                " why=", std::string(model::nameOf(answer))));
+    }
     if (!task || answer != OrderAnswer::Accepted)
         return;
     for (auto &run : task->runs) {
