A leader that lost the store with a renewal in flight is succeeded in time

Callers saw tasks of jobs start more than 4 s after the cancellation was acknowledged, and no leader that reaches the store for 7 s.

Cause: an entry VM counts the age of the lease row from when it first saw its version, and notes any other version as a change: that of the row, which it reads, and that which the leader names in its answers to hellos. A leader whose last renewal was stored and not answered names the version before. Read and answer alternate, each seems to be a change, the row never seems old, and nobody takes the lease while the former leader answers, up to its order limit of 6.5 s. All the while it starts tasks through other entry VMs and reads no cancellation. Renewals are written every 0.4 s and with each order about VMs, so one is often in flight.

The test, which answers hellos with the version before, fails without the change (not leader after 4 terms) and passes with it.

Change: a version below the known one in an answer of the leader is ignored.

--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -81,11 +81,14 @@
         return this->leader;
     }
 
-    /// Notes that the leader answered, and the version of its lease row that it reported.
+    /// Notes that the leader answered, and the version of its lease row that it reported. A lower
+    /// version than the known one is ignored: the leader missed the store's answer to a renewal,
+    /// and may have lost the store, so the row must not seem to have changed.
     void noteLeaderAnswer(std::int64_t leaseVersion)
     {
         this->leaderAnsweredAt = bootNow();
-        this->noteVersion(leaseVersion);
+        if (leaseVersion >= this->version)
+            this->noteVersion(leaseVersion);
     }
 
     /// Sets whether a live entry VM with far more processor cores should take an expired lease
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -296,3 +296,50 @@
     CHECK(only.confirmations().coveredUntil(newest - 1) == Instant{});
     CHECK(only.confirmations().coveredUntil(newest) != Instant{});
 }
+
+// Guards against a fleet without a leader that reaches the store: the leader alone has lost it,
+// with a renewal that was stored and not answered. Its answers to hellos name the version before,
+// which must not make the unchanged row look new.
+TEST_CASE("A leader that does not know of its last renewal is succeeded within the term")
+{
+    LeadershipTimes times;
+    times.term = std::chrono::milliseconds(300);
+    times.readPeriod = std::chrono::milliseconds(20);
+    times.leaderAnswerMaxAge = std::chrono::milliseconds(60);
+    times.tick = std::chrono::milliseconds(5);
+    const auto helloPeriod = std::chrono::milliseconds(25);
+    http::asio::io_context context;
+    MemoryStore store;
+    std::vector<std::int64_t> versions{store::absent};
+    Leadership<MemoryStore> follower(store, "follower", {"127.0.0.1", 2}, 2,
+                                     {[](const Tenure &) {},
+                                      [](const auto &) {
+                                      }},
+                                     times);
+    messages::LeaseRecord record;
+    record.set_holder("leader");
+    record.set_address("127.0.0.1:1");
+    record.set_term(1);
+    const auto renew = [&]() -> Awaitable<void> {
+        const auto commit = co_await store.commit(leaseTransaction(record, versions.back()));
+        versions.push_back(commit.version);
+    };
+    const auto helloLoop = [&]() -> Awaitable<void> {
+        for (;;) {
+            follower.noteLeaderAnswer(versions[versions.size() - 2]);
+            co_await pause(helloPeriod);
+        }
+    };
+    spawn(context.get_executor(), "leader", [&]() -> Awaitable<void> {
+        co_await renew();
+        co_await renew();
+    });
+    context.run();
+    context.restart();
+    spawn(context.get_executor(), "hellos", helloLoop);
+    spawn(context.get_executor(), "follower", [&] { return follower.run(); });
+    const auto latest = bootNow() + 4 * times.term;
+    while (!follower.isLeader() && bootNow() < latest)
+        context.run_one();
+    CHECK(follower.isLeader());
+}
