A renewal that was stored unseen doesn't delay a takeover by a whole term

Callers of an entry VM without a leader wait: after a cut between the leader and the store the next leader took over 3.5 s later instead of 1.85 s.

Cause: entry VMs read the lease row only when the leader has not renewed for the whole term (1.6 s). If the last renewal was stored and not answered, they see it then for the first time, and count the term anew.

The test, in which hellos name the version before, saw the row unread before (1 == 2).

Change: the row is read if the leader has reported no renewal for 1.0 s (it renews every 0.4 s and is asked every 0.25 s).

--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -11,6 +11,7 @@
 #include <sassafrasferry/model/settings.h>
 #include <sassafrasferry/scheduling/open_vm_order.h>
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 
@@ -276,13 +277,13 @@
         co_return true;
     }
 
-    // True if the leader has not answered recently, or has not renewed its lease. A leader that
-    // answers without renewing has lost the store and can record nothing.
+    // True if the leader has not answered recently, or has reported no renewal of its lease. A
+    // leader that answers without renewing has lost the store and can record nothing.
     bool mustReadLease() const
     {
         const auto now = bootNow();
         return now - this->leaderAnsweredAt > this->times.leaderAnswerMaxAge || !this->hasVersion
-               || now - this->versionSince > this->times.term;
+               || now - this->versionSince > std::min(this->times.maxRenewalGap, this->times.term);
     }
 
     bool isMine(const messages::LeaseRecord &record) const
--- a/packages/coordination/include/sassafrasferry/coordination/tenure.h
+++ b/packages/coordination/include/sassafrasferry/coordination/tenure.h
@@ -26,6 +26,9 @@
     Duration leaseLimit = std::chrono::milliseconds(7500);
     /// The lease row is not read while the leader's last answer is younger than this.
     Duration leaderAnswerMaxAge = std::chrono::milliseconds(600);
+    /// The lease row is read if the leader has reported no renewal for this long. A renewal that
+    /// the store did not answer may have been stored, and the term counts from when it is seen.
+    Duration maxRenewalGap = std::chrono::milliseconds(1000);
     Duration readPeriod = std::chrono::milliseconds(200); ///< between reads of the lease row
     Duration tick = std::chrono::milliseconds(50); ///< period of the main loop
     /// Delay before taking a free lease. Entry VMs with more processor cores get a shorter one and
--- a/packages/coordination/src/leadership_test.cpp
+++ b/packages/coordination/src/leadership_test.cpp
@@ -343,3 +343,36 @@
         context.run_one();
     CHECK(follower.isLeader());
 }
+
+// Guards against a takeover that takes two terms: a renewal that was stored and not answered looks
+// like a new one to an entry VM that reads the row only after the term.
+TEST_CASE("The lease row is read before the term ends if the leader reports no renewal")
+{
+    LeadershipTimes times;
+    times.term = std::chrono::hours(1);
+    times.leaderAnswerMaxAge = std::chrono::hours(1);
+    times.maxRenewalGap = std::chrono::milliseconds(50);
+    const auto patience = std::chrono::seconds(30);
+    http::asio::io_context context;
+    MemoryStore store;
+    Leadership<MemoryStore> follower(store, "follower", {"127.0.0.1", 2}, 2,
+                                     {[](const Tenure &) {},
+                                      [](const auto &) {
+                                      }},
+                                     times);
+    messages::LeaseRecord record;
+    record.set_holder("leader");
+    record.set_address("127.0.0.1:1");
+    std::int64_t stored = store::absent;
+    spawn(context.get_executor(), "follower", [&]() -> Awaitable<void> {
+        const auto reported = co_await store.commit(leaseTransaction(record, store::absent));
+        const auto renewed = co_await store.commit(leaseTransaction(record, reported.version));
+        stored = renewed.version;
+        follower.noteLeaderAnswer(reported.version);
+        co_await follower.run();
+    });
+    const auto latest = bootNow() + patience;
+    while ((stored == store::absent || follower.leaseVersion() != stored) && bootNow() < latest)
+        context.run_one();
+    CHECK(follower.leaseVersion() == stored);
+}
