A leader that alone is cut off from the store stops starting tasks

Cause: OrderGate measured how far the rows that the leader has read are behind the newest confirmation of its own lease. Cut off alone, both stand still and the lag stays 0, so starts went on through relays until the order limit, 6.5 s after the last confirmation, while other entry VMs stored and acknowledged cancellations.

Change: a follower's hello tells how long ago the store last answered it (JobQuestion.store_answer_age_milliseconds: of the configuration, of the lease row, or of a cancellation). The leader measures its lag against the newest of those and of its own confirmations, for jobs, workers and the configuration. If its lease has not been confirmed for 2 s and all entry VMs that had told of the store are silent, it starts nothing either: they may follow another leader. While the store answers nobody, without other entry VMs, or beside ones of earlier versions (they lack the field), starts go on as before. starts-paused names confirmed-ms.

"A leader without the store starts tasks until its order limit" holds unchanged; the same beside a peer that the store doesn't answer is new.

--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -210,10 +210,9 @@
                 this->handOverToStronger();
                 co_await this->operators->renew();
             } else if (const auto address = this->otherLeader()) {
-                messages::JobQuestion question;
-                question.set_cores(this->isReady() ? this->options.cores : 0);
-                const auto answer =
-                    co_await this->messenger.ask(*address, question, questionTimeout);
+                const auto hello = helloOf(this->isReady() ? this->options.cores : 0,
+                                           this->storeAnsweredAt(), bootNow());
+                const auto answer = co_await this->messenger.ask(*address, hello, questionTimeout);
                 if (answer && answer->leads() && !answer->leaving()) {
                     this->leadership.noteLeaderAnswer(answer->lease_version());
                     this->leadership.setYielding(
@@ -225,6 +224,14 @@
         }
     }
 
+    // The store is known to have answered this entry VM at or after this moment, or to have
+    // confirmed a cancellation just before.
+    Instant storeAnsweredAt() const
+    {
+        return std::max({this->operators->coveredUntil(), this->leadership.storeAnsweredAt(),
+                         this->stored.storeAnsweredAt()});
+    }
+
     void logOldConfiguration(const std::string &queue) const
     {
         LOG(WARNING) << "event=old-configuration queue=" << queue
@@ -284,6 +291,9 @@
         leaderOptions.confirmations = [this]() -> const ReadIndex & {
             return this->leadership.confirmations();
         };
+        leaderOptions.peerContact = [this] {
+            return this->peerStoreAnswers.contact(bootNow());
+        };
         leaderOptions.onDeposed = [this](const std::string &why) {
             this->leadership.deposed(why);
         };
@@ -322,6 +332,7 @@
         if (const auto peer = model::parseEndpoint(question.address()))
             this->relay.addRelay(*peer);
         this->successors.noteQuestion(question, bootNow());
+        this->peerStoreAnswers.noteQuestion(question, bootNow());
     }
 
     void handOverToStronger()
@@ -354,6 +365,7 @@
     RelayClient relay;
     std::shared_ptr<RelayServer<typename Platform::Worker>> agent;
     SuccessorChoice successors;
+    PeerStoreAnswers peerStoreAnswers;
     Leadership<Store> leadership;
     std::shared_ptr<Leader<Platform>> leader; // null unless this entry VM leads
     bool stopping = false;
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -329,8 +329,8 @@
                 continue;
             const auto begin = bootNow();
             const bool startsAllowed = this->canStart();
-            this->startLog.note(startsAllowed, this->options.confirmations().newest(),
-                                this->readTimes());
+            this->startLog.note(startsAllowed, this->gate.newestAnswer(), this->readTimes(),
+                                this->options.sinceConfirmed());
             this->roster->give(startsAllowed ? this->scheduler.plan(begin, http::unixNow())
                                              : this->scheduler.planStops(begin));
             this->lastPlanDuration = bootNow() - begin;
--- a/packages/coordination/include/sassafrasferry/coordination/leader_options.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader_options.h
@@ -4,6 +4,7 @@
 #include <sassafrasferry/coordination/call_relay.h>
 #include <sassafrasferry/coordination/job_rows.h>
 #include <sassafrasferry/coordination/leadership.h>
+#include <sassafrasferry/coordination/peer_store_answers.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
@@ -26,6 +27,10 @@
         static const ReadIndex none;
         return none;
     };
+    /// Returns what other entry VMs have told of the store's answers to them.
+    std::function<PeerContact()> peerContact = [] {
+        return PeerContact{};
+    };
     RelayClient *relay = nullptr; ///< relays the calls to workers when there are many of them
     LeadershipTimes leadership; ///< of the lease that this leader holds
     /// Returns the latest end of a lease that may be granted to a worker now.
@@ -45,7 +50,7 @@
         return Instant::max();
     };
     /// With customers' caps in force tasks are started only while the configuration is at most this
-    /// far behind the store's last confirmation of the lease.
+    /// far behind the store's last answer to this or another entry VM.
     Duration maxConfigurationLag = std::chrono::milliseconds(2000);
     JobParts jobParts; ///< where this leader writes the rows of new jobs
 };
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -51,6 +51,13 @@
         return this->leading;
     }
 
+    /// When the newest read of the lease row was sent that the store answered; the epoch without
+    /// one.
+    Instant storeAnsweredAt() const
+    {
+        return this->answeredReadAt;
+    }
+
     /// How long ago the store last confirmed this lease.
     Duration sinceConfirmed() const
     {
@@ -258,10 +265,12 @@
     /// Reads the lease row. Returns false if the store did not answer.
     Awaitable<bool> readLease(messages::LeaseRecord &record)
     {
+        const auto askedAt = bootNow();
         const store::PartRange range{table::lease, table::lease, "", ""};
         const auto page = co_await this->store.scan(range);
         if (!page.ok())
             co_return false;
+        this->answeredReadAt = std::max(this->answeredReadAt, askedAt);
         this->readAtVersion = page->version;
         if (page->rows.empty()) {
             this->noteVersion(store::absent);
@@ -409,6 +418,7 @@
     Instant renewedAt{}; // when the last renewal was sent
     Instant leaderAnsweredAt{}; // when the leader last answered
     Instant leaseReadAt{}; // when the lease row was last read
+    Instant answeredReadAt{}; // when the newest answered read of the lease row was sent
     Instant startedAt = bootNow(); // approximate start of this process
     Instant freeSince{}; // when the lease was first seen free
     Instant heldOffUntil{}; // this process takes no lease before
--- a/packages/coordination/include/sassafrasferry/coordination/order_gate.h
+++ b/packages/coordination/include/sassafrasferry/coordination/order_gate.h
@@ -1,5 +1,5 @@
-// Tells when a leader may give orders: by the age of its lease's confirmation, and by the age of
-// the rows that it has read.
+// Tells when a leader may give orders: by the age of its lease's confirmation, and by how far the
+// rows that it has read are behind the store's answers to any entry VM.
 #pragma once
 
 #include <sassafrasferry/coordination/leader_options.h>
@@ -34,17 +34,24 @@
         return this->options.sinceConfirmed() < this->options.leadership.orderLimit;
     }
 
-    /// While the store confirms the lease, other entry VMs can store cancellations and workers can
-    /// report that they drain. Starts then pause while the rows read here are too old to tell.
-    /// While the store confirms nothing, no row is behind the last confirmation, and starts go on.
-    /// `hasCaps`: a customer has a cap.
+    /// While the store answers an entry VM, that one can store cancellations, and workers can
+    /// report that they drain. Starts then pause while the rows read here are too old to tell, and
+    /// while there is no telling whether the store answers others. While it answers nobody, no row
+    /// is behind its last answer, and starts go on. `hasCaps`: a customer has a cap.
     bool canStart(const ReadTimes &readTimes, bool hasCaps) const
     {
-        const auto newest = this->options.confirmations().newest();
-        return this->canOrder() && (!hasCaps || this->knowsCaps(newest))
+        const auto newest = this->newestAnswer();
+        return this->canOrder() && !this->isAlone() && (!hasCaps || this->knowsCaps(newest))
                && newest - readTimes.intake < maxReadLag && newest - readTimes.workers < maxReadLag;
     }
 
+    /// The latest moment at which the store is known to have answered an entry VM.
+    Instant newestAnswer() const
+    {
+        return std::max(this->options.confirmations().newest(),
+                        this->options.peerContact().storeAnsweredAt);
+    }
+
     /// A predecessor of an earlier version does not announce its orders, and may have sent one just
     /// before the store stopped confirming its lease.
     bool canOrderVms() const
@@ -69,10 +76,16 @@
     static constexpr Duration vmOrderLimit = std::chrono::milliseconds(800);
     static constexpr Duration vmOrderMargin = std::chrono::milliseconds(200);
 
+    // Neither the store nor the other entry VMs can be heard, which may follow another leader.
+    bool isAlone() const
+    {
+        return this->options.sinceConfirmed() >= maxReadLag && this->options.peerContact().isLost;
+    }
+
     // A cap that was cut has to be kept once its configuration is in force.
-    bool knowsCaps(Instant newestConfirmation) const
+    bool knowsCaps(Instant newestAnswer) const
     {
-        const auto lag = newestConfirmation - this->options.configurationCoveredUntil();
+        const auto lag = newestAnswer - this->options.configurationCoveredUntil();
         return lag < this->options.maxConfigurationLag;
     }
 
@@ -85,16 +98,17 @@
 class StartLog
 {
 public:
-    void note(bool areAllowed, Instant newestConfirmation, const ReadTimes &readTimes)
+    void note(bool areAllowed, Instant newestAnswer, const ReadTimes &readTimes,
+              Duration sinceConfirmed)
     {
         using std::chrono::milliseconds;
         if (areAllowed == this->wereAllowed)
             return;
         this->wereAllowed = areAllowed;
-        LOG(WARNING) << "event=starts-" << (areAllowed ? "resumed" : "paused") << " intake-lag-ms="
-                     << (newestConfirmation - readTimes.intake) / milliseconds(1)
-                     << " workers-lag-ms="
-                     << (newestConfirmation - readTimes.workers) / milliseconds(1);
+        LOG(WARNING) << "event=starts-" << (areAllowed ? "resumed" : "paused")
+                     << " intake-lag-ms=" << (newestAnswer - readTimes.intake) / milliseconds(1)
+                     << " workers-lag-ms=" << (newestAnswer - readTimes.workers) / milliseconds(1)
+                     << " confirmed-ms=" << sinceConfirmed / milliseconds(1);
     }
 
 private:
--- a/packages/coordination/include/sassafrasferry/coordination/stored_jobs.h
+++ b/packages/coordination/include/sassafrasferry/coordination/stored_jobs.h
@@ -59,13 +59,22 @@
             transaction.part = part;
             transaction.puts.push_back({table::intake, cancellationKey(job), ""});
             const auto commit = co_await this->store.commit(std::move(transaction));
-            if (commit.state == store::CommitState::Committed)
+            if (commit.state == store::CommitState::Committed) {
+                this->cancelledAt = bootNow();
                 co_return true;
+            }
             co_await pause(retryPause);
         }
         co_return false;
     }
 
+    /// When the store's last confirmation of a cancellation arrived, from when on the caller may
+    /// know of it; the epoch without one.
+    Instant storeAnsweredAt() const
+    {
+        return this->cancelledAt;
+    }
+
 private:
     static constexpr auto retryPause = std::chrono::milliseconds(100);
 
@@ -128,6 +137,7 @@
 
     Store &store;
     JobParts parts;
+    Instant cancelledAt{}; // when the last cancellation was confirmed
 };
 
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/successor.h
+++ b/packages/coordination/include/sassafrasferry/coordination/successor.h
@@ -1,8 +1,7 @@
 // Selects an entry VM with more processor cores to lead in place of a weak one.
 #pragma once
 
-#include <sassafrasferry/coordination/timing.h>
-#include <sassafrasferry/messages/jobs.pb.h>
+#include <sassafrasferry/coordination/hello.h>
 
 #include <map>
 #include <string>
@@ -24,9 +23,7 @@
     /// don't carry the number of cores.
     void noteQuestion(const messages::JobQuestion &question, Instant now)
     {
-        const bool isHello =
-            question.job().empty() && question.queue().empty() && !question.has_hand_in();
-        if (isHello)
+        if (isHello(question))
             this->peers[question.address()] = {question.cores(), now};
     }
 
--- a/packages/coordination/src/job_parts_test.cpp
+++ b/packages/coordination/src/job_parts_test.cpp
@@ -84,8 +84,12 @@
         REQUIRE(found);
         CHECK(found->state == scheduling::JobState::Queued);
         CHECK(found->part == part);
+        const auto begin = bootNow();
+        CHECK(stored.storeAnsweredAt() == Instant{});
         const bool isCancelled = co_await stored.cancel(job, found->part, bootNow() + 1s);
         CHECK(isCancelled);
+        CHECK(stored.storeAnsweredAt() >= begin);
+        CHECK(stored.storeAnsweredAt() <= bootNow());
         const auto state = co_await stored.stateOf(job);
         CHECK(state == scheduling::JobState::Cancelled);
     });
--- a/packages/coordination/src/leader_intake_test.cpp
+++ b/packages/coordination/src/leader_intake_test.cpp
@@ -1,6 +1,7 @@
 // Tests for how long a leader starts tasks of a cancelled job while it reads the table of accepted
 // jobs late or not at all.
 #include <sassafrasferry/coordination/leader.h>
+#include <sassafrasferry/coordination/peer_store_answers.h>
 #include <sassafrasferry/coordination/stored_jobs.h>
 
 #include <boost/asio/io_context.hpp>
@@ -8,7 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include "../tests/busy_worker.h"
-#include "../tests/feed_store.h"
+#include "../tests/store_link.h"
 
 using namespace sassafrasferry;
 using namespace sassafrasferry::coordination;
@@ -41,7 +42,7 @@
 /// A platform with one worker.
 struct TestPlatform
 {
-    using Store = FeedStore;
+    using Store = StoreLink;
     using Worker = BusyWorkerCalls;
     using Cloud = EmptyCloud;
 
@@ -88,7 +89,7 @@
 {
 public:
     LeadingFixture()
-        : leadership(this->store, "only", {"127.0.0.1", 1}, 1,
+        : leadership(this->link, "only", {"127.0.0.1", 1}, 1,
                      {[this](const Tenure &tenure) { this->lead(tenure); },
                       [this](const std::string &) {
                           this->dropLeader();
@@ -110,6 +111,7 @@
     ~LeadingFixture()
     {
         this->dropLeader();
+        this->peerFollows = false;
         this->store.isAway = true; // ends the calls of feeds
         this->context.run_for(400ms);
     }
@@ -146,6 +148,14 @@
         return bootNow();
     }
 
+    /// Adds another entry VM, which asks the store and sends hellos to the leader while
+    /// `peerFollows`.
+    void addPeer()
+    {
+        this->peerFollows = true;
+        spawn(this->context.get_executor(), "peer", [this] { return this->sendHellos(); });
+    }
+
     bool hasStartAfter(const std::string &job, Instant time) const
     {
         return this->countStartsAfter(job, time) > 0;
@@ -160,11 +170,30 @@
     }
 
     FeedStore store;
+    StoreLink link{store}; ///< the leader's
     BusyWorker worker;
-    Leadership<FeedStore> leadership;
+    Leadership<StoreLink> leadership;
     std::shared_ptr<Leader<TestPlatform>> leader; ///< null unless the lease is held
+    bool peerFollows = false; ///< whether the peer's hellos reach this leader
 
 private:
+    static constexpr Duration helloPeriod = 250ms;
+
+    Awaitable<void> sendHellos()
+    {
+        Instant answeredAt{};
+        while (this->peerFollows) {
+            const store::PartRange range{table::lease, table::lease, "", ""};
+            const auto page = co_await this->store.scan(range);
+            if (page.ok())
+                answeredAt = bootNow();
+            auto hello = helloOf(1, answeredAt, bootNow());
+            hello.set_address("peer");
+            this->peerStoreAnswers.noteQuestion(hello, bootNow());
+            co_await pause(helloPeriod);
+        }
+    }
+
     void lead(const Tenure &tenure)
     {
         Leader<TestPlatform>::Options options;
@@ -174,6 +203,9 @@
         options.confirmations = [this]() -> const ReadIndex & {
             return this->leadership.confirmations();
         };
+        options.peerContact = [this] {
+            return this->peerStoreAnswers.contact(bootNow());
+        };
         options.leadership = LeadershipTimes{};
         options.announce = [this](std::vector<std::string> vms) {
             return this->leadership.announce(std::move(vms));
@@ -184,7 +216,7 @@
         options.onFailed = options.onDeposed;
         const scheduling::Configuration configuration;
         this->leader = std::make_shared<Leader<TestPlatform>>(this->context.get_executor(),
-                                                              this->store, this->cloud, tenure,
+                                                              this->link, this->cloud, tenure,
                                                               std::move(options), configuration);
         this->leader->begin();
     }
@@ -219,7 +251,8 @@
     http::asio::executor_work_guard<http::asio::io_context::executor_type> work{
         this->context.get_executor()};
     EmptyCloud cloud;
-    StoredJobs<FeedStore> stored{store};
+    StoredJobs<FeedStore> stored{store}; // of another entry VM
+    PeerStoreAnswers peerStoreAnswers;
 };
 
 /// Lets the leader start tasks of both jobs for a time in which the table of jobs doesn't change.
@@ -301,3 +334,48 @@
     fixture.runUntilTime(confirmedAt + orderLimit + 3 * tolerance);
     CHECK(fixture.countStartsAfter(otherJob, confirmedAt + orderLimit + tolerance) == 0);
 }
+
+// Guards against services that stand still during an outage of the store because the hellos of
+// peers, which it doesn't answer either, are taken for a sign that it stores cancellations.
+TEST_CASE("A leader starts tasks until its order limit while the store answers its peers neither")
+{
+    const auto nearLimit = LeadershipTimes{}.orderLimit - 2s;
+    LeadingFixture fixture;
+    fixture.addPeer();
+    runCalmly(fixture);
+    const auto confirmedAt = bootNow() - fixture.leadership.sinceConfirmed();
+    fixture.store.isAway = true;
+    CHECK(fixture.runUntil([&] {
+        return !fixture.leader || fixture.hasStartAfter(otherJob, confirmedAt + nearLimit);
+    }));
+    CHECK(fixture.hasStartAfter(otherJob, confirmedAt + nearLimit));
+}
+
+// Guards against a leader that alone is cut off from the store and starts tasks of jobs whose
+// cancellations other entry VMs store and acknowledge.
+TEST_CASE(
+    "A leader that alone is cut off from the store starts no task of a job cancelled long ago")
+{
+    struct CutCase
+    {
+        std::string name;
+        Duration cancelledAfter; // the leader was cut off
+        bool peerFollows; // after that
+    };
+    const std::vector<CutCase> cutCases{
+        {"the job is cancelled at once", 0s, true},
+        {"the job is cancelled later", 1s, true},
+        {"the peer follows another leader", 0s, false},
+    };
+    const auto row = GENERATE_COPY(from_range(cutCases));
+    CAPTURE(row.name);
+    LeadingFixture fixture;
+    fixture.addPeer();
+    runCalmly(fixture);
+    fixture.link.isCut = true;
+    fixture.peerFollows = row.peerFollows;
+    fixture.runUntilTime(bootNow() + row.cancelledAfter);
+    const auto cancelledAt = fixture.cancel();
+    CHECK(fixture.runUntil([&] { return !fixture.leader; }));
+    CHECK(fixture.countStartsAfter(cancelledJob, cancelledAt + cancellationBound) == 0);
+}
--- a/packages/coordination/src/order_gate_test.cpp
+++ b/packages/coordination/src/order_gate_test.cpp
@@ -8,8 +8,9 @@
 using namespace std::chrono_literals;
 
 // Guards against starts by rows of jobs or workers, or by a configuration, that the store has long
-// replaced, and against a leader that stops while the store answers nobody.
-TEST_CASE("starts pause while what the leader has read is too far behind its lease")
+// replaced, also by a leader that alone the store doesn't answer, and against a leader that stops
+// while the store answers nobody.
+TEST_CASE("starts pause while what the leader has read is too far behind the store's answers")
 {
     struct Case
     {
@@ -20,6 +21,9 @@
         Duration configurationLag;
         bool hasCaps;
         bool canStart;
+        // The store's newest answer to another entry VM, after the lease's newest confirmation.
+        Duration peerAhead = -1h;
+        bool isPeerContactLost = false;
     };
     const std::vector<Case> cases{
         {"all is recent", 100ms, 0ms, 0ms, 0ms, true, true},
@@ -30,6 +34,15 @@
         {"workers are behind", 100ms, 0ms, 2s, 0ms, true, false},
         {"the configuration is behind", 100ms, 0ms, 0ms, 2s, true, false},
         {"the configuration is behind, without caps", 100ms, 0ms, 0ms, 2s, false, true},
+        {"others have had no later answer", 6400ms, 0ms, 0ms, 0ms, true, true, 0ms},
+        {"others were answered a little longer", 6400ms, 0ms, 0ms, 0ms, true, true, 1999ms},
+        {"others were answered for long", 2100ms, 0ms, 0ms, 0ms, false, false, 2s},
+        {"jobs are behind others' answers", 100ms, 1s, 0ms, 0ms, false, false, 1s},
+        {"workers are behind others' answers", 100ms, 0ms, 1s, 0ms, false, false, 1s},
+        {"the configuration is behind others' answers", 100ms, 0ms, 0ms, 1s, true, false, 1s},
+        {"the same without caps", 100ms, 0ms, 0ms, 1s, false, true, 1s},
+        {"the leader is alone", 2s, 0ms, 0ms, 0ms, false, false, 0ms, true},
+        {"it was not confirmed for almost too long", 1999ms, 0ms, 0ms, 0ms, false, true, 0ms, true},
     };
     const Instant newest(1h);
     ReadIndex confirmations;
@@ -46,6 +59,9 @@
         options.configurationCoveredUntil = [&] {
             return newest - row.configurationLag;
         };
+        options.peerContact = [&] {
+            return PeerContact{newest + row.peerAhead, row.isPeerContactLost};
+        };
         const Tenure tenure;
         const OrderGate gate(options, tenure, newest);
         const ReadTimes readTimes{newest - row.intakeLag, newest - row.workersLag};
--- a/packages/coordination/tests/test_node.h
+++ b/packages/coordination/tests/test_node.h
@@ -156,7 +156,7 @@
     return {"127.0.0.1", acceptor.local_endpoint().port()};
 }
 
-/// An entry VM that leads, as there is no other one. It runs until the process ends.
+/// An entry VM that leads unless another one holds the lease. It runs until the process ends.
 class TestNode
 {
 public:
@@ -173,14 +173,16 @@
     /// Writes a configuration, as `TestPlatform::decodeConfiguration` reads it, into the store.
     void configure(const std::string &configuration)
     {
-        this->run([&]() -> Awaitable<void> {
-            const store::PartTransaction transaction{
-                "",
-                {},
-                {{TestPlatform::operatorTable(), TestPlatform::configurationKey(), configuration}},
-                {}};
-            co_await this->store.commit(transaction);
-        });
+        this->commit(
+            {"",
+             {},
+             {{TestPlatform::operatorTable(), TestPlatform::configurationKey(), configuration}},
+             {}});
+    }
+
+    void commit(const store::PartTransaction &transaction)
+    {
+        this->run([&]() -> Awaitable<void> { co_await this->store.commit(transaction); });
     }
 
     http::Response request(http::Verb verb, const std::string &target)
@@ -232,13 +234,8 @@
     std::optional<IntakeResult> handIn(const std::string &job, const messages::JobRecord &record,
                                        const std::string &keyDigest = "")
     {
-        // Kept, as an operation of its port may still be under way when the answer has come.
-        this->senders.push_back(std::make_unique<JobMessenger>(
-            this->context, freeEndpoint(), [](const auto &) { return messages::JobAnswer{}; },
-            [](auto) -> Awaitable<messages::JobAnswer> { co_return messages::JobAnswer{}; },
-            [](const auto &) {}));
-        auto &messenger = *this->senders.back();
-        REQUIRE(messenger.open().ok());
+        auto &messenger =
+            this->addPeer(freeEndpoint(), [](const auto &) { return messages::JobAnswer{}; });
         messages::JobQuestion question;
         question.mutable_hand_in()->set_job(job);
         question.mutable_hand_in()->set_record(record.SerializeAsString());
@@ -253,6 +250,31 @@
         return static_cast<IntakeResult>(answer->hand_in_result() - 1);
     }
 
+    /// Sends a hello, as a peer would that takes this entry VM for the leader.
+    void sayHello(const messages::JobQuestion &hello)
+    {
+        if (!this->follower)
+            this->follower =
+                &this->addPeer(freeEndpoint(), [](const auto &) { return messages::JobAnswer{}; });
+        JobMessenger::Answer answer;
+        this->run([&]() -> Awaitable<void> {
+            answer = co_await this->follower->ask(this->endpoint, hello, std::chrono::seconds(10));
+        });
+        REQUIRE(answer);
+    }
+
+    /// Adds the peer port of another entry VM. It is kept, as an operation of the port may still be
+    /// under way when an answer has come.
+    JobMessenger &addPeer(const model::Endpoint &address, JobMessenger::OnQuestion onQuestion)
+    {
+        this->peers.push_back(std::make_unique<JobMessenger>(
+            this->context, address, std::move(onQuestion),
+            [](auto) -> Awaitable<messages::JobAnswer> { co_return messages::JobAnswer{}; },
+            [](const auto &) {}));
+        REQUIRE(this->peers.back()->open().ok());
+        return *this->peers.back();
+    }
+
     /// Keeps the process from handling anything.
     static void block(Duration duration)
     {
@@ -299,7 +321,8 @@
     // Keeps `run_one` from returning at once while no coroutine is active.
     http::asio::executor_work_guard<http::asio::io_context::executor_type> work{
         this->context.get_executor()};
-    std::vector<std::unique_ptr<JobMessenger>> senders; // of jobs that were handed in
+    std::vector<std::unique_ptr<JobMessenger>> peers; // ports of other entry VMs
+    JobMessenger *follower = nullptr; // that of the peer that sends hellos
     EmptyCloud cloud;
     model::Endpoint endpoint = freeEndpoint();
     std::shared_ptr<JobNode<TestPlatform>> node;
