A start is valid for less than the cancellation bound after what its leader knows

Cause: the leader checks a start before it is sent, but the start carried the end of the worker's full lease, 4 s after the check, whatever the age of the rows of jobs it was checked against. A start that a relay, a connection or a process that stood still delayed for 3 to 4 s took effect after the cancellation bound of 3 s, or sooner where the rows were behind. Change: a start ends at most 2.7 s after the moment up to which the leader knows all changes of the intake (covers 0.2 s for the worker's clock and for the start itself), and at least 0.4 s after its check, so that starts go on while the store is silent. The end of the lease still limits it; holds are unchanged. After: all pass (308 assertions five times; the tests of the leader's intake three times).

--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -301,6 +301,9 @@
             return self->canStart();
         };
         events.leasesEndBy = this->options.leasesEndBy;
+        events.startsValidUntil = [self] {
+            return startsValidUntil(self->coveredUntil(self->intakeFollower), bootNow());
+        };
         const auto makeWorker = [self](const std::string &id, const model::Endpoint &address) {
             return std::make_unique<Worker>(self->executor, id, address, [self] {
                 return relayFor(self->options.relay, self->listedWorkers);
--- a/packages/coordination/include/sassafrasferry/coordination/order_gate.h
+++ b/packages/coordination/include/sassafrasferry/coordination/order_gate.h
@@ -18,6 +18,17 @@
     Instant workers{};
 };
 
+/// The latest moment at which a start that is checked at `now` may take effect. `coveredUntil`: of
+/// the intake. It lies so long before the end of the time after which a cancelled job's tasks must
+/// not start that errors in the estimate of the worker's clock don't matter. While the store is
+/// silent, starts go on and are valid for a short time.
+inline Instant startsValidUntil(Instant coveredUntil, Instant now)
+{
+    constexpr Duration maxKnowledgeAge = std::chrono::milliseconds(2700);
+    constexpr Duration minValidity = std::chrono::milliseconds(400);
+    return std::max(coveredUntil + maxKnowledgeAge, now + minValidity);
+}
+
 /// `options` and `tenure` outlive it.
 class OrderGate
 {
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -28,6 +28,10 @@
     std::function<Instant()> leasesEndBy = [] {
         return Instant::max();
     };
+    /// Returns the latest moment at which a start that is sent now may take effect.
+    std::function<Instant()> startsValidUntil = [] {
+        return Instant::max();
+    };
 };
 
 template<WorkerCalls Worker>
@@ -211,7 +215,9 @@
     {
         const auto now = bootNow();
         auto answer = scheduling::OrderAnswer::NotSent;
-        const auto until = this->scheduler.leaseUntil(this->id, now, this->events.leasesEndBy());
+        // Shorter than the lease that holds grant, which it leaves unchanged.
+        const auto latest = std::min(this->events.leasesEndBy(), this->events.startsValidUntil());
+        const auto until = this->scheduler.leaseUntil(this->id, now, latest);
         // The order may have waited while its job or its worker changed.
         if (until && now < order.expires && this->scheduler.isStartWanted(order)
             && this->events.canStart())
--- a/packages/coordination/src/leader_intake_test.cpp
+++ b/packages/coordination/src/leader_intake_test.cpp
@@ -159,6 +159,17 @@
                           [&](const Start &start) { return start.job == job && start.at > time; }));
     }
 
+    /// When the last start of the job stops being valid.
+    Instant validUntil(const std::string &job) const
+    {
+        Instant latest{};
+        for (const auto &start : this->worker.starts) {
+            if (start.job == job)
+                latest = std::max(latest, start.validUntil);
+        }
+        return latest;
+    }
+
     FeedStore store;
     BusyWorker worker;
     Leadership<FeedStore> leadership;
@@ -259,6 +270,8 @@
     const auto cancelledAt = fixture.cancel();
     fixture.runUntilTime(cancelledAt + 3 * cancellationBound);
     CHECK(fixture.countStartsAfter(cancelledJob, cancelledAt + cancellationBound) == 0);
+    // A start may be delayed after it was sent.
+    CHECK((fixture.validUntil(cancelledJob) - cancelledAt) / 1ms <= cancellationBound / 1ms);
     fixture.store.fault = FeedFault::None;
     const auto releasedAt = bootNow();
     CHECK(fixture.runUntil([&] {
@@ -278,6 +291,7 @@
     fixture.runUntilTime(cancelledAt + 2 * cancellationBound);
     CHECK(fixture.countStartsAfter(cancelledJob, readAt) == 0);
     CHECK(fixture.countStartsAfter(cancelledJob, cancelledAt + cancellationBound) == 0);
+    CHECK((fixture.validUntil(cancelledJob) - cancelledAt) / 1ms <= cancellationBound / 1ms);
     CHECK(fixture.runUntil(
         [&] { return fixture.hasStartAfter(otherJob, cancelledAt + 2 * cancellationBound); }));
 }
--- a/packages/coordination/tests/busy_worker.h
+++ b/packages/coordination/tests/busy_worker.h
@@ -18,6 +18,7 @@
 {
     std::string job;
     Instant at{};
+    Instant validUntil{};
 };
 
 /// A worker whose runs are done after `taskTime`.
@@ -94,11 +95,12 @@
         co_return answer;
     }
 
-    Awaitable<scheduling::OrderAnswer> start(const scheduling::StartOrder &order, std::int64_t,
-                                             std::int64_t)
+    Awaitable<scheduling::OrderAnswer> start(const scheduling::StartOrder &order,
+                                             std::int64_t until, std::int64_t)
     {
         const auto now = bootNow();
-        this->worker->starts.push_back({order.task.job, now});
+        const Instant validUntil{std::chrono::milliseconds(until)};
+        this->worker->starts.push_back({order.task.job, now, validUntil});
         this->worker->running.push_back({{order.task, order.run, "", 100, 0}, now + taskTime});
         co_return scheduling::OrderAnswer::Accepted;
     }
