A worker that refuses starts as expired is called less often

Cause: a start that the worker refuses as expired is planned again at once. Where the worker's clock is ahead of its estimate (its last report reached the leader late), the next one is refused as well, every few milliseconds until the next report. With the shorter validity of starts a smaller error suffices. Change: a second such refusal since the worker's last report pauses its starts for 150 ms. After the first one the task is planned again at once, as before, since that start may just have been delayed.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -31,6 +31,7 @@
     /// A worker that has not answered for longer gets no starts, and its lease is not extended.
     Duration answerTimeout = std::chrono::milliseconds(1800);
     Duration roomBackOff = std::chrono::milliseconds(150); ///< after a refusal for lack of room
+    Duration expiredBackOff = std::chrono::milliseconds(150); ///< after two starts came too late
     Duration failingBackOff = std::chrono::milliseconds(2000); ///< after most recent runs failed
     /// After an "unhealthy" or "malformed" answer.
     Duration healthBackOff = std::chrono::milliseconds(500);
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -120,6 +120,7 @@
     Instant lastAnswer{}; ///< time of its last answer to a hold
     Instant backOffUntil{}; ///< gets no starts until then, after refusals or failures
     Instant fullUntil{}; ///< gets no starts until then, after a refusal for lack of room
+    Instant expiredAt{}; ///< when it last refused a start that arrived too late
     double failureRate = 0; ///< exponentially weighted share of failures among its recent ends
     std::int64_t clock = 0; ///< last reported reading of its clock, milliseconds
     Instant clockReceivedAt{}; ///< time at which that reading arrived, by this leader's clock
--- a/packages/scheduling/src/expired_start_test.cpp
+++ b/packages/scheduling/src/expired_start_test.cpp
@@ -1,4 +1,5 @@
-// Starts whose validity ends before the lease of their worker.
+// Starts whose validity ends before the lease of their worker, and what follows once they are
+// refused for arriving after that.
 #include "../tests/scheduler_bench.h"
 #include "../tests/sim_worker.h"
 
@@ -62,6 +63,15 @@
                                         }};
 };
 
+/// Plans a round, whose starts are all refused as expired. Returns their number.
+std::size_t refuseAll(Bench &bench)
+{
+    const auto orders = bench.plan();
+    for (const auto &order : orders.starts)
+        bench.scheduler.startAnswered(order, OrderAnswer::Expired, bench.now);
+    return orders.starts.size();
+}
+
 } // namespace
 
 // Guards against runs that lapse because a start goes with a shorter time than the lease.
@@ -103,3 +113,60 @@
     leased.hold();
     CHECK(leased.isRunningAfter(2s) == row.isRunning);
 }
+
+// Guards against starts that are refused and repeated every few milliseconds: the leader estimates
+// the worker's clock too low until the next report, since the last one arrived late.
+TEST_CASE("A worker that refuses starts as expired is called less often")
+{
+    struct Case
+    {
+        const char *name;
+        bool reportsBetween; ///< the worker reports after each round
+        std::size_t mostStarts;
+        std::size_t fewestStarts;
+    };
+    const auto row = GENERATE(Case{"no report", false, 8, 6}, Case{"reports", true, 100, 100});
+    CAPTURE(row.name);
+    Bench bench(1);
+    bench.report(workerId);
+    bench.add("j", {stepOf(1)});
+    std::size_t starts = 0;
+    for (int round = 0; round < 100; ++round) {
+        starts += refuseAll(bench);
+        bench.now += 10ms;
+        if (row.reportsBetween)
+            bench.report(workerId);
+    }
+    CHECK(starts <= row.mostStarts);
+    CHECK(starts >= row.fewestStarts);
+}
+
+TEST_CASE("Starts that expired on one worker are given to another at once")
+{
+    Bench bench(2);
+    bench.reportAll(2);
+    bench.scheduler.findWorker("w1")->cordoned = true;
+    bench.add("j", {stepOf(1)});
+    REQUIRE(refuseAll(bench) == 1);
+    REQUIRE(refuseAll(bench) == 1);
+    bench.scheduler.findWorker("w1")->cordoned = false;
+    const auto again = bench.plan().starts;
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].worker == "w1");
+}
+
+// Guards against a worker that gets starts too early: it failed most runs, and then refused starts
+// that were still on their way.
+TEST_CASE("Starts that expired do not cut a longer pause of their worker")
+{
+    Bench bench(1);
+    bench.report(workerId);
+    bench.add("j", {stepOf(2)});
+    const auto orders = bench.plan();
+    REQUIRE(orders.starts.size() == 2);
+    const auto until = bench.now + 2s;
+    bench.scheduler.findWorker(workerId)->backOffUntil = until;
+    for (const auto &order : orders.starts)
+        bench.scheduler.startAnswered(order, OrderAnswer::Expired, bench.now);
+    CHECK(bench.scheduler.findWorker(workerId)->backOffUntil == until);
+}
--- a/packages/scheduling/src/scheduler_answers.cpp
+++ b/packages/scheduling/src/scheduler_answers.cpp
@@ -1,6 +1,8 @@
 // Applies the answers of workers to starts and stops.
 #include <sassafrasferry/scheduling/scheduler.h>
 
+#include <algorithm>
+
 #include <absl/strings/str_cat.h>
 
 namespace sassafrasferry::scheduling {
@@ -61,8 +63,14 @@
     case OrderAnswer::Malformed:
         worker->backOffUntil = now + this->times.healthBackOff;
         break;
-    case OrderAnswer::NoTicket:
     case OrderAnswer::Expired:
+        // One start may have been delayed. After another one the worker's clock is probably ahead
+        // of its estimate, which the next report corrects.
+        if (worker->expiredAt >= worker->lastAnswer)
+            worker->backOffUntil = std::max(worker->backOffUntil, now + this->times.expiredBackOff);
+        worker->expiredAt = now;
+        break;
+    case OrderAnswer::NoTicket:
     case OrderAnswer::NotSent:
         break;
     }
