A stop does not wait for the answers to starts

Cause: a session sends all orders to its worker through one queue with two senders. A worker that leaves starts without an answer occupies each sender for 0.8 s (1.1 s through a relay) a start, and the stops of a cancelled job waited behind them.

Change: stops have a queue of their own, with two senders. A stop may overtake a start of the same run, as it could before; the worker then refuses the start.

Test: before, a stop given while two starts had no answer was not sent within 50 ms; now it is sent at once, and the starts are sent as before.

--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -62,17 +62,17 @@
 
     void order(scheduling::StartOrder order)
     {
-        this->push(std::move(order));
+        this->push<StartOrPace>(this->orders, std::move(order));
     }
 
     void order(scheduling::StopOrder order)
     {
-        this->push(std::move(order));
+        this->push(this->stops, std::move(order));
     }
 
     void order(scheduling::PaceOrder order)
     {
-        this->push(std::move(order));
+        this->push<StartOrPace>(this->orders, std::move(order));
     }
 
     /// Called when ends of runs have been recorded.
@@ -92,8 +92,14 @@
     }
 
 private:
-    using Order =
-        std::variant<scheduling::StartOrder, scheduling::StopOrder, scheduling::PaceOrder>;
+    using StartOrPace = std::variant<scheduling::StartOrder, scheduling::PaceOrder>;
+
+    template<typename Order>
+    struct OrderQueue
+    {
+        std::deque<Order> waiting;
+        std::size_t senders = 0; // number of coroutines that send its orders
+    };
 
     static constexpr std::chrono::milliseconds holdWait{1000};
     static constexpr std::chrono::milliseconds surveyPerWorker{3};
@@ -107,7 +113,7 @@
     // workers, which limits the rate of answers from all workers together.
     static constexpr auto endBatchDelayPerWorker = std::chrono::microseconds(200);
     static constexpr Duration maxEndBatchDelay = std::chrono::milliseconds(100);
-    static constexpr std::size_t maxConcurrentOrders = 2;
+    static constexpr std::size_t maxSenders = 2; // of each queue
 
     Awaitable<void> holdLoop()
     {
@@ -180,31 +186,36 @@
                      << " worker=" << this->id << " answer=" << model::nameOf(answer);
     }
 
-    void push(Order order)
+    template<typename Order>
+    void push(OrderQueue<Order> &queue, Order order)
     {
-        this->orders.push_back(std::move(order));
-        if (this->orderSenders >= maxConcurrentOrders)
+        queue.waiting.push_back(std::move(order));
+        if (queue.senders >= maxSenders)
             return;
-        ++this->orderSenders;
+        ++queue.senders;
         spawn(
             this->executor, "orders " + this->id,
-            [self = this->shared_from_this()] { return self->sendOrders(); },
-            [self = this->shared_from_this()](const std::string &) { --self->orderSenders; });
+            [self = this->shared_from_this(), &queue] { return self->sendAll(queue); },
+            [self = this->shared_from_this(), &queue](const std::string &) { --queue.senders; });
     }
 
-    Awaitable<void> sendOrders()
+    template<typename Order>
+    Awaitable<void> sendAll(OrderQueue<Order> &queue)
     {
-        while (!this->orders.empty() && !this->stopped) {
-            auto order = std::move(this->orders.front());
-            this->orders.pop_front();
-            if (auto *start = std::get_if<scheduling::StartOrder>(&order))
-                co_await this->send(*start);
-            else if (auto *stop = std::get_if<scheduling::StopOrder>(&order))
-                co_await this->send(*stop);
-            else
-                co_await this->send(std::get<scheduling::PaceOrder>(order));
+        while (!queue.waiting.empty() && !this->stopped) {
+            const auto order = std::move(queue.waiting.front());
+            queue.waiting.pop_front();
+            co_await this->send(order);
         }
-        --this->orderSenders;
+        --queue.senders;
+    }
+
+    Awaitable<void> send(const StartOrPace &order)
+    {
+        if (const auto *start = std::get_if<scheduling::StartOrder>(&order))
+            co_await this->send(*start);
+        else
+            co_await this->send(std::get<scheduling::PaceOrder>(order));
     }
 
     Awaitable<void> send(const scheduling::StartOrder &order)
@@ -254,8 +265,9 @@
     SessionEvents events;
     Wake wake;
     EndCursor cursor;
-    std::deque<Order> orders;
-    std::size_t orderSenders = 0; // number of coroutines that send orders
+    OrderQueue<StartOrPace> orders;
+    // Stops have a queue of their own, so that none waits for the answers to starts.
+    OrderQueue<scheduling::StopOrder> stops;
     bool isAwaitingRecord = false;
     bool reachable = true;
     bool stopped = false;
--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -30,6 +30,7 @@
     std::function<OrderAnswer(std::size_t call)> onHold; ///< called before each hold takes effect
     std::vector<std::string> starts; ///< jobs of the starts that were sent, in order
     std::chrono::milliseconds startTime{0}; ///< until a start is answered
+    std::vector<std::int64_t> stops; ///< numbers of the runs of the stops that were sent, in order
 
     HoldAnswer execute(const HoldRequest &request)
     {
@@ -90,8 +91,9 @@
         co_return OrderAnswer::Accepted;
     }
 
-    Awaitable<OrderAnswer> stop(const scheduling::StopOrder &, std::int64_t)
+    Awaitable<OrderAnswer> stop(const scheduling::StopOrder &order, std::int64_t)
     {
+        this->worker->stops.push_back(order.run);
         co_return OrderAnswer::Accepted;
     }
 
@@ -134,6 +136,27 @@
         this->context.run_for(std::chrono::milliseconds(150));
     }
 
+    /// Adds jobs of one task each and gives their starts to the session.
+    void orderStarts(const std::vector<std::string> &jobs)
+    {
+        auto listing = this->scheduler.findWorker(workerId)->listing;
+        listing.service = "s";
+        listing.capacity = {4000, 1000, 0};
+        this->scheduler.listWorker(listing, bootNow());
+        this->scheduler.report({workerId, firstBorn, 1000, {}, {}}, bootNow(), bootNow());
+        jobs::StepSpec step;
+        step.count = 1;
+        step.need = {1000, 10, 0};
+        const jobs::QueueTerms terms{"q", "s", 0, 3, 2, std::chrono::milliseconds(600)};
+        for (const auto &id : jobs) {
+            this->scheduler.addJob(std::make_unique<jobs::Job>(
+                id, jobs::JobSpec{"", {step}, 0, 0, std::chrono::milliseconds(0)}, terms,
+                bootNow()));
+            for (auto &order : this->scheduler.plan(bootNow(), 0).starts)
+                this->session->order(std::move(order));
+        }
+    }
+
     // So long ago that ends of unknown jobs are acknowledged without waiting for these jobs.
     static constexpr Duration takeover = std::chrono::seconds(60);
 
@@ -253,22 +276,7 @@
     worker.startTime = std::chrono::milliseconds(20);
     SessionFixture fixture(worker);
     auto &scheduler = fixture.scheduler;
-    auto listing = scheduler.findWorker(workerId)->listing;
-    listing.service = "s";
-    listing.capacity = {4000, 1000, 0};
-    scheduler.listWorker(listing, bootNow());
-    scheduler.report({workerId, firstBorn, 1000, {}, {}}, bootNow(), bootNow());
-    jobs::StepSpec step;
-    step.count = 1;
-    step.need = {1000, 10, 0};
-    const jobs::QueueTerms terms{"q", "s", 0, 3, 2, std::chrono::milliseconds(600)};
-    // The session sends two orders at a time.
-    for (const auto *id : {"first", "second", "queued"}) {
-        scheduler.addJob(std::make_unique<jobs::Job>(
-            id, jobs::JobSpec{"", {step}, 0, 0, std::chrono::milliseconds(0)}, terms, bootNow()));
-        for (auto &order : scheduler.plan(bootNow(), 0).starts)
-            fixture.session->order(std::move(order));
-    }
+    fixture.orderStarts({"first", "second", "queued"}); // the session sends two at a time
     while (worker.starts.size() < 2)
         fixture.context.run_one();
     row.change(scheduler);
@@ -279,3 +287,23 @@
     CHECK(scheduler.findWorker(workerId)->runs.size() == worker.starts.size());
     fixture.session->stop();
 }
+
+// Guards against tasks of cancelled jobs that run on: their stops waited behind starts that the
+// worker left without an answer.
+TEST_CASE("a stop does not wait for the answers to starts")
+{
+    ScriptedWorker worker;
+    worker.startTime = std::chrono::milliseconds(100);
+    SessionFixture fixture(worker);
+    fixture.orderStarts({"first", "second", "queued"});
+    while (worker.starts.size() < 2)
+        fixture.context.run_one();
+    const scheduling::StopOrder order{workerId, {"cancelled", 0, 0, 0}, 1, ""};
+    fixture.session->order(order);
+    fixture.context.run_for(50ms);
+    CHECK(worker.stops == std::vector<std::int64_t>{1});
+    CHECK(worker.starts.size() == 2);
+    fixture.context.run();
+    CHECK(worker.starts.size() == 3);
+    fixture.session->stop();
+}
