A stop that still waits in its session is not added again

Cause: while a worker leaves stops without an answer, each report that lists the runs asks for further stops of them. The session kept all of these, so that a stop of another run waited behind the repetitions, also after the worker answered again.

Change: a session that holds a waiting stop of a run adds no second one.

Test: four runs, five stops each, then a stop of a fifth run: before, it was sent as the 21st, now as the fifth.

--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -65,9 +65,16 @@
         this->push<StartOrPace>(this->orders, std::move(order));
     }
 
+    /// The scheduler repeats a stop until the run has ended, so one that still waits is not added
+    /// again.
     void order(scheduling::StopOrder order)
     {
-        this->push(this->stops, std::move(order));
+        const auto &waiting = this->stops.waiting;
+        const bool isWaiting = std::any_of(waiting.begin(), waiting.end(), [&](const auto &other) {
+            return other.task == order.task && other.run == order.run;
+        });
+        if (!isWaiting)
+            this->push(this->stops, std::move(order));
     }
 
     void order(scheduling::PaceOrder order)
--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -31,6 +31,8 @@
     std::vector<std::string> starts; ///< jobs of the starts that were sent, in order
     std::chrono::milliseconds startTime{0}; ///< until a start is answered
     std::vector<std::int64_t> stops; ///< numbers of the runs of the stops that were sent, in order
+    std::chrono::milliseconds stopTime{0}; ///< until a stop is answered
+    OrderAnswer stopAnswer = OrderAnswer::Accepted;
 
     HoldAnswer execute(const HoldRequest &request)
     {
@@ -94,7 +96,8 @@
     Awaitable<OrderAnswer> stop(const scheduling::StopOrder &order, std::int64_t)
     {
         this->worker->stops.push_back(order.run);
-        co_return OrderAnswer::Accepted;
+        co_await pause(this->worker->stopTime);
+        co_return this->worker->stopAnswer;
     }
 
     Awaitable<OrderAnswer> pace(const scheduling::PaceOrder &, std::int64_t)
@@ -307,3 +310,24 @@
     CHECK(worker.starts.size() == 3);
     fixture.session->stop();
 }
+
+// Guards against tasks of cancelled jobs that run on: while a worker left stops without an answer,
+// each report asked for further stops of the same runs, and those of other runs waited behind them.
+TEST_CASE("a stop that was repeated while it waited is sent once")
+{
+    constexpr std::int64_t runs = 4;
+    constexpr int reports = 5;
+    ScriptedWorker worker;
+    worker.stopTime = 50ms;
+    worker.stopAnswer = OrderAnswer::NoAnswer;
+    SessionFixture fixture(worker);
+    for (int report = 0; report < reports; ++report) {
+        for (std::int64_t run = 1; run <= runs; ++run)
+            fixture.session->order(
+                scheduling::StopOrder{workerId, {"cancelled", 0, 0, 0}, run, ""});
+    }
+    fixture.session->order(scheduling::StopOrder{workerId, {"cancelled", 0, 0, 0}, runs + 1, ""});
+    fixture.context.run();
+    CHECK(worker.stops == std::vector<std::int64_t>{1, 2, 3, 4, 5});
+    fixture.session->stop();
+}
