A stop without an answer is repeated at once

Cause: only a report of the worker repeated a lost stop. Where the hold was lost with it, the next report came after the timeout of that hold (2.1 s through a relay) and another second of the next hold's wait, and the run of a cancelled job went on until then.

Change: a stop that gets no answer within the interval of repeats (0.7 s, as before for reports) is repeated as soon as it is given up, while its run is expected. A stop that fails at once is still left to the reports.

Test: before, no stop was given after one that had no answer for 0.8 s.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -246,6 +246,9 @@
     struct Round;
     struct WorkerCensus;
 
+    /// Shortest interval between two stops of a run that has not ended.
+    static constexpr Duration minStopInterval = std::chrono::milliseconds(700);
+
     /// Run time models of a queue.
     struct QueueTimes
     {
--- a/packages/scheduling/src/scheduler_answers.cpp
+++ b/packages/scheduling/src/scheduler_answers.cpp
@@ -82,11 +82,16 @@
                    absl::StrCat("run=", order.run, " worker=", order.worker,
                                 " why=", std::string(model::nameOf(answer))));
     }
-    if (!task || answer != OrderAnswer::Accepted)
+    if (!task)
         return;
     for (auto &run : task->runs) {
-        if (run.worker == order.worker && run.number == order.run)
+        if (run.worker != order.worker || run.number != order.run)
+            continue;
+        if (answer == OrderAnswer::Accepted)
             run.settledAt = std::min(run.settledAt, now);
+        // A hold may have been lost together with the stop, so the next report may come late.
+        else if (answer == OrderAnswer::NoAnswer && now - run.stopAskedAt > minStopInterval)
+            this->requestStop(order.worker, {order.task, order.run}, "unanswered stop");
     }
 }
 
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -11,8 +11,6 @@
 
 // Maximum number of ends in one report. A full list may lack the end of a run that has ended.
 constexpr std::size_t maxListedEnds = 500;
-// Interval between repeats of a stop whose run has not ended.
-constexpr auto stopRetry = std::chrono::milliseconds(700);
 
 jobs::Run *findRun(jobs::Task &task, const std::string &worker, std::int64_t number)
 {
@@ -240,7 +238,7 @@
         this->noteOrphan(listed.task.job, now);
     if (!task || task->done || jobs::isFinal(job->state)) {
         auto *run = task ? findRun(*task, worker.listing.id, listed.run) : nullptr;
-        if (!run || now - run->stopAskedAt > stopRetry)
+        if (!run || now - run->stopAskedAt > minStopInterval)
             this->requestStop(worker.listing.id, key, "not wanted");
         if (!run)
             reserveRoom(worker, key,
@@ -276,7 +274,7 @@
         run->state = jobs::RunState::Confirmed;
         run->settledAt = askedAt;
     }
-    if (run->state == jobs::RunState::Stopping && now - run->stopAskedAt > stopRetry)
+    if (run->state == jobs::RunState::Stopping && now - run->stopAskedAt > minStopInterval)
         this->requestStop(worker.listing.id, key, "still running");
     run->evidence = jobs::RunEvidence::Listed;
     if (job->state == JobState::Queued)
@@ -313,7 +311,7 @@
             run->state == jobs::RunState::Unanswered
             || (run->state == jobs::RunState::Ordered
                 && now - run->orderedAt > this->times.orderTimeout)
-            || (run->state == jobs::RunState::Stopping && now - run->stopAskedAt > stopRetry);
+            || (run->state == jobs::RunState::Stopping && now - run->stopAskedAt > minStopInterval);
         if (isOpen && run->orderedAt < askedAt)
             this->requestStop(worker.listing.id, entry.first, "unanswered start");
     }
