A hold after a failed one does not wait for an end

Cause: once a worker could be reached again, the next hold waited up to 1 s for an end of a run before it was answered. Until then the leader did not learn which runs of cancelled jobs still ran there, and repeated no stop.

Change: the hold after a failed one is answered at once, as a survey is. While the worker can't be reached, holds are given up and repeated a second sooner, too.

Test: of seven holds, of which the third and fourth fail, the fourth and fifth waited 1 s before; now 0 s.

--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -138,10 +138,11 @@
             request.fence = this->fence;
             request.acknowledged = this->cursor.next(*worker);
             request.until = this->scheduler.leaseUntil(this->id, asked, this->events.leasesEndBy());
-            if (!isSurvey)
-                request.wait = holdWait;
-            else
+            if (isSurvey)
                 request.answerTimeout = surveyTimeout(this->scheduler.listedWorkers());
+            // After a failed hold, what runs at the worker must become known at once.
+            else if (this->reachable)
+                request.wait = holdWait;
             auto answer = co_await this->calls->hold(request);
             if (this->stopped)
                 co_return;
--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -25,6 +25,7 @@
     std::vector<scheduling::ListedEnd> ends;
     std::vector<std::int64_t> acknowledged; ///< by each hold, in order
     std::vector<std::optional<std::int64_t>> leaseEnds; ///< by each hold, by the worker's clock
+    std::vector<std::chrono::milliseconds> waits; ///< of each hold
     std::vector<std::int64_t> unread; ///< numbers of ends that were dropped without being listed
     std::set<std::pair<std::int64_t, std::int64_t>> listed; ///< listed ends: born and number
     std::function<OrderAnswer(std::size_t call)> onHold; ///< called before each hold takes effect
@@ -76,6 +77,7 @@
     {
         this->worker->acknowledged.push_back(request.acknowledged);
         this->worker->leaseEnds.push_back(request.until);
+        this->worker->waits.push_back(request.wait);
         co_await pause(std::chrono::milliseconds(1));
         const auto answer = this->worker->onHold(this->worker->acknowledged.size());
         auto result = HoldAnswer{};
@@ -192,6 +194,25 @@
     }
 }
 
+// Guards against tasks of cancelled jobs that run on at a worker that can be reached again: that
+// they still ran was shown only by a report for which the session waited another second.
+TEST_CASE("A hold after one without an answer does not wait for an end")
+{
+    const auto lost = GENERATE(OrderAnswer::NoAnswer, OrderAnswer::NotSent, OrderAnswer::Unhealthy);
+    CAPTURE(model::nameOf(lost));
+    ScriptedWorker worker;
+    worker.onHold = [&](std::size_t call) {
+        return call == 3 || call == 4 ? lost : OrderAnswer::Accepted;
+    };
+    SessionFixture fixture(worker);
+    fixture.run(worker, 7);
+    // The first hold is the survey of a new leader.
+    const std::vector<std::chrono::milliseconds> expected{0ms, 1s, 1s, 0ms, 0ms, 1s, 1s};
+    REQUIRE(worker.waits.size() >= expected.size());
+    worker.waits.resize(expected.size());
+    CHECK(worker.waits == expected);
+}
+
 // Guards against tasks that run again after they were done: the worker restarted and kept its id,
 // and ends of the new incarnation were acknowledged with a number of the previous one.
 TEST_CASE("Ends of a restarted worker are not acknowledged before they are read")
