Simulations of faults cancel jobs, and check how long their runs go on

Jobs are cancelled at random moments beside each kind of fault, with holds that wait for ends and time out, and with runs of up to 15 s. A run of a cancelled job must be over 4.9 s after the first leader has read the cancellation, or after the last disturbance of its worker: a restart, the end of a cut, a late start, the loss of a leader.

--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -98,7 +98,7 @@
             simulation.run(60s, false);
             INFO(row.name << " seed " << seed);
             CHECK(simulation.violations() == std::vector<std::string>{});
-            CHECK(simulation.unfinishedJobs() == 0);
+            CHECK(simulation.unfinishedJobs() == std::vector<std::string>{});
             starts += simulation.starts();
             startsAtCap += simulation.startsAtCap();
         }
@@ -123,3 +123,32 @@
 {
     checkCases(capCases);
 }
+
+// Guards against runs of cancelled jobs that go on at workers that can be reached, because a stop
+// was lost and repeated late, or arrived before its start.
+TEST_CASE("Runs of cancelled jobs end in time under random faults", "[cancel-faults]")
+{
+    SimulationTimes times;
+    times.holdWait = 1s;
+    times.longestRun = 15s;
+    for (auto row : cases) {
+        row.faults.cancellation = 1;
+        std::size_t cancellations = 0;
+        Duration longest{};
+        for (std::uint64_t seed = 1; seed <= seedsPerCase() / 5; ++seed) {
+            JobSimulation simulation(seed, row.faults, times);
+            for (int i = 0; i < 30; ++i) {
+                simulation.addJob("j" + std::to_string(i), chainOfTwo(2 + i % 8));
+                simulation.run(1s, true);
+            }
+            simulation.run(10s, false);
+            INFO(row.name << " seed " << seed);
+            CHECK(simulation.violations() == std::vector<std::string>{});
+            cancellations += simulation.cancellations().count();
+            longest = std::max(longest, simulation.cancellations().longest());
+        }
+        WARN(row.name << ": " << cancellations << " cancellations, longest " << longest / 1ms
+                      << " ms");
+        CHECK(cancellations > 0);
+    }
+}
--- a/packages/scheduling/tests/fault_rates.h
+++ b/packages/scheduling/tests/fault_rates.h
@@ -22,6 +22,7 @@
     /// An operator changes the cap of the customer that half of the jobs belong to. At 0 there are
     /// no customers.
     double capChange = 0;
+    double cancellation = 0; ///< a caller cancels one of the unfinished jobs
 };
 
 /// Times of the I/O around the scheduler, which the simulation performs in its place.
@@ -31,7 +32,13 @@
     Duration orderLimit = 6500ms;
     Duration takeover = 1600ms; ///< until another leader starts
     Duration leaderNews = 500ms; ///< until all entry VMs know a new leader
-    Duration holdInterval = 100ms; ///< between two holds at a worker
+    Duration holdInterval = 100ms; ///< between two holds at a worker, if `holdWait` is 0
+    /// How long a worker waits for an end of a run before it answers a hold, after which the leader
+    /// sends the next one.
+    Duration holdWait = 0ms;
+    Duration longestRun = 2500ms; ///< at a worker
+    Duration holdTimeout = 1100ms; ///< in addition to `holdWait`; then a hold is unanswered
+    Duration holdRetry = 100ms; ///< after an unanswered hold
     Duration firstHoldDelay = 200ms; ///< longest until a new leader calls a worker first
     Duration configurationDelay = 1s; ///< longest until a leader with the store knows a new cap
     /// A start may still follow a cap that was replaced this long ago.
--- a/packages/scheduling/tests/job_simulation.h
+++ b/packages/scheduling/tests/job_simulation.h
@@ -4,6 +4,7 @@
 // the guarantees given to callers.
 #pragma once
 
+#include "cancellations.h"
 #include "customer_caps.h"
 #include "event_queue.h"
 #include "fault_rates.h"
@@ -21,9 +22,10 @@
 class JobSimulation
 {
 public:
-    JobSimulation(std::uint64_t seed, FaultRates faults)
+    JobSimulation(std::uint64_t seed, FaultRates faults, SimulationTimes times = {})
         : random(seed)
         , faults(faults)
+        , times(times)
     {
         if (faults.capChange > 0) {
             this->services = {"s", "t"};
@@ -61,18 +63,19 @@
             this->events.run(this->now);
             this->runWorkers();
             this->runLeaders();
+            this->cancels.check(this->workers, this->now, this->invariants.violations);
         }
     }
 
-    /// The number of jobs that have not reached a final state.
-    std::size_t unfinishedJobs() const
+    /// The jobs that have not reached a final state.
+    std::vector<std::string> unfinishedJobs() const
     {
-        std::size_t open = 0;
+        std::vector<std::string> open;
         for (const auto &entry : this->submittedJobs) {
             const auto row = this->storedProgress.find(entry.first);
-            const bool isFinished = row != this->storedProgress.end()
-                                    && jobs::isFinal(static_cast<JobState>(row->second.state()));
-            open += isFinished ? 0 : 1;
+            if (row == this->storedProgress.end()
+                || !jobs::isFinal(static_cast<JobState>(row->second.state())))
+                open.push_back(entry.first);
         }
         return open;
     }
@@ -93,6 +96,11 @@
         return this->caps.startsAtCap;
     }
 
+    const Cancellations &cancellations() const
+    {
+        return this->cancels;
+    }
+
     std::size_t takeovers = 0;
 
 private:
@@ -125,8 +133,14 @@
         for (std::size_t i = 0; i < this->workers.size(); ++i) {
             if (!this->workers[i].alive)
                 continue;
-            if (this->random.chance(this->faults.crash * tick))
+            if (this->random.chance(this->faults.crash * tick)) {
                 this->workers[i].restart(++this->incarnationCount, this->now);
+                this->cancels.noteDisturbance(this->workers[i].id, this->now);
+                for (const auto &leader : this->leaders) {
+                    if (this->times.holdWait > Duration::zero())
+                        leader->breakHold(this->workers[i].id, this->now + this->times.holdRetry);
+                }
+            }
             if (this->random.chance(this->faults.partition * tick))
                 this->workers[i].partitionedUntil =
                     this->now + this->random.between(Duration(1s), Duration(9s));
@@ -139,6 +153,8 @@
         }
         if (this->random.chance(this->faults.capChange * tick))
             this->caps.change(this->random, this->now);
+        if (this->faults.cancellation > 0 && this->random.chance(this->faults.cancellation * tick))
+            this->cancels.add(this->unfinishedJobs(), this->random, this->now);
         auto &leader = *this->leaders.back();
         const bool dies = this->random.chance(this->faults.leaderLoss * tick);
         const bool losesStore = !dies && this->random.chance(this->faults.storeLoss * tick);
@@ -147,6 +163,8 @@
         leader.alive = !dies;
         leader.hasStore = false;
         this->nextLeaderAt = this->now + this->times.takeover;
+        for (const auto &worker : this->workers)
+            this->cancels.noteDisturbance(worker.id, this->now);
     }
 
     // Leaders with the store learn of a new cap late.
@@ -159,19 +177,10 @@
                 leader->nextCapAt =
                     this->now + this->random.between(Duration(0), this->times.configurationDelay);
             if (this->now >= leader->nextCapAt)
-                this->configure(*leader);
+                leader->configure(this->caps.count(), this->services, this->caps.customers());
         }
     }
 
-    void configure(SimLeader &leader)
-    {
-        leader.knownCaps = this->caps.count();
-        leader.nextCapAt = {};
-        auto configuration = configurationOf(this->services, this->caps.customers());
-        configuration.version = static_cast<std::int64_t>(leader.knownCaps) + 1;
-        leader.scheduler.setConfiguration(std::move(configuration));
-    }
-
     void runWorkers()
     {
         for (auto &worker : this->workers) {
@@ -183,10 +192,13 @@
     SimWorkerCallbacks callbacksFor(const SimWorker &worker)
     {
         return {
-            [this, id = worker.id](const RunKey &key) { this->checkStart(id, key); },
+            [this, id = worker.id](const RunKey &key) {
+                this->cancels.noteStart(id, key.task, this->now);
+                this->checkStart(id, key);
+            },
             [this] {
                 const auto endsAt =
-                    this->now + this->random.between(Duration(200ms), Duration(2500ms));
+                    this->now + this->random.between(Duration(200ms), this->times.longestRun);
                 return SimRun{endsAt, this->random.chance(this->faults.failure)};
             },
             [this](const TaskId &task, jobs::RunEnd end) { this->invariants.runEnded(task, end); },
@@ -220,7 +232,7 @@
         ++this->takeovers;
         const auto fence = static_cast<std::int64_t>(this->takeovers);
         auto leader = std::make_shared<SimLeader>(fence, this->now, SchedulerTimes{});
-        this->configure(*leader);
+        leader->configure(this->caps.count(), this->services, this->caps.customers());
         this->leaders.push_back(leader);
         for (const auto &entry : this->submittedJobs)
             this->addJobTo(*leader, entry.first, true);
@@ -262,11 +274,6 @@
         }
     }
 
-    bool canSendOrders(const SimLeader &leader) const
-    {
-        return leader.alive && this->now - leader.confirmedAt < this->times.orderLimit;
-    }
-
     void runLeaders()
     {
         if (this->nextLeaderAt != Instant{} && this->now >= this->nextLeaderAt) {
@@ -274,12 +281,13 @@
             this->startLeader();
         }
         for (const auto &leader : this->leaders) {
-            if (!this->canSendOrders(*leader))
+            if (!leader->canSendOrders(this->times.orderLimit, this->now))
                 continue;
             if (leader->hasStore) {
                 leader->confirmedAt = this->now;
                 this->listWorkers(*leader);
-                this->writeRows(*leader);
+                this->cancels.read(*leader, this->now);
+                leader->writeRows(this->storedProgress, this->times.writeDelay, this->now);
             }
             this->hold(leader);
             this->sendOrders(leader);
@@ -287,18 +295,6 @@
         }
     }
 
-    void writeRows(SimLeader &leader)
-    {
-        for (auto &row : leader.scheduler.takeDirty(30, [](const std::string &) { return true; }))
-            leader.writes.push_back({this->now + this->times.writeDelay, std::move(row)});
-        while (!leader.writes.empty() && leader.writes.front().first <= this->now) {
-            const auto row = leader.writes.front().second;
-            leader.writes.pop_front();
-            this->storedProgress[row.id] = row.row;
-            leader.scheduler.recorded(row);
-        }
-    }
-
     void hold(const std::shared_ptr<SimLeader> &leader)
     {
         for (std::size_t i = 0; i < this->workers.size(); ++i) {
@@ -313,20 +309,35 @@
             const auto asked = this->now;
             const auto ack = leader->scheduler.acknowledged(id);
             const auto until = leader->scheduler.leaseUntil(id, this->now);
+            const bool isSurvey = !leader->scheduler.findWorker(id)->hasReported;
+            const auto isAfterFailure = leader->holdNumbers[id] != leader->answeredHolds[id];
+            const auto wait = isSurvey || isAfterFailure ? Duration::zero() : this->times.holdWait;
+            if (this->times.holdWait > Duration::zero())
+                next = this->now + wait + this->times.holdTimeout + this->times.holdRetry;
+            const auto number = ++leader->holdNumbers[id];
+            const auto answered = [this, leader, asked, id,
+                                   number](const std::optional<WorkerReport> &report) {
+                if (!leader->alive || leader->holdNumbers[id] != number)
+                    return;
+                leader->answeredHolds[id] = number;
+                if (this->times.holdWait > Duration::zero())
+                    leader->nextHoldAt[id] = this->now;
+                if (report)
+                    leader->scheduler.report(*report, asked, this->now);
+                else
+                    leader->alive = false; // the worker knows a newer leader
+            };
             this->calls.hold<std::optional<WorkerReport>>(
-                i,
+                i, wait,
                 [this, leader, ack, until](SimWorker &worker) {
                     return worker.hold(leader->fence, ack, until, this->now,
                                        this->callbacksFor(worker));
                 },
-                [this, leader, asked](const std::optional<WorkerReport> &report) {
-                    if (!leader->alive)
-                        return;
-                    if (report)
-                        leader->scheduler.report(*report, asked, this->now);
-                    else
-                        leader->alive = false; // the worker knows a newer leader
-                });
+                [this, leader](SimWorker &worker) {
+                    return worker.hold(leader->fence, 0, std::nullopt, this->now,
+                                       this->callbacksFor(worker));
+                },
+                answered);
         }
     }
 
@@ -381,6 +392,7 @@
     std::map<std::string, std::string> serviceOfWorker;
     std::map<std::string, std::string> serviceOfJob;
     std::map<std::string, messages::JobProgress> storedProgress; // the store, by job
+    Cancellations cancels;
     TaskInvariants invariants{maxAttempts};
 };
 
--- a/packages/scheduling/tests/sim_calls.h
+++ b/packages/scheduling/tests/sim_calls.h
@@ -54,19 +54,27 @@
         });
     }
 
-    /// Calls the worker at `index`, whose answer goes to `answered` if both arrive.
+    /// Calls the worker at `index` with a hold that it answers after `wait`, or at once if runs
+    /// have ended. The answer goes to `answered` if both arrive.
     template<typename Answer>
-    void hold(std::size_t index, std::function<Answer(SimWorker &)> call,
+    void hold(std::size_t index, Duration wait, std::function<Answer(SimWorker &)> call,
+              std::function<Answer(SimWorker &)> report,
               std::function<void(const Answer &)> answered)
     {
-        this->runAfter(this->travelTime(), [this, index, call, answered] {
+        this->runAfter(this->travelTime(), [this, index, wait, call, report, answered] {
             auto &worker = this->workers[index];
             if (!worker.isReachable(this->now))
                 return;
             const auto answer = call(worker);
-            if (this->random.chance(this->faults.lostAnswer))
+            if (wait == Duration::zero() || !answer || !worker.ends.empty()) {
+                this->answerHold(answer, answered);
                 return;
-            this->runAfter(this->travelTime(), [answer, answered] { answered(answer); });
+            }
+            this->runAfter(wait, [this, index, born = worker.born, report, answered] {
+                auto &answering = this->workers[index];
+                if (answering.isReachable(this->now) && answering.born == born)
+                    this->answerHold(report(answering), answered);
+            });
         });
     }
 
@@ -74,6 +82,14 @@
     static constexpr Duration timeout = 800ms;
     static constexpr Duration answerTime = 3ms;
 
+    template<typename Answer>
+    void answerHold(const Answer &answer, const std::function<void(const Answer &)> &answered)
+    {
+        if (this->random.chance(this->faults.lostAnswer))
+            return;
+        this->runAfter(this->travelTime(), [answer, answered] { answered(answer); });
+    }
+
     Duration travelTime()
     {
         return this->random.between(Duration(1ms), Duration(20ms));
--- a/packages/scheduling/tests/sim_leader.h
+++ b/packages/scheduling/tests/sim_leader.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -46,6 +47,45 @@
         , confirmedAt(now)
     {}
 
+    bool canSendOrders(Duration orderLimit, Instant now) const
+    {
+        return this->alive && now - this->confirmedAt < orderLimit;
+    }
+
+    void configure(std::size_t caps, const std::vector<std::string> &services,
+                   std::vector<Customer> customers)
+    {
+        this->knownCaps = caps;
+        this->nextCapAt = {};
+        auto configuration = configurationOf(services, std::move(customers));
+        configuration.version = static_cast<std::int64_t>(caps) + 1;
+        this->scheduler.setConfiguration(std::move(configuration));
+    }
+
+    /// Called when the worker's connections break, which ends the hold that it has not answered.
+    void breakHold(const std::string &worker, Instant next)
+    {
+        const auto at = this->nextHoldAt.find(worker);
+        if (at == this->nextHoldAt.end())
+            return;
+        ++this->holdNumbers[worker];
+        at->second = std::min(at->second, next);
+    }
+
+    /// Writes the rows of changed jobs, each after `delay`.
+    void writeRows(std::map<std::string, messages::JobProgress> &stored, Duration delay,
+                   Instant now)
+    {
+        for (auto &row : this->scheduler.takeDirty(30, [](const std::string &) { return true; }))
+            this->writes.push_back({now + delay, std::move(row)});
+        while (!this->writes.empty() && this->writes.front().first <= now) {
+            const auto row = this->writes.front().second;
+            this->writes.pop_front();
+            stored[row.id] = row.row;
+            this->scheduler.recorded(row);
+        }
+    }
+
     std::int64_t fence;
     Instant startedAt;
     Scheduler scheduler;
@@ -54,6 +94,9 @@
     Instant confirmedAt;
     std::size_t knownCaps = 0; // the number of caps that were in force up to its configuration
     Instant nextCapAt{};
+    std::set<std::string> knownCancellations; // jobs
+    std::map<std::string, std::size_t> holdNumbers; // by worker: of the last hold that was sent
+    std::map<std::string, std::size_t> answeredHolds; // by worker: number of the last one answered
     std::map<std::string, Instant> nextHoldAt; // by worker: when the next hold is sent
     std::deque<std::pair<Instant, DirtyJob>> writes;
 };
