--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -25,11 +25,15 @@
     std::vector<scheduling::ListedEnd> ends;
     std::vector<std::int64_t> acknowledged; ///< by each hold, in order
     std::vector<std::optional<std::int64_t>> leaseEnds; ///< by each hold, by the worker's clock
+    std::vector<std::chrono::milliseconds> waits; ///< of each hold
     std::vector<std::int64_t> unread; ///< numbers of ends that were dropped without being listed
     std::set<std::pair<std::int64_t, std::int64_t>> listed; ///< listed ends: born and number
     std::function<OrderAnswer(std::size_t call)> onHold; ///< called before each hold takes effect
     std::vector<std::string> starts; ///< jobs of the starts that were sent, in order
     std::chrono::milliseconds startTime{0}; ///< until a start is answered
+    std::vector<std::int64_t> stops; ///< numbers of the runs of the stops that were sent, in order
+    std::chrono::milliseconds stopTime{0}; ///< until a stop is answered
+    OrderAnswer stopAnswer = OrderAnswer::Accepted;
 
     HoldAnswer execute(const HoldRequest &request)
     {
@@ -73,6 +77,7 @@
     {
         this->worker->acknowledged.push_back(request.acknowledged);
         this->worker->leaseEnds.push_back(request.until);
+        this->worker->waits.push_back(request.wait);
         co_await pause(std::chrono::milliseconds(1));
         const auto answer = this->worker->onHold(this->worker->acknowledged.size());
         auto result = HoldAnswer{};
@@ -90,9 +95,11 @@
         co_return OrderAnswer::Accepted;
     }
 
-    Awaitable<OrderAnswer> stop(const scheduling::StopOrder &, std::int64_t)
+    Awaitable<OrderAnswer> stop(const scheduling::StopOrder &order, std::int64_t)
     {
-        co_return OrderAnswer::Accepted;
+        this->worker->stops.push_back(order.run);
+        co_await pause(this->worker->stopTime);
+        co_return this->worker->stopAnswer;
     }
 
     Awaitable<OrderAnswer> pace(const scheduling::PaceOrder &, std::int64_t)
@@ -134,6 +141,27 @@
         this->context.run_for(std::chrono::milliseconds(150));
     }
 
+    /// Adds jobs of one task each and gives their starts to the session.
+    void orderStarts(const std::vector<std::string> &jobs)
+    {
+        auto listing = this->scheduler.findWorker(workerId)->listing;
+        listing.service = "s";
+        listing.capacity = {4000, 1000, 0};
+        this->scheduler.listWorker(listing, bootNow());
+        this->scheduler.report({workerId, firstBorn, 1000, {}, {}}, bootNow(), bootNow());
+        jobs::StepSpec step;
+        step.count = 1;
+        step.need = {1000, 10, 0};
+        const jobs::QueueTerms terms{"q", "s", 0, 3, 2, std::chrono::milliseconds(600)};
+        for (const auto &id : jobs) {
+            this->scheduler.addJob(std::make_unique<jobs::Job>(
+                id, jobs::JobSpec{"", {step}, 0, 0, std::chrono::milliseconds(0)}, terms,
+                bootNow()));
+            for (auto &order : this->scheduler.plan(bootNow(), 0).starts)
+                this->session->order(std::move(order));
+        }
+    }
+
     // So long ago that ends of unknown jobs are acknowledged without waiting for these jobs.
     static constexpr Duration takeover = std::chrono::seconds(60);
 
@@ -166,6 +194,25 @@
     }
 }
 
+// Guards against tasks of cancelled jobs that run on at a worker that can be reached again: that
+// they still ran was shown only by a report for which the session waited another second.
+TEST_CASE("A hold after one without an answer does not wait for an end")
+{
+    const auto lost = GENERATE(OrderAnswer::NoAnswer, OrderAnswer::NotSent, OrderAnswer::Unhealthy);
+    CAPTURE(model::nameOf(lost));
+    ScriptedWorker worker;
+    worker.onHold = [&](std::size_t call) {
+        return call == 3 || call == 4 ? lost : OrderAnswer::Accepted;
+    };
+    SessionFixture fixture(worker);
+    fixture.run(worker, 7);
+    // The first hold is the survey of a new leader.
+    const std::vector<std::chrono::milliseconds> expected{0ms, 1s, 1s, 0ms, 0ms, 1s, 1s};
+    REQUIRE(worker.waits.size() >= expected.size());
+    worker.waits.resize(expected.size());
+    CHECK(worker.waits == expected);
+}
+
 // Guards against tasks that run again after they were done: the worker restarted and kept its id,
 // and ends of the new incarnation were acknowledged with a number of the previous one.
 TEST_CASE("Ends of a restarted worker are not acknowledged before they are read")
@@ -253,22 +300,7 @@
     worker.startTime = std::chrono::milliseconds(20);
     SessionFixture fixture(worker);
     auto &scheduler = fixture.scheduler;
-    auto listing = scheduler.findWorker(workerId)->listing;
-    listing.service = "s";
-    listing.capacity = {4000, 1000, 0};
-    scheduler.listWorker(listing, bootNow());
-    scheduler.report({workerId, firstBorn, 1000, {}, {}}, bootNow(), bootNow());
-    jobs::StepSpec step;
-    step.count = 1;
-    step.need = {1000, 10, 0};
-    const jobs::QueueTerms terms{"q", "s", 0, 3, 2, std::chrono::milliseconds(600)};
-    // The session sends two orders at a time.
-    for (const auto *id : {"first", "second", "queued"}) {
-        scheduler.addJob(std::make_unique<jobs::Job>(
-            id, jobs::JobSpec{"", {step}, 0, 0, std::chrono::milliseconds(0)}, terms, bootNow()));
-        for (auto &order : scheduler.plan(bootNow(), 0).starts)
-            fixture.session->order(std::move(order));
-    }
+    fixture.orderStarts({"first", "second", "queued"}); // the session sends two at a time
     while (worker.starts.size() < 2)
         fixture.context.run_one();
     row.change(scheduler);
@@ -279,3 +311,44 @@
     CHECK(scheduler.findWorker(workerId)->runs.size() == worker.starts.size());
     fixture.session->stop();
 }
+
+// Guards against tasks of cancelled jobs that run on: their stops waited behind starts that the
+// worker left without an answer.
+TEST_CASE("a stop does not wait for the answers to starts")
+{
+    ScriptedWorker worker;
+    worker.startTime = std::chrono::milliseconds(100);
+    SessionFixture fixture(worker);
+    fixture.orderStarts({"first", "second", "queued"});
+    while (worker.starts.size() < 2)
+        fixture.context.run_one();
+    const scheduling::StopOrder order{workerId, {"cancelled", 0, 0, 0}, 1, ""};
+    fixture.session->order(order);
+    fixture.context.run_for(50ms);
+    CHECK(worker.stops == std::vector<std::int64_t>{1});
+    CHECK(worker.starts.size() == 2);
+    fixture.context.run();
+    CHECK(worker.starts.size() == 3);
+    fixture.session->stop();
+}
+
+// Guards against tasks of cancelled jobs that run on: while a worker left stops without an answer,
+// each report asked for further stops of the same runs, and those of other runs waited behind them.
+TEST_CASE("a stop that was repeated while it waited is sent once")
+{
+    constexpr std::int64_t runs = 4;
+    constexpr int reports = 5;
+    ScriptedWorker worker;
+    worker.stopTime = 50ms;
+    worker.stopAnswer = OrderAnswer::NoAnswer;
+    SessionFixture fixture(worker);
+    for (int report = 0; report < reports; ++report) {
+        for (std::int64_t run = 1; run <= runs; ++run)
+            fixture.session->order(
+                scheduling::StopOrder{workerId, {"cancelled", 0, 0, 0}, run, ""});
+    }
+    fixture.session->order(scheduling::StopOrder{workerId, {"cancelled", 0, 0, 0}, runs + 1, ""});
+    fixture.context.run();
+    CHECK(worker.stops == std::vector<std::int64_t>{1, 2, 3, 4, 5});
+    fixture.session->stop();
+}
