A leader takes no version of its lease row from a newer leader's answer

Callers could see tasks run twice, by two leaders of one term with the same run numbers.

Cause: the answer to a hello that was sent before this process took the lease is noted while it leads. If another entry VM has taken the lease since, the answer names that one's version of the row, and the next renewal, on the condition of that version, replaces the newer holder's row by one with the former term. It needs an acquisition that is answered more than a term late, such as by a process that was suspended.

"A leader does not renew over the row of a newer leader that answered its hello" fails without the change (still leads, row is its own) and passes with it.

Change: answers are ignored while this process leads; the next renewal then conflicts, the row is read and the tenure ends.

--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -87,6 +87,10 @@
     /// and may have lost the store, so the row must not seem to have changed.
     void noteLeaderAnswer(std::int64_t leaseVersion)
     {
+        // Asked before this tenure. The answer of a newer leader must not let this process renew
+        // over its row.
+        if (this->leading)
+            return;
         this->leaderAnsweredAt = bootNow();
         if (leaseVersion >= this->version)
             this->noteVersion(leaseVersion);
