An answer of the store is read as long as its bytes arrive

One cause: a timeout counted from the call, 1.5 s for a scan and 2.25 s for a feed. Now the timeout counts to the first bytes, and then from one read of the socket to the next. Writes keep their bound, since their answers are short.

--- a/packages/http/include/sassafrasferry/http/client.h
+++ b/packages/http/include/sassafrasferry/http/client.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace sassafrasferry::http {
@@ -58,7 +59,14 @@
     std::uint64_t received = 0;
 };
 
-/// Lets the owner of an exchange give it up from the same executor.
+/// How much of an answer has arrived.
+struct AnswerProgress
+{
+    std::size_t bytes = 0; ///< header and body
+    std::optional<std::uint64_t> bodyLength; ///< once the header has arrived, if it names one
+};
+
+/// Lets the owner of an exchange give it up and observe its answer from the same executor.
 class Abort
 {
 public:
@@ -66,12 +74,24 @@
     void abort();
     bool aborted() const;
 
+    /// Called after each read of the answer.
+    std::function<void(const AnswerProgress &progress)> onProgress;
+
 private:
     friend class Client;
     std::function<void()> close;
     bool requested = false;
 };
 
+/// How long an exchange may take.
+struct ExchangeLimits
+{
+    /// From the call to the whole answer or, if `idle` is set, to its first bytes.
+    std::chrono::milliseconds answer;
+    /// Between two reads of the answer. An answer of any length is read as long as bytes arrive.
+    std::optional<std::chrono::milliseconds> idle;
+};
+
 /// A client of one endpoint.
 class Client
 {
@@ -89,6 +109,8 @@
     /// never used again, so a late answer can reach nobody else.
     Awaitable<Exchange> exchange(Request request, std::chrono::milliseconds timeout,
                                  std::shared_ptr<Abort> abort = nullptr);
+    Awaitable<Exchange> exchange(Request request, ExchangeLimits limits,
+                                 std::shared_ptr<Abort> abort = nullptr);
 
     std::size_t idleCount() const;
     ClientTraffic traffic() const;
@@ -111,7 +133,8 @@
     /// Reads one answer. `called`: when the exchange began.
     Awaitable<beast::error_code> receive(Stream &stream, beast::flat_buffer &buffer, Parser &parser,
                                          AnswerReception &reception,
-                                         std::chrono::steady_clock::time_point called);
+                                         std::chrono::steady_clock::time_point called,
+                                         ExchangeLimits limits, std::shared_ptr<Abort> abort);
 
     asio::any_io_executor executor;
     model::Endpoint address;
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -40,6 +40,14 @@
 // reads, so small reads would delay a large answer by seconds.
 constexpr std::size_t readSize = 64UL * 1024;
 
+template<typename Parser>
+std::optional<std::uint64_t> announcedLength(const Parser &parser)
+{
+    const auto length =
+        parser.is_header_done() ? parser.content_length() : boost::optional<std::uint64_t>();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 } // namespace
 
 void Abort::abort()
@@ -88,7 +96,8 @@
 
 Awaitable<beast::error_code> Client::receive(Stream &stream, beast::flat_buffer &buffer,
                                              Parser &parser, AnswerReception &reception,
-                                             Clock::time_point called)
+                                             Clock::time_point called, ExchangeLimits limits,
+                                             std::shared_ptr<Abort> abort)
 {
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
@@ -98,8 +107,14 @@
         reception.bytes += bytes;
         if (++reception.reads == 1)
             reception.toFirstRead = Clock::now() - called;
+        if (error)
+            break;
+        if (limits.idle)
+            stream.expires_after(*limits.idle);
+        if (abort && abort->onProgress)
+            abort->onProgress({reception.bytes, announcedLength(parser)});
         // Not before the first bytes: a connection may wait for seconds until they arrive.
-        if (!error && !parser.is_done())
+        if (!parser.is_done())
             buffer.reserve(readSize);
     }
     reception.toEnd = Clock::now() - called;
@@ -109,12 +124,19 @@
 
 Awaitable<Exchange> Client::exchange(Request request, std::chrono::milliseconds timeout,
                                      std::shared_ptr<Abort> abort)
+{
+    return this->exchange(std::move(request), ExchangeLimits{timeout, std::nullopt},
+                          std::move(abort));
+}
+
+Awaitable<Exchange> Client::exchange(Request request, ExchangeLimits limits,
+                                     std::shared_ptr<Abort> abort)
 {
     Exchange result;
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
     const auto called = Clock::now();
-    const auto deadline = called + timeout;
+    const auto deadline = called + limits.answer;
     auto taken = this->takeIdle();
     auto stream = std::move(taken.stream);
     const bool isFresh = !stream;
@@ -152,7 +174,8 @@
     Parser parser;
     parser.body_limit(this->options.answerBytes);
     if (!error)
-        error = co_await this->receive(*stream, buffer, parser, result.reception, called);
+        error = co_await this->receive(*stream, buffer, parser, result.reception, called, limits,
+                                       abort);
     if (abort)
         abort->close = nullptr;
     if (error) {
