Reads of a table share one answer; unchanged rows are not read again

Cause: each request whose configuration was older than 2.25 s, or whose queue was unknown, scanned the whole table, beside the feed and beside each other, another one each 400 ms. Now a request asks the feed without a wait, whose answer is short if nothing has changed. Once one answer brings many bytes (64 KB), the other questions are given up, and requests wait for these rows instead of asking again, if they will be there within a second at the rate so far; at most one question follows for all of them. After a slow answer the next question doesn't wait. Ruled out: the store (no call unanswered in store.csv) and the processor (0 to 1 % used meanwhile). The test double of the refresher's tests counts reads of both kinds in place of scans alone, since a read on demand is a call of the feed now; their numbers stay.

--- a/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
@@ -120,22 +120,35 @@
 
     /// Reads the configuration again if it is too old or if this process has paused since it was
     /// read: a request that waited in the pause must not be routed by an older configuration than
-    /// one that came before it. Returns false if the store doesn't answer.
-    Awaitable<bool> renew()
+    /// one that came before it. Returns false if it can't be read by `latest`.
+    Awaitable<bool> renew(Instant latest = Instant::max())
     {
         const auto now = bootNow();
         this->pauses.update(now);
         const auto moment = std::max(now - this->times.maxAge(), this->pauses.resumedAt());
-        co_return co_await this->refresher->cover(moment);
+        const CoverLimits limits{maxSilence, std::min(latest, now + maxArrivalWait)};
+        co_return co_await this->refresher->cover(moment, limits);
     }
 
-    /// Reads the configuration again in any case. Returns false if the store doesn't answer.
-    Awaitable<bool> reread()
+    /// Learns of all changes that the store has acknowledged by now. Returns false if that is not
+    /// possible by `latest`.
+    Awaitable<bool> reread(Instant latest = Instant::max())
     {
-        co_return co_await this->follower->refresh();
+        const auto now = bootNow();
+        const CoverLimits limits{maxRereadSilence, std::min(latest, now + maxRereadSilence)};
+        co_return co_await this->refresher->cover(now, limits);
     }
 
 private:
+    // A request that must not be refused for the age of the configuration doesn't wait longer for a
+    // store that is silent.
+    static constexpr Duration maxSilence = std::chrono::milliseconds(400);
+    // A refused caller comes back after a second, so a longer wait doesn't pay.
+    static constexpr Duration maxArrivalWait = std::chrono::milliseconds(1000);
+    // A request on an unknown queue is refused if the store does not answer: it can't be told
+    // whether the queue exists. A slow store takes up to about 0.6 s.
+    static constexpr Duration maxRereadSilence = std::chrono::milliseconds(1500);
+
     Awaitable<void> watchPauses()
     {
         for (;;) {
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -115,11 +115,12 @@
         const auto path = target.substr(0, target.find('?'));
         if (this->configuration().version == 0)
             co_return retryLater("no configuration yet");
-        const bool isCurrent = co_await this->operators->renew();
+        const auto deadline = deadlineOf(request, Platform::deadlineHeader());
+        const bool isCurrent = co_await this->operators->renew(deadline);
         const auto *queue = this->configuration().route(host, path);
         if (!queue) {
             // The queue may have been added in a configuration that is not yet known here.
-            if (!co_await this->operators->reread())
+            if (!co_await this->operators->reread(deadline))
                 co_return retryLater("the configuration can't be read");
             queue = this->configuration().route(host, path);
         }
--- a/packages/coordination/include/sassafrasferry/coordination/job_submission.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_submission.h
@@ -101,7 +101,7 @@
         messages::JobRecord record;
         auto result = IntakeResult::Refused;
         // The sender can't read the store, so its configuration may be old.
-        co_await this->node.operators.renew();
+        co_await this->node.operators.renew(deadline);
         if (!record.ParseFromString(handedIn.record()))
             LOG(ERROR) << "event=hand-in-unreadable job=" << handedIn.job();
         else if (!this->isStillAllowed(record, handedIn.key_digest()))
--- a/packages/coordination/include/sassafrasferry/coordination/table_follower.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_follower.h
@@ -2,11 +2,17 @@
 #pragma once
 
 #include <sassafrasferry/coordination/concurrently.h>
+#include <sassafrasferry/coordination/row_arrival.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/store/part_rows.h>
 
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <utility>
 
 #include <glog/logging.h>
 
@@ -22,6 +28,13 @@
     std::chrono::milliseconds pause{0}; ///< delay between two reads of the feed
 };
 
+/// What became of a read of changes.
+enum class ReadOutcome {
+    Read,
+    Superseded, ///< another read of the same changes was faster or has begun before
+    Failed,
+};
+
 /// Follows the table until `stop` is called.
 template<store::PartStore Store>
 class TableFollower : public std::enable_shared_from_this<TableFollower<Store>>
@@ -92,10 +105,57 @@
         this->passedOn = std::max(this->passedOn, version);
         if (!this->stopped)
             this->onRows(all, true);
-        this->covered = std::max(this->covered, askedAt);
+        this->cover(askedAt);
         co_return true;
     }
 
+    /// Asks for all changes that the store has acknowledged by now. Another read may be under way;
+    /// once one of them receives many bytes, the others are given up.
+    Awaitable<ReadOutcome> readChanges()
+    {
+        if (this->version != store::absent) {
+            const auto outcome = co_await this->ask(std::chrono::milliseconds(0));
+            if (this->version != store::absent)
+                co_return outcome;
+        }
+        if (this->isScanning) {
+            co_await this->awaitRead(bootNow() + RowArrival::maxSilence);
+            co_return ReadOutcome::Superseded;
+        }
+        const bool isRead = co_await this->refresh();
+        co_return isRead ? ReadOutcome::Read : ReadOutcome::Failed;
+    }
+
+    /// Changes whose bytes are arriving; null if there are none.
+    const RowArrival *arrival(Instant now) const
+    {
+        return this->arriving && this->isNewerArriving(now) ? &*this->arriving->arrival : nullptr;
+    }
+
+    /// The store has announced changes that are not known here yet, and bytes of them have arrived
+    /// lately.
+    bool isNewerArriving(Instant now) const
+    {
+        return now < this->newerExpectedUntil;
+    }
+
+    /// Suspends the coroutine until a read has ended, at most until this moment.
+    Awaitable<void> awaitRead(Instant until)
+    {
+        const auto executor = co_await http::asio::this_coro::executor;
+        const auto wake = std::make_shared<Wake>(executor);
+        this->waiting.push_back(wake);
+        co_await wake->wait(until - bootNow());
+        std::erase(this->waiting, wake);
+    }
+
+    /// Resumes the coroutines that wait for the end of a read.
+    void wakeReaders()
+    {
+        for (const auto &wake : std::exchange(this->waiting, {}))
+            wake->notify();
+    }
+
     /// Retries `refresh` until the store answers; false if `stop` was called first.
     Awaitable<bool> refreshUntilRead()
     {
@@ -111,43 +171,131 @@
 private:
     static constexpr auto retryPause = std::chrono::milliseconds(150);
 
+    /// A call of the feed without a whole answer yet.
+    struct Question
+    {
+        Instant askedAt = bootNow();
+        std::shared_ptr<http::Abort> abort = std::make_shared<http::Abort>();
+        std::optional<RowArrival> arrival; // once many bytes of rows are on their way
+    };
+
     Awaitable<void> run()
     {
         while (!this->stopped) {
             if (this->version == store::absent) {
-                if (!co_await this->refresh()) {
+                this->isScanning = true;
+                const bool isRead = co_await this->refresh();
+                this->isScanning = false;
+                if (!isRead) {
                     this->logReachability(false);
                     co_await pause(retryPause);
                 }
                 continue;
             }
-            const auto askedAt = bootNow();
-            auto page =
-                co_await this->store.feed(this->options.table, this->version, this->options.wait);
+            // What is known after a slow answer is old already.
+            const bool wasSlow = std::exchange(this->hasReadSlowly, false);
+            const auto wait = wasSlow ? std::chrono::milliseconds(0) : this->options.wait;
+            const auto outcome = co_await this->ask(wait);
             if (this->stopped)
                 co_return;
-            this->logReachability(page.ok());
-            if (!page.ok()) {
-                co_await pause(retryPause);
-                continue;
-            }
-            if (page->historyLost) {
-                LOG(WARNING) << "event=history-lost table=" << this->options.table
-                             << " version=" << this->version;
-                this->version = store::absent;
+            if (outcome == ReadOutcome::Superseded)
                 continue;
-            }
-            this->version = std::max(this->version, page->version);
-            this->passedOn = std::max(this->passedOn, this->version);
-            this->fedRows += page->rows.size();
-            if (!page->rows.empty())
-                this->onRows(page->rows, false);
-            this->covered = std::max(this->covered, askedAt);
-            if (this->options.pause.count() > 0)
+            this->logReachability(outcome == ReadOutcome::Read);
+            if (outcome == ReadOutcome::Failed)
+                co_await pause(retryPause);
+            else if (this->options.pause.count() > 0 && this->version != store::absent)
                 co_await pause(this->options.pause);
         }
     }
 
+    // Changes that are already arriving are waited for first: a second answer would carry them
+    // again.
+    Awaitable<ReadOutcome> ask(std::chrono::milliseconds wait)
+    {
+        for (auto now = bootNow(); const auto *current = this->arrival(now); now = bootNow())
+            co_await this->awaitRead(current->silentAfter());
+        const auto question = std::make_shared<Question>();
+        question->abort->onProgress = [this, asked = question.get()](const auto &progress) {
+            this->noteProgress(*asked, progress);
+        };
+        const QuestionGuard guard(*this, question);
+        const auto page =
+            co_await this->store.feed(this->options.table, this->version, wait, question->abort);
+        if (this->stopped)
+            co_return ReadOutcome::Failed;
+        if (!page.ok())
+            co_return question->abort->aborted() ? ReadOutcome::Superseded : ReadOutcome::Failed;
+        if (page->historyLost) {
+            LOG(WARNING) << "event=history-lost table=" << this->options.table
+                         << " version=" << this->version;
+            this->version = store::absent;
+            co_return ReadOutcome::Read;
+        }
+        // Another read may have brought these changes and later ones.
+        const bool isNew = page->version > this->version;
+        this->version = std::max(this->version, page->version);
+        this->passedOn = std::max(this->passedOn, this->version);
+        if (isNew && !page->rows.empty()) {
+            this->fedRows += page->rows.size();
+            this->onRows(page->rows, false);
+        }
+        this->hasReadSlowly = question->arrival.has_value();
+        this->cover(question->askedAt);
+        co_return ReadOutcome::Read;
+    }
+
+    /// Keeps a question among the open ones, and wakes readers at its end.
+    class QuestionGuard
+    {
+    public:
+        QuestionGuard(TableFollower &follower, std::shared_ptr<Question> question)
+            : follower(follower)
+            , question(std::move(question))
+        {
+            this->follower.questions.push_back(this->question);
+        }
+
+        QuestionGuard(const QuestionGuard &) = delete;
+        QuestionGuard &operator=(const QuestionGuard &) = delete;
+
+        ~QuestionGuard()
+        {
+            std::erase(this->follower.questions, this->question);
+            if (this->follower.arriving == this->question)
+                this->follower.arriving = nullptr;
+            this->follower.wakeReaders();
+        }
+
+    private:
+        TableFollower &follower;
+        std::shared_ptr<Question> question;
+    };
+
+    void noteProgress(Question &question, const http::AnswerProgress &progress)
+    {
+        if (!RowArrival::isLarge(progress))
+            return;
+        const auto now = bootNow();
+        if (question.arrival)
+            question.arrival->update(progress, now);
+        else
+            question.arrival.emplace(progress, now);
+        this->newerExpectedUntil = question.arrival->silentAfter();
+        for (const auto &other : this->questions) {
+            if (other.get() == &question)
+                this->arriving = other;
+            else
+                other->abort->abort();
+        }
+    }
+
+    void cover(Instant moment)
+    {
+        this->covered = std::max(this->covered, moment);
+        this->newerExpectedUntil = {};
+        this->wakeReaders();
+    }
+
     void logReachability(bool reached)
     {
         if (reached == this->isStoreReachable)
@@ -165,6 +313,12 @@
     std::int64_t passedOn = store::absent; // never decreases, also when the feed's history is lost
     Instant covered{}; // never decreases
     std::size_t fedRows = 0;
+    std::vector<std::shared_ptr<Question>> questions; // open ones
+    std::shared_ptr<Question> arriving; // the one whose rows are arriving; null if none are
+    Instant newerExpectedUntil{}; // see `isNewerArriving`
+    std::vector<std::shared_ptr<Wake>> waiting; // for the end of a read
+    bool hasReadSlowly = false; // the last answer took its time on the link
+    bool isScanning = false; // the loop reads the whole table
     bool isStoreReachable = true;
     bool stopped = false;
 };
--- a/packages/coordination/src/table_refresher_test.cpp
+++ b/packages/coordination/src/table_refresher_test.cpp
@@ -13,11 +13,11 @@
 
 enum class Answers { Promptly, Fails, Never };
 
-/// Satisfies `store::PartStore`. Counts its scans.
+/// Satisfies `store::PartStore`. Counts its reads.
 struct CountingStore
 {
     Answers answers = Answers::Promptly;
-    std::size_t scans = 0;
+    std::size_t reads = 0;
 
     Awaitable<store::PartCommit> commit(store::PartTransaction)
     {
@@ -26,13 +26,12 @@
 
     Awaitable<absl::StatusOr<store::PartPage>> scan(store::PartRange)
     {
-        ++this->scans;
-        co_await pause(5ms);
+        co_await this->answer();
         if (this->answers == Answers::Fails)
             co_return absl::UnavailableError("no answer");
-        while (this->answers == Answers::Never)
-            co_await pause(5ms);
-        co_return store::PartPage{};
+        store::PartPage page;
+        page.version = 1;
+        co_return page;
     }
 
     Awaitable<absl::StatusOr<std::vector<std::string>>> parts(std::string)
@@ -40,10 +39,30 @@
         co_return std::vector<std::string>{};
     }
 
-    Awaitable<absl::StatusOr<store::FeedPage>> feed(std::string, std::int64_t,
-                                                    std::chrono::milliseconds)
+    Awaitable<absl::StatusOr<store::FeedPage>> feed(std::string, std::int64_t after,
+                                                    std::chrono::milliseconds,
+                                                    std::shared_ptr<http::Abort> abort)
+    {
+        if (this->isLarge)
+            abort->onProgress({RowArrival::minBytes, 2 * RowArrival::minBytes});
+        co_await this->answer();
+        if (abort->aborted() || this->answers == Answers::Fails)
+            co_return absl::UnavailableError("no answer");
+        store::FeedPage page;
+        page.version = after;
+        co_return page;
+    }
+
+    bool isLarge = false; // the first bytes of each answer of the feed arrive at once
+    std::chrono::milliseconds duration = 5ms; // of a read
+
+private:
+    Awaitable<void> answer()
     {
-        co_return absl::UnavailableError("not used");
+        ++this->reads;
+        co_await pause(this->duration);
+        while (this->answers == Answers::Never)
+            co_await pause(5ms);
     }
 };
 
@@ -64,7 +83,8 @@
         for (auto &outcome : outcomes) {
             spawn(this->context.get_executor(), "cover", [&]() -> Awaitable<void> {
                 const auto begin = bootNow();
-                outcome.isCovered = co_await this->refresher->cover(moment);
+                const CoverLimits limits{400ms, begin + 10s};
+                outcome.isCovered = co_await this->refresher->cover(moment, limits);
                 outcome.took = bootNow() - begin;
                 --open;
             });
@@ -122,11 +142,11 @@
     Bench bench;
     const auto moment = bootNow();
     CHECK(coveredCount(bench.coverTogether(5, moment)) == 5);
-    CHECK(bench.store.scans == 1);
+    CHECK(bench.store.reads == 1);
     CHECK(coveredCount(bench.coverTogether(5, moment)) == 5);
-    CHECK(bench.store.scans == 1);
+    CHECK(bench.store.reads == 1);
     CHECK(coveredCount(bench.coverTogether(5, bootNow())) == 5);
-    CHECK(bench.store.scans == 2);
+    CHECK(bench.store.reads == 2);
 }
 
 // Guards against requests that each wait for a store which does not answer.
@@ -137,10 +157,22 @@
     bench.store.answers = fault;
     const auto moment = bootNow();
     CHECK(coveredCount(bench.coverTogether(3, moment)) == 0);
-    CHECK(bench.store.scans == 1);
+    CHECK(bench.store.reads == 1);
     bench.pauseFor(500ms);
     CHECK(coveredCount(bench.coverTogether(3, moment)) == 0);
-    CHECK(bench.eventually([&] { return bench.store.scans == 2; }));
+    CHECK(bench.eventually([&] { return bench.store.reads == 2; }));
     bench.store.answers = Answers::Promptly;
     CHECK(bench.eventually([&] { return coveredCount(bench.coverTogether(1, moment)) == 1; }));
 }
+
+// Guards against reads of rows that are arriving already: they would share the link with them, and
+// none would be whole in time.
+TEST_CASE("Requests wait for rows that are arriving instead of reading them again")
+{
+    Bench bench;
+    CHECK(coveredCount(bench.coverTogether(1, bootNow())) == 1);
+    bench.store.isLarge = true;
+    bench.store.duration = 800ms; // longer than requests wait for a silent store
+    CHECK(coveredCount(bench.coverTogether(3, bootNow())) == 3);
+    CHECK(bench.store.reads == 2);
+}
--- a/packages/coordination/tests/feed_store.h
+++ b/packages/coordination/tests/feed_store.h
@@ -57,7 +57,8 @@
     }
 
     http::Awaitable<absl::StatusOr<store::FeedPage>> feed(std::string table, std::int64_t after,
-                                                          std::chrono::milliseconds wait)
+                                                          std::chrono::milliseconds wait,
+                                                          const std::shared_ptr<http::Abort> &)
     {
         const auto answerBy = bootNow() + wait;
         if (table == this->faultyFeed && this->fault == FeedFault::Late) {
--- a/packages/coordination/tests/memory_store.h
+++ b/packages/coordination/tests/memory_store.h
@@ -92,8 +92,8 @@
         co_return std::vector<std::string>(names.begin(), names.end());
     }
 
-    http::Awaitable<absl::StatusOr<store::FeedPage>> feed(std::string, std::int64_t,
-                                                          std::chrono::milliseconds)
+    http::Awaitable<absl::StatusOr<store::FeedPage>>
+    feed(std::string, std::int64_t, std::chrono::milliseconds, const std::shared_ptr<http::Abort> &)
     {
         co_return absl::UnavailableError("MemoryStore has no feeds");
     }
--- a/packages/coordination/tests/store_link.h
+++ b/packages/coordination/tests/store_link.h
@@ -41,9 +41,10 @@
     }
 
     http::Awaitable<absl::StatusOr<store::FeedPage>> feed(std::string table, std::int64_t after,
-                                                          std::chrono::milliseconds wait)
+                                                          std::chrono::milliseconds wait,
+                                                          const std::shared_ptr<http::Abort> &abort)
     {
-        auto page = co_await this->store.feed(std::move(table), after, wait);
+        auto page = co_await this->store.feed(std::move(table), after, wait, abort);
         if (this->isCut)
             co_return absl::UnavailableError("the link is cut");
         co_return page;
--- a/packages/store/include/sassafrasferry/store/part_rows.h
+++ b/packages/store/include/sassafrasferry/store/part_rows.h
@@ -2,7 +2,7 @@
 // change together share a part.
 #pragma once
 
-#include <sassafrasferry/http/types.h>
+#include <sassafrasferry/http/client.h>
 #include <sassafrasferry/store/rows.h>
 
 #include <absl/status/statusor.h>
@@ -88,7 +88,8 @@
 /// A client of such a store.
 template<typename T>
 concept PartStore = requires(T &store, PartTransaction transaction, PartRange range,
-                             std::string table, std::int64_t after, std::chrono::milliseconds wait)
+                             std::string table, std::int64_t after, std::chrono::milliseconds wait,
+                             std::shared_ptr<http::Abort> abort)
 {
     {
         store.commit(transaction)
@@ -102,9 +103,9 @@
     {
         store.parts(table)
         } -> std::same_as<Awaitable<absl::StatusOr<std::vector<std::string>>>>;
-    // What changed after a version, as soon as there is something.
+    // What changed after a version, as soon as there is something. The reader may give the call up.
     {
-        store.feed(table, after, wait)
+        store.feed(table, after, wait, abort)
         } -> std::same_as<Awaitable<absl::StatusOr<FeedPage>>>;
 };
 
