A configuration known to be outdated beyond its bound serves no requests

Now such a request is refused with a retry time of one second if the configuration is older than its bound less a margin for clocks (2.8 of 3.0 s): the caller's next try reaches another entry VM, which mostly has the new one. Without any bytes from the store requests are served as before, as no entry VM may have a newer one. A job that a peer hands in is refused likewise. The decision is policy::mayRoute. Test: "A dropped queue is not served beyond the bound while the new configuration arrives" failed before (200, and the configuration not in force after 60 s) and passes (503, then 404).

--- a/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/configuration_reader.h
@@ -4,6 +4,7 @@
 #include <sassafrasferry/coordination/operator_rows.h>
 #include <sassafrasferry/coordination/pause_watch.h>
 #include <sassafrasferry/coordination/table_refresher.h>
+#include <sassafrasferry/policy/configuration_age.h>
 
 namespace sassafrasferry::coordination {
 
@@ -21,7 +22,8 @@
         return this->maxDelay * 3 / 4;
     }
 
-    /// A leader whose configuration is further behind starts no tasks while customers have caps.
+    /// A configuration that is known to be further behind serves no requests. A leader with one
+    /// starts no tasks while customers have caps.
     Duration maxLag() const
     {
         return this->maxDelay - clockMargin;
@@ -130,6 +132,14 @@
         co_return co_await this->refresher->cover(moment, limits);
     }
 
+    /// False while a newer configuration is arriving and this one is too old for requests.
+    bool mayRoute() const
+    {
+        const policy::ConfigurationKnowledge known{this->age(),
+                                                   this->follower->isNewerArriving(bootNow())};
+        return policy::mayRoute(known, this->times.maxLag());
+    }
+
     /// Learns of all changes that the store has acknowledged by now. Returns false if that is not
     /// possible by `latest`.
     Awaitable<bool> reread(Instant latest = Instant::max())
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -117,6 +117,8 @@
             co_return retryLater("no configuration yet");
         const auto deadline = deadlineOf(request, Platform::deadlineHeader());
         const bool isCurrent = co_await this->operators->renew(deadline);
+        if (!isCurrent && !this->operators->mayRoute())
+            co_return this->refuseOutdated(target);
         const auto *queue = this->configuration().route(host, path);
         if (!queue) {
             // The queue may have been added in a configuration that is not yet known here.
@@ -233,6 +235,14 @@
                          this->stored.storeAnsweredAt()});
     }
 
+    http::Response refuseOutdated(const std::string &target) const
+    {
+        LOG(INFO) << "event=configuration-outdated config=" << this->configuration().version
+                  << " age-ms=" << this->operators->age() / std::chrono::milliseconds(1);
+        return retryLater("a newer configuration is being read",
+                          policy::retryAfter(Duration::zero(), target));
+    }
+
     void logOldConfiguration(const std::string &queue) const
     {
         LOG(WARNING) << "event=old-configuration queue=" << queue
--- a/packages/coordination/include/sassafrasferry/coordination/job_submission.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_submission.h
@@ -100,11 +100,12 @@
         const auto deadline = bootNow() + patience;
         messages::JobRecord record;
         auto result = IntakeResult::Refused;
-        // The sender can't read the store, so its configuration may be old.
-        co_await this->node.operators.renew(deadline);
+        // The sender can't read the store, so its configuration may be old, and so may this one.
+        const bool isCurrent = co_await this->node.operators.renew(deadline);
+        const bool isOutdated = !isCurrent && !this->node.operators.mayRoute();
         if (!record.ParseFromString(handedIn.record()))
             LOG(ERROR) << "event=hand-in-unreadable job=" << handedIn.job();
-        else if (!this->isStillAllowed(record, handedIn.key_digest()))
+        else if (isOutdated || !this->isStillAllowed(record, handedIn.key_digest()))
             LOG(INFO) << "event=hand-in-refused job=" << handedIn.job()
                       << " queue=" << record.queue() << " customer=" << record.customer()
                       << " config=" << this->node.operators.configuration().version
