--- a/packages/http/include/sassafrasferry/http/json.h
+++ b/packages/http/include/sassafrasferry/http/json.h
@@ -15,7 +15,7 @@
 Response textResponse(Status status, std::string body);
 /// A POST request with a JSON body.
 Request jsonRequest(Verb verb, std::string_view target, const Json &body);
-/// Parses a body; a discarded value if it is not JSON.
+/// Parses a body; a discarded value if it is not JSON or nested too deeply.
 Json parseJson(const std::string &body);
 
 } // namespace sassafrasferry::http
--- a/packages/model/src/settings.cpp
+++ b/packages/model/src/settings.cpp
@@ -9,6 +9,8 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <arpa/inet.h>
+
 namespace sassafrasferry::model {
 
 namespace {
@@ -21,8 +23,11 @@
 
 bool isIpNumber(std::string_view host)
 {
-    constexpr std::string_view allowed = "0123456789abcdefABCDEF.:[]";
-    return !host.empty() && host.find_first_not_of(allowed) == std::string_view::npos;
+    const bool isBracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    const std::string number(isBracketed ? host.substr(1, host.size() - 2) : host);
+    in6_addr address{};
+    return ::inet_pton(AF_INET, number.c_str(), &address) == 1
+           || ::inet_pton(AF_INET6, number.c_str(), &address) == 1;
 }
 
 void readEndpoint(TomlReader &reader, std::string_view key, Endpoint &endpoint)
