A silent feed is replaced by a scan of the table on demand

With the change before, a read on demand was a call of the feed alone: where the feed of the operators' table fails, is silent or late while the table can be read, the configuration stayed old. Three existing tests of coordination_test showed it ("A dropped queue is gone within the bound while the feed of the configuration is silent", "Requests that waited in a pause are routed by the same configuration", "A job that a peer hands in is refused if its queue has been dropped since"). A scan now follows a failed call at once, and an unanswered one after 150 ms, or after 400 ms where the table is known to be large. It is observed as calls of the feed are: once its bytes arrive, the others are given up, and requests wait for it.

--- a/packages/coordination/include/sassafrasferry/coordination/row_arrival.h
+++ b/packages/coordination/include/sassafrasferry/coordination/row_arrival.h
@@ -45,7 +45,8 @@
     /// When the answer will be whole at its rate so far; `now` while that is not known.
     Instant expectedEnd(Instant now) const
     {
-        const auto arrived = static_cast<double>(this->progress.bytes - this->bytesAtFirst);
+        const auto arrived =
+            static_cast<double>(this->progress.bytes) - static_cast<double>(this->bytesAtFirst);
         const auto length = static_cast<double>(this->progress.bodyLength.value_or(0));
         const auto left = length - static_cast<double>(this->progress.bytes);
         if (arrived <= 0 || left <= 0)
--- a/packages/coordination/include/sassafrasferry/coordination/table_follower.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_follower.h
@@ -80,15 +80,20 @@
         return this->fedRows;
     }
 
-    /// Reads the whole table now; false if the store doesn't answer.
+    /// Reads the whole table now; false if the store doesn't answer. The read of a table of one
+    /// part shares the link with others as a call of the feed does.
     Awaitable<bool> refresh()
     {
+        co_await this->awaitArrivals();
+        const auto question = std::make_shared<Question>();
+        const QuestionGuard guard(*this, question);
+        const bool isObserved = this->options.parts.size() == 1;
         std::vector<store::PartRow> all;
         std::int64_t version = store::absent;
         const auto askedAt = bootNow();
         const auto readPart = [&](std::size_t index) -> Awaitable<bool> {
             const store::PartRange range{this->options.table, this->options.parts[index], "", ""};
-            auto page = co_await this->store.scan(range);
+            auto page = co_await this->store.scan(range, isObserved ? question->abort : nullptr);
             if (!page.ok())
                 co_return false;
             if (version == store::absent || page->version < version)
@@ -126,6 +131,19 @@
         co_return isRead ? ReadOutcome::Read : ReadOutcome::Failed;
     }
 
+    /// False until the table has been scanned once, and after the feed has lost its history.
+    bool hasVersion() const
+    {
+        return this->version != store::absent;
+    }
+
+    /// How long a call of the feed may stay without an answer until the table is scanned beside it.
+    /// The scan of a large table would take the link from the answer.
+    Duration scanDelay() const
+    {
+        return this->hasReadMuch ? std::chrono::milliseconds(400) : std::chrono::milliseconds(150);
+    }
+
     /// Changes whose bytes are arriving; null if there are none.
     const RowArrival *arrival(Instant now) const
     {
@@ -171,7 +189,7 @@
 private:
     static constexpr auto retryPause = std::chrono::milliseconds(150);
 
-    /// A call of the feed without a whole answer yet.
+    /// A read without a whole answer yet.
     struct Question
     {
         Instant askedAt = bootNow();
@@ -186,7 +204,7 @@
                 this->isScanning = true;
                 const bool isRead = co_await this->refresh();
                 this->isScanning = false;
-                if (!isRead) {
+                if (!isRead && this->version == store::absent) {
                     this->logReachability(false);
                     co_await pause(retryPause);
                 }
@@ -208,16 +226,17 @@
         }
     }
 
-    // Changes that are already arriving are waited for first: a second answer would carry them
-    // again.
-    Awaitable<ReadOutcome> ask(std::chrono::milliseconds wait)
+    // A second answer would carry the arriving rows again.
+    Awaitable<void> awaitArrivals()
     {
         for (auto now = bootNow(); const auto *current = this->arrival(now); now = bootNow())
             co_await this->awaitRead(current->silentAfter());
+    }
+
+    Awaitable<ReadOutcome> ask(std::chrono::milliseconds wait)
+    {
+        co_await this->awaitArrivals();
         const auto question = std::make_shared<Question>();
-        question->abort->onProgress = [this, asked = question.get()](const auto &progress) {
-            this->noteProgress(*asked, progress);
-        };
         const QuestionGuard guard(*this, question);
         const auto page =
             co_await this->store.feed(this->options.table, this->version, wait, question->abort);
@@ -244,7 +263,7 @@
         co_return ReadOutcome::Read;
     }
 
-    /// Keeps a question among the open ones, and wakes readers at its end.
+    /// Keeps a question among the open ones, follows its answer, and wakes readers at its end.
     class QuestionGuard
     {
     public:
@@ -253,6 +272,10 @@
             , question(std::move(question))
         {
             this->follower.questions.push_back(this->question);
+            this->question->abort->onProgress =
+                [&follower, asked = this->question.get()](const auto &progress) {
+                    follower.noteProgress(*asked, progress);
+                };
         }
 
         QuestionGuard(const QuestionGuard &) = delete;
@@ -281,6 +304,7 @@
         else
             question.arrival.emplace(progress, now);
         this->newerExpectedUntil = question.arrival->silentAfter();
+        this->hasReadMuch = true;
         for (const auto &other : this->questions) {
             if (other.get() == &question)
                 this->arriving = other;
@@ -317,7 +341,8 @@
     std::shared_ptr<Question> arriving; // the one whose rows are arriving; null if none are
     Instant newerExpectedUntil{}; // see `isNewerArriving`
     std::vector<std::shared_ptr<Wake>> waiting; // for the end of a read
-    bool hasReadSlowly = false; // the last answer took its time on the link
+    bool hasReadMuch = false; // an answer has brought many bytes
+    bool hasReadSlowly = false; // the last answer of the feed did
     bool isScanning = false; // the loop reads the whole table
     bool isStoreReachable = true;
     bool stopped = false;
--- a/packages/coordination/include/sassafrasferry/coordination/table_refresher.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_refresher.h
@@ -28,8 +28,9 @@
     /// asking for them if necessary.
     ///
     /// While the store does not answer, a read is still begun each `maxReadTime`, and only the
-    /// requests of the first `limits.silence` wait. Rows that will not have arrived by
-    /// `limits.latest` are not waited for.
+    /// requests of the first `limits.silence` wait. If the feed alone is silent, a scan of the
+    /// table takes its place. Rows that will not have arrived by `limits.latest` are not waited
+    /// for.
     Awaitable<bool> cover(Instant moment, CoverLimits limits)
     {
         for (;;) {
@@ -37,6 +38,7 @@
                 co_return true;
             const auto now = bootNow();
             auto until = limits.latest;
+            auto wakeAt = Instant::max();
             if (const auto arrival = this->follower->arrival(now)) {
                 if (arrival->expectedEnd(now) > limits.latest)
                     co_return false;
@@ -46,10 +48,11 @@
                 if (read->state == ReadState::Failed)
                     co_return false;
                 until = std::min(until, read->silentSince + limits.silence);
+                wakeAt = this->hedge(read, now);
             }
             if (now >= until)
                 co_return false;
-            co_await this->follower->awaitRead(until);
+            co_await this->follower->awaitRead(std::min(until, wakeAt));
         }
     }
 
@@ -68,6 +71,7 @@
         Instant begunAt{};
         Instant silentSince{}; // begin of the first of the consecutive reads that brought nothing
         ReadState state = ReadState::Open;
+        bool hasScan = false; // the table is scanned beside the call of the feed
     };
 
     /// The read that a request waits for. It begins at `moment` or later, unless an earlier one is
@@ -86,9 +90,31 @@
         return this->latest;
     }
 
+    /// Scans the table beside a call of the feed that stays without an answer: the feed alone may
+    /// be silent. Returns when that is due; never if it has been done or does not apply.
+    Instant hedge(const std::shared_ptr<Read> &read, Instant now)
+    {
+        if (read->hasScan || !this->follower->hasVersion())
+            return Instant::max();
+        const auto due = read->begunAt + this->follower->scanDelay();
+        if (now < due)
+            return due;
+        read->hasScan = true;
+        spawn(this->executor, "scan",
+              [self = this->shared_from_this(), read] { return self->scan(read); });
+        return Instant::max();
+    }
+
+    Awaitable<void> scan(std::shared_ptr<Read> read)
+    {
+        const bool isRead = co_await this->follower->refresh();
+        if (isRead)
+            this->end(*read, ReadOutcome::Read);
+    }
+
     void beginRead(Instant now, Instant silentSince)
     {
-        this->latest = std::make_shared<Read>(Read{now, silentSince, ReadState::Open});
+        this->latest = std::make_shared<Read>(Read{now, silentSince, ReadState::Open, false});
         spawn(
             this->executor, "refresh",
             [self = this->shared_from_this(), read = this->latest] { return self->run(read); },
@@ -100,6 +126,12 @@
     Awaitable<void> run(std::shared_ptr<Read> read)
     {
         const auto outcome = co_await this->follower->readChanges();
+        if (outcome == ReadOutcome::Failed && this->follower->hasVersion() && !read->hasScan) {
+            read->hasScan = true;
+            const bool isRead = co_await this->follower->refresh();
+            this->end(*read, isRead ? ReadOutcome::Read : ReadOutcome::Failed);
+            co_return;
+        }
         this->end(*read, outcome);
     }
 
--- a/packages/coordination/src/table_refresher_test.cpp
+++ b/packages/coordination/src/table_refresher_test.cpp
@@ -24,7 +24,8 @@
         co_return store::PartCommit{};
     }
 
-    Awaitable<absl::StatusOr<store::PartPage>> scan(store::PartRange)
+    Awaitable<absl::StatusOr<store::PartPage>> scan(store::PartRange,
+                                                    const std::shared_ptr<http::Abort> & = nullptr)
     {
         co_await this->answer();
         if (this->answers == Answers::Fails)
--- a/packages/coordination/tests/feed_store.h
+++ b/packages/coordination/tests/feed_store.h
@@ -42,7 +42,8 @@
         co_return commit;
     }
 
-    http::Awaitable<absl::StatusOr<store::PartPage>> scan(store::PartRange range)
+    http::Awaitable<absl::StatusOr<store::PartPage>>
+    scan(store::PartRange range, const std::shared_ptr<http::Abort> & = nullptr)
     {
         if (this->isAway)
             co_return absl::UnavailableError("the store is away");
--- a/packages/coordination/tests/memory_store.h
+++ b/packages/coordination/tests/memory_store.h
@@ -61,7 +61,8 @@
         co_return commit;
     }
 
-    http::Awaitable<absl::StatusOr<store::PartPage>> scan(store::PartRange range)
+    http::Awaitable<absl::StatusOr<store::PartPage>>
+    scan(store::PartRange range, const std::shared_ptr<http::Abort> & = nullptr)
     {
         if (this->delay.count() > 0)
             co_await pause(this->delay);
--- a/packages/coordination/tests/store_link.h
+++ b/packages/coordination/tests/store_link.h
@@ -26,7 +26,8 @@
         co_return co_await this->store.commit(std::move(transaction));
     }
 
-    http::Awaitable<absl::StatusOr<store::PartPage>> scan(store::PartRange range)
+    http::Awaitable<absl::StatusOr<store::PartPage>>
+    scan(store::PartRange range, const std::shared_ptr<http::Abort> & = nullptr)
     {
         if (this->isCut)
             co_return absl::UnavailableError("the link is cut");
--- a/packages/policy/src/configuration_age_test.cpp
+++ b/packages/policy/src/configuration_age_test.cpp
@@ -17,7 +17,7 @@
         bool mayRoute;
     };
     const std::vector<Row> rows{
-        {1s, false, true},    {1s, true, true},    {2800ms, true, true},
+        {1s, false, true},     {1s, true, true},      {2800ms, true, true},
         {2801ms, true, false}, {8700ms, true, false}, {8700ms, false, true},
     };
     const auto row = GENERATE_COPY(from_range(rows));
--- a/packages/store/include/sassafrasferry/store/part_rows.h
+++ b/packages/store/include/sassafrasferry/store/part_rows.h
@@ -99,11 +99,16 @@
     {
         store.scan(range)
         } -> std::same_as<Awaitable<absl::StatusOr<PartPage>>>;
+    // Likewise. The reader may follow the answer and give the call up.
+    {
+        store.scan(range, abort)
+        } -> std::same_as<Awaitable<absl::StatusOr<PartPage>>>;
     // The names of all parts of a table that hold rows.
     {
         store.parts(table)
         } -> std::same_as<Awaitable<absl::StatusOr<std::vector<std::string>>>>;
-    // What changed after a version, as soon as there is something. The reader may give the call up.
+    // What changed after a version, as soon as there is something. The reader may follow the answer
+    // and give the call up.
     {
         store.feed(table, after, wait, abort)
         } -> std::same_as<Awaitable<absl::StatusOr<FeedPage>>>;
