A scan's handle is not made within an awaited call

Cause: the handle of a scan was chosen by ?: within the awaited call; this compiler destroys such a temporary twice, so that the handle was freed while the read still used it. Evidence: the address sanitizer on reports heap-use-after-free of the handle in `refresh`, freed in its lambda, in the first test of narrow_link_test.cpp; the plain tests of that tree passed. The handle has a name now, as DEVELOPERS.md asks of aggregates.

--- a/packages/coordination/include/sassafrasferry/coordination/table_follower.h
+++ b/packages/coordination/include/sassafrasferry/coordination/table_follower.h
@@ -87,13 +87,14 @@
         co_await this->awaitArrivals();
         const auto question = std::make_shared<Question>();
         const QuestionGuard guard(*this, question);
-        const bool isObserved = this->options.parts.size() == 1;
+        const auto observed =
+            this->options.parts.size() == 1 ? question->abort : std::shared_ptr<http::Abort>();
         std::vector<store::PartRow> all;
         std::int64_t version = store::absent;
         const auto askedAt = bootNow();
         const auto readPart = [&](std::size_t index) -> Awaitable<bool> {
             const store::PartRange range{this->options.table, this->options.parts[index], "", ""};
-            auto page = co_await this->store.scan(range, isObserved ? question->abort : nullptr);
+            auto page = co_await this->store.scan(range, observed);
             if (!page.ok())
                 co_return false;
             if (version == store::absent || page->version < version)
