--- a/packages/coordination/include/sassafrasferry/coordination/row_arrival.h
+++ b/packages/coordination/include/sassafrasferry/coordination/row_arrival.h
@@ -15,7 +15,7 @@
 {
 public:
     /// A shorter answer is on the link for a moment only.
-    static constexpr std::uint64_t minBytes = 64 * 1024;
+    static constexpr std::uint64_t minBytes = 64ULL * 1024;
     /// After this time without a byte the answer is not expected any more.
     static constexpr Duration maxSilence = std::chrono::milliseconds(1500);
 
