--- a/packages/coordination/include/sassafrasferry/coordination/decision_log.h
+++ b/packages/coordination/include/sassafrasferry/coordination/decision_log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/loop_watch.h>
+#include <sassafrasferry/coordination/tenure.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
 #include <map>
@@ -17,6 +18,9 @@
     Duration intakeAge{}; ///< jobs and cancellations that were stored since may be unknown
 };
 
+/// Logs how long a new leader waits for runs and leases of earlier leaders.
+void logTakeover(const Tenure &tenure, const scheduling::SchedulerTimes &times);
+
 /// Logs the notes of a scheduling round as one log record of many lines. A record for each note
 /// would cost the leader more time than the decisions themselves.
 void logRound(const std::vector<scheduling::DecisionNote> &notes, Instant at,
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -43,11 +43,9 @@
         , store(store)
         , cloud(cloud)
         , tenure(tenure)
-        , options(std::move(options))
+        , options(afterTakeover(std::move(options), tenure, bootNow()))
         , gate(this->options, this->tenure, bootNow())
-        , scheduler(
-              timesAfterTakeover(this->options.times, tenure, this->options.leadership, bootNow()),
-              tenure.term * runsPerTerm, bootNow())
+        , scheduler(this->options.times, tenure.term * runsPerTerm, bootNow())
         , jobLoader(this->scheduler)
         , planWake(executor)
     {
@@ -57,6 +55,7 @@
     void begin()
     {
         auto self = this->shared_from_this();
+        logTakeover(this->tenure, this->options.times);
         this->spawnPart("lead", [self] { return self->run(); });
         this->spawnPart("load-watch", [self] { return watchLoad(self->loadWatch()); });
         this->spawnPart("loop-watch", [self] { return self->logLoop(); });
@@ -132,6 +131,12 @@
     }
 
 private:
+    static Options afterTakeover(Options options, const Tenure &tenure, Instant now)
+    {
+        options.times = timesAfterTakeover(options.times, tenure, options.leadership, now);
+        return options;
+    }
+
     template<typename Body>
     void spawnPart(std::string_view name, Body body)
     {
@@ -331,6 +336,7 @@
             if (!this->isReady() || !this->gate.canOrder())
                 continue;
             const auto begin = bootNow();
+            this->scheduler.setLeadConfirmed(this->options.confirmations().newest());
             const bool startsAllowed = this->canStart();
             this->startLog.note(startsAllowed, this->gate.newestAnswer(), this->readTimes(),
                                 this->options.sinceConfirmed());
--- a/packages/coordination/include/sassafrasferry/coordination/vm_survey.h
+++ b/packages/coordination/include/sassafrasferry/coordination/vm_survey.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <set>
 
+#include <glog/logging.h>
+
 namespace sassafrasferry::coordination {
 
 /// Tells the scheduler which worker incarnations may still run tasks. A worker that is cut off from
@@ -15,8 +17,11 @@
 inline void applyVmList(scheduling::Scheduler &scheduler, const std::vector<scheduling::Vm> &vms,
                         const std::set<std::string> &listedBefore)
 {
+    std::size_t withoutWorker = 0;
     for (const auto &vm : vms) {
-        if (!vm.worker.empty())
+        if (vm.worker.empty())
+            ++withoutWorker;
+        else
             scheduler.addUnlistedWorker(vm.worker, vm.pool);
         if (vm.state == scheduling::VmState::Down)
             continue;
@@ -24,6 +29,8 @@
         scheduler.endEarlierIncarnations({vm.name, vm.pool, vm.worker, isUp}, listedBefore,
                                          bootNow());
     }
+    LOG(INFO) << "event=vm-survey vms=" << vms.size() << " without-worker=" << withoutWorker
+              << " listed-workers=" << listedBefore.size();
 }
 
 /// Requests the list until the platform answers, or `isStopped` returns true.
--- a/packages/coordination/src/decision_log.cpp
+++ b/packages/coordination/src/decision_log.cpp
@@ -13,6 +13,14 @@
 
 } // namespace
 
+void logTakeover(const Tenure &tenure, const scheduling::SchedulerTimes &times)
+{
+    using std::chrono::milliseconds;
+    LOG(INFO) << "event=takeover term=" << tenure.term
+              << " survey-ms=" << times.surveyTime / milliseconds(1)
+              << " inherited-lease-ms=" << times.inheritedLease / milliseconds(1);
+}
+
 void logRound(const std::vector<scheduling::DecisionNote> &notes, Instant at,
               const RoundKnowledge &knowledge)
 {
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -196,6 +196,9 @@
     /// True if the current incarnation of the VM, listed or not, is empty or unknown.
     bool isVmEmpty(const std::string &vm, Instant now) const;
 
+    /// Notes the latest moment at which the store is known to have confirmed this leader's lease.
+    void setLeadConfirmed(Instant at);
+
     // Orders.
     Orders plan(Instant now, UnixMilliseconds unixNow);
     /// False if a start that was not sent yet must not be sent any more: its run is no longer
@@ -275,6 +278,7 @@
     bool isPresentIncarnation(const WorkerListing &listing, Instant now);
     bool isStartInFlight(const RunKey &key, Instant now);
     void dropExpiredRuns(Instant now);
+    void noteIfExpired(const RunKey &run, const std::string &worker, Instant now);
     void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
                  Prospect prospect, Instant now, UnixMilliseconds unixNow,
                  CustomerUsage::Account account);
@@ -319,6 +323,7 @@
     SchedulerTimes times;
     std::int64_t runBase;
     Instant tookOverAt;
+    Instant leadConfirmedAt = Instant::max(); // max: no other process can lead
     Configuration config;
     std::unordered_map<std::string, std::size_t> customerNumbers; // places in `config.customers`
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs; // unfinished
@@ -344,6 +349,8 @@
     std::map<std::string, Arrivals> rackArrivals; // by rack, of tasks that name it
     std::map<std::string, ArrivalRate> rackDemand; // by rack, of tasks that name it
     RackTrust rackTrust;
+    /// Runs that were dropped because the lease of their worker had expired, with the time.
+    std::map<std::pair<std::string, RunKey>, Instant> expiredRuns;
     std::vector<DecisionNote> notes;
     SchedulerCounts counters;
     bool allWorkersKnown = false;
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -234,6 +234,7 @@
     auto *job = this->findJob(listed.task.job);
     auto *task = job ? job->find(listed.task) : nullptr;
     const RunKey key{listed.task, listed.run};
+    this->noteIfExpired(key, worker.listing.id, now);
     if (!job)
         this->noteOrphan(listed.task.job, now);
     if (!task || task->done || jobs::isFinal(job->state)) {
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -7,6 +7,13 @@
 
 namespace sassafrasferry::scheduling {
 
+namespace {
+
+// How long a run is remembered after the lease of its worker has expired.
+constexpr auto expiredRunMemory = std::chrono::seconds(30);
+
+} // namespace
+
 // A VM has one current worker at a time. The entry of an earlier incarnation may still be listed or
 // arrive late; if it were taken for the current one, the VM would appear to run nothing.
 bool Scheduler::isPresentIncarnation(const WorkerListing &listing, Instant now)
@@ -243,16 +250,41 @@
             continue;
         const auto sinceAnswer =
             std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.lastAnswer).count();
-        this->note("worker-lapsed", entry.first,
-                   absl::StrCat("runs=", worker.runs.size(), " unheard-ms=", sinceAnswer));
+        const auto confirmedAt = std::min(now, this->leadConfirmedAt);
+        this->note(
+            "worker-lapsed", entry.first,
+            absl::StrCat("runs=", worker.runs.size(), " unheard-ms=", sinceAnswer,
+                         " confirmed-ms=", (now - confirmedAt) / std::chrono::milliseconds(1)));
         std::vector<RunKey> keys;
         for (const auto &run : worker.runs) {
             if (!this->isStartInFlight(run.first, now))
                 keys.push_back(run.first);
         }
-        for (const auto &key : keys)
+        for (const auto &key : keys) {
+            this->expiredRuns[{entry.first, key}] = now;
             this->dropRun(worker, key, now);
+        }
     }
+    std::erase_if(this->expiredRuns,
+                  [&](const auto &run) { return now - run.second > expiredRunMemory; });
+}
+
+// No run outlives its lease. One that does shows that the leader and the worker, or two leaders,
+// disagree about the end of the lease, and that the task may run twice.
+void Scheduler::noteIfExpired(const RunKey &run, const std::string &worker, Instant now)
+{
+    const auto expired = this->expiredRuns.find({worker, run});
+    if (expired == this->expiredRuns.end())
+        return;
+    this->note("expired-run-alive", jobs::toString(run.task),
+               absl::StrCat("run=", run.number, " worker=", worker, " expired-ms=",
+                            (now - expired->second) / std::chrono::milliseconds(1)));
+    this->expiredRuns.erase(expired);
+}
+
+void Scheduler::setLeadConfirmed(Instant at)
+{
+    this->leadConfirmedAt = at;
 }
 
 const std::map<std::string, Worker> &Scheduler::workers() const
