A leader takes a lease for over only if the store has confirmed since that it leads

Cause: a leader that doesn't hear a worker takes its lease for over by the leases that it granted itself. It gives orders until 6.5 s after the store last confirmed its own lease, while a successor may lead after 1.6 s, reach that worker and extend its lease. The former leader is not deposed while it hears only workers that the successor hasn't reached, and starts the worker's tasks on one of these. The same held for leases of earlier leaders after a takeover, for whether a worker's VM is empty, and for workers that are forgotten.

Change: `Scheduler::leasesKnownUntil`. Leases that end after the moment at which the store last confirmed that this one leads do not count as over. Until then nobody else led, so nobody else extended them. In steady state this puts a write-off off by one renewal, at most 0.4 s and an answer; while the store answers nobody, tasks of silent workers wait for its return.

"A lasting task that was lost with the leader runs again within 9 s" counts the wait for a renewal now.

--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -50,6 +50,7 @@
         , planWake(executor)
     {
         this->scheduler.setConfiguration(std::move(configuration));
+        this->scheduler.setLeadConfirmed(this->options.confirmations().newest());
     }
 
     void begin()
--- a/packages/coordination/src/inherited_lease_test.cpp
+++ b/packages/coordination/src/inherited_lease_test.cpp
@@ -13,6 +13,7 @@
 
 // A lasting task has to run again 9 s after its last run ended: within 3 s, from 6 s on.
 constexpr Duration maxAbsence = 9s;
+constexpr Duration renewalPeriod = LeadershipTimes{}.renew;
 // From the last renewal of a leader that is lost until another entry VM first reads the row as it
 // was renewed last.
 constexpr Duration maxReadLag = 600ms;
@@ -37,7 +38,11 @@
     bench.scheduler.setAllWorkersKnown();
     bench.add("j", {scheduling::lastingStep(1, 1)}, true);
     std::size_t starts = 0;
+    auto renewedAt = tookOverAt;
     for (; starts == 0 && bench.now < lostAt + 20s; bench.now += 50ms) {
+        if (bench.now - renewedAt >= renewalPeriod)
+            renewedAt = bench.now;
+        bench.scheduler.setLeadConfirmed(renewedAt);
         bench.report("w0");
         starts += bench.plan().starts.size();
     }
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -300,6 +300,9 @@
     bool takesWork(const Worker &worker, Instant now) const;
     std::int64_t leaseTerm() const; ///< milliseconds, by a worker's clock
     Instant leaseExpiry(const Worker &worker) const;
+    /// A lease that this leader knows to end before this moment is over. After it, another leader
+    /// may have extended the lease.
+    Instant leasesKnownUntil(Instant now) const;
     /// The longest time, by this leader's clock, that a lease may last on a worker whose clock runs
     /// slow.
     Duration maxLeaseDuration(Duration lease) const;
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -153,10 +153,10 @@
     /// True if it may run tasks, or hold ends of runs, that this leader does not know of: it has
     /// not reported all in its current incarnation, and earlier orders may be in effect until
     /// `inheritedUntil`.
-    bool canHaveUnreportedRuns(Instant now) const;
+    bool canHaveUnreportedRuns(Instant leasesKnownUntil) const;
     /// True if it is known to have no runs and all its ends are in the store, so that its VM can be
     /// moved or maintained. Before that, a new leader could learn of the ends only from the worker.
-    bool isEmpty(Instant now) const;
+    bool isEmpty(Instant leasesKnownUntil) const;
     /// True if it answered a hold less than `within` ago.
     bool hasAnsweredWithin(Instant now, Duration within) const;
 };
--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -54,6 +54,22 @@
       .failure = 0.1}},
 };
 
+// Two leaders at a time, each of which hears other workers.
+const std::vector<Case> pathCases{
+    {"paths lost, leaders lose the store and go on", {.pathLoss = 0.2, .storeLoss = 0.3}},
+    {"paths lost, answers lost", {.lostAnswer = 0.1, .pathLoss = 0.2, .storeLoss = 0.3}},
+    {"paths lost beside all",
+     {.lostAnswer = 0.05,
+      .lateOrder = 0.05,
+      .crash = 0.05,
+      .permanentLoss = 0.02,
+      .partition = 0.1,
+      .pathLoss = 0.1,
+      .leaderLoss = 0.1,
+      .storeLoss = 0.2,
+      .failure = 0.1}},
+};
+
 // Half of the jobs belong to a customer whose cap changes.
 const std::vector<Case> capCases{
     {"caps change", {.capChange = 0.3}},
@@ -84,18 +100,18 @@
     return text ? std::strtoull(text, nullptr, 10) : defaultCount;
 }
 
-void checkCases(const std::vector<Case> &cases)
+void checkCases(const std::vector<Case> &cases, const SimulationTimes &times = {})
 {
     for (const auto &row : cases) {
         std::size_t starts = 0;
         std::size_t startsAtCap = 0;
         for (std::uint64_t seed = 1; seed <= seedsPerCase(); ++seed) {
-            JobSimulation simulation(seed, row.faults);
+            JobSimulation simulation(seed, row.faults, times);
             for (int i = 0; i < 30; ++i) {
                 simulation.addJob("j" + std::to_string(i), chainOfTwo(2 + i % 8));
                 simulation.run(1s, true);
             }
-            simulation.run(60s, false);
+            simulation.run(times.calm, false);
             INFO(row.name << " seed " << seed);
             CHECK(simulation.violations() == std::vector<std::string>{});
             CHECK(simulation.unfinishedJobs() == std::vector<std::string>{});
@@ -117,6 +133,18 @@
     checkCases(cases);
 }
 
+// Guards against tasks that run twice, since a leader that has lost the store and its successor
+// each reach workers that the other one doesn't.
+TEST_CASE("No task runs twice where leaders lose the paths to different workers", "[path-faults]")
+{
+    SimulationTimes times;
+    times.holdWait = 1s;
+    times.longestRun = 8s;
+    times.leaderNews = 0s;
+    times.calm = 200s;
+    checkCases(pathCases, times);
+}
+
 // Guards against starts that bring a customer above its cap, and against jobs that wait at a cap
 // for good.
 TEST_CASE("Jobs end and keep to their customer's cap under random faults", "[cap-faults]")
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -77,7 +77,7 @@
             this->requestStop(id, key, "evacuation");
         }
     }
-    return worker->isEmpty(now);
+    return worker->isEmpty(this->leasesKnownUntil(now));
 }
 
 void Scheduler::cancelEvacuation(const std::string &id)
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -52,10 +52,11 @@
 {
     if (this->reconciledServices.count(service) != 0)
         return true;
-    const bool hasLeaseExpired = now > this->tookOverAt + this->times.inheritedLease;
+    const auto knownUntil = this->leasesKnownUntil(now);
+    const bool hasLeaseExpired = knownUntil > this->tookOverAt + this->times.inheritedLease;
     const auto isKnown = [&](const auto &entry) {
         const auto &worker = entry.second;
-        return worker.listing.service != service || !worker.canHaveUnreportedRuns(now)
+        return worker.listing.service != service || !worker.canHaveUnreportedRuns(knownUntil)
                || (hasLeaseExpired && !worker.canHaveUnlistedEnds);
     };
     return (hasLeaseExpired || this->allWorkersKnown)
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -47,8 +47,9 @@
     // so start times can't show this; it holds for incarnations first listed after all workers were
     // known.
     if (isNew && worker.inheritedUntil == Instant{})
-        worker.inheritedUntil =
-            this->allWorkersKnown ? now : this->tookOverAt + this->times.inheritedLease;
+        worker.inheritedUntil = this->allWorkersKnown
+                                    ? this->tookOverAt
+                                    : this->tookOverAt + this->times.inheritedLease;
     const bool wasDraining = worker.listing.draining;
     worker.listing = listing;
     this->setListed(worker, !worker.hasEnded);
@@ -123,7 +124,7 @@
     if (!isAddressReused || worker.hasReported || !worker.runs.empty())
         this->noteEnded(worker, evidence);
     if (isAddressReused) {
-        worker.inheritedUntil = now;
+        worker.inheritedUntil = this->tookOverAt;
         this->dropAllRuns(worker, now);
     } else {
         // Calls sent earlier may have reached the next incarnation. Its clock has restarted, so a
@@ -163,7 +164,8 @@
         auto &worker = at->second;
         const bool isUnresponsive = now - worker.lastAnswer > this->times.workerRetention
                                     && now - this->tookOverAt > this->times.workerRetention;
-        const bool isGone = !worker.listed && worker.runs.empty() && now > worker.inheritedUntil
+        const bool isGone = !worker.listed && worker.runs.empty()
+                            && this->leasesKnownUntil(now) > worker.inheritedUntil
                             && (worker.hasEnded || isUnresponsive);
         if (!isGone) {
             ++at;
@@ -244,17 +246,17 @@
 
 void Scheduler::dropExpiredRuns(Instant now)
 {
+    const auto knownUntil = this->leasesKnownUntil(now);
     for (auto &entry : this->workerTable) {
         auto &worker = entry.second;
-        if (worker.runs.empty() || now <= this->leaseExpiry(worker))
+        if (worker.runs.empty() || knownUntil <= this->leaseExpiry(worker))
             continue;
         const auto sinceAnswer =
             std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.lastAnswer).count();
-        const auto confirmedAt = std::min(now, this->leadConfirmedAt);
         this->note(
             "worker-lapsed", entry.first,
             absl::StrCat("runs=", worker.runs.size(), " unheard-ms=", sinceAnswer,
-                         " confirmed-ms=", (now - confirmedAt) / std::chrono::milliseconds(1)));
+                         " confirmed-ms=", (now - knownUntil) / std::chrono::milliseconds(1)));
         std::vector<RunKey> keys;
         for (const auto &run : worker.runs) {
             if (!this->isStartInFlight(run.first, now))
@@ -287,6 +289,11 @@
     this->leadConfirmedAt = at;
 }
 
+Instant Scheduler::leasesKnownUntil(Instant now) const
+{
+    return std::min(now, this->leadConfirmedAt);
+}
+
 const std::map<std::string, Worker> &Scheduler::workers() const
 {
     return this->workerTable;
@@ -306,7 +313,7 @@
     if (present == this->incarnations.end())
         return true;
     const auto worker = this->workerTable.find(present->second);
-    return worker == this->workerTable.end() || worker->second.isEmpty(now);
+    return worker == this->workerTable.end() || worker->second.isEmpty(this->leasesKnownUntil(now));
 }
 
 Worker *Scheduler::findWorker(const std::string &id)
--- a/packages/scheduling/src/waiting_tasks.cpp
+++ b/packages/scheduling/src/waiting_tasks.cpp
@@ -51,7 +51,8 @@
         const auto &worker = entry.second;
         if (worker.listing.service != service)
             continue;
-        if (worker.canHaveUnreportedRuns(now) && ++census.unreported <= maxNamedWorkers)
+        if (worker.canHaveUnreportedRuns(this->leasesKnownUntil(now))
+            && ++census.unreported <= maxNamedWorkers)
             absl::StrAppend(&census.unreportedNames, census.unreported > 1 ? "," : "", entry.first);
         if (this->takesWork(worker, now))
             ++census.open;
@@ -77,7 +78,8 @@
 {
     if (!this->canHaveUnreportedRuns(job))
         return "no-worker";
-    const bool hasLeaseExpired = now > this->tookOverAt + this->times.inheritedLease;
+    const bool hasLeaseExpired =
+        this->leasesKnownUntil(now) > this->tookOverAt + this->times.inheritedLease;
     return this->allWorkersKnown || hasLeaseExpired ? "unreported-worker" : "unread-vm-list";
 }
 
--- a/packages/scheduling/src/worker.cpp
+++ b/packages/scheduling/src/worker.cpp
@@ -10,15 +10,16 @@
     return room;
 }
 
-bool Worker::canHaveUnreportedRuns(Instant now) const
+bool Worker::canHaveUnreportedRuns(Instant leasesKnownUntil) const
 {
     const bool hasReportedAll = this->hasReported && !this->canHaveUnlistedEnds;
-    return !hasReportedAll && !this->hasEnded && now <= this->inheritedUntil;
+    return !hasReportedAll && !this->hasEnded && leasesKnownUntil <= this->inheritedUntil;
 }
 
-bool Worker::isEmpty(Instant now) const
+bool Worker::isEmpty(Instant leasesKnownUntil) const
 {
-    return this->runs.empty() && this->pendingEnds.empty() && !this->canHaveUnreportedRuns(now);
+    return this->runs.empty() && this->pendingEnds.empty()
+           && !this->canHaveUnreportedRuns(leasesKnownUntil);
 }
 
 bool Worker::hasAnsweredWithin(Instant now, Duration within) const
--- a/packages/scheduling/tests/fault_rates.h
+++ b/packages/scheduling/tests/fault_rates.h
@@ -16,6 +16,8 @@
     double crash = 0; ///< a worker dies and is restarted with the same id
     double permanentLoss = 0; ///< a worker disappears for good without notice
     double partition = 0; ///< no call reaches a worker for 1 to 9 s, and its tasks keep running
+    /// Calls of some leaders don't reach a worker for 1 to 9 s, those of the others do.
+    double pathLoss = 0;
     double leaderLoss = 0; ///< the leader dies
     double storeLoss = 0; ///< the leader loses the store, and keeps sending orders for seconds
     double failure = 0; ///< a run fails
@@ -30,6 +32,10 @@
 {
     /// How long a leader may send orders after it lost the store.
     Duration orderLimit = 6500ms;
+    /// Until when leases last at most that a leader grants, after it lost the store.
+    Duration leaseLimit = 7500ms;
+    /// Between two confirmations that a leader leads.
+    Duration confirmation = 400ms;
     Duration takeover = 1600ms; ///< until another leader starts
     Duration leaderNews = 500ms; ///< until all entry VMs know a new leader
     Duration holdInterval = 100ms; ///< between two holds at a worker, if `holdWait` is 0
@@ -44,6 +50,7 @@
     /// A start may still follow a cap that was replaced this long ago.
     Duration capGrace = 3s;
     Duration writeDelay = 30ms; ///< until a row is in the store
+    Duration calm = 60s; ///< without faults, in which all jobs have to end
 };
 
 } // namespace sassafrasferry::scheduling::tests
--- a/packages/scheduling/tests/job_simulation.h
+++ b/packages/scheduling/tests/job_simulation.h
@@ -144,6 +144,11 @@
             if (this->random.chance(this->faults.partition * tick))
                 this->workers[i].partitionedUntil =
                     this->now + this->random.between(Duration(1s), Duration(9s));
+            if (this->faults.pathLoss > 0 && this->random.chance(this->faults.pathLoss * tick)) {
+                this->workers[i].pathLostUntil =
+                    this->now + this->random.between(Duration(1s), Duration(9s));
+                this->workers[i].unheardLeaders = this->random.chance(0.5) ? 1 : 0;
+            }
             if (this->random.chance(this->faults.permanentLoss * tick)) {
                 this->workers[i].alive = false;
                 this->workers[i].isLost = true;
@@ -284,7 +289,7 @@
             if (!leader->canSendOrders(this->times.orderLimit, this->now))
                 continue;
             if (leader->hasStore) {
-                leader->confirmedAt = this->now;
+                leader->confirm(this->times.confirmation, this->now);
                 this->listWorkers(*leader);
                 this->cancels.read(*leader, this->now);
                 leader->writeRows(this->storedProgress, this->times.writeDelay, this->now);
@@ -295,6 +300,11 @@
         }
     }
 
+    Instant leasesEndBy(const SimLeader &leader) const
+    {
+        return leader.confirmedAt + this->times.leaseLimit;
+    }
+
     void hold(const std::shared_ptr<SimLeader> &leader)
     {
         for (std::size_t i = 0; i < this->workers.size(); ++i) {
@@ -308,7 +318,8 @@
             next = this->now + this->times.holdInterval;
             const auto asked = this->now;
             const auto ack = leader->scheduler.acknowledged(id);
-            const auto until = leader->scheduler.leaseUntil(id, this->now);
+            const auto until =
+                leader->scheduler.leaseUntil(id, this->now, this->leasesEndBy(*leader));
             const bool isSurvey = !leader->scheduler.findWorker(id)->hasReported;
             const auto isAfterFailure = leader->holdNumbers[id] != leader->answeredHolds[id];
             const auto wait = isSurvey || isAfterFailure ? Duration::zero() : this->times.holdWait;
@@ -328,7 +339,7 @@
                     leader->alive = false; // the worker knows a newer leader
             };
             this->calls.hold<std::optional<WorkerReport>>(
-                i, wait,
+                leader->fence, i, wait,
                 [this, leader, ack, until](SimWorker &worker) {
                     return worker.hold(leader->fence, ack, until, this->now,
                                        this->callbacksFor(worker));
@@ -346,13 +357,14 @@
         const auto orders = leader->scheduler.plan(this->now, 0);
         for (const auto &start : orders.starts) {
             const auto index = static_cast<std::size_t>(std::stoul(start.worker.substr(1)));
-            const auto until = leader->scheduler.leaseUntil(start.worker, this->now);
+            const auto until =
+                leader->scheduler.leaseUntil(start.worker, this->now, this->leasesEndBy(*leader));
             if (!until) {
                 leader->scheduler.startAnswered(start, OrderAnswer::NotSent, this->now);
                 continue;
             }
             this->calls.order(
-                index, this->workers[index].born,
+                leader->fence, index, this->workers[index].born,
                 [this, start, until, fence = leader->fence](SimWorker &worker) {
                     return worker.start(start, *until, fence, this->now,
                                         this->callbacksFor(worker));
@@ -365,7 +377,7 @@
         for (const auto &stop : orders.stops) {
             const auto index = static_cast<std::size_t>(std::stoul(stop.worker.substr(1)));
             this->calls.order(
-                index, this->workers[index].born,
+                leader->fence, index, this->workers[index].born,
                 [this, stop, fence = leader->fence](SimWorker &worker) {
                     return worker.stop(stop, fence, this->callbacksFor(worker));
                 },
--- a/packages/scheduling/tests/sim_calls.h
+++ b/packages/scheduling/tests/sim_calls.h
@@ -26,24 +26,25 @@
         , now(now)
     {}
 
-    /// Calls the worker at `index` with an order for the incarnation `born`. `answered` is called
-    /// in any case.
-    void order(std::size_t index, std::int64_t born, std::function<OrderAnswer(SimWorker &)> call,
+    /// Calls the worker at `index` with an order of the leader with the fence `leader` for the
+    /// incarnation `born`. `answered` is called in any case.
+    void order(std::int64_t leader, std::size_t index, std::int64_t born,
+               std::function<OrderAnswer(SimWorker &)> call,
                std::function<void(OrderAnswer)> answered)
     {
         if (this->random.chance(this->faults.lateOrder)) {
             this->runAfter(this->random.between(Duration(2s), Duration(12s)),
-                           [this, index, born, call] {
+                           [this, leader, index, born, call] {
                                auto &worker = this->workers[index];
-                               if (worker.isReachable(this->now) && worker.born == born)
+                               if (worker.isReachableFor(leader, this->now) && worker.born == born)
                                    call(worker);
                            });
             this->answerAfter(timeout, OrderAnswer::NoAnswer, answered);
             return;
         }
-        this->runAfter(this->travelTime(), [this, index, call, answered] {
+        this->runAfter(this->travelTime(), [this, leader, index, call, answered] {
             auto &worker = this->workers[index];
-            if (!worker.isReachable(this->now)) {
+            if (!worker.isReachableFor(leader, this->now)) {
                 this->answerAfter(timeout, OrderAnswer::NoAnswer, answered);
                 return;
             }
@@ -54,25 +55,25 @@
         });
     }
 
-    /// Calls the worker at `index` with a hold that it answers after `wait`, or at once if runs
-    /// have ended. The answer goes to `answered` if both arrive.
+    /// Calls the worker at `index` with a hold of the leader that it answers after `wait`, or at
+    /// once if runs have ended. The answer goes to `answered` if both arrive.
     template<typename Answer>
-    void hold(std::size_t index, Duration wait, std::function<Answer(SimWorker &)> call,
-              std::function<Answer(SimWorker &)> report,
+    void hold(std::int64_t leader, std::size_t index, Duration wait,
+              std::function<Answer(SimWorker &)> call, std::function<Answer(SimWorker &)> report,
               std::function<void(const Answer &)> answered)
     {
-        this->runAfter(this->travelTime(), [this, index, wait, call, report, answered] {
+        this->runAfter(this->travelTime(), [this, leader, index, wait, call, report, answered] {
             auto &worker = this->workers[index];
-            if (!worker.isReachable(this->now))
+            if (!worker.isReachableFor(leader, this->now))
                 return;
             const auto answer = call(worker);
             if (wait == Duration::zero() || !answer || !worker.ends.empty()) {
                 this->answerHold(answer, answered);
                 return;
             }
-            this->runAfter(wait, [this, index, born = worker.born, report, answered] {
+            this->runAfter(wait, [this, leader, index, born = worker.born, report, answered] {
                 auto &answering = this->workers[index];
-                if (answering.isReachable(this->now) && answering.born == born)
+                if (answering.isReachableFor(leader, this->now) && answering.born == born)
                     this->answerHold(report(answering), answered);
             });
         });
--- a/packages/scheduling/tests/sim_leader.h
+++ b/packages/scheduling/tests/sim_leader.h
@@ -45,13 +45,24 @@
         , startedAt(now)
         , scheduler(times, fence * 1000, now)
         , confirmedAt(now)
-    {}
+    {
+        this->scheduler.setLeadConfirmed(now);
+    }
 
     bool canSendOrders(Duration orderLimit, Instant now) const
     {
         return this->alive && now - this->confirmedAt < orderLimit;
     }
 
+    /// Renews the lease every `interval`.
+    void confirm(Duration interval, Instant now)
+    {
+        if (now - this->confirmedAt < interval)
+            return;
+        this->confirmedAt = now;
+        this->scheduler.setLeadConfirmed(now);
+    }
+
     void configure(std::size_t caps, const std::vector<std::string> &services,
                    std::vector<Customer> customers)
     {
--- a/packages/scheduling/tests/sim_worker.h
+++ b/packages/scheduling/tests/sim_worker.h
@@ -35,6 +35,8 @@
     bool alive = true;
     bool isLost = false; ///< the worker never returns, but a leader may still list it
     Instant partitionedUntil{}; ///< no call reaches the worker before
+    Instant pathLostUntil{}; ///< no call of a leader in `unheardLeaders` reaches the worker before
+    std::int64_t unheardLeaders = 0; ///< 0: those with an even fence, 1: with an odd one
     std::int64_t fence = 0;
     std::int64_t leaseEnd = 0; ///< milliseconds on the clock of the worker
     std::map<RunKey, SimRun> runs;
@@ -54,6 +56,12 @@
         return this->alive && now >= this->partitionedUntil;
     }
 
+    bool isReachableFor(std::int64_t leader, Instant now) const
+    {
+        const bool hasPath = now >= this->pathLostUntil || leader % 2 != this->unheardLeaders;
+        return this->isReachable(now) && hasPath;
+    }
+
     /// Restarts the worker, which keeps its id and loses all other state.
     void restart(std::int64_t incarnation, Instant now)
     {
