A leader reads of its successor before it reads of jobs stored after the takeover

It starts a job that was stored after the takeover on a worker that its successor doesn't reach; the successor takes the job for unknown to others and starts it 1.5 s after the takeover at the latest.

Change: with the write that claims a part a new leader puts a row into the intake of the part, before it reads the intake. The feed keeps the order of versions, so that an earlier leader reads the row before any job that the new leader doesn't treat as inherited, and steps down. The wait of 1.5 s stays, for leaders of earlier versions.

--- a/packages/coordination/include/sassafrasferry/coordination/fenced_part.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fenced_part.h
@@ -32,15 +32,18 @@
         return this->part;
     }
 
-    /// Claims the part for this leader. Afterwards no write of an earlier leader succeeds.
+    /// Claims the part for this leader. Afterwards no write of an earlier leader succeeds. An
+    /// earlier leader that still reads the intake learns of the claim before it learns of jobs that
+    /// are stored later, which this leader takes for unknown to it.
     Awaitable<WriteResult> open()
     {
         const auto seen = co_await this->readChain();
         if (seen != WriteResult::Written)
             co_return seen;
-        const std::vector<store::PartPut> noPuts;
+        const std::vector<store::PartPut> puts{
+            {table::intake, takeoverKey, std::to_string(this->fence)}};
         const std::vector<store::PartDelete> noDeletes;
-        co_return co_await this->write(noPuts, noDeletes);
+        co_return co_await this->write(puts, noDeletes);
     }
 
     Awaitable<WriteResult> write(std::vector<store::PartPut> puts,
--- a/packages/coordination/include/sassafrasferry/coordination/job_rows.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_rows.h
@@ -5,6 +5,7 @@
 #include <sassafrasferry/messages/jobs.pb.h>
 #include <sassafrasferry/store/part_rows.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,12 @@
 /// Key of the job's cancellation row in the intake table; it sorts right after the job's own key.
 std::string cancellationKey(const std::string &job);
 
+/// Key of the row that a new leader writes to the intake table of each part before it reads the
+/// part. It sorts after the keys of all jobs.
+constexpr const char *takeoverKey = "~takeover";
+/// The fencing token of the leader that wrote the takeover row; nothing for any other row.
+std::optional<std::int64_t> takeoverFence(const store::PartRow &row);
+
 /// A parsed key of the intake table: the job, and whether the row is its cancellation.
 struct IntakeKey
 {
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -277,7 +277,11 @@
     void takeIntake(const std::vector<store::PartRow> &rows)
     {
         for (const auto &row : rows) {
-            if (!row.deleted)
+            if (takeoverFence(row).value_or(0) > this->tenure.fence) {
+                this->options.onDeposed("a newer leader has read the intake");
+                return;
+            }
+            if (!row.deleted && row.key != takeoverKey)
                 this->recorder->notePart(parseIntakeKey(row.key).job, row.part);
         }
         for (const auto &job : this->jobLoader.addIntake(rows))
--- a/packages/coordination/src/job_rows.cpp
+++ b/packages/coordination/src/job_rows.cpp
@@ -3,6 +3,7 @@
 
 #include <sassafrasferry/policy/caller_access.h>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <xxhash.h>
@@ -75,6 +76,14 @@
     return {key, false};
 }
 
+std::optional<std::int64_t> takeoverFence(const store::PartRow &row)
+{
+    std::int64_t fence = 0;
+    if (row.key != takeoverKey || row.deleted || !absl::SimpleAtoi(row.value, &fence))
+        return std::nullopt;
+    return fence;
+}
+
 messages::JobRecord recordOf(const jobs::JobSpec &spec, const jobs::QueueTerms &terms)
 {
     messages::JobRecord record;
--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -140,6 +140,7 @@
     SimulationTimes times;
     times.holdWait = 1s;
     times.longestRun = 8s;
+    // A former leader that reads the intake learns of its successor before it learns of later jobs.
     times.leaderNews = 0s;
     times.calm = 200s;
     checkCases(pathCases, times);
