--- a/packages/coordination/src/takeover_row_test.cpp
+++ b/packages/coordination/src/takeover_row_test.cpp
@@ -1,5 +1,5 @@
-// Tests that a leader learns of a newer one before it learns of jobs that the newer one takes for its
-// own.
+// Tests that a leader learns of a newer one before it learns of jobs that the newer one takes for
+// its own.
 #include "../tests/leading_fixture.h"
 
 #include <sassafrasferry/coordination/fenced_part.h>
--- a/packages/coordination/tests/leading_fixture.h
+++ b/packages/coordination/tests/leading_fixture.h
@@ -226,9 +226,9 @@
         };
         options.onFailed = options.onDeposed;
         const scheduling::Configuration configuration;
-        this->leader = std::make_shared<Leader<OneWorkerPlatform>>(this->context.get_executor(),
-                                                              this->link, this->cloud, tenure,
-                                                              std::move(options), configuration);
+        this->leader = std::make_shared<Leader<OneWorkerPlatform>>(
+            this->context.get_executor(), this->link, this->cloud, tenure, std::move(options),
+            configuration);
         this->leader->begin();
     }
 
