--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -43,20 +43,20 @@
         , store(store)
         , cloud(cloud)
         , tenure(tenure)
-        , options(std::move(options))
+        , options(afterTakeover(std::move(options), tenure, bootNow()))
         , gate(this->options, this->tenure, bootNow())
-        , scheduler(
-              timesAfterTakeover(this->options.times, tenure, this->options.leadership, bootNow()),
-              tenure.term * runsPerTerm, bootNow())
+        , scheduler(this->options.times, tenure.term * runsPerTerm, bootNow())
         , jobLoader(this->scheduler)
         , planWake(executor)
     {
         this->scheduler.setConfiguration(std::move(configuration));
+        this->scheduler.setLeadConfirmed(this->options.confirmations().newest());
     }
 
     void begin()
     {
         auto self = this->shared_from_this();
+        logTakeover(this->tenure, this->options.times);
         this->spawnPart("lead", [self] { return self->run(); });
         this->spawnPart("load-watch", [self] { return watchLoad(self->loadWatch()); });
         this->spawnPart("loop-watch", [self] { return self->logLoop(); });
@@ -132,6 +132,12 @@
     }
 
 private:
+    static Options afterTakeover(Options options, const Tenure &tenure, Instant now)
+    {
+        options.times = timesAfterTakeover(options.times, tenure, options.leadership, now);
+        return options;
+    }
+
     template<typename Body>
     void spawnPart(std::string_view name, Body body)
     {
@@ -271,7 +277,11 @@
     void takeIntake(const std::vector<store::PartRow> &rows)
     {
         for (const auto &row : rows) {
-            if (!row.deleted)
+            if (takeoverFence(row).value_or(0) > this->tenure.fence) {
+                this->options.onDeposed("a newer leader has read the intake");
+                return;
+            }
+            if (!row.deleted && row.key != takeoverKey)
                 this->recorder->notePart(parseIntakeKey(row.key).job, row.part);
         }
         for (const auto &job : this->jobLoader.addIntake(rows))
@@ -331,6 +341,7 @@
             if (!this->isReady() || !this->gate.canOrder())
                 continue;
             const auto begin = bootNow();
+            this->scheduler.setLeadConfirmed(this->options.confirmations().newest());
             const bool startsAllowed = this->canStart();
             this->startLog.note(startsAllowed, this->gate.newestAnswer(), this->readTimes(),
                                 this->options.sinceConfirmed());
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -7,6 +7,13 @@
 
 namespace sassafrasferry::scheduling {
 
+namespace {
+
+// How long a run is remembered after the lease of its worker has expired.
+constexpr auto expiredRunMemory = std::chrono::seconds(30);
+
+} // namespace
+
 // A VM has one current worker at a time. The entry of an earlier incarnation may still be listed or
 // arrive late; if it were taken for the current one, the VM would appear to run nothing.
 bool Scheduler::isPresentIncarnation(const WorkerListing &listing, Instant now)
@@ -40,8 +47,9 @@
     // so start times can't show this; it holds for incarnations first listed after all workers were
     // known.
     if (isNew && worker.inheritedUntil == Instant{})
-        worker.inheritedUntil =
-            this->allWorkersKnown ? now : this->tookOverAt + this->times.inheritedLease;
+        worker.inheritedUntil = this->allWorkersKnown
+                                    ? this->tookOverAt
+                                    : this->tookOverAt + this->times.inheritedLease;
     const bool wasDraining = worker.listing.draining;
     worker.listing = listing;
     this->setListed(worker, !worker.hasEnded);
@@ -116,7 +124,7 @@
     if (!isAddressReused || worker.hasReported || !worker.runs.empty())
         this->noteEnded(worker, evidence);
     if (isAddressReused) {
-        worker.inheritedUntil = now;
+        worker.inheritedUntil = this->tookOverAt;
         this->dropAllRuns(worker, now);
     } else {
         // Calls sent earlier may have reached the next incarnation. Its clock has restarted, so a
@@ -156,7 +164,8 @@
         auto &worker = at->second;
         const bool isUnresponsive = now - worker.lastAnswer > this->times.workerRetention
                                     && now - this->tookOverAt > this->times.workerRetention;
-        const bool isGone = !worker.listed && worker.runs.empty() && now > worker.inheritedUntil
+        const bool isGone = !worker.listed && worker.runs.empty()
+                            && this->leasesKnownUntil(now) > worker.inheritedUntil
                             && (worker.hasEnded || isUnresponsive);
         if (!isGone) {
             ++at;
@@ -237,22 +246,52 @@
 
 void Scheduler::dropExpiredRuns(Instant now)
 {
+    const auto knownUntil = this->leasesKnownUntil(now);
     for (auto &entry : this->workerTable) {
         auto &worker = entry.second;
-        if (worker.runs.empty() || now <= this->leaseExpiry(worker))
+        if (worker.runs.empty() || knownUntil <= this->leaseExpiry(worker))
             continue;
         const auto sinceAnswer =
             std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.lastAnswer).count();
-        this->note("worker-lapsed", entry.first,
-                   absl::StrCat("runs=", worker.runs.size(), " unheard-ms=", sinceAnswer));
+        this->note(
+            "worker-lapsed", entry.first,
+            absl::StrCat("runs=", worker.runs.size(), " unheard-ms=", sinceAnswer,
+                         " confirmed-ms=", (now - knownUntil) / std::chrono::milliseconds(1)));
         std::vector<RunKey> keys;
         for (const auto &run : worker.runs) {
             if (!this->isStartInFlight(run.first, now))
                 keys.push_back(run.first);
         }
-        for (const auto &key : keys)
+        for (const auto &key : keys) {
+            this->expiredRuns[{entry.first, key}] = now;
             this->dropRun(worker, key, now);
+        }
     }
+    std::erase_if(this->expiredRuns,
+                  [&](const auto &run) { return now - run.second > expiredRunMemory; });
+}
+
+// No run outlives its lease. One that does shows that the leader and the worker, or two leaders,
+// disagree about the end of the lease, and that the task may run twice.
+void Scheduler::noteIfExpired(const RunKey &run, const std::string &worker, Instant now)
+{
+    const auto expired = this->expiredRuns.find({worker, run});
+    if (expired == this->expiredRuns.end())
+        return;
+    this->note("expired-run-alive", jobs::toString(run.task),
+               absl::StrCat("run=", run.number, " worker=", worker, " expired-ms=",
+                            (now - expired->second) / std::chrono::milliseconds(1)));
+    this->expiredRuns.erase(expired);
+}
+
+void Scheduler::setLeadConfirmed(Instant at)
+{
+    this->leadConfirmedAt = at;
+}
+
+Instant Scheduler::leasesKnownUntil(Instant now) const
+{
+    return std::min(now, this->leadConfirmedAt);
 }
 
 const std::map<std::string, Worker> &Scheduler::workers() const
@@ -274,7 +313,7 @@
     if (present == this->incarnations.end())
         return true;
     const auto worker = this->workerTable.find(present->second);
-    return worker == this->workerTable.end() || worker->second.isEmpty(now);
+    return worker == this->workerTable.end() || worker->second.isEmpty(this->leasesKnownUntil(now));
 }
 
 Worker *Scheduler::findWorker(const std::string &id)
