After a takeover tasks also wait for workers of their queue's former services

After a takeover the tasks of loaded jobs wait until all workers of their service have reported. The service was that of the present configuration alone: if a change gave the queue to another service, before or after the takeover, tasks started there at once, while workers of the former service that the leader doesn't hear ran them still (TWICE).

Change: a job keeps the services that its queue had, from the record with which it was stored on; its tasks wait for the workers of all of them. Not covered: a queue that came back to the service of the record, with a third one between, before the leader loaded the job.

Test: "after a takeover tasks wait for workers of their queue's former service", 2 of its 4 rows failed before ("1 == 0": changed before the takeover, changed after it).

--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -205,6 +205,8 @@
     const JobSpec spec;
     QueueTerms terms;
     const Instant acceptedAt;
+    /// Services of its queue in earlier configurations, whose workers may have runs of its tasks.
+    std::vector<std::string> formerServices;
     std::string customer; ///< whose key it came with; empty: none
     std::size_t customerNumber = noCustomer; ///< the customer's place in the configuration
     JobState state = JobState::Queued;
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -260,6 +260,7 @@
         EstimateModel step; ///< of the longest task of a step
     };
 
+    void updateTerms(Job &job) const;
     void expectTimes(Job &job) const;
     void noteRunTime(Job &job, const ListedEnd &end, const Worker &worker, Instant now);
     void noteHealth(Worker &worker, const ListedEnd &end, Instant now);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -22,11 +22,20 @@
     for (auto &entry : this->jobs) {
         auto &job = *entry.second;
         job.customerNumber = this->numberOf(job.customer);
-        if (const auto *queue = this->config.findQueue(job.terms.queue))
-            job.terms = queue->terms;
+        this->updateTerms(job);
     }
 }
 
+void Scheduler::updateTerms(Job &job) const
+{
+    const auto *queue = this->config.findQueue(job.terms.queue);
+    if (!queue)
+        return;
+    if (queue->terms.service != job.terms.service)
+        job.formerServices.push_back(job.terms.service);
+    job.terms = queue->terms;
+}
+
 const Configuration &Scheduler::configuration() const
 {
     return this->config;
@@ -40,8 +49,7 @@
         this->finished[job->id] = {job->state, job->customer};
         return;
     }
-    if (const auto *queue = this->config.findQueue(job->terms.queue))
-        job->terms = queue->terms;
+    this->updateTerms(*job);
     job->customerNumber = this->numberOf(job->customer);
     this->note("job", job->id,
                absl::StrCat("queue=", job->terms.queue, " service=", job->terms.service, " steps=",
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -74,8 +74,13 @@
 bool Scheduler::canHaveUnreportedRuns(const Job &job) const
 {
     // A former leader that lives on may start new jobs, too, until the workers know this leader.
+    const auto isUnreconciled = [&](const std::string &service) {
+        return this->reconciledServices.count(service) == 0;
+    };
     return (job.inherited || !this->isSurveyOver)
-           && this->reconciledServices.count(this->serviceOf(job)) == 0;
+           && (isUnreconciled(this->serviceOf(job))
+               || std::any_of(job.formerServices.begin(), job.formerServices.end(),
+                              isUnreconciled));
 }
 
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
@@ -84,12 +89,18 @@
     this->updateRackDemand(now);
     this->isSurveyOver = now >= this->tookOverAt + this->times.surveyTime;
     std::map<std::string, std::vector<Job *>> queues;
+    std::set<std::string> formerServices;
     for (auto &entry : this->jobs) {
-        if (!jobs::isFinal(entry.second->state))
-            queues[this->serviceOf(*entry.second)].push_back(entry.second.get());
+        auto &job = *entry.second;
+        if (jobs::isFinal(job.state))
+            continue;
+        queues[this->serviceOf(job)].push_back(&job);
+        formerServices.insert(job.formerServices.begin(), job.formerServices.end());
     }
     for (const auto &entry : queues)
         this->noteIfReconciled(entry.first, now);
+    for (const auto &service : formerServices)
+        this->noteIfReconciled(service, now);
     Round round{now, unixNow, {}, this->customerUsage(unixNow), {}, {}, {}, {}};
     for (auto &entry : queues)
         this->planService(entry.first, entry.second, round);
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -39,6 +39,55 @@
     }
 }
 
+// Guards against tasks that run twice: a configuration gives a queue to another service, and a new
+// leader starts a task there that still runs on a worker of the former service.
+TEST_CASE("after a takeover tasks wait for workers of their queue's former service")
+{
+    struct Case
+    {
+        const char *name;
+        const char *loadedService; ///< of the job when the leader loads it
+        const char *firstService; ///< of the queue in the leader's first configuration
+        bool formerAnswers;
+        std::size_t starts;
+    };
+    const std::vector<Case> cases{
+        {"changed before the takeover", "s", "t", false, 0},
+        {"changed after the takeover", "s", "s", false, 0},
+        {"the worker of the former service has answered", "s", "t", true, 1},
+        {"not changed", "t", "t", false, 1},
+    };
+    for (const auto &row : cases) {
+        INFO(row.name);
+        Bench bench(1, 4000, true);
+        WorkerListing listing;
+        listing.id = "other";
+        listing.born = 1;
+        listing.service = "t";
+        listing.capacity = {4000, 100000, 0};
+        bench.scheduler.listWorker(listing, bench.now);
+        bench.scheduler.setAllWorkersKnown();
+        const auto configure = [&](std::int64_t version, const char *service) {
+            auto configuration = bench.scheduler.configuration();
+            configuration.version = version;
+            configuration.queues[0].terms.service = service;
+            bench.scheduler.setConfiguration(configuration);
+        };
+        configure(2, row.firstService);
+        auto terms = bench.scheduler.configuration().queues[0].terms;
+        terms.service = row.loadedService;
+        auto job = std::make_unique<Job>("j", jobs::JobSpec{"text", {stepOf(1)}, 0, 0, 0ms}, terms,
+                                         bench.now);
+        job->inherited = true;
+        bench.scheduler.addJob(std::move(job));
+        configure(3, "t");
+        bench.report("other");
+        if (row.formerAnswers)
+            bench.report("w0");
+        CHECK(bench.plan().starts.size() == row.starts);
+    }
+}
+
 // Guards against tasks that run twice: a worker lists a limited number of ends at a time, and a new
 // leader starts a task whose end is not listed yet.
 TEST_CASE("after a takeover tasks wait for ends that a full report leaves out")
