A worker that restarts while an earlier leader may live on is waited for again

The service counted as reconciled for good, and the new leader started the task elsewhere (TWICE).

Change: while leases of earlier leaders may last, a restart reopens the worker's service for inherited jobs until the worker has reported again. New jobs don't wait for it: no earlier leader knows them.

Tests: "a worker that restarts beside a former leader runs no task of the new one", 4 of 405 orders failed before ("leader cannot write vm0 at 27; worker restarts vm2 at 46; => two runs"). The simulations of sequences and of VM moves tell their leaders when the store confirmed them, as the product does.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -292,7 +292,7 @@
     void advanceRecordedEnds(Worker &worker);
     void advanceRecordedEnds(const std::set<std::string> &workers);
     void setAwaitedJob(Worker &worker, std::string job);
-    bool isReconciled(const std::string &service, Instant now) const;
+    bool haveWorkersReported(const std::string &service, Instant now) const;
     void noteIfReconciled(const std::string &service, Instant now);
     /// True if tasks of the job may run on a worker that has not reported to this leader yet.
     bool canHaveUnreportedRuns(const Job &job) const;
@@ -363,6 +363,9 @@
     std::map<std::string, std::string> incarnations; // current worker of each VM
     std::set<std::string> heldVms; // VMs with an open order
     std::set<std::string> reconciledServices; // services without unreported runs
+    /// Reconciled services with a worker that has restarted since, and may have runs of inherited
+    /// jobs until it has reported again.
+    std::set<std::string> reopenedServices;
 };
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/fault_sequence_test.cpp
+++ b/packages/scheduling/src/fault_sequence_test.cpp
@@ -108,6 +108,22 @@
     }
 }
 
+// Guards against a second run of a task: a worker that restarts just after a takeover knows no
+// fence, so that the former leader, which reads on, starts the task there once more.
+TEST_CASE("a worker that restarts beside a former leader runs no task of the new one",
+          "[fault-pairs]")
+{
+    constexpr int takeoverTicks = 16;
+    for (int loss = 20; loss <= 34; ++loss) {
+        for (int restart = loss + takeoverTicks; restart <= loss + takeoverTicks + 8; ++restart) {
+            for (std::size_t vm = 0; vm < FaultSequenceSimulation::vmCount; ++vm)
+                CHECK(tryFaults({{InjectedFault::LeaderCannotWrite, loss, 0},
+                                 {InjectedFault::WorkerRestarts, restart, vm}})
+                      == "");
+        }
+    }
+}
+
 // Guards against the same failures after pairs of faults that are not listed above. Tries each pair
 // at times 1.7 s apart.
 TEST_CASE("pairs of all kinds of faults violate no guarantee", "[fault-pairs]")
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -48,10 +48,8 @@
            && now >= worker.fullUntil;
 }
 
-bool Scheduler::isReconciled(const std::string &service, Instant now) const
+bool Scheduler::haveWorkersReported(const std::string &service, Instant now) const
 {
-    if (this->reconciledServices.count(service) != 0)
-        return true;
     const auto knownUntil = this->leasesKnownUntil(now);
     const bool hasLeaseExpired = knownUntil > this->tookOverAt + this->times.inheritedLease;
     const auto isKnown = [&](const auto &entry) {
@@ -65,7 +63,12 @@
 
 void Scheduler::noteIfReconciled(const std::string &service, Instant now)
 {
-    if (!this->isReconciled(service, now) || !this->reconciledServices.insert(service).second)
+    const bool wasReconciled = this->reconciledServices.count(service) != 0;
+    if ((wasReconciled && this->reopenedServices.count(service) == 0)
+        || !this->haveWorkersReported(service, now))
+        return;
+    this->reopenedServices.erase(service);
+    if (!this->reconciledServices.insert(service).second)
         return;
     this->note("service-reconciled", service,
                absl::StrCat("after-ms=", (now - this->tookOverAt) / std::chrono::milliseconds(1)));
@@ -74,13 +77,14 @@
 bool Scheduler::canHaveUnreportedRuns(const Job &job) const
 {
     // A former leader that lives on may start new jobs, too, until the workers know this leader.
-    const auto isUnreconciled = [&](const std::string &service) {
-        return this->reconciledServices.count(service) == 0;
+    if (!job.inherited && this->isSurveyOver)
+        return false;
+    const auto isOpen = [&](const std::string &service) {
+        return this->reconciledServices.count(service) == 0
+               || (job.inherited && this->reopenedServices.count(service) != 0);
     };
-    return (job.inherited || !this->isSurveyOver)
-           && (isUnreconciled(this->serviceOf(job))
-               || std::any_of(job.formerServices.begin(), job.formerServices.end(),
-                              isUnreconciled));
+    return isOpen(this->serviceOf(job))
+           || std::any_of(job.formerServices.begin(), job.formerServices.end(), isOpen);
 }
 
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -132,6 +132,9 @@
         // the longest lease that it accepts.
         worker.formerLeaseUntil = now + this->maxLeaseDuration(this->times.maxLease);
         worker.inheritedUntil = std::max(this->leaseExpiry(worker), worker.formerLeaseUntil);
+        // The next incarnation knows no fence, so an earlier leader may have started tasks there.
+        if (this->leasesKnownUntil(now) <= this->tookOverAt + this->times.inheritedLease)
+            this->reopenedServices.insert(worker.listing.service);
         this->dropRunsOfIncarnation(worker, now);
     }
     worker.hasReported = false;
--- a/packages/scheduling/tests/fault_sequence_setup.h
+++ b/packages/scheduling/tests/fault_sequence_setup.h
@@ -42,7 +42,9 @@
             , scheduler(SchedulerTimes{}, fence * 1000, now)
             , planner(FleetPlannerOptions{})
             , confirmedAt(now)
-        {}
+        {
+            this->scheduler.setLeadConfirmed(now);
+        }
 
         std::int64_t fence;
         Scheduler scheduler;
--- a/packages/scheduling/tests/fault_sequence_simulation.h
+++ b/packages/scheduling/tests/fault_sequence_simulation.h
@@ -221,6 +221,7 @@
             this->listEntries(*leader);
         if (leader->writesStore) {
             leader->confirmedAt = this->now;
+            leader->scheduler.setLeadConfirmed(this->now);
             for (const auto &row :
                  leader->scheduler.takeDirty(30, [](const std::string &) { return true; })) {
                 this->storedProgress[row.id] = row.row;
--- a/packages/scheduling/tests/vm_move_leader.h
+++ b/packages/scheduling/tests/vm_move_leader.h
@@ -128,6 +128,7 @@
     if (!leader->writesStore)
         return;
     leader->confirmedAt = this->now;
+    leader->scheduler.setLeadConfirmed(this->now);
     this->writeLease(*leader);
     const auto took = this->now < this->storeSlowUntil ? slowWriteTime : writeTime;
     // The store executes writes in the order in which they are sent.
--- a/packages/scheduling/tests/vm_move_simulation.h
+++ b/packages/scheduling/tests/vm_move_simulation.h
@@ -106,7 +106,9 @@
             , scheduler(SchedulerTimes{}, fence * runsPerTerm, now)
             , planner(FleetPlannerOptions{})
             , confirmedAt(now)
-        {}
+        {
+            this->scheduler.setLeadConfirmed(now);
+        }
 
         std::int64_t fence;
         Scheduler scheduler;
