--- a/packages/coordination/include/sassafrasferry/coordination/inherited_lease.h
+++ b/packages/coordination/include/sassafrasferry/coordination/inherited_lease.h
@@ -1,6 +1,7 @@
 // How long tasks that a predecessor started may still run on a worker that does not answer.
 #pragma once
 
+#include <sassafrasferry/coordination/leader_options.h>
 #include <sassafrasferry/coordination/tenure.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
@@ -47,4 +48,11 @@
     return times;
 }
 
+/// The options of a leader that took over at `now`.
+inline LeaderOptions afterTakeover(LeaderOptions options, const Tenure &tenure, Instant now)
+{
+    options.times = timesAfterTakeover(options.times, tenure, options.leadership, now);
+    return options;
+}
+
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -132,12 +132,6 @@
     }
 
 private:
-    static Options afterTakeover(Options options, const Tenure &tenure, Instant now)
-    {
-        options.times = timesAfterTakeover(options.times, tenure, options.leadership, now);
-        return options;
-    }
-
     template<typename Body>
     void spawnPart(std::string_view name, Body body)
     {
--- a/packages/scheduling/src/unconfirmed_leader_test.cpp
+++ b/packages/scheduling/src/unconfirmed_leader_test.cpp
@@ -29,8 +29,7 @@
 
 // Guards against tasks that run twice: a leader that has lost the store takes the lease of a silent
 // worker for over, while its successor has extended it.
-TEST_CASE(
-    "Tasks of a silent worker start elsewhere only if no other leader can have extended its lease")
+TEST_CASE("Tasks of a silent worker wait until no other leader can have extended its lease")
 {
     for (const auto &row : cases) {
         INFO(row.name);
