--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -48,10 +48,8 @@
            && now >= worker.fullUntil;
 }
 
-bool Scheduler::isReconciled(const std::string &service, Instant now) const
+bool Scheduler::haveWorkersReported(const std::string &service, Instant now) const
 {
-    if (this->reconciledServices.count(service) != 0)
-        return true;
     const auto knownUntil = this->leasesKnownUntil(now);
     const bool hasLeaseExpired = knownUntil > this->tookOverAt + this->times.inheritedLease;
     const auto isKnown = [&](const auto &entry) {
@@ -65,7 +63,12 @@
 
 void Scheduler::noteIfReconciled(const std::string &service, Instant now)
 {
-    if (!this->isReconciled(service, now) || !this->reconciledServices.insert(service).second)
+    const bool wasReconciled = this->reconciledServices.count(service) != 0;
+    if ((wasReconciled && this->reopenedServices.count(service) == 0)
+        || !this->haveWorkersReported(service, now))
+        return;
+    this->reopenedServices.erase(service);
+    if (!this->reconciledServices.insert(service).second)
         return;
     this->note("service-reconciled", service,
                absl::StrCat("after-ms=", (now - this->tookOverAt) / std::chrono::milliseconds(1)));
@@ -74,8 +77,14 @@
 bool Scheduler::canHaveUnreportedRuns(const Job &job) const
 {
     // A former leader that lives on may start new jobs, too, until the workers know this leader.
-    return (job.inherited || !this->isSurveyOver)
-           && this->reconciledServices.count(this->serviceOf(job)) == 0;
+    if (!job.inherited && this->isSurveyOver)
+        return false;
+    const auto isOpen = [&](const std::string &service) {
+        return this->reconciledServices.count(service) == 0
+               || (job.inherited && this->reopenedServices.count(service) != 0);
+    };
+    return isOpen(this->serviceOf(job))
+           || std::any_of(job.formerServices.begin(), job.formerServices.end(), isOpen);
 }
 
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
@@ -84,12 +93,18 @@
     this->updateRackDemand(now);
     this->isSurveyOver = now >= this->tookOverAt + this->times.surveyTime;
     std::map<std::string, std::vector<Job *>> queues;
+    std::set<std::string> formerServices;
     for (auto &entry : this->jobs) {
-        if (!jobs::isFinal(entry.second->state))
-            queues[this->serviceOf(*entry.second)].push_back(entry.second.get());
+        auto &job = *entry.second;
+        if (jobs::isFinal(job.state))
+            continue;
+        queues[this->serviceOf(job)].push_back(&job);
+        formerServices.insert(job.formerServices.begin(), job.formerServices.end());
     }
     for (const auto &entry : queues)
         this->noteIfReconciled(entry.first, now);
+    for (const auto &service : formerServices)
+        this->noteIfReconciled(service, now);
     Round round{now, unixNow, {}, this->customerUsage(unixNow), {}, {}, {}, {}};
     for (auto &entry : queues)
         this->planService(entry.first, entry.second, round);
