A task lost with its worker's incarnation starts again only once its leader is confirmed

A successor sees a run end as done and acknowledges it; the worker restarts and forgets fence and ends; the former leader, without the store, hears the next incarnation, takes the run for lost with the one before, and starts the task again (TWICE: a start after an end that was noted). The same holds where another worker answers at the address, and for a run that a report lacks.

Change: a task keeps the time at which a run was dropped whose end nobody has reported to this leader, and starts again once the store has confirmed since that this one leads.

--- a/packages/coordination/include/sassafrasferry/coordination/fenced_part.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fenced_part.h
@@ -34,14 +34,14 @@
 
     /// Claims the part for this leader. Afterwards no write of an earlier leader succeeds. An
     /// earlier leader that still reads the intake learns of the claim before it learns of jobs that
-    /// are stored later, which this leader takes for unknown to it.
+    /// are stored later. This leader takes such jobs for started by nobody else.
     Awaitable<WriteResult> open()
     {
         const auto seen = co_await this->readChain();
         if (seen != WriteResult::Written)
             co_return seen;
         const std::vector<store::PartPut> puts{
-            {table::intake, takeoverKey, std::to_string(this->fence)}};
+            {table::intake, takeoverKey, takeoverValue(this->fence)}};
         const std::vector<store::PartDelete> noDeletes;
         co_return co_await this->write(puts, noDeletes);
     }
--- a/packages/coordination/include/sassafrasferry/coordination/job_rows.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_rows.h
@@ -56,6 +56,7 @@
 /// Key of the row that a new leader writes to the intake table of each part before it reads the
 /// part. It sorts after the keys of all jobs.
 constexpr const char *takeoverKey = "~takeover";
+std::string takeoverValue(std::int64_t fence);
 /// The fencing token of the leader that wrote the takeover row; nothing for any other row.
 std::optional<std::int64_t> takeoverFence(const store::PartRow &row);
 
--- a/packages/coordination/src/job_rows.cpp
+++ b/packages/coordination/src/job_rows.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
 
 #include <xxhash.h>
 
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr char cancellationSuffix = '!';
+// No record of a job begins so: leaders of earlier versions take the row for an unreadable job.
+constexpr const char *takeoverPrefix = "fence=";
 constexpr double jobShareOfRate = 0.5; // of the store's transactions
 constexpr int maxCount = 32; // parts that a leader can load within a takeover
 
@@ -76,10 +79,17 @@
     return {key, false};
 }
 
+std::string takeoverValue(std::int64_t fence)
+{
+    return absl::StrCat(takeoverPrefix, fence);
+}
+
 std::optional<std::int64_t> takeoverFence(const store::PartRow &row)
 {
     std::int64_t fence = 0;
-    if (row.key != takeoverKey || row.deleted || !absl::SimpleAtoi(row.value, &fence))
+    absl::string_view value = row.value;
+    if (row.key != takeoverKey || row.deleted || !absl::ConsumePrefix(&value, takeoverPrefix)
+        || !absl::SimpleAtoi(value, &fence))
         return std::nullopt;
     return fence;
 }
--- a/packages/coordination/src/takeover_row_test.cpp
+++ b/packages/coordination/src/takeover_row_test.cpp
@@ -25,7 +25,7 @@
     const auto part = JobParts().partOf(newJob);
     const auto newerFence = fixture.leadership.leaseVersion() + 1'000'000;
     if (isTaken)
-        fixture.putRow(table::intake, part, takeoverKey, std::to_string(newerFence));
+        fixture.putRow(table::intake, part, takeoverKey, takeoverValue(newerFence));
     fixture.putRow(table::intake, part, newJob, intakeValue());
     const auto storedAt = bootNow();
     REQUIRE(fixture.runUntil(
--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <limits>
 #include <optional>
+#include <set>
 
 namespace sassafrasferry::jobs {
 
@@ -119,6 +120,8 @@
     Instant nearWaitSince{}; ///< since when it waits for a worker on its rack; zero: it doesn't
     Instant nearFreeAt{}; ///< when that worker was expected as the wait began
     Instant idleSince{}; ///< since when a long-running task has had no working run
+    /// When a run was dropped whose end no worker has reported to this leader.
+    Instant unreportedEndAt{};
 };
 
 /// Properties that a job inherits from its queue.
@@ -206,7 +209,7 @@
     QueueTerms terms;
     const Instant acceptedAt;
     /// Services of its queue in earlier configurations, whose workers may have runs of its tasks.
-    std::vector<std::string> formerServices;
+    std::set<std::string> formerServices;
     std::string customer; ///< whose key it came with; empty: none
     std::size_t customerNumber = noCustomer; ///< the customer's place in the configuration
     JobState state = JobState::Queued;
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -273,6 +273,9 @@
     void applyRunning(Worker &worker, const ListedRun &listed, Instant askedAt, Instant now);
     void dropMissingRuns(Worker &worker, const WorkerReport &report, Instant askedAt, Instant now);
     void dropRun(Worker &worker, const RunKey &key, Instant now);
+    void dropUnreportedRun(Worker &worker, const RunKey &key, Instant now);
+    /// True if the task has neither a run, as far as this leader can know, nor an end as done.
+    bool canStart(const jobs::Task &task, Instant now) const;
     void dropRunsOfIncarnation(Worker &worker, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
     void setListed(Worker &worker, bool isListed);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -32,7 +32,7 @@
     if (!queue)
         return;
     if (queue->terms.service != job.terms.service)
-        job.formerServices.push_back(job.terms.service);
+        job.formerServices.insert(job.terms.service);
     job.terms = queue->terms;
 }
 
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -87,6 +87,11 @@
            || std::any_of(job.formerServices.begin(), job.formerServices.end(), isOpen);
 }
 
+bool Scheduler::canStart(const jobs::Task &task, Instant now) const
+{
+    return !task.done && task.runs.empty() && task.unreportedEndAt <= this->leasesKnownUntil(now);
+}
+
 Orders Scheduler::plan(Instant now, UnixMilliseconds unixNow)
 {
     this->dropExpiredRuns(now);
@@ -182,7 +187,7 @@
     const auto account = round.usage.accountOf(job.customerNumber);
     for (std::size_t i = 0; i < spec.count; ++i) {
         auto &task = job.at(occurrence, step, i);
-        if (task.done || !task.runs.empty())
+        if (!this->canStart(task, round.now))
             continue;
         if (!account.hasRoom(spec.need))
             return;
@@ -220,7 +225,7 @@
     std::int64_t number = this->runBase + 1;
     for (std::size_t i = 0; i < spec.count; ++i) {
         const auto &task = job.at(occurrence, step, i);
-        if (!task.runs.empty())
+        if (!task.runs.empty() || task.unreportedEndAt > this->leasesKnownUntil(round.now))
             return;
         number = std::max(number, task.lastRun + 1);
     }
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -50,14 +50,23 @@
         run->settledAt = Instant::max();
     }
     for (const auto &key : gone)
-        this->dropRun(worker, key, now);
+        this->dropUnreportedRun(worker, key, now);
 }
 
 void Scheduler::dropAllRuns(Worker &worker, Instant now)
 {
     const auto runs = worker.runs;
     for (const auto &entry : runs)
-        this->dropRun(worker, entry.first, now);
+        this->dropUnreportedRun(worker, entry.first, now);
+}
+
+// The run may have ended as done, and another leader may have acknowledged that.
+void Scheduler::dropUnreportedRun(Worker &worker, const RunKey &key, Instant now)
+{
+    auto *job = this->findJob(key.task.job);
+    if (auto *task = job ? job->find(key.task) : nullptr)
+        task->unreportedEndAt = now;
+    this->dropRun(worker, key, now);
 }
 
 void Scheduler::dropRun(Worker &worker, const RunKey &key, Instant now)
@@ -319,7 +328,7 @@
     for (const auto &key : gone) {
         this->note("run-missing", jobs::toString(key.task),
                    absl::StrCat("run=", key.number, " worker=", worker.listing.id));
-        this->dropRun(worker, key, now);
+        this->dropUnreportedRun(worker, key, now);
     }
 }
 
--- a/packages/scheduling/src/unconfirmed_leader_test.cpp
+++ b/packages/scheduling/src/unconfirmed_leader_test.cpp
@@ -71,3 +71,39 @@
         CHECK(bench.scheduler.isVmEmpty("vm-w1", bench.now) == row.isOver);
     }
 }
+
+// Guards against tasks that run again after they were done: a leader that has lost the store learns
+// that a worker has restarted, but not that its successor has acknowledged the end of the run.
+TEST_CASE("Tasks of a restarted worker wait until no other leader can have acknowledged their ends")
+{
+    struct RestartCase
+    {
+        const char *name;
+        EndEvidence evidence;
+    };
+    const std::vector<RestartCase> restarts{
+        {"a report of the next incarnation", EndEvidence::Report},
+        {"another worker answers at the address", EndEvidence::OtherIncarnation},
+    };
+    for (const auto &row : restarts) {
+        INFO(row.name);
+        Bench bench(2);
+        bench.reportAll(2);
+        bench.add("j", {stepOf(1)});
+        const auto first = bench.plan();
+        REQUIRE(first.starts.size() == 1);
+        bench.acceptAll(first);
+        const auto &run = first.starts.front();
+        bench.now += 100ms;
+        bench.report(run.worker, {{run.task, run.run, "", 100, 0}});
+        bench.scheduler.setLeadConfirmed(bench.now);
+        bench.now += 100ms;
+        if (row.evidence == EndEvidence::Report)
+            bench.report(run.worker, {}, {}, 2);
+        else
+            bench.scheduler.incarnationEnded(run.worker, row.evidence, bench.now);
+        CHECK(bench.plan().starts.empty());
+        bench.scheduler.setLeadConfirmed(bench.now);
+        CHECK(bench.plan().starts.size() == 1);
+    }
+}
