--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -13,6 +13,8 @@
     std::string folder; ///< of the case, for `record.txt`
     std::string program; ///< of the deploy file
     bool trouble = true;
+    bool isBrothline =
+        false; ///< bounds and machines of `brothline-atl`; else of `bramblewick-prod`
 };
 
 class Harness
@@ -30,8 +32,11 @@
     Awaitable<void> submit(std::string id);
     /// Asks for the job's state at any entry VM until it is told; at most five times.
     Awaitable<void> ask(std::string id);
-    /// Cancels the job until a 2xx or 410.
-    Awaitable<bool> cancel(std::string id);
+    /// Sends one request about the job to one entry VM.
+    Awaitable<Answer> callEntry(std::size_t entry, beast::http::verb verb, std::string id,
+                                std::string body = {});
+    /// Writes the settings file of each entry VM anew, with this rate of the store.
+    void changeSettings(int storeWritesPerSecond);
     Job &newJob(std::vector<Step> steps, const std::string &name = {});
     /// Number of the entry VM that leads, by its log; -1: none.
     int leader() const;
@@ -51,10 +56,12 @@
     void checkIdle();
     std::uint16_t entryPort(std::size_t entry) const;
     std::string settings(std::size_t entry) const;
+    std::string settingsFile(std::size_t entry) const;
 
     std::uint16_t base = 0;
     std::size_t turn = 0;
     std::string work; ///< a temporary folder
+    int writesPerSecond = 600;
     Bounds bounds;
 };
 
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -152,6 +152,8 @@
     void acknowledged(const std::string &task);
     bool isDone(const std::string &task) const;
     bool isRunning(const std::string &task) const;
+    /// Number of starts of the job's tasks after this moment, in seconds.
+    std::size_t startsAfter(const std::string &job, double seconds) const;
 
     std::map<std::string, Job> jobs;
     std::size_t starts = 0;
@@ -168,6 +170,7 @@
     };
     Record &record;
     std::map<std::string, Task> tasks;
+    std::map<std::string, std::vector<double>> startTimes; // by job
 };
 
 struct Bounds
@@ -218,6 +221,7 @@
         std::int64_t run = 0;
         std::string how;
         std::string saved;
+        bool hasLapsed = false; ///< the lease has lapsed since
     };
     std::int64_t clock() const;
     Milliseconds workOf(const Run &run) const;
