--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -307,25 +307,59 @@
     return jsonAnswer(200, {{"ver", this->version}});
 }
 
+void Store::repeatRow(const std::string &table, const std::string &part, const std::string &key,
+                      std::map<std::string, std::vector<std::string>> keysByPart)
+{
+    this->repeated = {table, this->rows.at({table, part, key}), std::move(keysByPart)};
+}
+
+std::string Store::partOf(const std::string &table, const std::string &key) const
+{
+    for (const auto &row : this->rows) {
+        if (row.first.table == table && row.first.key == key && !row.second.deleted)
+            return row.first.part;
+    }
+    return {};
+}
+
 Answer Store::read(const std::map<std::string, std::string> &query)
 {
     const auto table = textOf(query, "table");
     const auto part = textOf(query, "part");
+    const auto from = textOf(query, "from");
     const auto to = textOf(query, "to");
+    static const std::vector<std::string> none;
+    const auto repeatedPart = this->repeated.keys.find(part);
+    const bool hasRepeated =
+        table == this->repeated.table && repeatedPart != this->repeated.keys.end();
+    const auto &keys = hasRepeated ? repeatedPart->second : none;
+    auto nextKey = std::lower_bound(keys.begin(), keys.end(), from);
+    auto at = this->rows.lower_bound({table, part, from});
     auto page = Json::array();
     std::size_t bytes = 0;
     bool hasMore = false;
-    for (auto at = this->rows.lower_bound({table, part, textOf(query, "from")});
-         at != this->rows.end() && at->first.table == table && at->first.part == part; ++at) {
-        if (!to.empty() && at->first.key >= to)
+    for (;;) {
+        while (at != this->rows.end() && at->first.table == table && at->first.part == part
+               && at->second.deleted)
+            ++at;
+        const bool hasRow =
+            at != this->rows.end() && at->first.table == table && at->first.part == part;
+        const bool isRepeated = nextKey != keys.end() && (!hasRow || *nextKey < at->first.key);
+        if (!hasRow && !isRepeated)
+            break;
+        const auto key = isRepeated ? Key{table, part, *nextKey} : at->first;
+        if (!to.empty() && key.key >= to)
             break;
-        if (at->second.deleted)
-            continue;
-        hasMore = page.size() >= pageRows || bytes + at->second.value.size() > pageBytes;
+        const auto &row = isRepeated ? this->repeated.row : at->second;
+        hasMore = page.size() >= pageRows || bytes + row.value.size() > pageBytes;
         if (hasMore)
             break;
-        bytes += at->second.value.size();
-        page.push_back(toJson(at->first, at->second));
+        bytes += row.value.size();
+        page.push_back(toJson(key, row));
+        if (isRepeated)
+            ++nextKey;
+        else
+            ++at;
     }
     return jsonAnswer(200, {{"rows", page}, {"has_more", hasMore}, {"ver", this->version}});
 }
@@ -664,6 +698,17 @@
         ::kill(this->pid, number);
 }
 
+std::int64_t Daemon::memory(bool most) const
+{
+    std::ifstream file("/proc/" + std::to_string(this->pid) + "/status");
+    const std::string wanted = most ? "VmHWM:" : "VmRSS:";
+    for (std::string line; std::getline(file, line);) {
+        if (line.rfind(wanted, 0) == 0)
+            return std::stoll(line.substr(wanted.size()));
+    }
+    return 0;
+}
+
 void Daemon::reap()
 {
     if (this->pid > 0)
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -75,6 +75,12 @@
     Awaitable<Answer> handle(Request request);
     void put(const std::string &table, const std::string &key, const Json &value);
     void remove(const std::string &table, const std::string &key);
+    /// Lets the table hold further rows with the value of this one, one under each key; the keys
+    /// of each part are sorted.
+    void repeatRow(const std::string &table, const std::string &part, const std::string &key,
+                   std::map<std::string, std::vector<std::string>> keysByPart);
+    /// The part that holds the row, if there is one.
+    std::string partOf(const std::string &table, const std::string &key) const;
 
     std::size_t rowBytes = 65536;
     std::size_t callBytes = 1000000;
@@ -104,6 +110,13 @@
     Awaitable<Answer> feed(std::map<std::string, std::string> query);
 
     Record &record;
+    struct Repeated
+    {
+        std::string table;
+        Row row;
+        std::map<std::string, std::vector<std::string>> keys; // by part
+    };
+    Repeated repeated;
     std::map<Key, Row> rows;
     std::map<std::int64_t, std::vector<Key>> history;
     std::map<std::string, Clock::time_point> freeAt; // by part
@@ -259,6 +272,8 @@
     {}
     void start();
     void signal(int number);
+    /// Memory in use, and the most so far, in kilobytes.
+    std::int64_t memory(bool most) const;
     /// Waits for the end of the process after a signal that ends it.
     void reap();
     bool isAlive();
