--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 compile() {
     g++ -std=c++20 -O1 -fcoroutines -I review/standin -c -o "target/review/$1.o" "review/standin/$1.cpp"
 }
-cases=(old_jobs large_job settings_roll settings_change)
+cases=(old_jobs large_job settings_roll settings_change new_machines)
 for unit in world harness "${cases[@]}"; do
     compile "$unit" &
 done
--- a/review/standin/harness.cpp
+++ b/review/standin/harness.cpp
@@ -55,14 +55,7 @@
     serve(this->context, this->base,
           [this](Request request) { return this->store.handle(std::move(request)); });
     serve(this->context, static_cast<std::uint16_t>(this->base + 1),
-          [this](Request request) -> Awaitable<Answer> {
-              auto machines = Json::array();
-              for (const auto &minion : this->minions)
-                  machines.push_back(minion->listing());
-              if (request.method() == beast::http::verb::get)
-                  co_return jsonAnswer(200, {{"machines", machines}, {"next_token", nullptr}});
-              co_return jsonAnswer(409, {{"reason", "busy"}});
-          });
+          [this](Request request) -> Awaitable<Answer> { co_return this->callCloud(request); });
     for (std::size_t i = 0; i < minionCount; ++i) {
         const auto port = static_cast<std::uint16_t>(this->base + 10 + i);
         const auto number = std::to_string(i);
@@ -145,11 +138,63 @@
     return text.str();
 }
 
+Answer Harness::callCloud(const Request &request)
+{
+    if (request.method() == beast::http::verb::get) {
+        auto machines = Json::array();
+        for (const auto &minion : this->minions) {
+            if (minion->isAdded)
+                machines.push_back(minion->listing());
+        }
+        return jsonAnswer(200, {{"machines", machines}, {"next_token", nullptr}});
+    }
+    const auto body = Json::parse(request.body(), nullptr, false);
+    const auto name = body.value("machine", "");
+    const auto at =
+        std::find_if(this->minions.begin(), this->minions.end(), [&](const auto &minion) {
+            return minion->isAdded && minion->machine == name;
+        });
+    if (at == this->minions.end())
+        return jsonAnswer(400, Json::object());
+    auto &minion = **at;
+    if (request.target() != "/machine-upkeep")
+        return jsonAnswer(409, {{"reason", "busy"}});
+    const auto wave = body.value("wave", std::int64_t{0});
+    const auto ordered = this->store.valueOf("op", "wave/" + std::to_string(wave));
+    const auto names =
+        ordered.is_object() ? ordered.value("machines", Json::array()) : Json::array();
+    if (std::find(names.begin(), names.end(), Json(name)) == names.end())
+        return jsonAnswer(409, {{"reason", "wave"}});
+    if (minion.upkeeps.count(wave) != 0)
+        return jsonAnswer(200, Json::object());
+    if (minion.state != "up")
+        return jsonAnswer(409, {{"reason", "busy"}});
+    minion.upkeeps.insert(wave);
+    this->record.line("the upkeep of " + name + " begins, wave " + std::to_string(wave));
+    asio::co_spawn(this->context, this->maintain(&minion), asio::detached);
+    return jsonAnswer(200, Json::object());
+}
+
+Awaitable<void> Harness::maintain(Minion *minion)
+{
+    constexpr Milliseconds maintenance{2000}; // `maintenance_s`
+    minion->state = "upkeep";
+    minion->leave();
+    this->store.remove("servers", minion->id);
+    co_await wait(maintenance);
+    minion->begin(minion->id + "x");
+    minion->state = "up";
+    this->store.put("servers", minion->id, minion->entry());
+}
+
 Awaitable<void> Harness::heartbeats()
 {
     for (;;) {
-        for (auto &minion : this->minions)
+        for (auto &minion : this->minions) {
+            if (!minion->isAdded || !minion->isAlive())
+                continue;
             this->store.put("servers", minion->id, minion->entry());
+        }
         co_await wait(this->bounds.heartbeat);
     }
 }
--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -51,6 +51,8 @@
     std::mt19937_64 random{20261205};
 
 private:
+    Answer callCloud(const Request &request);
+    Awaitable<void> maintain(Minion *minion);
     Awaitable<void> heartbeats();
     Awaitable<void> ticks();
     void checkIdle();
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -313,6 +313,18 @@
     this->repeated = {table, this->rows.at({table, part, key}), std::move(keysByPart)};
 }
 
+Json Store::valueOf(const std::string &table, const std::string &key) const
+{
+    const auto at = this->rows.find({table, "", key});
+    if (at == this->rows.end() || at->second.deleted)
+        return nullptr;
+    namespace codec = beast::detail::base64;
+    std::string bytes(codec::decoded_size(at->second.value.size()), '\0');
+    bytes.resize(
+        codec::decode(bytes.data(), at->second.value.data(), at->second.value.size()).first);
+    return Json::parse(bytes, nullptr, false);
+}
+
 std::string Store::partOf(const std::string &table, const std::string &key) const
 {
     for (const auto &row : this->rows) {
@@ -464,9 +476,9 @@
 Minion::Minion(Ledger &ledger, Bounds bounds, std::string id, std::string machine,
                std::string service, std::string rack, std::uint16_t port)
     : id(std::move(id))
+    , machine(std::move(machine))
     , ledger(ledger)
     , bounds(bounds)
-    , machine(std::move(machine))
     , service(std::move(service))
     , rack(std::move(rack))
     , port(port)
@@ -499,11 +511,33 @@
     return {
         {"machine", this->machine},
         {"pool", this->service},
-        {"state", "up"},
+        {"state", this->state},
         {"zone", "here"},
         {"labels", {"a", this->rack}},
         {"capacity", {{"cpu", this->capacity.cpu}, {"mem_mb", this->capacity.memory}, {"gpu", 0}}},
-        {"id", this->id}};
+        {"id", this->alive ? this->id : ""}};
+}
+
+void Minion::leave()
+{
+    for (const auto &run : this->runs)
+        this->ledger.ended(run.task, this->id + "/" + std::to_string(run.number), "gone");
+    this->runs.clear();
+    this->ends.clear();
+    this->highest.clear();
+    this->alive = false;
+}
+
+void Minion::begin(std::string newId)
+{
+    this->id = std::move(newId);
+    this->born = unixNow();
+    this->startedAt = Clock::now();
+    this->fence = 0;
+    this->leaseEnd = 0;
+    this->lastEnd = 0;
+    this->sequence = 0;
+    this->alive = true;
 }
 
 std::int64_t Minion::freeCpu() const
@@ -578,6 +612,8 @@
 
 Awaitable<Answer> Minion::handle(Request request)
 {
+    if (!this->alive)
+        co_return Answer{0, ""};
     this->tick();
     if (request["X-Expect-Instance"] != this->id)
         co_return this->answer(421, Json::object());
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -75,6 +75,8 @@
     Awaitable<Answer> handle(Request request);
     void put(const std::string &table, const std::string &key, const Json &value);
     void remove(const std::string &table, const std::string &key);
+    /// The row with the key in the empty part, null if there is none.
+    Json valueOf(const std::string &table, const std::string &key) const;
     /// Lets the table hold further rows with the value of this one, one under each key; the keys
     /// of each part are sorted.
     void repeatRow(const std::string &table, const std::string &part, const std::string &key,
@@ -207,9 +209,21 @@
     /// Ends what is due. Called each few milliseconds.
     void tick();
     std::int64_t freeCpu() const;
+    /// Ends this life, with all that runs: nothing is answered until `begin`.
+    void leave();
+    /// Begins another life under a new id.
+    void begin(std::string newId);
+    bool isAlive() const
+    {
+        return this->alive;
+    }
 
     Need capacity{32000, 131072};
-    const std::string id;
+    std::string id;
+    const std::string machine;
+    std::string state = "up"; ///< of the machine, as the platform lists it
+    bool isAdded = true; ///< the machine belongs to the fleet
+    std::set<std::int64_t> upkeeps; ///< waves in which the machine's upkeep has begun
     std::size_t unacknowledged() const
     {
         return this->ends.size();
@@ -248,8 +262,9 @@
 
     Ledger &ledger;
     Bounds bounds;
-    std::string machine, service, rack;
+    std::string service, rack;
     std::uint16_t port;
+    bool alive = true;
     std::int64_t born = unixNow();
     Clock::time_point startedAt = Clock::now();
     std::int64_t fence = 0;
