--- a/review/standin/harness.cpp
+++ b/review/standin/harness.cpp
@@ -309,13 +309,14 @@
         const auto entry = this->turn++ % this->entries.size();
         const auto answer = co_await call(this->entryPort(entry), beast::http::verb::post,
                                           prefix + id, host, body, Milliseconds(3000));
+        this->record.line("POST " + id + " at e" + std::to_string(entry) + " -> "
+                          + std::to_string(answer.status));
         if (answer.status == 200) {
             auto &accepted = this->ledger.jobs.at(id);
             accepted.accepted = true;
             accepted.acceptedAt = this->record.seconds();
             co_return;
         }
-        this->record.line("POST " + id + " -> " + std::to_string(answer.status));
         co_await wait(Milliseconds(500));
     }
 }
@@ -327,6 +328,8 @@
         const auto entry = this->turn++ % this->entries.size();
         const auto answer = co_await call(this->entryPort(entry), beast::http::verb::get,
                                           prefix + id, host, "", Milliseconds(3000));
+        this->record.line("GET  " + id + " at e" + std::to_string(entry) + " -> "
+                          + std::to_string(answer.status) + " " + answer.body);
         auto &job = this->ledger.jobs.at(id);
         if (answer.status == 200) {
             job.state = Json::parse(answer.body).value("state", "");
@@ -342,8 +345,12 @@
 Awaitable<Answer> Harness::callEntry(std::size_t entry, beast::http::verb verb, std::string id,
                                      std::string body)
 {
-    co_return co_await call(this->entryPort(entry), verb, prefix + id, host, std::move(body),
-                            Milliseconds(3000));
+    const auto answer = co_await call(this->entryPort(entry), verb, prefix + id, host,
+                                      std::move(body), Milliseconds(3000));
+    this->record.line(std::string(beast::http::to_string(verb)) + " " + id + " at e"
+                      + std::to_string(entry) + " -> " + std::to_string(answer.status) + " "
+                      + answer.body);
+    co_return answer;
 }
 
 void Harness::changeSettings(int storeWritesPerSecond)
--- a/review/standin/settings_change.cpp
+++ b/review/standin/settings_change.cpp
@@ -64,11 +64,7 @@
         co_await wait(Milliseconds(500));
         const auto answer = co_await world.callEntry(other, beast::http::verb::delete_, id);
         cancellations.push_back({id, answer.status, world.record.seconds()});
-        const auto state = co_await world.callEntry(other, beast::http::verb::get, id);
-        world.record.line("POST " + id + " at e" + std::to_string(restarted) + " -> "
-                          + std::to_string(accepted.status) + "; DELETE at e"
-                          + std::to_string(other) + " -> " + std::to_string(answer.status)
-                          + "; GET -> " + std::to_string(state.status) + " " + state.body);
+        co_await world.callEntry(other, beast::http::verb::get, id);
     }
     co_await wait(firstStep + secondStep + Milliseconds(3000));
     int acknowledged = 0;
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -435,12 +435,14 @@
         this->record.line("TWICE " + task + " " + run + " after an end that was taken note of");
     }
     entry.running.insert(run);
+    this->record.line("run  " + task + " " + run + " starts");
 }
 
 void Ledger::ended(const std::string &task, const std::string &run, const std::string &how)
 {
     auto &entry = this->tasks[task];
     entry.running.erase(run);
+    this->record.line("run  " + task + " " + run + " " + how);
     if (how == "done") {
         ++this->done;
         entry.done = true;
