A VM of a wave counts as gone only after two lists requested after the wave

Cause: the planner completed a wave when none of its VMs was in its copy of the platform's list. That copy is up to 2.5 s old, and nothing asked whether it had been requested after the wave became known. A list that can't be read, a partial one, and a VM that leaves while another was just added end in the same place. Ruled out: the status row of an earlier leader (there was none), and a refusal by the platform (no order was sent).

Change: a VM of a wave is gone after two successive lists without it, both requested after this process learned of the wave, and if no worker is registered for it and no maintenance order about it is open. Two, since the pages of a list are read one after another. While VMs are missing, the list is requested every 0.5 s instead of 2.5 s; the VMs that are known are maintained meanwhile. A line wave-vm-absent and a count of gone VMs in wave-completed tell the cases apart.

--- a/packages/coordination/include/sassafrasferry/coordination/fleet_controller.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fleet_controller.h
@@ -118,6 +118,7 @@
     static constexpr auto tick = std::chrono::milliseconds(60);
     static constexpr auto listPause = std::chrono::milliseconds(2500);
     static constexpr auto busyListPause = std::chrono::milliseconds(1000);
+    static constexpr auto missingVmListPause = std::chrono::milliseconds(500);
     static constexpr auto retryPause = std::chrono::milliseconds(200);
 
     Awaitable<void> run()
@@ -166,11 +167,17 @@
         }
     }
 
+    Duration wantedListPause() const
+    {
+        if (this->planner.hasMissingWaveVms())
+            return missingVmListPause;
+        return this->planner.hasPendingChanges() ? busyListPause : listPause;
+    }
+
     Awaitable<void> list()
     {
         const auto asked = bootNow();
-        const auto wanted = this->planner.hasPendingChanges() ? busyListPause : listPause;
-        if (this->hasListed && asked - this->listedAt < wanted)
+        if (this->hasListed && asked - this->listedAt < this->wantedListPause())
             co_return;
         const auto vms = co_await this->cloud.list();
         if (!vms.ok()) {
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -48,6 +48,9 @@
     std::set<std::string> done; ///< VMs whose maintenance has begun, or that can't be maintained
     bool completed = false;
     std::uint64_t changes = 0; ///< number of changes to `done` and `completed`
+    /// By VM of the wave: number of successive lists without it that were requested after this
+    /// process learned of the wave.
+    std::map<std::string, std::size_t> absences;
 };
 
 /// Outcome of a call to the platform.
@@ -87,6 +90,9 @@
     Duration maintenanceTime = std::chrono::milliseconds(6000);
     /// Largest fraction of a pool's workers that are evacuated for a wave at the same time.
     double maxEvacuatingPoolFraction = 0.34;
+    /// Successive lists without a VM of a wave after which the VM counts as gone. The pages of one
+    /// list are read one after another, so a VM that changes meanwhile can be missing from all.
+    std::size_t absencesOfGoneVm = 2;
 };
 
 class FleetPlanner
@@ -117,6 +123,8 @@
     /// True while a VM is not up or an order is in progress, so that the platform's list will
     /// change.
     bool hasPendingChanges() const;
+    /// True while further lists have to show whether a VM of a wave exists.
+    bool hasMissingWaveVms() const;
     std::vector<DecisionNote> takeNotes();
 
 private:
@@ -161,6 +169,9 @@
     void cordonVms(Round &round);
     void planWave(WaveProgress &progress, Round &round);
     void completeWave(WaveProgress &progress);
+    void countAbsences(Instant askedAt);
+    bool isListed(const std::string &vm) const;
+    bool isGone(const WaveProgress &progress, const std::string &vm, Scheduler &scheduler) const;
     std::size_t countUnderMaintenance(const WaveProgress &progress) const;
     bool canReceiveOrder(const Entry &entry, const Round &round) const;
     bool isEmpty(const Entry &entry, const Round &round) const;
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -25,6 +25,7 @@
         if (entry.vmChangedAt <= askedAt)
             entry.vm = vm;
     }
+    this->countAbsences(askedAt);
 }
 
 void FleetPlanner::deferOrders(const std::string &vm, Instant until)
--- a/packages/scheduling/src/fleet_planner_test.cpp
+++ b/packages/scheduling/src/fleet_planner_test.cpp
@@ -118,11 +118,16 @@
             CHECK(order.vm == "off1");
         fixture.planner.handleAnswer(order, FleetAnswer::Accepted, fixture.scheduler, fixture.now);
     }
-    fixture.now += 100ms;
-    fixture.reportAll();
-    fixture.plan();
+    for (int i = 0; i < 2; ++i) {
+        CHECK_FALSE(fixture.planner.waves().at(1).completed);
+        fixture.now += 100ms;
+        fixture.reportAll();
+        fixture.planner.updateVms(fixture.vms, fixture.now);
+        fixture.plan();
+    }
     CHECK(fixture.planner.waves().at(1).completed);
     CHECK(fixture.planner.waves().at(1).done.size() == 2);
+    CHECK_FALSE(fixture.planner.hasMissingWaveVms());
 }
 
 // Guards against lost tasks: an order got no answer, its VM received work again, and then the
--- a/packages/scheduling/src/fleet_waves.cpp
+++ b/packages/scheduling/src/fleet_waves.cpp
@@ -48,19 +48,75 @@
     return count;
 }
 
+bool FleetPlanner::isListed(const std::string &vm) const
+{
+    const auto at = this->vms.find(vm);
+    return at != this->vms.end() && at->second.listed;
+}
+
+// A list that was requested before the wave was known may be older than a VM of the wave.
+void FleetPlanner::countAbsences(Instant askedAt)
+{
+    for (auto &wave : this->waveTable) {
+        auto &progress = wave.second;
+        if (progress.completed || askedAt < progress.seenAt)
+            continue;
+        for (const auto &vm : progress.wave.vms) {
+            if (this->isListed(vm))
+                progress.absences.erase(vm);
+            else if (++progress.absences[vm] == this->options.absencesOfGoneVm)
+                this->notes.push_back(
+                    {"wave-vm-absent", vm, absl::StrCat("wave=", progress.wave.number)});
+        }
+    }
+}
+
+bool FleetPlanner::hasMissingWaveVms() const
+{
+    const auto isMissing = [this](const WaveProgress &progress, const std::string &vm) {
+        const auto absences = progress.absences.find(vm);
+        return progress.done.count(vm) == 0 && !this->isListed(vm)
+               && (absences == progress.absences.end()
+                   || absences->second < this->options.absencesOfGoneVm);
+    };
+    return std::any_of(this->waveTable.begin(), this->waveTable.end(), [&](const auto &wave) {
+        const auto &progress = wave.second;
+        return !progress.completed
+               && std::any_of(progress.wave.vms.begin(), progress.wave.vms.end(),
+                              [&](const auto &vm) { return isMissing(progress, vm); });
+    });
+}
+
+// The entry of a worker shows that its VM exists, whatever the lists of VMs contain.
+bool FleetPlanner::isGone(const WaveProgress &progress, const std::string &vm,
+                          Scheduler &scheduler) const
+{
+    const auto absences = progress.absences.find(vm);
+    if (absences == progress.absences.end() || absences->second < this->options.absencesOfGoneVm)
+        return false;
+    const auto at = this->vms.find(vm);
+    const bool isOrderOpen = at != this->vms.end() && isMaintenanceOpen(at->second);
+    return !isOrderOpen && !scheduler.workerOf(vm);
+}
+
 void FleetPlanner::planWave(WaveProgress &progress, Round &round)
 {
     if (progress.completed)
         return;
     const auto &wave = progress.wave;
     std::vector<Entry *> remaining;
+    bool hasMissing = false;
     for (const auto &name : wave.vms) {
-        const auto at = this->vms.find(name);
-        if (at != this->vms.end() && at->second.listed && progress.done.count(name) == 0)
-            remaining.push_back(&at->second);
+        if (progress.done.count(name) != 0)
+            continue;
+        if (this->isListed(name))
+            remaining.push_back(&this->vms.at(name));
+        else
+            hasMissing |= !this->isGone(progress, name, round.scheduler);
     }
-    if (remaining.empty() && !this->vms.empty()) {
-        this->completeWave(progress);
+    if (remaining.empty()) {
+        if (!hasMissing)
+            this->completeWave(progress);
         return;
     }
     // Empty VMs are maintained first, including those whose evacuation is complete. Evacuations of
@@ -130,8 +186,11 @@
 {
     progress.completed = true;
     ++progress.changes;
+    const auto &vms = progress.wave.vms;
+    const auto gone = std::count_if(vms.begin(), vms.end(),
+                                    [&](const auto &vm) { return progress.done.count(vm) == 0; });
     this->notes.push_back({"wave-completed", absl::StrCat(progress.wave.number),
-                           absl::StrCat("vms=", progress.done.size())});
+                           absl::StrCat("vms=", progress.done.size(), " gone=", gone)});
 }
 
 } // namespace sassafrasferry::scheduling
