The progress of a job that is too large for a row is divided into pieces

Cause: a job's progress is one row, which names each unfinished task with a failed run or a checkpoint: 82,000 bytes there, while the store takes 65,536. The store's definite refusal (400) was taken for "not now", and the recorder repeated the transaction without end, with the other jobs of the batch and of the part behind it. Workers' ends are acknowledged in order, so ends of other jobs stayed on the workers' lists. A batch of 30 rows could also exceed the 1 MB of a call.

Change: - Beyond the store's `rowBytes` the failed runs and checkpoints of a job are written in pieces of consecutive tasks, and the job's own row keeps the state and the bits of done tasks. A piece names its division, as does the own row, so that pieces of an earlier division are never used (a version without pieces may lead in between, and goes on with the own row). The next leader joins them, goes on with the same pieces, and deletes those that belong to nothing. - Jobs whose row fits are stored as before, so the bytes for each end of a job of 1,000 tasks are the same. A large job writes the changed pieces instead of all. - Transactions are bounded in bytes as the store counts them, and in entries. - The store client tells a definite refusal (400, 413: Rejected) from "not now". A rejected batch is tried job by job; a job rejected alone is logged with a count (job-unrecordable) and waits 5 s, and the others go on. - The stand-in stores of the tests keep to the store's limits by default.

Evidence: the six cases of job_recorder_test.cpp pass now.

--- a/packages/coordination/include/sassafrasferry/coordination/fenced_part.h
+++ b/packages/coordination/include/sassafrasferry/coordination/fenced_part.h
@@ -14,6 +14,7 @@
 enum class WriteResult {
     Written,
     Retry, ///< may or may not have been written; the same write can safely be repeated
+    Rejected, ///< not written; the store never takes these rows together
     Deposed, ///< a newer leader has opened the part
 };
 
@@ -62,6 +63,8 @@
             this->version = commit.version;
             co_return WriteResult::Written;
         }
+        if (commit.state == store::CommitState::Rejected)
+            co_return WriteResult::Rejected;
         this->isUncertain = commit.state != store::CommitState::NotApplied;
         co_return WriteResult::Retry;
     }
--- a/packages/coordination/include/sassafrasferry/coordination/job_loader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_loader.h
@@ -1,6 +1,7 @@
 // Loads jobs and cancellations from the store's rows into a new leader's scheduler.
 #pragma once
 
+#include <sassafrasferry/coordination/progress_rows.h>
 #include <sassafrasferry/messages/jobs.pb.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 #include <sassafrasferry/store/part_rows.h>
@@ -24,6 +25,15 @@
     /// Takes rows of the intake table. Returns the jobs that a row cancels and that had not ended.
     std::vector<std::string> addIntake(const std::vector<store::PartRow> &rows);
 
+    /// The pieces in which jobs are stored and the rows that nothing refers to, as of the rows of
+    /// the progress table. Valid after the first `addIntake`.
+    struct StoredPieces
+    {
+        std::map<std::string, ProgressPieces> ofJobs;
+        std::vector<StaleRow> stale;
+    };
+    StoredPieces takePieces();
+
     /// True after the first `addIntake`: all jobs that were in the store have been added.
     bool isComplete() const;
 
@@ -32,7 +42,9 @@
     void addFinished(const std::string &id, const messages::JobProgress &progress);
 
     scheduling::Scheduler &scheduler;
-    std::map<std::string, messages::JobProgress> storedProgress; // by job; empty once complete
+    StoredProgress storedRows; // of the progress table; empty once complete
+    std::map<std::string, messages::JobProgress> storedProgress; // by job, during `addIntake`
+    StoredPieces storedPieces;
     bool complete = false;
 };
 
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -281,6 +281,7 @@
         leaderOptions.times = this->options.times;
         leaderOptions.handOverDelay = this->options.handOverDelay;
         leaderOptions.jobParts = this->options.jobParts;
+        leaderOptions.rowLimits = this->options.rowLimits;
         leaderOptions.configurationCoveredUntil = [this] {
             return this->operators->coveredUntil();
         };
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -173,7 +173,8 @@
                                                 },
                                                 [self](const std::string &error) {
                                                     self->fail(error);
-                                                }});
+                                                }},
+            this->options.rowLimits);
         // `stop` releases the parts while one of their coroutines may be suspended here. A local
         // reference keeps each part alive until its call returns.
         const auto openedRecorder = this->recorder;
@@ -208,6 +209,8 @@
             co_return;
         this->workerFollower->begin(this->executor);
         this->spawnPart("learn-vms", [self] { return self->surveyPlatformVms(); });
+        auto stored = this->jobLoader.takePieces();
+        this->recorder->takePieces(std::move(stored.ofJobs), std::move(stored.stale));
         this->recorder->begin();
         this->beginFleet();
         co_await this->planLoop();
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -391,7 +391,7 @@
             co_return;
         const auto state = co_await this->write();
         if (!this->leading || state == store::CommitState::Committed
-            || state == store::CommitState::NotApplied)
+            || state == store::CommitState::NotApplied || state == store::CommitState::Rejected)
             co_return;
         // An earlier renewal may have been applied late and changed the row's version.
         messages::LeaseRecord record;
--- a/packages/coordination/include/sassafrasferry/coordination/node_options.h
+++ b/packages/coordination/include/sassafrasferry/coordination/node_options.h
@@ -23,6 +23,7 @@
         std::chrono::milliseconds(3000); ///< minimum time between two leaders' orders about a VM
     Duration stopWithin = std::chrono::milliseconds(5000); ///< from stop signal to exit
     double cores = 1.0; ///< processor cores of this entry VM
+    store::RowLimits rowLimits; ///< of the store
     JobParts jobParts; ///< the same on all entry VMs, but while their settings change
 };
 
--- a/packages/coordination/src/job_loader.cpp
+++ b/packages/coordination/src/job_loader.cpp
@@ -8,6 +8,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace sassafrasferry::coordination {
 
@@ -29,16 +30,17 @@
 void JobLoader::addProgress(const std::vector<store::PartRow> &rows)
 {
     for (const auto &row : rows) {
-        messages::JobProgress progress;
-        if (progress.ParseFromString(row.value))
-            this->storedProgress[row.key] = std::move(progress);
-        else
+        if (!this->storedRows.add(row))
             LOG(ERROR) << "event=progress-unreadable job=" << row.key;
     }
 }
 
 std::vector<std::string> JobLoader::addIntake(const std::vector<store::PartRow> &rows)
 {
+    if (!this->complete) {
+        this->storedPieces = {this->storedRows.pieces(), this->storedRows.staleRows()};
+        this->storedProgress = this->storedRows.takeJoined();
+    }
     std::vector<std::string> requested;
     for (const auto &row : rows) {
         if (row.deleted || row.key == takeoverKey)
@@ -65,6 +67,11 @@
     return cancelled;
 }
 
+JobLoader::StoredPieces JobLoader::takePieces()
+{
+    return std::exchange(this->storedPieces, {});
+}
+
 bool JobLoader::isComplete() const
 {
     return this->complete;
--- a/packages/coordination/tests/memory_store.h
+++ b/packages/coordination/tests/memory_store.h
@@ -26,6 +26,9 @@
     std::string faultyTable;
     std::chrono::milliseconds delay{0}; ///< before each answer of `commit` and `scan`
     bool refusesCommits = false; ///< whether commits are refused
+    store::RowLimits limits; ///< larger commits are rejected
+    std::size_t rejections = 0; ///< commits rejected so far
+    std::size_t writtenBytes = 0; ///< of all values written
     bool losesCommits = false; ///< whether commits get no answer and are not applied
 
     http::Awaitable<store::PartCommit> commit(store::PartTransaction transaction)
@@ -36,6 +39,11 @@
         commit.state = store::CommitState::NotApplied;
         if (this->refusesCommits)
             co_return commit;
+        commit.state = store::CommitState::Rejected;
+        if (this->isTooLarge(transaction)) {
+            ++this->rejections;
+            co_return commit;
+        }
         commit.state = store::CommitState::Unknown;
         if (this->losesCommits)
             co_return commit;
@@ -53,6 +61,8 @@
         commit.current.clear();
         commit.state = store::CommitState::Committed;
         commit.version = ++this->version;
+        for (const auto &put : transaction.puts)
+            this->writtenBytes += put.value.size();
         for (const auto &put : transaction.puts)
             this->rows[{put.table, transaction.part, put.key}] = {
                 put.table, transaction.part, put.key, put.value, this->version, false};
@@ -100,6 +110,20 @@
     }
 
 private:
+    bool isTooLarge(const store::PartTransaction &transaction) const
+    {
+        std::size_t bytes = 0;
+        bool hasLargeRow = false;
+        for (const auto &put : transaction.puts) {
+            bytes += (put.value.size() + 2) / 3 * 4;
+            hasLargeRow |= put.value.size() > this->limits.valueBytes;
+        }
+        return hasLargeRow || bytes > this->limits.callBytes
+               || transaction.conditions.size() + transaction.puts.size()
+                          + transaction.deletes.size()
+                      > this->limits.callEntries;
+    }
+
     using Key = std::tuple<std::string, std::string, std::string>; // table, part, key
 
     std::map<Key, store::PartRow> rows;
--- a/packages/entry/src/process/admin_waves.cpp
+++ b/packages/entry/src/process/admin_waves.cpp
@@ -115,6 +115,7 @@
     case store::CommitState::Conflict:
         co_return http::jsonResponse(Status::conflict, {{"state", "conflict"}});
     case store::CommitState::NotApplied:
+    case store::CommitState::Rejected:
         co_return http::jsonResponse(Status::service_unavailable, {{"state", "unavailable"}});
     case store::CommitState::Unknown:
         break;
--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -188,6 +188,9 @@
                         const std::string &checkpoint);
     /// Records the run time of a task and returns the longest run time in its step so far.
     Milliseconds recordTaskTime(const TaskId &id, Milliseconds took);
+    /// Positions of the tasks whose entries in `progress()` ends of runs have changed since the
+    /// last call.
+    std::vector<std::size_t> takeEndedTasks();
     /// Starts no more tasks. The caller stops the remaining runs.
     void cancel();
     bool hasRuns() const;
@@ -229,6 +232,7 @@
     std::vector<std::size_t> firstTaskOfStep;
     std::size_t occurrenceSize = 0;
     std::vector<Task> tasks; // by occurrence, step and index
+    std::vector<std::size_t> endedTasks; // positions, since the last `takeEndedTasks`
     // Longest run time of the finished tasks, by occurrence and step.
     std::vector<Milliseconds> longestTaskTimes;
     // Number of tasks that are not done, by occurrence and step.
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -2,6 +2,7 @@
 #include <sassafrasferry/jobs/job.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace sassafrasferry::jobs {
 
@@ -123,8 +124,10 @@
     auto effect = EndEffect::None;
     if (!checkpoint.empty() && checkpoint != task->checkpoint) {
         // All members of a gang resume from the same checkpoint.
-        for (std::size_t i = 0; step.gang && i < step.count; ++i)
+        for (std::size_t i = 0; step.gang && i < step.count; ++i) {
             this->at(id.occurrence, id.step, i).checkpoint = checkpoint;
+            this->endedTasks.push_back(this->positionOf(id.occurrence, id.step, i));
+        }
         task->checkpoint = checkpoint;
         effect = EndEffect::Recorded;
     }
@@ -138,11 +141,18 @@
             effect = EndEffect::JobFailed;
         }
     }
-    if (effect != EndEffect::None)
+    if (effect != EndEffect::None) {
         ++this->changes;
+        this->endedTasks.push_back(this->positionOf(id.occurrence, id.step, id.index));
+    }
     return effect;
 }
 
+std::vector<std::size_t> Job::takeEndedTasks()
+{
+    return std::exchange(this->endedTasks, {});
+}
+
 Milliseconds Job::recordTaskTime(const TaskId &id, Milliseconds took)
 {
     auto &longest = this->longestTaskTimes[id.occurrence * this->spec.steps.size() + id.step];
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -63,6 +63,8 @@
     std::uint64_t changes = 0; ///< change counter of the job at the time of the row
     messages::JobProgress row;
     bool final = false; ///< the job has reached a final state
+    /// Positions of tasks whose entries in the row were changed by ends of runs since the last row.
+    std::vector<std::size_t> endedTasks;
 };
 
 /// One line about a decision, for the log.
@@ -149,14 +151,17 @@
                 ++at;
                 continue;
             }
-            if (const auto *job = this->findJob(*at))
-                result.push_back({*at, job->changes, job->progress(), jobs::isFinal(job->state)});
+            if (auto *job = this->findJob(*at))
+                result.push_back({*at, job->changes, job->progress(), jobs::isFinal(job->state),
+                                  job->takeEndedTasks()});
             at = this->dirty.erase(at);
         }
         return result;
     }
     /// Records that a row taken with `takeDirty` has been written to the store.
     void recorded(const DirtyJob &job);
+    /// Records that a row taken with `takeDirty` was not written and is still out of date.
+    void notRecorded(const DirtyJob &job);
     bool hasDirty() const;
 
     // Workers.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -160,6 +160,12 @@
     return !this->dirty.empty();
 }
 
+void Scheduler::notRecorded(const DirtyJob &row)
+{
+    if (auto *job = this->findJob(row.id))
+        this->markDirty(*job);
+}
+
 void Scheduler::recorded(const DirtyJob &row)
 {
     auto *job = this->findJob(row.id);
--- a/packages/standins/src/platform_standin.cpp
+++ b/packages/standins/src/platform_standin.cpp
@@ -92,6 +92,7 @@
     case CommitState::Conflict:
         co_return http::jsonResponse(Status::conflict, {{"failed", commit.failed}});
     case CommitState::NotApplied:
+    case CommitState::Rejected:
         co_return http::textResponse(Status::service_unavailable, "down\n");
     case CommitState::Unknown:
         break;
--- a/packages/store/include/sassafrasferry/store/part_rows.h
+++ b/packages/store/include/sassafrasferry/store/part_rows.h
@@ -57,6 +57,21 @@
     std::vector<PartDelete> deletes;
 };
 
+/// What the store takes; it rejects larger transactions.
+struct RowLimits
+{
+    std::size_t valueBytes = 65536; ///< of a row's value
+    std::size_t callBytes = 1000000; ///< of a transaction as it is sent
+    std::size_t callEntries = 100; ///< conditions, puts and deletes of a transaction
+};
+
+/// Upper bound of the bytes of a put in a call: values are sent as base64.
+inline std::size_t callBytesOf(const PartPut &put)
+{
+    constexpr std::size_t frame = 256; // field names, part, quotes
+    return frame + put.table.size() + put.key.size() + (put.value.size() + 2) / 3 * 4;
+}
+
 struct PartCommit
 {
     CommitState state = CommitState::Unknown;
--- a/packages/store/include/sassafrasferry/store/rows.h
+++ b/packages/store/include/sassafrasferry/store/rows.h
@@ -63,6 +63,7 @@
     Committed,
     Conflict, ///< a condition did not hold; nothing was written
     NotApplied, ///< the service refused it or was not reached; nothing was written
+    Rejected, ///< the service never takes this transaction; nothing was written
     Unknown, ///< no answer came: it may have been written, or may yet be
 };
 
