A job larger than a row of the store is refused at once, and alone

A row that the store never takes was offered in one transaction with others' rows, the definite refusal was taken for "not now", and then the store counted as failing, so that further callers were refused.

Change: a job whose row exceeds `rowBytes` gets 400 with the sizes before anything is stored; so does not reach a batch, also not through a peer. If the store rejects a transaction nevertheless, its jobs are tried one by one, and one that is rejected alone is refused, without a word about the store's state.

Evidence: "A job that the store rejects is refused alone" and "A job larger than a row of the store is refused at once with a reason" fail with the two checks switched off (the small job is refused, the store counts as failing for 0.3 s, 5 rejections instead of 2; 503 instead of 400) and pass now.

--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -178,6 +178,10 @@
                 co_return;
             }
             const auto now = bootNow();
+            if (answer.state == store::CommitState::Rejected) {
+                co_await this->settleRejected(part, std::move(batch));
+                co_return;
+            }
             this->recordFailure(answer.state, now);
             if (answer.state != store::CommitState::Conflict)
                 this->logFailure(part, batch.size(), answer.state, now - sentAt);
@@ -191,6 +195,23 @@
         }
     }
 
+    // A row that the store never takes says nothing about the jobs beside it or about the store.
+    Awaitable<void> settleRejected(std::string part, Batch batch)
+    {
+        if (batch.size() == 1) {
+            LOG(ERROR) << "event=intake-rejected part=" << part << " job=" << batch.front()->job
+                       << " bytes=" << batch.front()->record.size();
+            // An earlier transaction with the job, whose answer is missing, was rejected as well.
+            batch.front()->answer(IntakeResult::Refused);
+            co_return;
+        }
+        for (auto &item : batch) {
+            Batch single;
+            single.push_back(std::move(item));
+            co_await this->commit(part, std::move(single));
+        }
+    }
+
     // A single missing answer may have been lost, or the store may have become slow a moment ago.
     // Treating it as a failure would refuse other callers' jobs that can be stored.
     void recordFailure(store::CommitState state, Instant now)
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -46,8 +46,8 @@
                    [this] {
                        return this->otherLeader();
                    }})
-        , submission({this->intake, this->stored, this->messenger, *this->operators,
-                      [this] { return this->handInPeer(); },
+        , submission({this->options.rowLimits, this->intake, this->stored, this->messenger,
+                      *this->operators, [this] { return this->handInPeer(); },
                       [this](std::string job) {
                           return this->queries.askLeader(std::move(job));
                       }})
--- a/packages/coordination/include/sassafrasferry/coordination/job_submission.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_submission.h
@@ -14,6 +14,8 @@
 #include <sassafrasferry/http/json.h>
 #include <sassafrasferry/policy/retry_advice.h>
 
+#include <absl/strings/str_cat.h>
+
 namespace sassafrasferry::coordination {
 
 /// The parts of an entry VM that submissions use.
@@ -22,6 +24,7 @@
 {
     using Store = typename Platform::Store;
 
+    store::RowLimits rowLimits;
     Intake<Store> &intake;
     StoredJobs<Store> &stored;
     JobMessenger &messenger;
@@ -70,6 +73,14 @@
         const auto begin = bootNow();
         const auto deadline = deadlineOf(request, Platform::deadlineHeader());
         const auto bytes = record.SerializeAsString();
+        if (bytes.size() > this->node.rowLimits.valueBytes) {
+            LOG(WARNING) << "event=submit job=" << job << " queue=" << queue.terms.queue
+                         << " outcome=too-large bytes=" << bytes.size();
+            co_return http::textResponse(
+                http::Status::bad_request,
+                absl::StrCat("the job has ", bytes.size(), " bytes, of which the store takes ",
+                             this->node.rowLimits.valueBytes, " at most\n"));
+        }
         const auto handIn = std::make_shared<HandIn<Intake<Store>>>(
             this->node.intake, this->handInRoutes(caller, deadline), job, deadline);
         const auto result = co_await handIn->run(bytes);
@@ -105,6 +116,9 @@
         const bool isOutdated = !isCurrent && !this->node.operators.mayRoute();
         if (!record.ParseFromString(handedIn.record()))
             LOG(ERROR) << "event=hand-in-unreadable job=" << handedIn.job();
+        else if (handedIn.record().size() > this->node.rowLimits.valueBytes)
+            LOG(WARNING) << "event=hand-in-too-large job=" << handedIn.job()
+                         << " bytes=" << handedIn.record().size();
         else if (isOutdated || !this->isStillAllowed(record, handedIn.key_digest()))
             LOG(INFO) << "event=hand-in-refused job=" << handedIn.job()
                       << " queue=" << record.queue() << " customer=" << record.customer()
--- a/packages/coordination/src/intake_test.cpp
+++ b/packages/coordination/src/intake_test.cpp
@@ -22,14 +22,16 @@
 
 struct World
 {
-    void submit(const std::string &job, Submission &submission)
+    void submit(const std::string &job, Submission &submission,
+                const std::string &record = "record")
     {
-        spawn(this->context.get_executor(), job, [this, job, &submission]() -> Awaitable<void> {
-            const auto begin = bootNow();
-            const auto result = co_await this->intake.submit(job, "record", begin + 2600ms);
-            submission.result = result;
-            submission.duration = bootNow() - begin;
-        });
+        spawn(this->context.get_executor(), job,
+              [this, job, record, &submission]() -> Awaitable<void> {
+                  const auto begin = bootNow();
+                  const auto result = co_await this->intake.submit(job, record, begin + 2600ms);
+                  submission.result = result;
+                  submission.duration = bootNow() - begin;
+              });
     }
 
     void runUntilAnswered(const std::vector<Submission *> &all)
@@ -122,3 +124,28 @@
     CHECK(stored.result == IntakeResult::Stored);
     CHECK(world.intake.failingFor() == Duration::zero());
 }
+
+// Guards against jobs that are refused because another one in their transaction has a row that the
+// store never takes.
+TEST_CASE("A job that the store rejects is refused alone")
+{
+    World world;
+    Submission first;
+    Submission large;
+    Submission small;
+    const auto [a, b] = jobsOfOnePart();
+    world.store.delay = 20ms;
+    world.submit(a, first);
+    world.context.run_for(5ms);
+    world.submit(b, large, std::string(70000, 'r'));
+    std::string other = b;
+    while (other == b || JobParts().partOf(other) != JobParts().partOf(b))
+        other += "0";
+    world.submit(other, small);
+    world.runUntilAnswered({&first, &large, &small});
+    CHECK(first.result == IntakeResult::Stored);
+    CHECK(large.result == IntakeResult::Refused);
+    CHECK(small.result == IntakeResult::Stored);
+    CHECK(world.intake.failingFor() == Duration::zero());
+    CHECK(world.store.rejections == 2);
+}
--- a/packages/coordination/src/job_node_test.cpp
+++ b/packages/coordination/src/job_node_test.cpp
@@ -182,3 +182,17 @@
     CHECK(findings.countsAboveAllJobs == 0);
     CHECK(node.awaitCount());
 }
+
+// Guards against callers who are told to come again with a job that the store never takes.
+TEST_CASE("A job larger than a row of the store is refused at once with a reason")
+{
+    auto &node = newNode();
+    node.submit();
+    const auto begin = bootNow();
+    const auto response =
+        node.TestNode::submit(queuePrefix + std::string("large"), std::string(70000, 'p'));
+    CHECK(response.result() == http::Status::bad_request);
+    CHECK(response.find(http::Field::retry_after) == response.end());
+    CHECK(bootNow() - begin < 1s);
+    node.submit();
+}
--- a/packages/coordination/tests/test_node.h
+++ b/packages/coordination/tests/test_node.h
@@ -136,13 +136,15 @@
         return configuration;
     }
 
-    static absl::StatusOr<jobs::JobSpec> decodeJob(const std::string &)
+    /// The body is the job's payload.
+    static absl::StatusOr<jobs::JobSpec> decodeJob(const std::string &body)
     {
         jobs::StepSpec step;
         step.count = 1;
         step.need.cpu = taskNeed;
         step.estimate = std::chrono::seconds(1);
         jobs::JobSpec spec;
+        spec.payload = body;
         spec.steps.push_back(step);
         return spec;
     }
@@ -198,6 +200,14 @@
         return this->send(std::move(request));
     }
 
+    /// Submits a job with this payload.
+    http::Response submit(const std::string &target, std::string payload)
+    {
+        auto request = requestOf(http::Verb::post, target);
+        request.body() = std::move(payload);
+        return this->send(std::move(request));
+    }
+
     http::Response send(const http::Request &request)
     {
         http::Response response;
