--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -176,8 +176,11 @@
         self.changed = asyncio.Condition()
         self.fault = None
         self.tx_ms = 6.0
+        self.keys = {}  # (table, part) -> sorted keys, deleted ones included
 
     def _write(self, key, value):
+        if key not in self.rows:
+            bisect.insort(self.keys.setdefault(key[:2], []), key[2])
         self.rows[key] = [value, self.version, value is None]
         self.log.append((self.version, key))
 
@@ -261,16 +264,23 @@
         table, part = query.get("table", ""), query.get("part", "")
         low, high = query.get("from", ""), query.get("to", "")
         limit = min(int(query.get("limit", self.PAGE) or self.PAGE), self.PAGE)
-        keys = sorted(key for key, row in self.rows.items()
-                      if key[0] == table and key[1] == part and not row[2] and key[2] >= low
-                      and (not high or key[2] < high))
+        names = self.keys.get((table, part), [])
+        keys = []
+        for i in range(bisect.bisect_left(names, low), len(names)):
+            if (high and names[i] >= high) or len(keys) > limit:
+                break
+            key = (table, part, names[i])
+            if not self.rows[key][2]:
+                keys.append(key)
         return 200, {"rows": [self._json(key) for key in keys[:limit]],
                      "has_more": len(keys) > limit, "ver": self.version, "now_ms": int(now_ms())}
 
     def parts(self, query):
         after = query.get("after", "")
-        names = sorted({key[1] for key, row in self.rows.items()
-                        if key[0] == query.get("table", "") and not row[2] and key[1] > after})
+        names = sorted(
+            part for (table, part), keys in self.keys.items()
+            if table == query.get("table", "") and part > after
+            and any(not self.rows[(table, part, key)][2] for key in keys))
         return 200, {"parts": names[:1000], "ver": self.version}
 
     async def feed(self, query):
