--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -947,8 +947,7 @@
 
     try:
         broken = asyncio.run(main())
-    except (RuntimeError, OSError, AssertionError, asyncio.TimeoutError,
-            asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, nothing was judged
         print(f"could not run: {type(error).__name__} {error}")
         return 2
     record = systems[0].record
