--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -923,10 +924,13 @@
 
 
 def run_case(case, folder, seconds=110):
-    """Runs `case(system_factory)`; exits with 1 if it returns texts of broken rules, 0 if it returns
-    none, 2 if it could not run."""
+    """Runs `case(system_factory)`; returns 1 if it returns texts of broken rules, 0 if it returns
+    none, 2 if it could not run. The name of the record is the script's argument."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    path = os.path.join(folder, "record.txt")
+    if len(sys.argv) != 2:
+        print("usage: case.py RECORD")
+        return 2
+    path = os.path.join(folder, sys.argv[1])
     systems = []
 
     def factory(**options):
