A cancelled job that the store doesn't have yet is kept from being stored

Callers who left before their job was stored, and cancelled it at another entry VM, were told 410, "no such job".

Cause: JobQueries::cancel answered from one read of the store. Absence was given as a promise, while writes of the job were still on their way; who sends them isn't known to anybody, and their sender may be gone.

A cancellation of an unknown job now writes a withdrawal into the job's own intake row, on the same conditions as a hand-in: no row in intake or progress. So one of the two loses, in the store, whichever comes first. 410 is answered only once the withdrawal is stored, 503 with Retry-After while it isn't. A withdrawal binds the customers who asked for it and callers without a key; another customer's job takes its place, and nobody learns of the other's id. The leader deletes withdrawals after bounds.status_s, each in the version that it saw only.

Ruled out: asking the intakes or peers (the sender may be killed while the store performs its write later), waiting before 410 (no bound holds), a condition on the cancellation row in each hand-in (a quarter more entries, and entry VMs of earlier versions would not send it).

--- a/packages/coordination/include/sassafrasferry/coordination/caller_request.h
+++ b/packages/coordination/include/sassafrasferry/coordination/caller_request.h
@@ -33,5 +33,7 @@
 
 /// Response 410.
 http::Response noSuchJob();
+/// Of a submission: the job was cancelled before it was stored, and never runs.
+http::Response cancelledBefore();
 
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/hand_in.h
+++ b/packages/coordination/include/sassafrasferry/coordination/hand_in.h
@@ -17,7 +17,7 @@
 constexpr bool isProven(IntakeResult result)
 {
     return result == IntakeResult::Stored || result == IntakeResult::AlreadyStored
-           || result == IntakeResult::Taken;
+           || result == IntakeResult::Taken || result == IntakeResult::Withdrawn;
 }
 
 /// Outcome for a job after this entry VM and then a peer tried to store it. `peer` is `nullopt` if
--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -1,5 +1,5 @@
-// Accepts submitted jobs: stores them in batches, one transaction per batch, and confirms a job to
-// its caller only after the job is stored.
+// Accepts submitted jobs, and withdrawals of jobs that the store doesn't have: stores them in
+// batches, one transaction per batch, and confirms each to its caller only after it is stored.
 #pragma once
 
 #include <sassafrasferry/coordination/job_rows.h>
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include <glog/logging.h>
 
@@ -25,6 +26,7 @@
     Refused, ///< the job was not stored and will not be stored later
     Unknown, ///< the job may be stored now or later
     Taken, ///< not stored: a job of another customer has this id
+    Withdrawn, ///< not stored and will not be: the job was cancelled before
 };
 
 constexpr auto enumNames(IntakeResult)
@@ -35,6 +37,7 @@
         model::EnumName{IntakeResult::Refused, "refused"},
         model::EnumName{IntakeResult::Unknown, "unknown"},
         model::EnumName{IntakeResult::Taken, "taken"},
+        model::EnumName{IntakeResult::Withdrawn, "withdrawn"},
     };
 }
 
@@ -56,14 +59,42 @@
     /// once, so that their callers can try another entry VM in time.
     Awaitable<IntakeResult> submit(std::string job, std::string record, Instant deadline)
     {
-        if (this->isRefusing(this->parts.partOf(job)))
+        auto item = std::make_shared<Item>();
+        item->job = std::move(job);
+        item->record = std::move(record);
+        item->deadline = deadline;
+        co_return co_await this->enqueue(std::move(item));
+    }
+
+    /// Stores that the customer has cancelled a job of which the store has no row. A hand-in of the
+    /// job, here or on another entry VM, requires that its row is absent. So either the hand-in
+    /// comes first, and the result is AlreadyStored or Taken, or it is never carried out.
+    Awaitable<IntakeResult> withdraw(std::string job, const std::string &customer, Instant deadline)
+    {
+        auto item = std::make_shared<Item>();
+        item->job = std::move(job);
+        item->withdrawnBy = customer;
+        const Withdrawal withdrawal{{customer}};
+        item->record = withdrawalValue(withdrawal);
+        item->deadline = deadline;
+        co_return co_await this->enqueue(std::move(item));
+    }
+
+    /// How long the store has been failing; zero if it is not failing.
+    Duration failingFor() const
+    {
+        return this->isFailing ? bootNow() - this->failingSince : Duration::zero();
+    }
+
+private:
+    struct Item;
+
+    Awaitable<IntakeResult> enqueue(std::shared_ptr<Item> item)
+    {
+        const auto part = this->parts.partOf(item->job);
+        if (this->isRefusing(part))
             co_return IntakeResult::Refused;
         co_return co_await http::awaitCallback<IntakeResult>([&](auto done) {
-            const auto part = this->parts.partOf(job);
-            auto item = std::make_shared<Item>();
-            item->job = std::move(job);
-            item->record = std::move(record);
-            item->deadline = deadline;
             item->done = std::move(done);
             this->queues[part].push_back(item);
             spawn(
@@ -73,13 +104,6 @@
         });
     }
 
-    /// How long the store has been failing; zero if it is not failing.
-    Duration failingFor() const
-    {
-        return this->isFailing ? bootNow() - this->failingSince : Duration::zero();
-    }
-
-private:
     bool isRefusing(const std::string &part) const
     {
         const auto at = this->activeParts.find(part);
@@ -90,7 +114,10 @@
     struct Item
     {
         std::string job;
-        std::string record;
+        std::string record; // value of the job's intake row
+        std::optional<std::string> withdrawnBy; // customer; absent: a job is submitted
+        // Version of the withdrawal that the row replaces; one that binds the customer isn't.
+        std::int64_t replacedVersion = store::absent;
         Instant deadline;
         Instant submittedAt = bootNow();
         bool isSent = false; // a transaction with this job is in progress
@@ -135,13 +162,21 @@
             [this, part](const std::string &) { this->activeParts[part] = false; });
     }
 
+    // One transaction can't both store a job and withdraw it.
+    static bool contains(const Batch &batch, const std::string &job)
+    {
+        return std::any_of(batch.begin(), batch.end(),
+                           [&](const auto &item) { return item->job == job; });
+    }
+
     Awaitable<void> commitQueued(std::string part)
     {
         auto &queue = this->queues[part];
         while (!queue.empty()) {
             Batch batch;
             std::size_t bytes = 0;
-            while (!queue.empty() && batch.size() < maxBatchJobs && bytes < maxBatchBytes) {
+            while (!queue.empty() && batch.size() < maxBatchJobs && bytes < maxBatchBytes
+                   && !contains(batch, queue.front()->job)) {
                 bytes += queue.front()->record.size();
                 batch.push_back(std::move(queue.front()));
                 queue.pop_front();
@@ -162,7 +197,7 @@
             transaction.part = part;
             for (const auto &item : batch) {
                 item->isSent = true;
-                transaction.conditions.push_back({table::intake, item->job, store::absent});
+                transaction.conditions.push_back({table::intake, item->job, item->replacedVersion});
                 transaction.conditions.push_back({table::progress, item->job, store::absent});
                 transaction.puts.push_back({table::intake, item->job, item->record});
             }
@@ -186,7 +221,7 @@
             if (answer.state != store::CommitState::Conflict)
                 this->logFailure(part, batch.size(), answer.state, now - sentAt);
             if (answer.state == store::CommitState::Conflict)
-                this->answerAlreadyStored(batch, answer.current);
+                this->settleConflicts(batch, answer.current);
             for (const auto &item : batch)
                 item->mayBeStored |= answer.state == store::CommitState::Unknown;
             this->answerExpired(batch, now);
@@ -236,18 +271,39 @@
                      << " store-failing=" << this->isFailing;
     }
 
-    void answerAlreadyStored(const Batch &batch, const std::vector<store::PartRow> &rows)
+    void settleConflicts(const Batch &batch, const std::vector<store::PartRow> &rows)
     {
         for (const auto &item : batch) {
             const auto stored = std::find_if(rows.begin(), rows.end(), [&](const auto &row) {
                 return row.key == item->job && row.version != store::absent;
             });
-            if (stored != rows.end())
+            if (stored == rows.end())
+                item->replacedVersion = store::absent;
+            else if (const auto withdrawal = withdrawalIn(*stored))
+                settleWithdrawn(*item, *withdrawal, stored->version);
+            else
                 item->answer(hasSameCustomer(item->record, *stored) ? IntakeResult::AlreadyStored
                                                                     : IntakeResult::Taken);
         }
     }
 
+    static void settleWithdrawn(Item &item, Withdrawal withdrawal, std::int64_t version)
+    {
+        if (!item.withdrawnBy && withdrawal.binds(customerOfRecord(item.record))) {
+            item.answer(IntakeResult::Withdrawn);
+            return;
+        }
+        if (item.withdrawnBy) {
+            if (withdrawal.customers.count(*item.withdrawnBy) != 0) {
+                item.answer(IntakeResult::Stored);
+                return;
+            }
+            withdrawal.customers.insert(*item.withdrawnBy);
+            item.record = withdrawalValue(withdrawal);
+        }
+        item.replacedVersion = version;
+    }
+
     void answerExpired(const Batch &batch, Instant now)
     {
         for (const auto &item : batch) {
--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -41,7 +41,7 @@
               [this](const auto &question) { return this->answer(question); },
               [this](auto handedIn) { return this->submission.storeForPeer(std::move(handedIn)); },
               [this](const auto &envelope) { this->dispatchEnvelope(envelope); })
-        , queries({this->stored, this->messenger, this->options.checksKeys,
+        , queries({this->stored, this->intake, this->messenger, this->options.checksKeys,
                    [this] { return this->readyLeader(); },
                    [this] {
                        return this->otherLeader();
@@ -282,6 +282,7 @@
         leaderOptions.handOverDelay = this->options.handOverDelay;
         leaderOptions.jobParts = this->options.jobParts;
         leaderOptions.rowLimits = this->options.rowLimits;
+        leaderOptions.withdrawalRetention = this->options.statusRetention;
         leaderOptions.configurationCoveredUntil = [this] {
             return this->operators->coveredUntil();
         };
--- a/packages/coordination/include/sassafrasferry/coordination/job_queries.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_queries.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/caller_request.h>
+#include <sassafrasferry/coordination/intake.h>
 #include <sassafrasferry/coordination/job_messenger.h>
 #include <sassafrasferry/coordination/known_job.h>
 #include <sassafrasferry/coordination/leader.h>
@@ -22,6 +23,7 @@
 struct QueryNode
 {
     StoredJobs<typename Platform::Store> &stored;
+    Intake<typename Platform::Store> &intake;
     JobMessenger &messenger;
     bool checksKeys = false;
     /// Returns the leader on this entry VM if it has loaded all jobs, else null.
@@ -81,28 +83,29 @@
         co_return known;
     }
 
-    /// Answers a caller who cancels the job.
+    /// Answers a caller who cancels the job. That there is no such job is answered only once the
+    /// store makes sure that none will come: a hand-in of the job may still be on its way.
     Awaitable<http::Response> cancel(const std::string &job, const std::string &customer,
                                      Instant deadline)
     {
         if (!isJobId(job))
             co_return noSuchJob();
-        const auto found = co_await this->node.stored.find(job);
-        if (!found)
-            co_return retryLater("the store can't be read now");
-        if (found->state == scheduling::JobState::Unknown
-            || !policy::mayKnowJob(customer, found->customer))
-            co_return noSuchJob();
-        auto outcome = std::string("over");
-        if (!jobs::isFinal(found->state)) {
-            const bool isStored = co_await this->node.stored.cancel(job, found->part, deadline);
-            outcome = isStored ? "stored" : "unknown";
+        auto result = IntakeResult::Unknown;
+        while (result != IntakeResult::Refused && bootNow() < deadline) {
+            const auto found = co_await this->node.stored.find(job);
+            if (!found)
+                co_return retryLater("the store can't be read now");
+            if (found->state != scheduling::JobState::Unknown)
+                co_return co_await this->cancelStored(job, customer, *found, deadline);
+            if (found->withdrawal && found->withdrawal->customers.count(customer) != 0)
+                co_return noSuchJob();
+            result = co_await this->node.intake.withdraw(job, customer, deadline);
+            LOG(INFO) << "event=cancel-asked job=" << job << " state=unknown outcome="
+                      << (result == IntakeResult::Stored ? "withdrawn" : model::nameOf(result));
+            if (result == IntakeResult::Stored)
+                co_return noSuchJob();
         }
-        LOG(INFO) << "event=cancel-asked job=" << job << " state=" << model::nameOf(found->state)
-                  << " outcome=" << outcome;
-        if (outcome == "unknown")
-            co_return retryLater("the cancellation may not be stored");
-        co_return http::jsonResponse(http::Status::ok, {{"state", "cancelled"}});
+        co_return retryLater("the cancellation may not be stored");
     }
 
     /// Answers a caller who asks for the number of jobs that wait on the queue.
@@ -123,6 +126,26 @@
     }
 
 private:
+    using Found = typename StoredJobs<typename Platform::Store>::Found;
+
+    Awaitable<http::Response> cancelStored(std::string job, std::string customer, Found found,
+                                           Instant deadline)
+    {
+        // The id can't be used for another job, so no job of this customer will come.
+        if (!policy::mayKnowJob(customer, found.customer))
+            co_return noSuchJob();
+        auto outcome = std::string("over");
+        if (!jobs::isFinal(found.state)) {
+            const bool isStored = co_await this->node.stored.cancel(job, found.part, deadline);
+            outcome = isStored ? "stored" : "unknown";
+        }
+        LOG(INFO) << "event=cancel-asked job=" << job << " state=" << model::nameOf(found.state)
+                  << " outcome=" << outcome;
+        if (outcome == "unknown")
+            co_return retryLater("the cancellation may not be stored");
+        co_return http::jsonResponse(http::Status::ok, {{"state", "cancelled"}});
+    }
+
     QueryNode<Platform> node;
 };
 
--- a/packages/coordination/include/sassafrasferry/coordination/job_rows.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_rows.h
@@ -6,6 +6,7 @@
 #include <sassafrasferry/store/part_rows.h>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,22 @@
 /// The fencing token of the leader that wrote the takeover row; nothing for any other row.
 std::optional<std::int64_t> takeoverFence(const store::PartRow &row);
 
+/// Stands in a job's intake row after the job was cancelled while the store had no row of it. A
+/// hand-in that is carried out later finds the row and doesn't store the job.
+///
+/// Ids are chosen by callers, so customers may use the same one without knowing of each other. A
+/// withdrawal binds the hand-ins of those who asked for it and of nobody else.
+struct Withdrawal
+{
+    std::set<std::string> customers; ///< who asked for it; empty text: a caller without a key
+
+    /// Whether it applies to hand-ins of the customer's jobs.
+    bool binds(const std::string &customer) const;
+};
+std::string withdrawalValue(const Withdrawal &withdrawal);
+/// The withdrawal in a row of the intake table; nothing for any other row.
+std::optional<Withdrawal> withdrawalIn(const store::PartRow &row);
+
 /// A parsed key of the intake table: the job, and whether the row is its cancellation.
 struct IntakeKey
 {
@@ -72,6 +89,9 @@
 messages::JobRecord recordOf(const jobs::JobSpec &spec, const jobs::QueueTerms &terms);
 jobs::QueueTerms termsFrom(const messages::JobRecord &record);
 
+/// The customer of the job in a record of the intake table.
+std::string customerOfRecord(const std::string &record);
+
 /// The customer of the job in a row of the intake or progress table; empty if the row names none.
 std::string customerOfRow(const store::PartRow &row);
 
--- a/packages/coordination/include/sassafrasferry/coordination/job_submission.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_submission.h
@@ -97,6 +97,8 @@
                                  policy::retryAfter(this->node.intake.failingFor(), job));
         case IntakeResult::Taken:
             co_return idTaken();
+        case IntakeResult::Withdrawn:
+            co_return cancelledBefore();
         case IntakeResult::Unknown:
             break;
         }
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -18,6 +18,7 @@
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/table_follower.h>
 #include <sassafrasferry/coordination/vm_survey.h>
+#include <sassafrasferry/coordination/withdrawal_sweep.h>
 #include <sassafrasferry/coordination/worker_roster.h>
 
 #include <sassafrasferry/http/clock.h>
@@ -47,6 +48,7 @@
         , gate(this->options, this->tenure, bootNow())
         , scheduler(this->options.times, tenure.term * runsPerTerm, bootNow())
         , jobLoader(this->scheduler)
+        , withdrawals(store, this->options.withdrawalRetention)
         , planWake(executor)
     {
         this->scheduler.setConfiguration(std::move(configuration));
@@ -278,7 +280,8 @@
                 this->options.onDeposed("a newer leader has read the intake");
                 return;
             }
-            if (!row.deleted && row.key != takeoverKey)
+            this->withdrawals.note(row, bootNow());
+            if (!row.deleted && row.key != takeoverKey && !withdrawalIn(row))
                 this->recorder->notePart(parseIntakeKey(row.key).job, row.part);
         }
         for (const auto &job : this->jobLoader.addIntake(rows))
@@ -288,6 +291,15 @@
         this->recorder->wake();
     }
 
+    Awaitable<void> sweepWithdrawals()
+    {
+        this->isSweeping = true;
+        bool hasMore = true;
+        while (hasMore && !this->stopped)
+            hasMore = co_await this->withdrawals.sweep(bootNow());
+        this->isSweeping = false;
+    }
+
     void beginRoster()
     {
         auto self = this->shared_from_this();
@@ -381,6 +393,9 @@
         logLoads(this->scheduler.loads(now, http::unixNow()));
         logCustomerUsage(this->scheduler.customerUsage(http::unixNow()));
         this->scheduler.noteWaitingTasks(now);
+        if (!this->isSweeping && this->withdrawals.hasDue(now))
+            this->spawnPart("withdrawal-sweep",
+                            [self = this->shared_from_this()] { return self->sweepWithdrawals(); });
     }
 
     http::asio::any_io_executor executor;
@@ -393,6 +408,7 @@
     std::vector<std::string> jobPartNames; // parts that hold rows of jobs, set at the start
     std::shared_ptr<JobRecorder<Store>> recorder;
     JobLoader jobLoader;
+    WithdrawalSweep<Store> withdrawals;
     std::shared_ptr<Roster> roster;
     std::vector<scheduling::Wave> waves;
     std::shared_ptr<FleetController<Store, Cloud>> fleet;
@@ -405,6 +421,7 @@
     LoopFigures loopFigures; // since the last line about the event loop
     std::size_t loadSteps = 0; // number of table reads completed so far
     bool knowsWorkers = false;
+    bool isSweeping = false; // a transaction that deletes withdrawals is under way
     StartLog startLog;
     bool stopped = false;
 };
--- a/packages/coordination/include/sassafrasferry/coordination/leader_options.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader_options.h
@@ -52,6 +52,8 @@
     /// With customers' caps in force tasks are started only while the configuration is at most this
     /// far behind the store's last answer to this or another entry VM.
     Duration maxConfigurationLag = std::chrono::milliseconds(2000);
+    /// Time for which withdrawals of jobs are kept.
+    Duration withdrawalRetention = std::chrono::seconds(120);
     store::RowLimits rowLimits;
     JobParts jobParts; ///< where this leader writes the rows of new jobs
 };
--- a/packages/coordination/include/sassafrasferry/coordination/node_options.h
+++ b/packages/coordination/include/sassafrasferry/coordination/node_options.h
@@ -22,6 +22,9 @@
     Duration handOverDelay =
         std::chrono::milliseconds(3000); ///< minimum time between two leaders' orders about a VM
     Duration stopWithin = std::chrono::milliseconds(5000); ///< from stop signal to exit
+    /// Time for which the end of a job is shown, and for which a job that was cancelled before it
+    /// was stored is kept from being stored.
+    Duration statusRetention = std::chrono::seconds(120);
     double cores = 1.0; ///< processor cores of this entry VM
     store::RowLimits rowLimits; ///< of the store
     JobParts jobParts; ///< the same on all entry VMs, but while their settings change
--- a/packages/coordination/include/sassafrasferry/coordination/stored_jobs.h
+++ b/packages/coordination/include/sassafrasferry/coordination/stored_jobs.h
@@ -1,4 +1,4 @@
-// Reads the state of a job from the store and stores its cancellation.
+// Reads the state of a job from the store and stores the cancellation of a job that is there.
 #pragma once
 
 #include <sassafrasferry/coordination/job_rows.h>
@@ -34,6 +34,7 @@
         scheduling::JobState state = scheduling::JobState::Unknown;
         std::string part;
         std::string customer;
+        std::optional<Withdrawal> withdrawal; ///< in place of the job
     };
     Awaitable<std::optional<Found>> find(std::string job)
     {
@@ -95,6 +96,10 @@
         found.state = stateFrom(job, intakePage->rows, progressPage->rows);
         found.part = part;
         found.customer = customerFrom(job, intakePage->rows, progressPage->rows);
+        for (const auto &row : intakePage->rows) {
+            if (row.key == job)
+                found.withdrawal = withdrawalIn(row);
+        }
         co_return found;
     }
 
@@ -105,7 +110,7 @@
         auto state = scheduling::JobState::Unknown;
         for (const auto &row : intake) {
             const auto key = parseIntakeKey(row.key);
-            if (key.job == job && state != scheduling::JobState::Cancelled)
+            if (key.job == job && !withdrawalIn(row) && state != scheduling::JobState::Cancelled)
                 state = key.isCancellation ? scheduling::JobState::Cancelled
                                            : scheduling::JobState::Queued;
         }
--- a/packages/coordination/src/caller_request.cpp
+++ b/packages/coordination/src/caller_request.cpp
@@ -67,6 +67,11 @@
     return http::textResponse(http::Status::conflict, "the id can't be used\n");
 }
 
+http::Response cancelledBefore()
+{
+    return http::textResponse(http::Status::gone, "the job was cancelled before it was stored\n");
+}
+
 http::Response noSuchJob()
 {
     return http::textResponse(http::Status::gone, "no such job\n");
--- a/packages/coordination/src/intake_test.cpp
+++ b/packages/coordination/src/intake_test.cpp
@@ -34,6 +34,15 @@
               });
     }
 
+    void withdraw(const std::string &job, const std::string &customer, Submission &submission)
+    {
+        spawn(this->context.get_executor(), job,
+              [this, job, customer, &submission]() -> Awaitable<void> {
+                  submission.result =
+                      co_await this->intake.withdraw(job, customer, bootNow() + 2600ms);
+              });
+    }
+
     void runUntilAnswered(const std::vector<Submission *> &all)
     {
         const auto isPending = [](const Submission *submission) {
@@ -149,3 +158,61 @@
     CHECK(world.intake.failingFor() == Duration::zero());
     CHECK(world.store.rejections == 2);
 }
+
+// Guards against a withdrawal that is confirmed although its job was stored by the same
+// transaction.
+TEST_CASE("A withdrawal behind a submission of the job finds the job")
+{
+    World world;
+    world.store.delay = 20ms;
+    Submission first;
+    Submission submitted;
+    Submission withdrawn;
+    const auto [other, job] = jobsOfOnePart();
+    world.submit(other, first);
+    world.context.run_for(5ms);
+    world.submit(job, submitted);
+    world.withdraw(job, "", withdrawn);
+    world.runUntilAnswered({&first, &submitted, &withdrawn});
+    CHECK(submitted.result == IntakeResult::Stored);
+    CHECK(withdrawn.result == IntakeResult::AlreadyStored);
+}
+
+// Guards against a submission that is repeated until it is stored after its job was withdrawn.
+TEST_CASE("A submission whose transaction was lost is not stored after a withdrawal")
+{
+    World world;
+    Submission submitted;
+    Submission withdrawn;
+    Intake<MemoryStore> elsewhere(world.store, world.context.get_executor());
+    world.store.losesCommits = true;
+    world.submit("a0", submitted);
+    world.context.run_for(20ms);
+    world.store.losesCommits = false;
+    spawn(world.context.get_executor(), "cancel", [&]() -> Awaitable<void> {
+        withdrawn.result = co_await elsewhere.withdraw("a0", "", bootNow() + 2600ms);
+    });
+    world.runUntilAnswered({&submitted, &withdrawn});
+    CHECK(withdrawn.result == IntakeResult::Stored);
+    CHECK(submitted.result == IntakeResult::Withdrawn);
+}
+
+// Guards against a customer whose withdrawal no longer holds once another one uses the same id.
+TEST_CASE("A withdrawal adds to that of another customer")
+{
+    World world;
+    Submission first;
+    Submission second;
+    Submission submitted;
+    world.withdraw("a0", "first", first);
+    world.runUntilAnswered({&first});
+    world.withdraw("a0", "second", second);
+    world.runUntilAnswered({&second});
+    messages::JobRecord record;
+    record.set_customer("first");
+    world.submit("a0", submitted, record.SerializeAsString());
+    world.runUntilAnswered({&submitted});
+    CHECK(first.result == IntakeResult::Stored);
+    CHECK(second.result == IntakeResult::Stored);
+    CHECK(submitted.result == IntakeResult::Withdrawn);
+}
--- a/packages/coordination/src/job_loader.cpp
+++ b/packages/coordination/src/job_loader.cpp
@@ -43,7 +43,7 @@
     }
     std::vector<std::string> requested;
     for (const auto &row : rows) {
-        if (row.deleted || row.key == takeoverKey)
+        if (row.deleted || row.key == takeoverKey || withdrawalIn(row))
             continue;
         const auto key = parseIntakeKey(row.key);
         if (key.isCancellation)
--- a/packages/coordination/src/job_loader_test.cpp
+++ b/packages/coordination/src/job_loader_test.cpp
@@ -42,6 +42,12 @@
     return row;
 }
 
+store::PartRow withdrawalRow(const std::string &job)
+{
+    const Withdrawal withdrawal{{"customer"}};
+    return {table::intake, JobParts().partOf(job), job, withdrawalValue(withdrawal), 1, false};
+}
+
 struct Case
 {
     std::string name;
@@ -70,6 +76,12 @@
      JobState::Cancelled,
      {"j"}},
     {"a cancellation without a job", {}, {cancellationRow("j")}, JobState::Unknown, {}},
+    {"withdrawn before it was stored", {}, {withdrawalRow("j")}, JobState::Unknown, {}},
+    {"stored in place of another customer's withdrawal",
+     {},
+     {withdrawalRow("j"), intakeRow("j")},
+     JobState::Queued,
+     {}},
     {"an intake row that can't be parsed", {}, {unreadable(intakeRow("j"))}, JobState::Unknown, {}},
     {"a progress row that can't be parsed",
      {unreadable(progressRow("j", JobState::Running))},
--- a/packages/coordination/src/job_rows.cpp
+++ b/packages/coordination/src/job_rows.cpp
@@ -1,6 +1,7 @@
 // Keys, parts and contents of the rows of jobs in the store.
 #include <sassafrasferry/coordination/job_rows.h>
 
+#include <sassafrasferry/http/json.h>
 #include <sassafrasferry/policy/caller_access.h>
 
 #include <absl/strings/numbers.h>
@@ -16,8 +17,10 @@
 namespace {
 
 constexpr char cancellationSuffix = '!';
-// No record of a job begins so: leaders of earlier versions take the row for an unreadable job.
+// No record of a job begins with these: leaders of earlier versions take such a row for an
+// unreadable job.
 constexpr const char *takeoverPrefix = "fence=";
+constexpr const char *withdrawalPrefix = "withdrawn=";
 constexpr double jobShareOfRate = 0.5; // of the store's transactions
 constexpr int maxCount = 32; // parts that a leader can load within a takeover
 
@@ -94,6 +97,31 @@
     return fence;
 }
 
+bool Withdrawal::binds(const std::string &customer) const
+{
+    return std::any_of(this->customers.begin(), this->customers.end(),
+                       [&](const auto &asker) { return policy::mayKnowJob(asker, customer); });
+}
+
+std::string withdrawalValue(const Withdrawal &withdrawal)
+{
+    return withdrawalPrefix + http::Json(withdrawal.customers).dump();
+}
+
+std::optional<Withdrawal> withdrawalIn(const store::PartRow &row)
+{
+    absl::string_view value = row.value;
+    if (row.table != table::intake || row.deleted || !absl::ConsumePrefix(&value, withdrawalPrefix))
+        return std::nullopt;
+    Withdrawal withdrawal;
+    const auto customers = http::parseJson(std::string(value));
+    for (const auto &customer : customers) {
+        if (customer.is_string())
+            withdrawal.customers.insert(customer.get<std::string>());
+    }
+    return withdrawal;
+}
+
 messages::JobRecord recordOf(const jobs::JobSpec &spec, const jobs::QueueTerms &terms)
 {
     messages::JobRecord record;
@@ -136,9 +164,14 @@
                                       : customerIn<messages::JobProgress>(row.value);
 }
 
+std::string customerOfRecord(const std::string &record)
+{
+    return customerIn<messages::JobRecord>(record);
+}
+
 bool hasSameCustomer(const std::string &record, const store::PartRow &row)
 {
-    return policy::mayKnowJob(customerIn<messages::JobRecord>(record), customerOfRow(row));
+    return policy::mayKnowJob(customerOfRecord(record), customerOfRow(row));
 }
 
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/tests/feed_store.h
+++ b/packages/coordination/tests/feed_store.h
@@ -23,6 +23,12 @@
     std::chrono::milliseconds lateness{0}; ///< of late answers
     bool isAway = false; ///< whether all calls fail without an effect
 
+    /// Whether commits are refused while reads are answered.
+    void refusesCommits(bool refuses)
+    {
+        this->memory.refusesCommits = refuses;
+    }
+
     http::Awaitable<store::PartCommit> commit(store::PartTransaction transaction)
     {
         store::PartCommit commit;
