VMs on which a waiting task has room stay in its pool and take work

Cause: a sum over resources was taken for a place. A task needs its cores, memory and accelerators on one VM, beside long-running tasks.

choosePlaces, a pure decision, names the VMs that waiting tasks need. They are neither cordoned nor moved away while the task waits; if no VM of the pool has room, one that has is brought from a standby pool or from what other pools have beyond their need. A task that fits on no VM changes nothing. Mechanism task-places.

Not done: a sum of memory beside that of cores, which a task of 16 cores beside ones of 17 passes as well.

--- a/packages/coordination/include/sassafrasferry/coordination/withdrawal_sweep.h
+++ b/packages/coordination/include/sassafrasferry/coordination/withdrawal_sweep.h
@@ -63,7 +63,7 @@
             if (commit.state != store::CommitState::Conflict || isAmong(commit.current, row))
                 this->noted.push_front(row);
         }
-        co_return commit.state == store::CommitState::Conflict && this->hasDue(now);
+        co_return commit.state == store::CommitState::Conflict &&this->hasDue(now);
     }
 
 private:
--- a/packages/coordination/src/withdrawal_test.cpp
+++ b/packages/coordination/src/withdrawal_test.cpp
@@ -1,4 +1,5 @@
-// Jobs that are cancelled before the store has them, while a hand-in of the job is still on its way.
+// Jobs that are cancelled before the store has them, while a hand-in of the job is still on its
+// way.
 #include "../tests/test_node.h"
 
 using namespace sassafrasferry;
--- a/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/fleet_planner.h
@@ -154,6 +154,7 @@
         std::vector<Entry *> upVms;
         std::size_t count = 0; ///< VMs of the pool, including those that are moving to it
         PoolNeed need;
+        std::vector<UnplacedNeed> unplaced; ///< of its waiting tasks
         bool standby = false;
     };
 
@@ -162,6 +163,13 @@
     void repeatUnansweredOrders(Round &round);
     void computeNeeds(Round &round);
     void divideShortPools(Round &round);
+    void keepPlaces(const std::string &service, Pool &pool, const std::vector<PlaceNeed> &waiting,
+                    Round &round);
+    void movePlaces(Round &round);
+    std::size_t tasksOnArrivals(const PlaceNeed &need, const std::string &pool,
+                                const Round &round) const;
+    std::vector<Entry *> placesElsewhere(const PlaceNeed &need, const std::string &target,
+                                         Round &round);
     void moveVmsByNeed(Round &round);
     void coverShortages(std::size_t PoolNeed::*desired, std::size_t PoolNeed::*minimum,
                         Round &round);
--- a/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/mechanisms.h
@@ -22,6 +22,7 @@
     PeakMemory, ///< a pool keeps its VMs for a short time after a peak
     SpareVm, ///< a pool has one VM more than its long-running tasks need
     Cordon, ///< VMs that are to leave a pool receive no new work
+    TaskPlaces, ///< a pool keeps the VMs on which its waiting tasks have room
     NearWait, ///< tasks wait for a worker on the rack of their data while that pays
     Reservation, ///< VMs are kept free for long-running tasks that found no room
     BestFit, ///< tasks go to the fullest VM that has room for them
@@ -46,6 +47,7 @@
         model::EnumName{Mechanism::PeakMemory, "peak-memory"},
         model::EnumName{Mechanism::SpareVm, "spare-vm"},
         model::EnumName{Mechanism::Cordon, "cordon"},
+        model::EnumName{Mechanism::TaskPlaces, "task-places"},
         model::EnumName{Mechanism::NearWait, "near-wait"},
         model::EnumName{Mechanism::Reservation, "reservation"},
         model::EnumName{Mechanism::BestFit, "best-fit"},
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -10,6 +10,7 @@
 #include <sassafrasferry/scheduling/near_place_wait.h>
 #include <sassafrasferry/scheduling/orders.h>
 #include <sassafrasferry/scheduling/queue.h>
+#include <sassafrasferry/scheduling/task_places.h>
 
 #include <map>
 #include <memory>
@@ -106,6 +107,8 @@
     bool hasStarvedTask =
         false; ///< a lasting task has waited too long; free room may be fragmented
     std::size_t jobs = 0; ///< unfinished jobs
+    /// What its waiting tasks need of a VM, but for long-running ones; sorted.
+    std::vector<PlaceNeed> waiting;
 };
 
 /// Totals since process start, for metrics.
@@ -231,6 +234,8 @@
     bool hasLastingRuns(const Worker &worker);
     /// When the last task on the worker is expected to end, by the run times expected of its jobs.
     Instant expectedEmptyAt(const Worker &worker);
+    /// The workers of a service that are not draining, as places for tasks.
+    std::vector<Place> places(const std::string &service, Instant now);
     /// Demand and capacity of each service that has workers or jobs.
     std::map<std::string, ServiceLoad> loads(Instant now, UnixMilliseconds unixNow);
 
@@ -288,12 +293,13 @@
     bool isStartInFlight(const RunKey &key, Instant now);
     void dropExpiredRuns(Instant now);
     void noteIfExpired(const RunKey &run, const std::string &worker, Instant now);
-    void addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
-                 Prospect prospect, Instant now, UnixMilliseconds unixNow,
-                 CustomerUsage::Account account);
+    void addLoad(ServiceLoad &load, std::vector<PlaceNeed> &waiting, Job &job,
+                 std::size_t occurrence, std::size_t step, Prospect prospect, Instant now,
+                 UnixMilliseconds unixNow, CustomerUsage::Account account);
     std::size_t numberOf(const std::string &customer) const;
     void addUnreportedUse(Job &job, UnixMilliseconds unixNow, CustomerUsage::Account account) const;
     bool isAvailable(const jobs::Run &run, Instant now) const;
+    bool isLasting(const TaskId &task);
     bool canEvict(Job &job, const TaskId &id, Instant now) const;
     void stopRunsOf(Job &job, const std::string &reason);
     void markDirty(Job &job);
@@ -307,6 +313,8 @@
     /// True if the worker is listed and will neither be drained nor evacuated nor moved.
     bool isStaying(const Worker &worker) const;
     bool takesWork(const Worker &worker, Instant now) const;
+    /// Whether the worker takes work unless it is cordoned.
+    bool canTakeWork(const Worker &worker, Instant now) const;
     std::int64_t leaseTerm() const; ///< milliseconds, by a worker's clock
     Instant leaseExpiry(const Worker &worker) const;
     /// A lease that this leader knows to end before this moment is over. After it, another leader
--- a/packages/scheduling/src/fleet_planner.cpp
+++ b/packages/scheduling/src/fleet_planner.cpp
@@ -72,14 +72,14 @@
     const auto worker = round.workers.find(entry.vm.name);
     const bool isWhereListed =
         worker == round.workers.end() || worker->second->listing.service == entry.vm.pool;
-    return isWhereListed && this->isEmpty(entry, round) && this->canReceiveOrder(entry, round)
-           && entry.evacuatingForWave == 0;
+    return isWhereListed && round.keptVms.count(entry.vm.name) == 0 && this->isEmpty(entry, round)
+           && this->canReceiveOrder(entry, round) && entry.evacuatingForWave == 0;
 }
 
 std::vector<FleetOrder> FleetPlanner::plan(Scheduler &scheduler, Instant now,
                                            UnixMilliseconds unixNow)
 {
-    Round round{scheduler, now, unixNow, {}, {}, {}, {}};
+    Round round{scheduler, now, unixNow, {}, {}, {}, {}, {}};
     for (const auto &entry : this->vms) {
         if (auto *worker = scheduler.workerOf(entry.first))
             round.workers[entry.first] = worker;
@@ -114,6 +114,7 @@
     for (auto &entry : this->waveTable)
         this->planWave(entry.second, round);
     this->moveVmsByNeed(round);
+    this->movePlaces(round);
     this->moveSurplusToStandby(round);
     this->cordonVms(round);
     return std::move(round.orders);
@@ -135,6 +136,7 @@
             vmCores = std::max(vmCores, static_cast<double>(vm->vm.capacity.cpu) / 1000);
         pool.need =
             this->sizing.computeNeed(entry.first, at->second, vmCores, pool.count, round.now);
+        this->keepPlaces(entry.first, pool, at->second.waiting, round);
     }
     if (round.scheduler.mechanisms().has(Mechanism::PoolShares))
         this->divideShortPools(round);
@@ -267,6 +269,7 @@
         for (const auto *vm : pool.upVms) {
             const auto at = round.workers.find(vm->vm.name);
             if (at == round.workers.end() || vm->orderInProgress || vm->evacuatingForWave != 0
+                || round.keptVms.count(vm->vm.name) != 0
                 || round.scheduler.hasLastingRuns(*at->second))
                 continue;
             cordonPool.candidates.push_back(
--- a/packages/scheduling/src/fleet_round.h
+++ b/packages/scheduling/src/fleet_round.h
@@ -12,6 +12,7 @@
     UnixMilliseconds unixNow = 0;
     std::map<std::string, Pool> pools;
     std::map<std::string, Worker *> workers; // by VM name
+    std::set<std::string> keptVms; // places of waiting tasks: neither moved away nor cordoned
     std::set<std::string> awaitingMaintenance; // VMs that a wave still has to maintain
     std::vector<FleetOrder> orders;
 };
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -123,13 +123,16 @@
            || (this->isStaying(worker->second) && listing.service == this->serviceOf(*job->second));
 }
 
+bool Scheduler::isLasting(const TaskId &task)
+{
+    const auto *job = this->findJob(task.job);
+    return job && task.step < job->spec.steps.size() && job->spec.steps[task.step].lasting;
+}
+
 bool Scheduler::hasLastingRuns(const Worker &worker)
 {
-    return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto &entry) {
-        const auto &id = entry.first.task;
-        const auto *job = this->findJob(id.job);
-        return job && id.step < job->spec.steps.size() && job->spec.steps[id.step].lasting;
-    });
+    return std::any_of(worker.runs.begin(), worker.runs.end(),
+                       [&](const auto &entry) { return this->isLasting(entry.first.task); });
 }
 
 Instant Scheduler::expectedEmptyAt(const Worker &worker)
@@ -149,6 +152,34 @@
     return emptyAt;
 }
 
+std::vector<Place> Scheduler::places(const std::string &service, Instant now)
+{
+    std::vector<Place> places;
+    for (const auto &entry : this->workerTable) {
+        const auto &worker = entry.second;
+        if (worker.listing.service != service || !worker.listed || worker.listing.draining)
+            continue;
+        Place place;
+        place.vm = worker.listing.vm;
+        place.capacity = worker.listing.capacity;
+        place.room = worker.room();
+        place.roomAfterEnds = worker.listing.capacity;
+        place.labels = worker.listing.labels;
+        place.takesWork = this->canTakeWork(worker, now);
+        // A VM with an open order, or evacuated for a wave, is planned for already.
+        place.canLeave = this->isStaying(worker);
+        place.cordoned = worker.cordoned;
+        for (const auto &run : worker.runs) {
+            if (!this->isLasting(run.first.task))
+                continue;
+            place.roomAfterEnds -= run.second;
+            place.canLeave = false;
+        }
+        places.push_back(std::move(place));
+    }
+    return places;
+}
+
 std::map<std::string, ServiceLoad> Scheduler::loads(Instant now, UnixMilliseconds unixNow)
 {
     std::map<std::string, ServiceLoad> loads;
@@ -172,17 +203,26 @@
         if (prospect != Prospect::Expired && !job.spec.isLasting() && job.spec.repetitions == 0)
             load.servableSeconds += job.remainingWork().coreSeconds;
         const auto account = usage.accountOf(job.customerNumber);
+        std::vector<PlaceNeed> waiting;
+        const auto usedBefore = load.running;
         for (std::size_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
             for (std::size_t step = 0; step < job.spec.steps.size(); ++step)
-                this->addLoad(load, job, occurrence, step, prospect, now, unixNow, account);
+                this->addLoad(load, waiting, job, occurrence, step, prospect, now, unixNow,
+                              account);
+        }
+        for (auto &need : waiting) {
+            need.isJobIdle = load.running == usedBefore;
+            load.waiting.push_back(std::move(need));
         }
     }
+    for (auto &entry : loads)
+        sortNeeds(entry.second.waiting);
     return loads;
 }
 
-void Scheduler::addLoad(ServiceLoad &load, Job &job, std::size_t occurrence, std::size_t step,
-                        Prospect prospect, Instant now, UnixMilliseconds unixNow,
-                        CustomerUsage::Account account)
+void Scheduler::addLoad(ServiceLoad &load, std::vector<PlaceNeed> &waiting, Job &job,
+                        std::size_t occurrence, std::size_t step, Prospect prospect, Instant now,
+                        UnixMilliseconds unixNow, CustomerUsage::Account account)
 {
     const auto &spec = job.spec.steps[step];
     if (job.tasksLeft(occurrence, step) == 0)
@@ -195,6 +235,7 @@
     const auto coreSeconds =
         static_cast<double>(need.cpu) / 1000 * policy::seconds(Duration(job.expected(step).task));
     const bool canHaveUnreportedRuns = this->canHaveUnreportedRuns(job) && isOpen;
+    std::size_t ready = 0;
     for (std::size_t i = 0; i < spec.count; ++i) {
         const auto &task = job.at(occurrence, step, i);
         if (task.done)
@@ -209,6 +250,7 @@
             load.capped += need;
         } else {
             load.ready += need;
+            ++ready;
             load.hasStarvedTask |=
                 spec.lasting && now - task.idleSince > this->times.starvationTime;
             load.readySeconds += coreSeconds;
@@ -218,6 +260,9 @@
             seconds += coreSeconds;
         }
     }
+    if (ready > 0 && !spec.lasting)
+        waiting.push_back(
+            {need, spec.gang ? spec.count : 1, spec.requiredLabel, spec.perVmLimit, false});
 }
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -43,7 +43,12 @@
 
 bool Scheduler::takesWork(const Worker &worker, Instant now) const
 {
-    return this->isStaying(worker) && worker.hasReported && !worker.cordoned
+    return !worker.cordoned && this->canTakeWork(worker, now);
+}
+
+bool Scheduler::canTakeWork(const Worker &worker, Instant now) const
+{
+    return this->isStaying(worker) && worker.hasReported
            && worker.hasAnsweredWithin(now, this->times.answerTimeout) && now >= worker.backOffUntil
            && now >= worker.fullUntil;
 }
--- a/packages/scheduling/tests/fleet_fixture.h
+++ b/packages/scheduling/tests/fleet_fixture.h
@@ -47,10 +47,10 @@
         }
     }
 
-    void addWorker(const std::string &vm, const std::string &pool)
+    void addWorker(const std::string &vm, const std::string &pool, const std::string &id = "")
     {
         WorkerListing listing;
-        listing.id = "w-" + vm;
+        listing.id = id.empty() ? "w-" + vm : id;
         listing.vm = vm;
         listing.born = ++this->incarnationCount;
         listing.service = pool;
@@ -88,15 +88,21 @@
         jobs::StepSpec step;
         step.count = tasks;
         step.need = {cpu, 10, 0};
-        step.estimate = 1s;
         step.lasting = lasting;
         step.perVmLimit = lasting ? 1 : 0;
         step.maxUnavailable = lasting ? 1 : 0;
+        this->addJob(queue, step);
+        this->startAll();
+    }
+
+    /// Adds a job with one step, whose tasks are expected to take a second.
+    void addJob(const std::string &queue, jobs::StepSpec step)
+    {
+        step.estimate = 1s;
         const auto *found = this->scheduler.configuration().findQueue(queue);
         this->scheduler.addJob(std::make_unique<Job>("j" + std::to_string(++this->jobCount),
                                                      jobs::JobSpec{"", {step}, 0, 0, 0ms},
                                                      found->terms, this->now));
-        this->startAll();
     }
 
     /// Ends the runs of a worker, except for `left` of them.
