A successor waits for the leases of workers that restarted

Cause: calls meant for the former incarnation reach the next one. Their lease end is computed from the former clock, and the worker shortens it to the longest lease, 10 s there. The leader of that moment counts those 10 s; its successor, also a later tenure of the same process, knew nothing of the restart and waited 4.2 to 7.8 s.

The lease row now lists the workers that restarted, with the time left, and successors take the list over and pass it on. A restart that the predecessor may have missed (3 s before its row was last seen to change; 15 s for one of an earlier version) is taken from the start time in the worker's entry. Other workers are waited for as before.

Ruled out: orders carried out late (the record has none, the plays below inject none). Not done: the longest lease for every unheard worker, which costs 2 to 6 s of its tasks after each takeover.

"after a takeover a task waits for the lease of a restarted worker" and the two tests of the lease row pass.

--- a/packages/coordination/include/sassafrasferry/coordination/job_node.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_node.h
@@ -65,8 +65,9 @@
                      {[this](const Tenure &tenure) { this->lead(tenure); },
                       [this](const std::string &) { this->dropLeader(); },
                       [this] { return this->orderedVms(); },
+                      [this] { return this->openVmOrders(); },
                       [this] {
-                          return this->openVmOrders();
+                          return this->restartedWorkers();
                       }},
                      this->options.leadership)
     {}
@@ -331,6 +332,12 @@
         return this->leader ? this->leader->openVmOrders() : std::vector<scheduling::OpenVmOrder>{};
     }
 
+    std::vector<scheduling::RestartedWorker> restartedWorkers() const
+    {
+        return this->leader ? this->leader->restartedWorkers()
+                            : std::vector<scheduling::RestartedWorker>{};
+    }
+
     // Runs in a coroutine of its own: the caller may be the part of the leader that failed, and
     // stepping down destroys the leader.
     void stepDown(const std::string &why, const std::string &successor)
--- a/packages/coordination/include/sassafrasferry/coordination/leader.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leader.h
@@ -53,6 +53,8 @@
     {
         this->scheduler.setConfiguration(std::move(configuration));
         this->scheduler.setLeadConfirmed(this->options.confirmations().newest());
+        this->scheduler.inheritRestarts(this->tenure.restartedWorkers,
+                                        this->tenure.restartsKnownUntil);
     }
 
     void begin()
@@ -122,6 +124,12 @@
         return this->fleet ? this->fleet->openOrders() : this->tenure.openVmOrders;
     }
 
+    /// Workers that may run tasks on a lease by the clock of a former incarnation.
+    std::vector<scheduling::RestartedWorker> restartedWorkers() const
+    {
+        return this->scheduler.restartedWorkers(bootNow());
+    }
+
     scheduling::Scheduler &jobs()
     {
         return this->scheduler;
--- a/packages/coordination/include/sassafrasferry/coordination/leadership.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership.h
@@ -175,7 +175,8 @@
         const auto begin = bootNow();
         this->isWriting = true;
         this->renewedAt = begin;
-        const auto record = this->record(this->events.openVmOrders(), begin);
+        const auto record =
+            this->record(this->events.openVmOrders(), this->events.restartedWorkers(), begin);
         const auto transaction = leaseTransaction(record, this->version);
         const auto commit = co_await this->store.commit(transaction);
         this->isWriting = false;
@@ -196,7 +197,8 @@
         if (!this->leading)
             co_return;
         // Before the events of this tenure end.
-        auto record = this->record(this->events.openVmOrders(), bootNow());
+        auto record =
+            this->record(this->events.openVmOrders(), this->events.restartedWorkers(), bootNow());
         this->deposed(why);
         record.clear_holder();
         record.clear_ordered_vms();
@@ -229,6 +231,7 @@
     }
 
     messages::LeaseRecord record(const std::vector<scheduling::OpenVmOrder> &openVmOrders,
+                                 const std::vector<scheduling::RestartedWorker> &restartedWorkers,
                                  Instant sentAt) const
     {
         messages::LeaseRecord record;
@@ -239,6 +242,7 @@
         record.set_announces_orders(true);
         record.set_renewed_milliseconds(sentAt.time_since_epoch() / std::chrono::milliseconds(1));
         setEarlierLeaders(record, this->tenure, sentAt);
+        setRestartedWorkers(record, restartedWorkers, sentAt);
         for (const auto &vm : this->events.orderedVms())
             record.add_ordered_vms(vm);
         for (const auto &vm : this->announced)
@@ -334,6 +338,8 @@
         next.predecessorConfirmedBy = this->versionSince;
         next.earlierConfirmedBy = earlierConfirmedBy(record, this->versionSince);
         next.openVmOrders = std::move(openVmOrders);
+        next.restartedWorkers = restartedWorkersOf(record, this->versionSince);
+        next.restartsKnownUntil = restartsKnownUntil(record, this->versionSince);
         if (!isFree && !isEarlierProcess && !isOwn && !isExpired) {
             this->freeSince = {};
             co_return;
@@ -353,8 +359,8 @@
         const auto begin = bootNow();
         this->pendingTenure = next;
         this->tenure = next;
-        const auto transaction =
-            leaseTransaction(this->record(next.openVmOrders, begin), this->version);
+        const auto transaction = leaseTransaction(
+            this->record(next.openVmOrders, next.restartedWorkers, begin), this->version);
         const auto commit = co_await this->store.commit(transaction);
         if (commit.state == store::CommitState::Committed && !this->released)
             this->lead(commit.version, next, {begin, commit.version, begin});
--- a/packages/coordination/include/sassafrasferry/coordination/leadership_events.h
+++ b/packages/coordination/include/sassafrasferry/coordination/leadership_events.h
@@ -23,6 +23,10 @@
     std::function<std::vector<scheduling::OpenVmOrder>()> openVmOrders = [] {
         return std::vector<scheduling::OpenVmOrder>{};
     };
+    /// Returns the workers that may run tasks on a lease by the clock of a former incarnation.
+    std::function<std::vector<scheduling::RestartedWorker>()> restartedWorkers = [] {
+        return std::vector<scheduling::RestartedWorker>{};
+    };
 };
 
 } // namespace sassafrasferry::coordination
--- a/packages/coordination/include/sassafrasferry/coordination/lease_row.h
+++ b/packages/coordination/include/sassafrasferry/coordination/lease_row.h
@@ -13,6 +13,13 @@
 /// Nothing that a leader has ordered is under way this long after the store last confirmed it.
 constexpr Duration maxLeaderAge = std::chrono::seconds(30);
 
+/// A leader lists a restart in the row within this time: the worker's entry or its next report has
+/// to tell of it, the row has to be renewed, and clocks differ.
+constexpr Duration maxRestartLag = std::chrono::seconds(3);
+/// For this long after its restart a worker may run tasks on a lease by its former clock. Leaders
+/// of earlier versions list no restarts.
+constexpr Duration maxUnlistedRestartAge = std::chrono::seconds(15);
+
 /// The store's answer that a process holds the lease.
 struct LeaseConfirmation
 {
@@ -39,6 +46,39 @@
     return orders;
 }
 
+/// Lists the workers in the row that have restarted. `now`: when the row is sent.
+inline void setRestartedWorkers(messages::LeaseRecord &record,
+                                const std::vector<scheduling::RestartedWorker> &workers,
+                                Instant now)
+{
+    record.set_lists_restarts(true);
+    for (const auto &worker : workers) {
+        auto &listed = *record.add_restarted_workers();
+        listed.set_id(worker.id);
+        listed.set_remaining_milliseconds(static_cast<std::uint32_t>(
+            std::max<std::int64_t>((worker.until - now) / std::chrono::milliseconds(1), 0)));
+    }
+}
+
+/// The workers that the row lists as restarted. `seenAt`: when the row was first seen as it is.
+inline std::vector<scheduling::RestartedWorker>
+restartedWorkersOf(const messages::LeaseRecord &record, Instant seenAt)
+{
+    std::vector<scheduling::RestartedWorker> workers;
+    for (const auto &worker : record.restarted_workers())
+        workers.push_back(
+            {worker.id(), seenAt + std::chrono::milliseconds(worker.remaining_milliseconds())});
+    return workers;
+}
+
+/// Until when the holder of the row, first seen at `seenAt`, has listed all restarts.
+inline Instant restartsKnownUntil(const messages::LeaseRecord &record, Instant seenAt)
+{
+    if (record.term() == 0)
+        return Instant::max(); // the first leader of all has no predecessor
+    return seenAt - (record.lists_restarts() ? maxRestartLag : maxUnlistedRestartAge);
+}
+
 /// Notes in the row when earlier leaders that may live on were last confirmed, for the leaders
 /// after its holder.
 inline void setEarlierLeaders(messages::LeaseRecord &record, const Tenure &tenure, Instant now)
--- a/packages/coordination/include/sassafrasferry/coordination/tenure.h
+++ b/packages/coordination/include/sassafrasferry/coordination/tenure.h
@@ -3,6 +3,7 @@
 
 #include <sassafrasferry/coordination/timing.h>
 #include <sassafrasferry/scheduling/open_vm_order.h>
+#include <sassafrasferry/scheduling/worker.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -73,6 +74,11 @@
     /// is known that they were executed, or can't be any more.
     std::vector<scheduling::OpenVmOrder> openVmOrders;
 
+    /// Workers that earlier leaders knew to have restarted. They may have missed restarts from
+    /// `restartsKnownUntil` on.
+    std::vector<scheduling::RestartedWorker> restartedWorkers;
+    Instant restartsKnownUntil = Instant::max();
+
     /// The store last confirmed any earlier leader that may live on before this moment; the epoch
     /// if there are none.
     Instant liveLeadersConfirmedBy() const
--- a/packages/coordination/include/sassafrasferry/coordination/worker_roster.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_roster.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sassafrasferry/coordination/worker_session.h>
+#include <sassafrasferry/http/clock.h>
 #include <sassafrasferry/model/settings.h>
 #include <sassafrasferry/store/part_rows.h>
 
@@ -107,7 +108,9 @@
         }
         auto &known = this->addresses[row.key];
         const bool isNew = this->sessions.count(row.key) == 0 || !(known == listing->address);
-        this->scheduler.listWorker(*listing, now);
+        const auto age =
+            std::chrono::milliseconds(std::max<std::int64_t>(http::unixNow() - listing->born, 0));
+        this->scheduler.listWorker(*listing, now, now - age);
         if (!isNew)
             return;
         known = listing->address;
--- a/packages/coordination/src/inherited_lease_test.cpp
+++ b/packages/coordination/src/inherited_lease_test.cpp
@@ -1,8 +1,15 @@
 // How long a new leader waits for a worker that does not answer.
 #include <sassafrasferry/coordination/inherited_lease.h>
 
+#include <sassafrasferry/coordination/leadership.h>
+#include <sassafrasferry/coordination/spawn.h>
+
+#include <boost/asio/io_context.hpp>
+
 #include <catch2/catch.hpp>
 
+#include "../tests/memory_store.h"
+
 #include "../../scheduling/tests/scheduler_bench.h"
 
 using namespace sassafrasferry;
@@ -112,3 +119,55 @@
         CHECK(wait / 1ms == row.wait / 1ms);
     }
 }
+
+// Guards against a successor that doesn't know which workers have restarted lately, and takes their
+// leases for shorter than they are.
+TEST_CASE("The lease row tells a successor which workers have restarted")
+{
+    http::asio::io_context context;
+    MemoryStore store;
+    const auto until = bootNow() + 9s;
+    const auto noVms = [] {
+        return std::vector<std::string>{};
+    };
+    const auto noOrders = [] {
+        return std::vector<scheduling::OpenVmOrder>{};
+    };
+    const auto ignoreLoss = [](const std::string &) {
+    };
+    Leadership<MemoryStore> first(
+        store, "first", {"127.0.0.1", 1}, 1,
+        {[](const Tenure &) {}, ignoreLoss, noVms, noOrders,
+         [until] {
+             return std::vector<scheduling::RestartedWorker>{{"w", until}};
+         }});
+    Tenure taken;
+    Leadership<MemoryStore> second(store, "second", {"127.0.0.1", 2}, 2,
+                                   {[&](const Tenure &tenure) { taken = tenure; }, ignoreLoss});
+    const auto runUntil = [&](const auto &condition) {
+        while (!condition())
+            context.run_one();
+    };
+    spawn(context.get_executor(), "first", [&] { return first.run(); });
+    runUntil([&] { return first.isLeader(); });
+    spawn(context.get_executor(), "second", [&] { return second.run(); });
+    spawn(context.get_executor(), "release", [&] { return first.release({}); });
+    runUntil([&] { return second.isLeader(); });
+    REQUIRE(taken.restartedWorkers.size() == 1);
+    CHECK(taken.restartedWorkers.front().id == "w");
+    CHECK(taken.restartedWorkers.front().until >= until - 1ms);
+    CHECK(taken.restartedWorkers.front().until < until + 1s);
+    CHECK(taken.restartsKnownUntil <= bootNow() - maxRestartLag);
+    CHECK(taken.restartsKnownUntil > bootNow() - maxUnlistedRestartAge);
+}
+
+TEST_CASE("Restarts count as known as far as the holder of the row lists them")
+{
+    const auto seenAt = scheduling::start;
+    messages::LeaseRecord record;
+    CHECK(restartsKnownUntil(record, seenAt) == Instant::max());
+    record.set_term(3);
+    CHECK(restartsKnownUntil(record, seenAt) == seenAt - maxUnlistedRestartAge);
+    setRestartedWorkers(record, {}, seenAt);
+    CHECK(restartsKnownUntil(record, seenAt) == seenAt - maxRestartLag);
+}
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -168,7 +168,13 @@
     bool hasDirty() const;
 
     // Workers.
-    void listWorker(const WorkerListing &listing, Instant now);
+    /// `startedAt`: of its incarnation, by this leader's clock; the epoch if it is not known.
+    void listWorker(const WorkerListing &listing, Instant now, Instant startedAt = {});
+    /// Takes over what the predecessor knew of restarted workers. It may have missed restarts from
+    /// `knownUntil` on.
+    void inheritRestarts(const std::vector<RestartedWorker> &workers, Instant knownUntil);
+    /// Workers that may run tasks on a lease by the clock of their former incarnation.
+    std::vector<RestartedWorker> restartedWorkers(Instant now) const;
     void unlistWorker(const std::string &id);
     /// Registers a worker that has no entry in the list of workers but may still run tasks that an
     /// earlier leader started.
@@ -290,6 +296,7 @@
     void dropAllRuns(Worker &worker, Instant now);
     void setListed(Worker &worker, bool isListed);
     bool isPresentIncarnation(const WorkerListing &listing, Instant now);
+    Instant inheritedFormerLease(const std::string &id, Instant startedAt) const;
     bool isStartInFlight(const RunKey &key, Instant now);
     void dropExpiredRuns(Instant now);
     void noteIfExpired(const RunKey &run, const std::string &worker, Instant now);
@@ -355,6 +362,8 @@
     std::unordered_map<std::string, FinishedJob> finished; // final state is in the store
     std::map<std::string, Worker> workerTable;
     std::size_t listedCount = 0; // workers with `listed`
+    std::map<std::string, Instant> inheritedRestarts; // as in `RestartedWorker`, by worker
+    Instant restartsKnownUntil = Instant::max(); // the predecessor may have missed later restarts
     std::set<std::string> dirty; // jobs whose row in the store is out of date
     /// Unknown jobs whose runs or ends workers have listed, each with the ends that are applied
     /// once the job is known.
--- a/packages/scheduling/include/sassafrasferry/scheduling/task_places.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/task_places.h
@@ -1,8 +1,8 @@
 // Finds the VMs of a pool that have to stay and take work so that each waiting task has a place.
 //
-// Load pattern: tasks that are large in memory or accelerators wait beside long-running ones. By the
-// sum of their cores a few VMs are enough, and the others would be held back or moved away, although
-// only they have what such a task needs on one VM.
+// Load pattern: tasks that are large in memory or accelerators wait beside long-running ones. By
+// the sum of their cores a few VMs are enough, and the others would be held back or moved away,
+// although only they have what such a task needs on one VM.
 #pragma once
 
 #include <sassafrasferry/scheduling/worker.h>
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -86,6 +86,14 @@
     };
 }
 
+/// A worker that has restarted under its id. Calls meant for its former incarnation may have
+/// reached the present one, and a lease by the former clock lasts for as long as a worker accepts.
+struct RestartedWorker
+{
+    std::string id;
+    Instant until{}; ///< when such a lease has ended
+};
+
 /// Identifies a run on a worker.
 struct RunKey
 {
--- a/packages/scheduling/src/fleet_places.cpp
+++ b/packages/scheduling/src/fleet_places.cpp
@@ -47,11 +47,10 @@
     return tasks;
 }
 
-// Empty VMs on which tasks of the need have room: those of standby pools, then what other pools have
-// beyond their own need; small ones first.
-std::vector<FleetPlanner::Entry *> FleetPlanner::placesElsewhere(const PlaceNeed &need,
-                                                                 const std::string &target,
-                                                                 Round &round)
+// Empty VMs on which tasks of the need have room: those of standby pools, then what other pools
+// have beyond their own need; small ones first.
+std::vector<FleetPlanner::Entry *>
+FleetPlanner::placesElsewhere(const PlaceNeed &need, const std::string &target, Round &round)
 {
     std::vector<Entry *> found;
     for (auto &item : round.pools) {
@@ -95,8 +94,7 @@
                 if (lacking == 0)
                     break;
                 chosen.push_back(vm);
-                lacking -= std::min(
-                    lacking, tasksThatFit(need, vm->vm.capacity, labelsOf(vm->vm)));
+                lacking -= std::min(lacking, tasksThatFit(need, vm->vm.capacity, labelsOf(vm->vm)));
             }
             const bool exceedsRound =
                 round.orders.size() + chosen.size() > this->options.maxOrdersPerRound;
--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -70,6 +70,13 @@
       .failure = 0.1}},
 };
 
+// A task started by one leader may still run on such a worker while the next leader takes over.
+const std::vector<Case> restartCases{
+    {"restarted and cut off", {.restartAndCut = 0.05}},
+    {"restarted and cut off, leaders die", {.restartAndCut = 0.05, .leaderLoss = 0.2}},
+    {"restarted and cut off, leaders lose the store", {.restartAndCut = 0.05, .storeLoss = 0.2}},
+};
+
 // Half of the jobs belong to a customer whose cap changes.
 const std::vector<Case> capCases{
     {"caps change", {.capChange = 0.3}},
@@ -146,6 +153,20 @@
     checkCases(pathCases, times);
 }
 
+// Guards against tasks that run twice: a worker restarts, takes a lease by its former clock, which
+// lasts for the longest time that it accepts, and is cut off while a new leader takes over.
+TEST_CASE("No task runs twice where workers restart and are cut off beside takeovers",
+          "[restart-faults]")
+{
+    SimulationTimes times;
+    times.holdWait = 1s;
+    times.longestRun = 15s;
+    times.leaderNews = 0s;
+    times.waitsByConfirmation = true;
+    times.calm = 200s;
+    checkCases(restartCases, times);
+}
+
 // Guards against starts that bring a customer above its cap, and against jobs that wait at a cap
 // for good.
 TEST_CASE("Jobs end and keep to their customer's cap under random faults", "[cap-faults]")
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -60,7 +60,8 @@
     const auto isKnown = [&](const auto &entry) {
         const auto &worker = entry.second;
         return worker.listing.service != service || !worker.canHaveUnreportedRuns(knownUntil)
-               || (hasLeaseExpired && !worker.canHaveUnlistedEnds);
+               || (hasLeaseExpired && !worker.canHaveUnlistedEnds
+                   && knownUntil > worker.formerLeaseUntil);
     };
     return (hasLeaseExpired || this->allWorkersKnown)
            && std::all_of(this->workerTable.begin(), this->workerTable.end(), isKnown);
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -33,7 +33,7 @@
     return true;
 }
 
-void Scheduler::listWorker(const WorkerListing &listing, Instant now)
+void Scheduler::listWorker(const WorkerListing &listing, Instant now, Instant startedAt)
 {
     if (!this->isPresentIncarnation(listing, now))
         return;
@@ -50,6 +50,10 @@
         worker.inheritedUntil = this->allWorkersKnown
                                     ? this->tookOverAt
                                     : this->tookOverAt + this->times.inheritedLease;
+    if (isNew) {
+        worker.formerLeaseUntil = this->inheritedFormerLease(listing.id, startedAt);
+        worker.inheritedUntil = std::max(worker.inheritedUntil, worker.formerLeaseUntil);
+    }
     const bool wasDraining = worker.listing.draining;
     worker.listing = listing;
     this->setListed(worker, !worker.hasEnded);
@@ -60,6 +64,42 @@
     }
 }
 
+void Scheduler::inheritRestarts(const std::vector<RestartedWorker> &workers, Instant knownUntil)
+{
+    for (const auto &worker : workers)
+        this->inheritedRestarts[worker.id] = worker.until;
+    this->restartsKnownUntil = knownUntil;
+}
+
+std::vector<RestartedWorker> Scheduler::restartedWorkers(Instant now) const
+{
+    std::map<std::string, Instant> until = this->inheritedRestarts;
+    for (const auto &entry : this->workerTable)
+        until[entry.first] = std::max(until[entry.first], entry.second.formerLeaseUntil);
+    std::vector<RestartedWorker> workers;
+    for (const auto &entry : until) {
+        if (entry.second > now)
+            workers.push_back({entry.first, entry.second});
+    }
+    return workers;
+}
+
+// A restart that the predecessor missed shows in the start time alone, which doesn't tell it from a
+// first start. Leases by a former clock come from calls that were sent before the sender missed the
+// answers of the former incarnation.
+Instant Scheduler::inheritedFormerLease(const std::string &id, Instant startedAt) const
+{
+    Instant until{};
+    if (const auto at = this->inheritedRestarts.find(id); at != this->inheritedRestarts.end())
+        until = at->second;
+    const bool wasMissed = startedAt >= this->restartsKnownUntil
+                           && startedAt <= this->tookOverAt + this->times.inheritedLease;
+    if (wasMissed)
+        until = std::max(until, startedAt + this->times.orderTimeout
+                                    + this->maxLeaseDuration(this->times.maxLease));
+    return until;
+}
+
 void Scheduler::unlistWorker(const std::string &id)
 {
     const auto at = this->workerTable.find(id);
@@ -76,7 +116,9 @@
     auto &worker = this->workerTable[id];
     worker.listing.id = id;
     worker.listing.service = service;
-    worker.inheritedUntil = this->tookOverAt + this->times.inheritedLease;
+    worker.formerLeaseUntil = this->inheritedFormerLease(id, Instant{});
+    worker.inheritedUntil =
+        std::max(this->tookOverAt + this->times.inheritedLease, worker.formerLeaseUntil);
     this->note("worker-expected", id, absl::StrCat("service=", service));
 }
 
--- a/packages/scheduling/src/takeover_test.cpp
+++ b/packages/scheduling/src/takeover_test.cpp
@@ -39,6 +39,61 @@
     }
 }
 
+namespace {
+
+/// What a new leader knows of the start of a worker that doesn't answer, and when it starts the
+/// task that may run there.
+struct RestartCase
+{
+    const char *name;
+    Duration listedFor; ///< by the predecessor: until its former lease has ended; 0: not listed
+    Duration age; ///< of the incarnation
+    Duration heardAt; ///< once, with the task running; 0: not heard
+    Duration startsAfter;
+};
+
+constexpr Duration ordinaryWait = 4230ms;
+constexpr Duration restartsMissed = 3s; // the predecessor may have missed restarts for so long
+
+const std::vector<RestartCase> restartCases{
+    {"started long before", 0ms, 60s, 0ms, ordinaryWait},
+    {"the predecessor knew of its restart", 9s, 60s, 0ms, 9s},
+    {"the predecessor knew of its restart, and it is heard once", 9s, 60s, 100ms, 9s},
+    {"the predecessor may have missed its restart", 0ms, 1s, 0ms, 3s + 10350ms - 1s},
+    {"restarted before what the predecessor may have missed", 0ms, 4s, 0ms, ordinaryWait},
+};
+
+} // namespace
+
+// Guards against tasks that run twice: a worker that restarted has taken a lease by its former
+// clock, which outlasts the leases that the predecessor meant to grant.
+TEST_CASE("after a takeover a task waits for the lease of a restarted worker")
+{
+    const auto row = GENERATE(from_range(restartCases));
+    CAPTURE(row.name);
+    SchedulerTimes times;
+    times.inheritedLease = ordinaryWait;
+    Bench bench(1, 4000, true, times);
+    std::vector<RestartedWorker> listed;
+    if (row.listedFor > Duration{})
+        listed.push_back({"w1", start + row.listedFor});
+    bench.scheduler.inheritRestarts(listed, start - restartsMissed);
+    bench.list("w1", 1, 4000, "r0", start - row.age);
+    bench.scheduler.setAllWorkersKnown();
+    bench.add("j", {stepOf(1)}, true);
+    const auto startsAt = [&](Duration later) {
+        bench.now = start + later;
+        bench.report("w0");
+        return bench.plan().starts.size();
+    };
+    if (row.heardAt > Duration{}) {
+        bench.now = start + row.heardAt;
+        bench.report("w1", {{{"j", 0, 0, 0}, 5, "", 100, 0}});
+    }
+    CHECK(startsAt(row.startsAfter - 50ms) == 0);
+    CHECK(startsAt(row.startsAfter + 100ms) == 1);
+}
+
 // Guards against tasks that run twice: a configuration gives a queue to another service, and a new
 // leader starts a task there that still runs on a worker of the former service.
 TEST_CASE("after a takeover tasks wait for workers of their queue's former service")
--- a/packages/scheduling/src/task_places.cpp
+++ b/packages/scheduling/src/task_places.cpp
@@ -68,8 +68,8 @@
 std::size_t tasksThatFit(const PlaceNeed &need, const Resources &room,
                          const std::vector<std::string> &labels)
 {
-    const bool hasLabel = need.label.empty()
-                          || std::find(labels.begin(), labels.end(), need.label) != labels.end();
+    const bool hasLabel =
+        need.label.empty() || std::find(labels.begin(), labels.end(), need.label) != labels.end();
     if (!hasLabel)
         return 0;
     auto most = need.perVmLimit > 0 ? std::min(need.perVmLimit, need.together) : need.together;
@@ -96,8 +96,7 @@
         };
         if (isPlain && std::any_of(placed.begin(), placed.end(), coversNeed))
             continue;
-        const auto room =
-            need.isJobIdle && mostlyIdle ? &Place::room : &Place::roomAfterEnds;
+        const auto room = need.isJobIdle && mostlyIdle ? &Place::room : &Place::roomAfterEnds;
         auto fit = fitTogether(need, places, room, true);
         if (fit.lacking > 0)
             fit = fitTogether(need, places, room, false);
--- a/packages/scheduling/tests/fault_rates.h
+++ b/packages/scheduling/tests/fault_rates.h
@@ -14,6 +14,9 @@
     double lostAnswer = 0; ///< the answer to an order or a hold is lost
     double lateOrder = 0; ///< a start or stop is executed 2 to 12 s late and is not answered
     double crash = 0; ///< a worker dies and is restarted with the same id
+    /// A worker is down for 0.6 s, restarts with the same id, and is cut off for 9 s within 2 s
+    /// after that. Calls that are sent while it is down reach its next incarnation.
+    double restartAndCut = 0;
     double permanentLoss = 0; ///< a worker disappears for good without notice
     double partition = 0; ///< no call reaches a worker for 1 to 9 s, and its tasks keep running
     /// Calls of some leaders don't reach a worker for 1 to 9 s, those of the others do.
@@ -36,6 +39,11 @@
     Duration leaseLimit = 7500ms;
     /// Between two confirmations that a leader leads.
     Duration confirmation = 400ms;
+    /// A new leader waits for leases of its predecessor until these end by the lease limit, and not
+    /// for the longest time that any leader's leases can last.
+    bool waitsByConfirmation = false;
+    /// A leader may not know of restarts within this time before it was last confirmed.
+    Duration restartsMissed = 2s;
     Duration takeover = 1600ms; ///< until another leader starts
     Duration leaderNews = 500ms; ///< until all entry VMs know a new leader
     Duration holdInterval = 100ms; ///< between two holds at a worker, if `holdWait` is 0
--- a/packages/scheduling/tests/job_simulation.h
+++ b/packages/scheduling/tests/job_simulation.h
@@ -141,6 +141,9 @@
                         leader->breakHold(this->workers[i].id, this->now + this->times.holdRetry);
                 }
             }
+            if (this->faults.restartAndCut > 0
+                && this->random.chance(this->faults.restartAndCut * tick))
+                this->restartAndCut(i);
             if (this->random.chance(this->faults.partition * tick))
                 this->workers[i].partitionedUntil =
                     this->now + this->random.between(Duration(1s), Duration(9s));
@@ -172,6 +175,22 @@
             this->cancels.noteDisturbance(worker.id, this->now);
     }
 
+    void restartAndCut(std::size_t index)
+    {
+        constexpr Duration downTime = 600ms;
+        constexpr Duration cutTime = 9s;
+        auto &worker = this->workers[index];
+        worker.runs.clear();
+        worker.downUntil = this->now + downTime;
+        this->events.add(worker.downUntil, [this, index] {
+            this->workers[index].restart(++this->incarnationCount, this->now);
+        });
+        const auto cutAt = worker.downUntil + this->random.between(Duration(50ms), Duration(2s));
+        this->events.add(cutAt, [this, index, cutTime] {
+            this->workers[index].partitionedUntil = this->now + cutTime;
+        });
+    }
+
     // Leaders with the store learn of a new cap late.
     void passOnCap()
     {
@@ -232,12 +251,30 @@
             this->invariants.violations.push_back(std::move(violation));
     }
 
+    SchedulerTimes timesAfterTakeover() const
+    {
+        SchedulerTimes times;
+        if (!this->times.waitsByConfirmation || this->leaders.empty())
+            return times;
+        const auto limit =
+            policy::fromSeconds(policy::seconds(this->times.leaseLimit) * (1 + times.clockDrift))
+            + times.leaseMargin;
+        times.inheritedLease = std::max<Duration>(
+            limit - (this->now - this->leaders.back()->confirmedAt), times.surveyTime);
+        return times;
+    }
+
     void startLeader()
     {
         ++this->takeovers;
         const auto fence = static_cast<std::int64_t>(this->takeovers);
-        auto leader = std::make_shared<SimLeader>(fence, this->now, SchedulerTimes{});
+        auto leader = std::make_shared<SimLeader>(fence, this->now, this->timesAfterTakeover());
         leader->configure(this->caps.count(), this->services, this->caps.customers());
+        if (!this->leaders.empty()) {
+            const auto &former = *this->leaders.back();
+            leader->scheduler.inheritRestarts(former.recordedRestarts,
+                                              former.confirmedAt - this->times.restartsMissed);
+        }
         this->leaders.push_back(leader);
         for (const auto &entry : this->submittedJobs)
             this->addJobTo(*leader, entry.first, true);
@@ -275,7 +312,7 @@
             listing.born = worker.born;
             listing.service = this->serviceOfWorker[worker.id];
             listing.capacity = {4000, 100000, 0};
-            leader.scheduler.listWorker(listing, this->now);
+            leader.scheduler.listWorker(listing, this->now, worker.startedAt);
         }
     }
 
--- a/packages/scheduling/tests/scheduler_bench.h
+++ b/packages/scheduling/tests/scheduler_bench.h
@@ -46,7 +46,8 @@
             this->scheduler.setAllWorkersKnown();
     }
 
-    void list(const std::string &id, std::int64_t born, std::int64_t cpu, const std::string &rack)
+    void list(const std::string &id, std::int64_t born, std::int64_t cpu, const std::string &rack,
+              Instant startedAt = {})
     {
         WorkerListing listing;
         listing.id = id;
@@ -56,7 +57,7 @@
         listing.rack = rack;
         listing.labels = {"a", rack};
         listing.capacity = {cpu, 100000, 0};
-        this->scheduler.listWorker(listing, this->now);
+        this->scheduler.listWorker(listing, this->now, startedAt);
     }
 
     void add(const std::string &id, std::vector<jobs::StepSpec> steps, bool inherited = false)
--- a/packages/scheduling/tests/sim_calls.h
+++ b/packages/scheduling/tests/sim_calls.h
@@ -45,6 +45,7 @@
         this->runAfter(this->travelTime(), [this, leader, index, call, answered] {
             auto &worker = this->workers[index];
             if (!worker.isReachableFor(leader, this->now)) {
+                this->sendAgain(leader, index, call);
                 this->answerAfter(timeout, OrderAnswer::NoAnswer, answered);
                 return;
             }
@@ -64,8 +65,10 @@
     {
         this->runAfter(this->travelTime(), [this, leader, index, wait, call, report, answered] {
             auto &worker = this->workers[index];
-            if (!worker.isReachableFor(leader, this->now))
+            if (!worker.isReachableFor(leader, this->now)) {
+                this->sendAgain(leader, index, call);
                 return;
+            }
             const auto answer = call(worker);
             if (wait == Duration::zero() || !answer || !worker.ends.empty()) {
                 this->answerHold(answer, answered);
@@ -82,6 +85,22 @@
 private:
     static constexpr Duration timeout = 800ms;
     static constexpr Duration answerTime = 3ms;
+    static constexpr Duration longestResend = 1s;
+
+    // A connection that is opened while a process is down reaches the next one at its address.
+    template<typename Call>
+    void sendAgain(std::int64_t leader, std::size_t index, Call call)
+    {
+        const auto downUntil = this->workers[index].downUntil;
+        if (this->now >= downUntil)
+            return;
+        const auto resentAfter = this->random.between(Duration(0), longestResend);
+        this->runAfter(downUntil - this->now + resentAfter, [this, leader, index, call] {
+            auto &next = this->workers[index];
+            if (next.isReachableFor(leader, this->now))
+                call(next);
+        });
+    }
 
     template<typename Answer>
     void answerHold(const Answer &answer, const std::function<void(const Answer &)> &answered)
--- a/packages/scheduling/tests/sim_leader.h
+++ b/packages/scheduling/tests/sim_leader.h
@@ -61,6 +61,7 @@
             return;
         this->confirmedAt = now;
         this->scheduler.setLeadConfirmed(now);
+        this->recordedRestarts = this->scheduler.restartedWorkers(now);
     }
 
     void configure(std::size_t caps, const std::vector<std::string> &services,
@@ -103,6 +104,7 @@
     bool alive = true;
     bool hasStore = true;
     Instant confirmedAt;
+    std::vector<RestartedWorker> recordedRestarts; // with its last confirmation
     std::size_t knownCaps = 0; // the number of caps that were in force up to its configuration
     Instant nextCapAt{};
     std::set<std::string> knownCancellations; // jobs
--- a/packages/scheduling/tests/sim_worker.h
+++ b/packages/scheduling/tests/sim_worker.h
@@ -34,6 +34,7 @@
     double clockRate = 1;
     bool alive = true;
     bool isLost = false; ///< the worker never returns, but a leader may still list it
+    Instant downUntil{}; ///< its process ended, and the next incarnation starts then
     Instant partitionedUntil{}; ///< no call reaches the worker before
     Instant pathLostUntil{}; ///< no call of a leader in `unheardLeaders` reaches the worker before
     std::int64_t unheardLeaders = 0; ///< 0: those with an even fence, 1: with an odd one
@@ -53,7 +54,7 @@
 
     bool isReachable(Instant now) const
     {
-        return this->alive && now >= this->partitionedUntil;
+        return this->alive && now >= this->downUntil && now >= this->partitionedUntil;
     }
 
     bool isReachableFor(std::int64_t leader, Instant now) const
@@ -102,7 +103,7 @@
             return OrderAnswer::Accepted;
         if (newLeaseEnd < this->clockAt(now))
             return OrderAnswer::Expired;
-        this->leaseEnd = std::max(this->leaseEnd, newLeaseEnd);
+        this->extendLease(newLeaseEnd, now);
         const auto highest = this->highestEndedRun.find(order.task);
         if (highest != this->highestEndedRun.end() && highest->second >= order.run)
             return OrderAnswer::Superseded;
@@ -134,7 +135,7 @@
             return std::nullopt;
         this->fence = holdFence;
         if (newLeaseEnd)
-            this->leaseEnd = std::max(this->leaseEnd, *newLeaseEnd);
+            this->extendLease(*newLeaseEnd, now);
         while (!this->ends.empty() && this->ends.front().number <= acknowledged) {
             callbacks.onEndAcknowledged(this->ends.front());
             this->ends.pop_front();
@@ -150,6 +151,14 @@
     }
 
 private:
+    static constexpr std::int64_t longestLease = 10000; // milliseconds
+
+    void extendLease(std::int64_t newLeaseEnd, Instant now)
+    {
+        this->leaseEnd =
+            std::max(this->leaseEnd, std::min(newLeaseEnd, this->clockAt(now) + longestLease));
+    }
+
     void end(const RunKey &key, jobs::RunEnd how, const SimWorkerCallbacks &callbacks)
     {
         this->runs.erase(key);
