A cancellation whose answer is known is answered without time to store it

Known answers (a withdrawal that stands, a job that is over) go out at once again. Test: "A cancellation whose answer is known needs no time to be stored"; found by reading, not run on the code before.

--- a/packages/coordination/include/sassafrasferry/coordination/job_queries.h
+++ b/packages/coordination/include/sassafrasferry/coordination/job_queries.h
@@ -90,8 +90,7 @@
     {
         if (!isJobId(job))
             co_return noSuchJob();
-        auto result = IntakeResult::Unknown;
-        while (result != IntakeResult::Refused && bootNow() < deadline) {
+        for (;;) {
             const auto found = co_await this->node.stored.find(job);
             if (!found)
                 co_return retryLater("the store can't be read now");
@@ -99,13 +98,14 @@
                 co_return co_await this->cancelStored(job, customer, *found, deadline);
             if (found->withdrawal && found->withdrawal->customers.count(customer) != 0)
                 co_return noSuchJob();
-            result = co_await this->node.intake.withdraw(job, customer, deadline);
+            const auto result = co_await this->node.intake.withdraw(job, customer, deadline);
             LOG(INFO) << "event=cancel-asked job=" << job << " state=unknown outcome="
                       << (result == IntakeResult::Stored ? "withdrawn" : model::nameOf(result));
             if (result == IntakeResult::Stored)
                 co_return noSuchJob();
+            if (result == IntakeResult::Refused || bootNow() >= deadline)
+                co_return retryLater("the cancellation may not be stored");
         }
-        co_return retryLater("the cancellation may not be stored");
     }
 
     /// Answers a caller who asks for the number of jobs that wait on the queue.
--- a/packages/coordination/src/withdrawal_test.cpp
+++ b/packages/coordination/src/withdrawal_test.cpp
@@ -108,3 +108,14 @@
         node.pauseFor(100ms);
     }
 }
+
+// Guards against callers with little time who are told to come again although the answer is known.
+TEST_CASE("A cancellation whose answer is known needs no time to be stored")
+{
+    auto &node = newNode("1 /open/", false);
+    REQUIRE(node.request(http::Verb::delete_, "/open/j").result() == http::Status::gone);
+    http::Request request{http::Verb::delete_, "/open/j", 11};
+    request.set(http::Field::host, queueHost);
+    request.set(TestPlatform::deadlineHeader(), "1");
+    CHECK(node.send(request).result() == http::Status::gone);
+}
