A caller that still waits for the store no longer owns what it waits for

Cause: since the coroutine `Intake::enqueue` keeps its item while it waits, and the item's `done` owns that coroutine. A process that ends while a caller waits for a silent store never released either. The coroutine now gives its share away; `withdraw` takes the customer by value, as a coroutine's argument has to outlive its caller's.

"A caller that still waits is released with its executor" fails without the change for a submission and for a withdrawal (2 of 4 assertions), and passes with it.

--- a/packages/coordination/include/sassafrasferry/coordination/intake.h
+++ b/packages/coordination/include/sassafrasferry/coordination/intake.h
@@ -69,13 +69,13 @@
     /// Stores that the customer has cancelled a job of which the store has no row. A hand-in of the
     /// job, here or on another entry VM, requires that its row is absent. So either the hand-in
     /// comes first, and the result is AlreadyStored or Taken, or it is never carried out.
-    Awaitable<IntakeResult> withdraw(std::string job, const std::string &customer, Instant deadline)
+    Awaitable<IntakeResult> withdraw(std::string job, std::string customer, Instant deadline)
     {
         auto item = std::make_shared<Item>();
         item->job = std::move(job);
-        item->withdrawnBy = customer;
         const Withdrawal withdrawal{{customer}};
         item->record = withdrawalValue(withdrawal);
+        item->withdrawnBy = std::move(customer);
         item->deadline = deadline;
         co_return co_await this->enqueue(std::move(item));
     }
@@ -97,8 +97,10 @@
         co_return co_await http::awaitCallback<IntakeResult>([&](auto done) {
             item->done = std::move(done);
             this->queues[part].push_back(item);
+            // Moved: `done` owns this coroutine, which must not own the item in turn.
             spawn(
-                this->executor, "intake patience", [item] { return answerAtTimeout(item); },
+                this->executor, "intake patience",
+                [item = std::move(item)] { return answerAtTimeout(item); },
                 [](const std::string &) {});
             this->startCommitting(part);
         });
--- a/packages/coordination/src/intake_test.cpp
+++ b/packages/coordination/src/intake_test.cpp
@@ -216,3 +216,29 @@
     CHECK(second.result == IntakeResult::Stored);
     CHECK(submitted.result == IntakeResult::Withdrawn);
 }
+
+// Guards against memory that is never released: a caller who waits, and what it waits for, may own
+// each other.
+TEST_CASE("A caller that still waits is released with its executor")
+{
+    using Call = Awaitable<IntakeResult> (*)(World &, Instant);
+    const Call call = GENERATE(
+        as<Call>{},
+        [](World &world, Instant deadline) {
+            return world.intake.submit("a0", "record", deadline);
+        },
+        [](World &world, Instant deadline) { return world.intake.withdraw("a0", "", deadline); });
+    std::weak_ptr<int> caller;
+    {
+        World world;
+        world.store.delay = 5s;
+        const auto kept = std::make_shared<int>();
+        caller = kept;
+        spawn(world.context.get_executor(), "caller", [&world, call, kept]() -> Awaitable<void> {
+            co_await call(world, bootNow() + 2600ms);
+        });
+        world.context.run_for(20ms);
+        REQUIRE(kept.use_count() > 1);
+    }
+    CHECK(caller.expired());
+}
