The simulation's leaders hand restarts over in sequences of faults, as the product's do

Its leaders handed nothing over, so it did not show whether the product, whose lease row lists restarted workers since, still does so. Leaders now record restarts with each confirmation and inherit them, with 2 s that may have been missed.

No product code is changed.

--- a/packages/scheduling/src/fault_sequence_test.cpp
+++ b/packages/scheduling/src/fault_sequence_test.cpp
@@ -124,6 +124,35 @@
     }
 }
 
+// Guards against a second run of a task that runs on by the clock of its worker's former
+// incarnation, which only the former leader knows of.
+TEST_CASE("a takeover near the restart of a worker that is cut off violates no guarantee",
+          "[fault-pairs]")
+{
+    struct Case
+    {
+        InjectedFault loss;
+        int lossTick;
+        InjectedFault restart;
+        int restartTick;
+        int cutTick;
+        std::size_t vm;
+    };
+    const std::vector<Case> cases{
+        {InjectedFault::LeaderLosesStore, 26, InjectedFault::WorkerRestarts, 37, 44, 0},
+        {InjectedFault::LeaderLosesStore, 28, InjectedFault::WorkerRestartsUnnoticed, 32, 46, 0},
+        {InjectedFault::LeaderLosesStore, 36, InjectedFault::WorkerRestarts, 44, 63, 2},
+        {InjectedFault::LeaderCannotWrite, 37, InjectedFault::WorkerRestartsUnnoticed, 41, 56, 2},
+        {InjectedFault::LeaderLosesStore, 42, InjectedFault::WorkerRestarts, 57, 67, 2},
+    };
+    for (const auto &row : cases) {
+        CHECK(tryFaults({{row.loss, row.lossTick, 0},
+                         {row.restart, row.restartTick, row.vm},
+                         {InjectedFault::WorkerPartitioned, row.cutTick, row.vm}})
+              == "");
+    }
+}
+
 // Guards against the same failures after pairs of faults that are not listed above. Tries each pair
 // at times 1.7 s apart.
 TEST_CASE("pairs of all kinds of faults violate no guarantee", "[fault-pairs]")
--- a/packages/scheduling/tests/fault_sequence_setup.h
+++ b/packages/scheduling/tests/fault_sequence_setup.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace sassafrasferry::scheduling::tests {
 
@@ -34,6 +35,8 @@
     static constexpr Duration plainTime = 2s; ///< run time of a task of the plain job
     /// Until a VM that became reachable again must be in use.
     static constexpr Duration rejoinTime = 2s;
+    /// A leader may not know of restarts within this time before it was last confirmed.
+    static constexpr Duration restartsMissed = 2s;
 
     struct SimLeader
     {
@@ -46,6 +49,20 @@
             this->scheduler.setLeadConfirmed(now);
         }
 
+        void confirm(Instant now)
+        {
+            this->confirmedAt = now;
+            this->scheduler.setLeadConfirmed(now);
+            this->recordedRestarts = this->scheduler.restartedWorkers(now);
+        }
+
+        /// Takes over what the former leader wrote into the lease row.
+        void inheritFrom(const SimLeader &former)
+        {
+            this->scheduler.inheritRestarts(former.recordedRestarts,
+                                            former.confirmedAt - restartsMissed);
+        }
+
         std::int64_t fence;
         Scheduler scheduler;
         FleetPlanner planner;
@@ -53,6 +70,7 @@
         bool readsStore = true;
         bool writesStore = true;
         Instant confirmedAt;
+        std::vector<RestartedWorker> recordedRestarts; // with its last confirmation
         Instant vmsListedAt{};
         std::map<std::string, Instant> nextHoldAt; // by worker: when the next hold is sent
     };
--- a/packages/scheduling/tests/fault_sequence_simulation.h
+++ b/packages/scheduling/tests/fault_sequence_simulation.h
@@ -186,6 +186,8 @@
         const auto fence = static_cast<std::int64_t>(this->leaders.size() + 1);
         auto leader = std::make_shared<SimLeader>(fence, this->now);
         leader->scheduler.setConfiguration(configuration());
+        if (!this->leaders.empty())
+            leader->inheritFrom(*this->leaders.back());
         for (const auto &entry : this->specs) {
             auto job = std::make_unique<Job>(entry.first, entry.second, terms(), this->now);
             job->inherited = fence > 1;
@@ -208,7 +210,8 @@
     void listEntries(SimLeader &leader)
     {
         for (const auto &listing : this->fleet.listings(this->now))
-            leader.scheduler.listWorker(listing, this->now);
+            leader.scheduler.listWorker(listing, this->now,
+                                        this->fleet.worker(listing.id).startedAt);
     }
 
     void runLeader(const std::shared_ptr<SimLeader> &leader)
@@ -220,8 +223,7 @@
         if (leader->readsStore)
             this->listEntries(*leader);
         if (leader->writesStore) {
-            leader->confirmedAt = this->now;
-            leader->scheduler.setLeadConfirmed(this->now);
+            leader->confirm(this->now);
             for (const auto &row :
                  leader->scheduler.takeDirty(30, [](const std::string &) { return true; })) {
                 this->storedProgress[row.id] = row.row;
