--- /dev/null
+++ b/review/standin-3/cases.cpp
@@ -0,0 +1,273 @@
+// The days of the cases that are scripts. Usage: cases NAME RECORD FOLDER; the environment variable
+// TROUBLE=0 leaves out the disruption. Exits with 1 if the rule was broken, 0 if it held, and 2 if
+// the case couldn't run.
+#include "world.h"
+
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <stdexcept>
+
+namespace review {
+
+namespace {
+
+const char *const program = "target/sassafrasferryd";
+
+struct Arguments
+{
+    std::string record;
+    std::string folder;
+    bool hasTrouble = true;
+};
+
+// Never destroyed: its threads go on until the end of the program.
+World &newWorld(const Arguments &arguments, const Bounds &bounds)
+{
+    return *new World(arguments.record, bounds, 1);
+}
+
+Json route(const std::string &name, const std::string &service)
+{
+    return {{"name", name},
+            {"host", "127.0.0.1"},
+            {"path_prefix", "/" + name + "/"},
+            {"service", service},
+            {"priority", 0},
+            {"max_attempts", 3},
+            {"stretch_factor", 1.6},
+            {"target_duration_ms", 600}};
+}
+
+Json service(const std::string &name, bool rejectsOverload = true)
+{
+    return {{"name", name}, {"rejects_overload", rejectsOverload}};
+}
+
+void require(bool holds, const std::string &what)
+{
+    if (!holds)
+        throw std::runtime_error(what);
+}
+
+bool waitFor(const std::function<bool()> &holds, std::int64_t timeoutMs)
+{
+    const auto until = nowMs() + timeoutMs;
+    while (nowMs() < until) {
+        if (holds())
+            return true;
+        sleepMs(5);
+    }
+    return holds();
+}
+
+std::string jobId(int number)
+{
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", number);
+    return id;
+}
+
+// A tenant's job is cancelled, and the process that leads is killed and started again while the
+// job's tasks still take their time to stop.
+int cancelledThenKilled(const Arguments &arguments)
+{
+    Bounds bounds;
+    bounds.stopGrace = 900;
+    bounds.holdMax = 10000;
+    bounds.cancel = 4000;
+    auto &world = newWorld(arguments, bounds);
+    world.caps["orchard"] = 4000;
+    for (int i = 1; i <= 2; ++i)
+        world.addMachine("m" + std::to_string(i), "quoting", 32000, "r1");
+    world.configure({{"version", 1},
+                     {"routes", {route("quotes", "quoting")}},
+                     {"services", {service("quoting")}},
+                     {"tenants",
+                      {{{"name", "orchard"},
+                        {"api_keys", {"key-of-orchard"}},
+                        {"weight", 1},
+                        {"cap", {{"cpu", 4000}, {"mem_mb", 0}, {"gpu", 0}}}}}}});
+    world.outcomeOf = [](const std::string &task, std::int64_t, const std::string &) {
+        // Odd jobs take long, and are cancelled.
+        const bool isLong = (task[15] - '0') % 2 == 1;
+        return World::Outcome{isLong ? 60000 : 300, "done"};
+    };
+    EntryVm entry(world, program, arguments.folder, "e1", world.cloudPort(), 0.25, bounds,
+                  {"base", "sched", "platform", "tenants", "quota"});
+    entry.start();
+    require(entry.waitReady(10000), "the entry VM is not ready");
+    Client client{world, "key-of-orchard"};
+    constexpr int rounds = 4;
+    for (int round = 0; round < rounds; ++round) {
+        const auto cancelled = jobId(2 * round + 1);
+        const auto waiting = jobId(2 * round + 2);
+        SentJob job;
+        job.queue = "quotes";
+        job.tenant = "orchard";
+        job.steps = {step(4, 1000, 500)};
+        require(client.submit(entry, "/quotes/", cancelled, job) == 200, "a job is not accepted");
+        require(waitFor([&] { return world.runningTasks(cancelled) == 4; }, 15000),
+                "a job is not started");
+        require(client.submit(entry, "/quotes/", waiting, job) == 200, "a job is not accepted");
+        sleepMs(300);
+        require(world.runningTasks(waiting) == 0, "the cap is not kept before the disruption");
+        require(client.cancel(entry, "/quotes/", cancelled) == 200, "a job is not cancelled");
+        if (arguments.hasTrouble) {
+            sleepMs(150);
+            entry.kill();
+            sleepMs(50);
+            entry.start();
+            require(entry.waitReady(10000), "the entry VM is not ready again");
+        }
+        require(waitFor([&] { return world.isDone(waiting); }, 20000), "a job is not done");
+    }
+    return world.breaks("QUOTA") != 0 ? 1 : 0;
+}
+
+// A weak machine leads and orders a machine's upkeep. It hands over to a stronger one that was just
+// added, which is stopped soon after. The third leader orders an upkeep of the same machine.
+int twoHandOvers(const Arguments &arguments)
+{
+    Bounds bounds;
+    auto &world = newWorld(arguments, bounds);
+    world.addMachine("m1", "quoting", 32000, "r1");
+    world.configure({{"version", 1},
+                     {"routes", {route("quotes", "quoting")}},
+                     {"services", {service("quoting")}}});
+    const auto cloud = world.cloudPort();
+    const std::vector<std::string> contracts{"base", "sched", "platform", "upkeep"};
+    EntryVm first(world, program, arguments.folder, "e1", cloud, 0.12, bounds, contracts);
+    EntryVm added(world, program, arguments.folder, "e2", cloud, 0.5, bounds, contracts);
+    EntryVm third(world, program, arguments.folder, "e3", cloud, 0.2, bounds, contracts);
+    const auto entryOf = [&](const std::string &name) -> const EntryVm & {
+        return name == "e1" ? first : name == "e2" ? added : third;
+    };
+    world.isInTouch = [&](const std::string &holder, std::int64_t at) {
+        const auto disturbed = entryOf(holder).disturbedAt;
+        return disturbed && (at - *disturbed > bounds.contact);
+    };
+    first.start();
+    require(first.waitReady(10000), "the first entry VM is not ready");
+    require(waitFor([&] { return first.countLog("event=lead fence") > 0; }, 5000),
+            "the first entry VM does not lead");
+    third.start();
+    require(third.waitReady(10000), "the third entry VM is not ready");
+    sleepMs(bounds.contact + 1500);
+    const auto wave = [&](int number) {
+        world.putRow("op", "wave/" + std::to_string(number),
+                     {{"wave", number}, {"machines", {"m1"}}, {"duration_s", 20}, {"cap", 1}});
+    };
+    const auto orders = [&] {
+        return world.orderCount("m1");
+    };
+    wave(1);
+    require(waitFor([&] { return orders() == 1; }, 10000), "the first upkeep is not ordered");
+    if (arguments.hasTrouble) {
+        added.start();
+        require(waitFor([&] { return added.countLog("event=lead fence") > 0; }, 10000),
+                "the added entry VM does not lead");
+        added.terminate();
+        require(waitFor([&] { return third.countLog("event=lead fence") > 0; }, 10000),
+                "the third entry VM does not lead");
+    } else {
+        sleepMs(1000);
+    }
+    wave(2);
+    require(waitFor([&] { return orders() >= 2; }, 20000), "the second upkeep is not ordered");
+    sleepMs(500);
+    return world.breaks("ONE") != 0 ? 1 : 0;
+}
+
+// A queue's route is sent to another service and back. Then the process that leads is killed while
+// the minion that runs the queue's job is cut off.
+int routeAndBack(const Arguments &arguments)
+{
+    Bounds bounds;
+    auto &world = newWorld(arguments, bounds);
+    world.arePoolsApart = true;
+    world.addMachine("m1", "quoting", 4000, "r1");
+    world.addMachine("m2", "billing", 4000, "r1");
+    int version = 0;
+    const auto configure = [&](const std::string &serviceOfDrafts) {
+        world.configure({{"version", ++version},
+                         {"routes", {route("quotes", "quoting"), route("drafts", serviceOfDrafts)}},
+                         {"services", {service("quoting"), service("billing")}}});
+    };
+    configure("quoting");
+    world.outcomeOf = [](const std::string &, std::int64_t, const std::string &) {
+        return World::Outcome{60000, "done"};
+    };
+    EntryVm entry(world, program, arguments.folder, "e1", world.cloudPort(), 0.25, bounds,
+                  {"base", "sched", "platform"});
+    entry.start();
+    require(entry.waitReady(10000), "the entry VM is not ready");
+    Client client{world};
+    const auto full = jobId(1);
+    const auto moved = jobId(2);
+    SentJob fullJob;
+    fullJob.queue = "quotes";
+    fullJob.steps = {step(4, 1000, 5000)};
+    require(client.submit(entry, "/quotes/", full, fullJob) == 200, "a job is not accepted");
+    require(waitFor([&] { return world.runningTasks(full) == 4; }, 10000), "a job is not started");
+    SentJob movedJob;
+    movedJob.queue = "drafts";
+    movedJob.steps = {step(2, 1000, 5000)};
+    require(client.submit(entry, "/drafts/", moved, movedJob) == 200, "a job is not accepted");
+    sleepMs(500);
+    require(world.runningTasks(moved) == 0, "a job is started without room");
+    configure("billing");
+    require(waitFor([&] { return world.runningTasks(moved) == 2; }, 10000),
+            "a job is not started on the other service");
+    configure("quoting");
+    sleepMs(bounds.configApply + 1000);
+    require(client.cancel(entry, "/quotes/", full) == 200, "a job is not cancelled");
+    require(waitFor([&] { return world.runningTasks(full) == 0; }, 10000), "a job is not stopped");
+    sleepMs(1000);
+    if (arguments.hasTrouble) {
+        if (!std::getenv("NOCUT"))
+            world.cutMinion("m2", true);
+        entry.kill();
+        sleepMs(300);
+        entry.start();
+        require(entry.waitReady(10000), "the entry VM is not ready again");
+    }
+    sleepMs(2000);
+    world.cutMinion("m2", false);
+    sleepMs(3000);
+    return world.breaks("TWICE") != 0 ? 1 : 0;
+}
+
+} // namespace
+
+} // namespace review
+
+int main(int argc, char **argv)
+{
+    using namespace review;
+    if (argc != 4) {
+        std::cerr << "usage: cases NAME RECORD FOLDER\n";
+        return 2;
+    }
+    const char *trouble = std::getenv("TROUBLE");
+    const Arguments arguments{argv[2], argv[3], !trouble || std::string(trouble) != "0"};
+    const std::map<std::string, std::function<int(const Arguments &)>> cases{
+        {"cancelled-then-killed", cancelledThenKilled},
+        {"two-hand-overs", twoHandOvers},
+        {"route-and-back", routeAndBack},
+    };
+    const auto at = cases.find(argv[1]);
+    if (at == cases.end()) {
+        std::cerr << "no such case\n";
+        return 2;
+    }
+    int result = 2;
+    try {
+        result = at->second(arguments);
+    } catch (const std::exception &error) {
+        std::cerr << "the case couldn't run: " << error.what() << '\n';
+    }
+    std::cout << (result == 0 ? "held\n" : result == 1 ? "broken\n" : "not run\n");
+    std::cout.flush();
+    std::_Exit(result); // the threads of the stand-ins go on until the end
+}
