Review, case 14: a late hold acknowledges an end of the minion's next life, and its task runs again

Tried: a hold that acknowledges ends and a start get no answer and are carried out late, after the minion has crashed and started again under its id behind a cut.

--- a/review/standin-3/cases.cpp
+++ b/review/standin-3/cases.cpp
@@ -238,6 +238,55 @@
     return world.breaks("TWICE") != 0 ? 1 : 0;
 }
 
+// A start and a hold that acknowledges ends are carried out late, by a minion that has crashed and
+// started again under its id behind a cut.
+int lateHold(const Arguments &arguments)
+{
+    Bounds bounds;
+    auto &world = newWorld(arguments, bounds);
+    world.arePoolsApart = true;
+    world.addMachine("m1", "quoting", 4000, "r1");
+    world.configure({{"version", 1},
+                     {"routes", {route("quotes", "quoting")}},
+                     {"services", {service("quoting")}}});
+    world.outcomeOf = [](const std::string &, std::int64_t, const std::string &) {
+        return World::Outcome{200, "done"};
+    };
+    EntryVm entry(world, program, arguments.folder, "e1", world.cloudPort(), 0.25, bounds,
+                  {"base", "sched", "platform"});
+    entry.start();
+    require(entry.waitReady(10000), "the entry VM is not ready");
+    Client client{world};
+    SentJob job;
+    job.queue = "quotes";
+    job.steps = {step(2, 1000, 200)};
+    require(client.submit(entry, "/quotes/", jobId(1), job) == 200, "a job is not accepted");
+    require(waitFor([&] { return world.isDone(jobId(1)); }, 10000), "a job is not done");
+    sleepMs(3000);
+    job.steps = {step(1, 1000, 200)};
+    if (arguments.hasTrouble)
+        world.delayNext("m1", "/hold+ack", 4000);
+    require(client.submit(entry, "/quotes/", jobId(2), job) == 200, "a job is not accepted");
+    require(waitFor([&] { return world.isDone(jobId(2)); }, 10000), "a job is not done");
+    if (arguments.hasTrouble) {
+        require(waitFor([&] { return !world.isDelayPending("m1", "/hold+ack"); }, 5000),
+                "no end is acknowledged");
+        world.delayNext("m1", "/run-start", 2300);
+    }
+    require(client.submit(entry, "/quotes/", jobId(3), job) == 200, "a job is not accepted");
+    if (arguments.hasTrouble) {
+        require(waitFor([&] { return !world.isDelayPending("m1", "/run-start"); }, 5000),
+                "no start is sent");
+        world.cutMinion("m1", true);
+        world.restartMinion("m1", 500);
+        sleepMs(5000);
+        world.cutMinion("m1", false);
+    }
+    require(waitFor([&] { return world.isDone(jobId(3)); }, 40000), "a job is not done");
+    sleepMs(15000);
+    return world.breaks("TWICE") != 0 ? 1 : 0;
+}
+
 } // namespace
 
 } // namespace review
@@ -255,6 +304,7 @@
         {"cancelled-then-killed", cancelledThenKilled},
         {"two-hand-overs", twoHandOvers},
         {"route-and-back", routeAndBack},
+        {"late-hold", lateHold},
     };
     const auto at = cases.find(argv[1]);
     if (at == cases.end()) {
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -521,12 +521,30 @@
     }).detach();
 }
 
+std::int64_t World::lastEnd(const std::string &name)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->machine(name).lastEnd;
+}
+
 void World::lateOrders(double share)
 {
     const std::lock_guard lock(this->mutex);
     this->lateShare = share;
 }
 
+void World::delayNext(const std::string &name, const std::string &path, std::int64_t ms)
+{
+    const std::lock_guard lock(this->mutex);
+    this->machine(name).delays[path] = ms;
+}
+
+bool World::isDelayPending(const std::string &name, const std::string &path)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->machine(name).delays.count(path) != 0;
+}
+
 std::int64_t World::highestFence()
 {
     const std::lock_guard lock(this->mutex);
@@ -630,18 +648,29 @@
         sleepMs(silenceMs);
         return dropped();
     };
-    if (isAway() || (request.path == "/hold" && nowMs() < machine.answersFrom))
+    if (isAway())
         return machine.isUp ? silent() : dropped();
     const bool isOrder = request.path == "/run-start" || request.path == "/run-stop";
-    bool isLate = false;
-    if (isOrder && std::uniform_real_distribution<double>(0, 1)(this->random) < this->lateShare) {
-        const auto delay = std::uniform_int_distribution<int>(2000, 12000)(this->random);
+    std::optional<std::int64_t> delay;
+    // A hold that acknowledges ends is told apart.
+    const bool acknowledges = request.path == "/hold" && request.body.find("\"ack_cursor\":0") == std::string::npos;
+    if (const auto at = machine.delays.find(acknowledges ? "/hold+ack" : request.path);
+        at != machine.delays.end()) {
+        delay = at->second;
+        machine.delays.erase(at);
+    } else if (isOrder
+               && std::uniform_real_distribution<double>(0, 1)(this->random) < this->lateShare) {
+        delay = std::uniform_int_distribution<int>(2000, 12000)(this->random);
+    }
+    if (delay) {
+        this->record("call " + request.path + " to " + machine.id + " is left unanswered for "
+                     + std::to_string(*delay) + " ms: " + request.body);
         lock.unlock();
-        sleepMs(delay);
+        sleepMs(*delay);
         lock.lock();
-        isLate = true;
-        if (isAway())
+        if (!machine.isUp)
             return dropped();
+        this->record("late call " + request.path + " is carried out by " + machine.id);
     }
     const auto expected = headerOf(request, "x-expect-instance");
     if (!expected.empty() && expected != machine.id)
@@ -658,10 +687,10 @@
     else if (request.path == "/run-stop")
         response = this->stop(machine, body);
     else if (request.path == "/hold")
-        return this->hold(lock, name, machine.id, body);
+        response = this->hold(lock, name, machine.id, body);
     else
         response = json(200, this->stamped(machine, Json::object()));
-    return isLate ? dropped() : response;
+    return delay ? dropped() : response;
 }
 
 HttpResponse World::start(Machine &machine, const Json &body)
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -106,7 +106,7 @@
     std::int64_t startedAt = 0;
     bool isUp = true;
     bool isCut = false; ///< calls are neither carried out nor answered
-    std::int64_t answersFrom = 0; ///< holds are answered from this moment on
+    std::map<std::string, std::int64_t> delays; ///< of the next call, by path
     std::int64_t fence = 0;
     std::int64_t leaseEnd = 0; ///< by the minion's clock
     std::int64_t lastEnd = 0;
@@ -169,8 +169,15 @@
     void cutMinion(const std::string &name, bool isCut);
     /// The minion crashes and starts again under its id after a while.
     void restartMinion(const std::string &name, std::int64_t downMs);
+    /// Ends that the minion has listed in its present life.
+    std::int64_t lastEnd(const std::string &name);
     /// From now on this share of the starts and stops is carried out 2 to 12 s late, unanswered.
     void lateOrders(double share);
+    /// The next call of this path to the minion is carried out this much later, by the incarnation
+    /// that is there then, and gets no answer. "/hold+ack" is a hold that acknowledges ends.
+    void delayNext(const std::string &name, const std::string &path, std::int64_t ms);
+    /// Calls of this path that are still to be delayed.
+    bool isDelayPending(const std::string &name, const std::string &path);
     std::int64_t highestFence();
 
     // Clients.
