--- a/review/standin-3/cases.cpp
+++ b/review/standin-3/cases.cpp
@@ -287,6 +287,114 @@
     return world.breaks("TWICE") != 0 ? 1 : 0;
 }
 
+// A start without an answer is settled by a stop, and its task runs elsewhere. The minion crashes
+// and starts again under its id behind a cut, and carries the start out.
+int settledStart(const Arguments &arguments)
+{
+    Bounds bounds;
+    auto &world = newWorld(arguments, bounds);
+    world.arePoolsApart = true;
+    world.addMachine("m2", "menudesk", 4000, "r2");
+    world.configure({{"version", 1},
+                     {"routes", {route("menus", "menudesk")}},
+                     {"services", {service("menudesk")}}});
+    const auto other = jobId(1);
+    const auto first = jobId(2);
+    const auto subject = jobId(3);
+    world.outcomeOf = [&](const std::string &task, std::int64_t, const std::string &) {
+        return World::Outcome{task.substr(0, 16) == first ? 1200 : 60000, "done"};
+    };
+    EntryVm entry(world, program, arguments.folder, "e1", world.cloudPort(), 0.25, bounds,
+                  {"base", "sched", "platform"});
+    entry.start();
+    require(entry.waitReady(10000), "the entry VM is not ready");
+    Client client{world};
+    const auto run = [&](const std::string &id, const Json &jobStep) {
+        SentJob job;
+        job.queue = "menus";
+        job.steps = {jobStep};
+        require(client.submit(entry, "/menus/", id, job) == 200, "a job is not accepted");
+    };
+    const auto isRunning = [&](const std::string &id) {
+        return [&world, id] {
+            return world.runningTasks(id) == 1;
+        };
+    };
+    run(other, step(1, 1000, 5000));
+    require(waitFor(isRunning(other), 10000), "a job is not started");
+    world.addMachine("m1", "menudesk", 4000, "r1", "b");
+    auto onFirst = step(1, 2000, 1000);
+    onFirst["requirements"] = "b";
+    run(first, onFirst);
+    require(waitFor(isRunning(first), 10000), "a job is not started");
+    if (arguments.hasTrouble)
+        world.delayNext("m1", "/run-start", 5500);
+    run(subject, step(1, 1000, 5000));
+    require(waitFor(isRunning(subject), 10000), "a job is not started");
+    if (arguments.hasTrouble) {
+        require(!world.isDelayPending("m1", "/run-start"), "the first start goes elsewhere");
+        sleepMs(1000);
+        world.cutMinion("m1", true);
+        world.restartMinion("m1", 300);
+        sleepMs(5000);
+        world.cutMinion("m1", false);
+    }
+    sleepMs(4000);
+    return world.breaks("TWICE") != 0 ? 1 : 0;
+}
+
+// A minion starts again twice under its id, and the time of day of its machine jumps back between.
+int clockBack(const Arguments &arguments)
+{
+    Bounds bounds;
+    bounds.stopGrace = 400;
+    bounds.holdMax = 10000;
+    auto &world = newWorld(arguments, bounds);
+    world.arePoolsApart = true;
+    for (int i = 1; i <= 7; ++i)
+        world.addMachine("m" + std::to_string(i), "brothdesk", 16000, "r" + std::to_string(i % 2));
+    world.addMachine("m8", "brothdesk", 16000, "r0", "b");
+    world.configure({{"version", 1},
+                     {"routes", {route("checks", "brothdesk")}},
+                     {"services", {service("brothdesk")}}});
+    EntryVm entry(world, program, arguments.folder, "e1", world.cloudPort(), 0.25, bounds,
+                  {"base", "sched", "platform"});
+    entry.start();
+    require(entry.waitReady(10000), "the entry VM is not ready");
+    Client client{world};
+    const auto run = [&](const std::string &id) {
+        SentJob job;
+        job.queue = "checks";
+        auto jobStep = step(2, 1000, 500);
+        jobStep["requirements"] = "b";
+        job.steps = {jobStep};
+        require(client.submit(entry, "/checks/", id, job) == 200, "a job is not accepted");
+    };
+    run(jobId(1));
+    require(waitFor([&] { return world.isDone(jobId(1)); }, 10000), "a job is not done");
+    sleepMs(4000);
+    if (arguments.hasTrouble) {
+        world.restartMinion("m8", 300);
+        sleepMs(1300);
+        world.stepClock("m8", -2000);
+        world.restartMinion("m8", 300);
+        sleepMs(4000);
+        world.stepClock("m8", 2000);
+    }
+    run(jobId(2));
+    // `finish_s` after the end of the traffic, and the 3 s of the rule.
+    const bool isDone = waitFor([&] { return world.isDone(jobId(2)); }, 14000 + 3000);
+    client.state(entry, "/checks/", jobId(2));
+    if (!isDone)
+        world.broken("LOST", jobId(2) + " has nothing running, with all minions idle");
+    // How long it lasts.
+    if (!isDone)
+        world.record(waitFor([&] { return world.isDone(jobId(2)); }, 40000)
+                         ? "the job is done in the end"
+                         : "the job isn't done 57 s after it was accepted");
+    return world.breaks("LOST") != 0 ? 1 : 0;
+}
+
 } // namespace
 
 } // namespace review
@@ -305,6 +413,8 @@
         {"two-hand-overs", twoHandOvers},
         {"route-and-back", routeAndBack},
         {"late-hold", lateHold},
+        {"settled-start", settledStart},
+        {"clock-back", clockBack},
     };
     const auto at = cases.find(argv[1]);
     if (at == cases.end()) {
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -448,7 +448,7 @@
 {
     if (isNewId)
         machine.id = "i-" + std::to_string(++this->ids);
-    machine.born = std::max(machine.born + 1, unixMs());
+    machine.born = unixMs() + machine.clockStep;
     machine.startedAt = nowMs();
     machine.isUp = true;
     machine.state = "up";
@@ -457,7 +457,8 @@
     machine.lastEnd = 0;
     machine.ends.clear();
     machine.highestEnded.clear();
-    this->record("minion " + machine.id + " begins on " + machine.name + " in " + machine.pool);
+    this->record("minion " + machine.id + " begins on " + machine.name + " in " + machine.pool
+                 + ", born " + std::to_string(machine.born));
     this->publish(machine);
 }
 
@@ -521,6 +522,13 @@
     }).detach();
 }
 
+void World::stepClock(const std::string &name, std::int64_t ms)
+{
+    const std::lock_guard lock(this->mutex);
+    this->machine(name).clockStep += ms;
+    this->record("the time of day on " + name + " jumps by " + std::to_string(ms) + " ms");
+}
+
 std::int64_t World::lastEnd(const std::string &name)
 {
     const std::lock_guard lock(this->mutex);
@@ -653,7 +661,8 @@
     const bool isOrder = request.path == "/run-start" || request.path == "/run-stop";
     std::optional<std::int64_t> delay;
     // A hold that acknowledges ends is told apart.
-    const bool acknowledges = request.path == "/hold" && request.body.find("\"ack_cursor\":0") == std::string::npos;
+    const bool acknowledges =
+        request.path == "/hold" && request.body.find("\"ack_cursor\":0") == std::string::npos;
     if (const auto at = machine.delays.find(acknowledges ? "/hold+ack" : request.path);
         at != machine.delays.end()) {
         delay = at->second;
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -105,6 +105,7 @@
     std::int64_t born = 0;
     std::int64_t startedAt = 0;
     bool isUp = true;
+    std::int64_t clockStep = 0; ///< by which the machine's time of day is off
     bool isCut = false; ///< calls are neither carried out nor answered
     std::map<std::string, std::int64_t> delays; ///< of the next call, by path
     std::int64_t fence = 0;
@@ -169,6 +170,8 @@
     void cutMinion(const std::string &name, bool isCut);
     /// The minion crashes and starts again under its id after a while.
     void restartMinion(const std::string &name, std::int64_t downMs);
+    /// The time of day of the machine jumps.
+    void stepClock(const std::string &name, std::int64_t ms);
     /// Ends that the minion has listed in its present life.
     std::int64_t lastEnd(const std::string &name);
     /// From now on this share of the starts and stops is carried out 2 to 12 s late, unanswered.
