Review, case 14: the first holder hands over by itself

Tried: the strongest of three machines is stopped and started twice; a weak one that led meanwhile has ordered an upkeep, and the other weak one orders the next. The stand-ins lose what no case uses.

--- a/review/standin-3/cases.cpp
+++ b/review/standin-3/cases.cpp
@@ -24,7 +24,7 @@
 // Never destroyed: its threads go on until the end of the program.
 World &newWorld(const Arguments &arguments, const Bounds &bounds)
 {
-    return *new World(arguments.record, bounds, 1);
+    return *new World(arguments.record, bounds);
 }
 
 Json route(const std::string &name, const std::string &service)
@@ -125,11 +125,14 @@
     return world.breaks("QUOTA") != 0 ? 1 : 0;
 }
 
-// A weak machine leads and orders a machine's upkeep. It hands over to a stronger one that was just
-// added, which is stopped soon after. The third leader orders an upkeep of the same machine.
+// The strongest machine is stopped and started twice. A weak one that led meanwhile has ordered a
+// machine's upkeep, and the other weak one orders the next.
 int twoHandOvers(const Arguments &arguments)
 {
     Bounds bounds;
+    bounds.contact = 4000;
+    bounds.cancel = 4000;
+    bounds.configApply = 3000;
     auto &world = newWorld(arguments, bounds);
     world.addMachine("m1", "quoting", 32000, "r1");
     world.configure({{"version", 1},
@@ -138,22 +141,33 @@
     const auto cloud = world.cloudPort();
     const std::vector<std::string> contracts{"base", "sched", "platform", "upkeep"};
     EntryVm first(world, program, arguments.folder, "e1", cloud, 0.12, bounds, contracts);
-    EntryVm added(world, program, arguments.folder, "e2", cloud, 0.5, bounds, contracts);
-    EntryVm third(world, program, arguments.folder, "e3", cloud, 0.2, bounds, contracts);
+    EntryVm strong(world, program, arguments.folder, "e2", cloud, 0.5, bounds, contracts);
+    EntryVm third(world, program, arguments.folder, "e3", cloud, 0.12, bounds, contracts);
     const auto entryOf = [&](const std::string &name) -> const EntryVm & {
-        return name == "e1" ? first : name == "e2" ? added : third;
+        return name == "e1" ? first : name == "e2" ? strong : third;
     };
     world.isInTouch = [&](const std::string &holder, std::int64_t at) {
         const auto disturbed = entryOf(holder).disturbedAt;
-        return disturbed && (at - *disturbed > bounds.contact);
+        return disturbed && at - *disturbed > bounds.contact;
+    };
+    const auto leads = [](const EntryVm &entry) {
+        return entry.countLog("event=lead fence");
     };
-    first.start();
-    require(first.waitReady(10000), "the first entry VM is not ready");
-    require(waitFor([&] { return first.countLog("event=lead fence") > 0; }, 5000),
-            "the first entry VM does not lead");
-    third.start();
-    require(third.waitReady(10000), "the third entry VM is not ready");
-    sleepMs(bounds.contact + 1500);
+    const auto weakLeads = [&] {
+        return leads(first) + leads(third);
+    };
+    for (auto *entry : {&strong, &first, &third})
+        entry->start();
+    for (auto *entry : {&strong, &first, &third})
+        require(entry->waitReady(10000), "an entry VM is not ready");
+    require(waitFor([&] { return leads(strong) > 0; }, 10000), "the strongest does not lead");
+    sleepMs(bounds.contact + 500);
+    if (arguments.hasTrouble) {
+        const auto before = weakLeads();
+        strong.terminate();
+        require(waitFor([&] { return !strong.isRunning(); }, 8000), "the strongest does not stop");
+        require(weakLeads() > before, "no weak entry VM leads");
+    }
     const auto wave = [&](int number) {
         world.putRow("op", "wave/" + std::to_string(number),
                      {{"wave", number}, {"machines", {"m1"}}, {"duration_s", 20}, {"cap", 1}});
@@ -164,12 +178,14 @@
     wave(1);
     require(waitFor([&] { return orders() == 1; }, 10000), "the first upkeep is not ordered");
     if (arguments.hasTrouble) {
-        added.start();
-        require(waitFor([&] { return added.countLog("event=lead fence") > 0; }, 10000),
-                "the added entry VM does not lead");
-        added.terminate();
-        require(waitFor([&] { return third.countLog("event=lead fence") > 0; }, 10000),
-                "the third entry VM does not lead");
+        const auto strongBefore = leads(strong);
+        const auto weakBefore = weakLeads();
+        strong.start();
+        require(waitFor([&] { return leads(strong) > strongBefore; }, 10000),
+                "the strongest does not lead again");
+        strong.terminate();
+        require(waitFor([&] { return weakLeads() > weakBefore; }, 10000),
+                "no weak entry VM leads again");
     } else {
         sleepMs(1000);
     }
@@ -292,6 +308,8 @@
 int settledStart(const Arguments &arguments)
 {
     Bounds bounds;
+    bounds.stopGrace = 400;
+    bounds.holdMax = 10000;
     auto &world = newWorld(arguments, bounds);
     world.arePoolsApart = true;
     world.addMachine("m2", "menudesk", 4000, "r2");
--- a/review/standin-3/entry_vm.cpp
+++ b/review/standin-3/entry_vm.cpp
@@ -89,20 +89,6 @@
     this->world.record("process " + this->name + " gets SIGTERM");
 }
 
-void EntryVm::pause()
-{
-    this->disturbedAt = nowMs();
-    ::kill(this->process, SIGSTOP);
-    this->world.record("process " + this->name + " is stopped");
-}
-
-void EntryVm::resume()
-{
-    this->disturbedAt = nowMs();
-    ::kill(this->process, SIGCONT);
-    this->world.record("process " + this->name + " goes on");
-}
-
 bool EntryVm::isRunning()
 {
     if (this->process < 0)
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <iostream>
 #include <thread>
 
 namespace review {
@@ -19,6 +18,7 @@
 constexpr std::size_t pageEnds = 500;
 constexpr std::int64_t heartbeatMs = 1500;
 constexpr std::int64_t silenceMs = 4000; // longer than any caller waits
+constexpr std::int64_t storeDelayMs = 2;
 
 constexpr char alphabet[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
@@ -36,25 +36,6 @@
     return result;
 }
 
-std::string unbase64(const std::string &text)
-{
-    std::string result;
-    std::uint32_t group = 0;
-    int bits = 0;
-    for (const char character : text) {
-        const auto *at = std::find(std::begin(alphabet), std::end(alphabet) - 1, character);
-        if (at == std::end(alphabet) - 1)
-            break;
-        group = group << 6 | static_cast<std::uint32_t>(at - alphabet);
-        bits += 6;
-        if (bits >= 8) {
-            bits -= 8;
-            result += static_cast<char>(group >> bits & 255);
-        }
-    }
-    return result;
-}
-
 HttpResponse json(int status, const Json &body)
 {
     return {status, body.dump(), false};
@@ -126,10 +107,9 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(duration));
 }
 
-World::World(const std::string &recordPath, Bounds bounds, std::uint64_t seed)
+World::World(const std::string &recordPath, Bounds bounds)
     : bounds(bounds)
     , out(recordPath)
-    , random(seed)
 {
     std::thread([this] {
         for (;;) {
@@ -167,15 +147,6 @@
     this->record("BROKEN " + rule + ": " + what);
 }
 
-std::size_t World::breaks() const
-{
-    const std::lock_guard lock(this->recordMutex);
-    std::size_t count = 0;
-    for (const auto &rule : this->broke)
-        count += rule.second;
-    return count;
-}
-
 std::size_t World::breaks(const std::string &rule) const
 {
     const std::lock_guard lock(this->recordMutex);
@@ -187,33 +158,7 @@
 
 std::uint16_t World::addStorePort()
 {
-    auto port = std::make_shared<std::uint16_t>(0);
-    *port = serveHttp(
-        [this, port](const HttpRequest &request) { return this->callStore(*port, request); });
-    return *port;
-}
-
-void World::cutStore(std::uint16_t port, bool isCut)
-{
-    const std::lock_guard lock(this->mutex);
-    if (isCut)
-        this->cutPorts.insert(port);
-    else
-        this->cutPorts.erase(port);
-    this->record(std::string("store ") + (isCut ? "cut from" : "reached again on") + " port "
-                 + std::to_string(port));
-}
-
-void World::loseAnswers(double share)
-{
-    const std::lock_guard lock(this->mutex);
-    this->lostShare = share;
-}
-
-void World::slowStore(std::int64_t ms)
-{
-    const std::lock_guard lock(this->mutex);
-    this->storeDelay = ms;
+    return serveHttp([this](const HttpRequest &request) { return this->callStore(request); });
 }
 
 Json World::rowJson(const std::string &table, const std::string &part, const std::string &key,
@@ -244,20 +189,6 @@
     this->record("operator writes " + table + "/" + key);
 }
 
-void World::removeRow(const std::string &table, const std::string &key)
-{
-    const std::lock_guard lock(this->mutex);
-    ++this->lastVersion;
-    this->write(table, "", key, "", true);
-}
-
-std::string World::rowValue(const std::string &table, const std::string &key)
-{
-    const std::lock_guard lock(this->mutex);
-    const auto at = this->rows.find({table, "", key});
-    return at == this->rows.end() ? "" : unbase64(at->second.value);
-}
-
 void World::configure(const Json &next)
 {
     {
@@ -267,45 +198,19 @@
     this->putRow("op", "config", next);
 }
 
-HttpResponse World::callStore(std::uint16_t port, const HttpRequest &request)
+HttpResponse World::callStore(const HttpRequest &request)
 {
-    std::int64_t delay = 0;
-    bool isCut = false;
-    {
-        const std::lock_guard lock(this->mutex);
-        isCut = this->cutPorts.count(port) != 0;
-        delay = this->storeDelay;
-    }
-    if (isCut) {
-        sleepMs(silenceMs);
-        return dropped();
-    }
-    if (request.path != "/rows-feed")
-        sleepMs(delay);
-    HttpResponse response{404, "", false};
-    if (request.path == "/rows-tx") {
-        const std::lock_guard lock(this->mutex);
-        response = this->transact(Json::parse(request.body));
-        if (std::uniform_real_distribution<double>(0, 1)(this->random) < this->lostShare)
-            isCut = true;
-    } else if (request.path == "/rows-get") {
-        const std::lock_guard lock(this->mutex);
-        response = this->readRows(request);
-    } else if (request.path == "/rows-parts") {
-        const std::lock_guard lock(this->mutex);
-        response = this->listParts(request);
-    } else if (request.path == "/rows-feed") {
-        response = this->feed(request);
-    }
-    {
-        const std::lock_guard lock(this->mutex);
-        isCut = isCut || this->cutPorts.count(port) != 0;
-    }
-    if (isCut) {
-        sleepMs(silenceMs);
-        return dropped();
-    }
-    return response;
+    if (request.path == "/rows-feed")
+        return this->feed(request);
+    sleepMs(storeDelayMs);
+    const std::lock_guard lock(this->mutex);
+    if (request.path == "/rows-tx")
+        return this->transact(Json::parse(request.body));
+    if (request.path == "/rows-get")
+        return this->readRows(request);
+    if (request.path == "/rows-parts")
+        return this->listParts(request);
+    return json(404, Json::object());
 }
 
 HttpResponse World::transact(const Json &body)
@@ -529,18 +434,6 @@
     this->record("the time of day on " + name + " jumps by " + std::to_string(ms) + " ms");
 }
 
-std::int64_t World::lastEnd(const std::string &name)
-{
-    const std::lock_guard lock(this->mutex);
-    return this->machine(name).lastEnd;
-}
-
-void World::lateOrders(double share)
-{
-    const std::lock_guard lock(this->mutex);
-    this->lateShare = share;
-}
-
 void World::delayNext(const std::string &name, const std::string &path, std::int64_t ms)
 {
     const std::lock_guard lock(this->mutex);
@@ -553,15 +446,6 @@
     return this->machine(name).delays.count(path) != 0;
 }
 
-std::int64_t World::highestFence()
-{
-    const std::lock_guard lock(this->mutex);
-    std::int64_t fence = 0;
-    for (const auto &entry : this->machines)
-        fence = std::max(fence, entry.second->fence);
-    return fence;
-}
-
 HttpResponse World::callCloud(const HttpRequest &request)
 {
     const std::lock_guard lock(this->mutex);
@@ -658,7 +542,6 @@
     };
     if (isAway())
         return machine.isUp ? silent() : dropped();
-    const bool isOrder = request.path == "/run-start" || request.path == "/run-stop";
     std::optional<std::int64_t> delay;
     // A hold that acknowledges ends is told apart.
     const bool acknowledges =
@@ -667,9 +550,6 @@
         at != machine.delays.end()) {
         delay = at->second;
         machine.delays.erase(at);
-    } else if (isOrder
-               && std::uniform_real_distribution<double>(0, 1)(this->random) < this->lateShare) {
-        delay = std::uniform_int_distribution<int>(2000, 12000)(this->random);
     }
     if (delay) {
         this->record("call " + request.path + " to " + machine.id + " is left unanswered for "
@@ -746,7 +626,6 @@
     const auto *step = this->stepOf(task);
     run.isWorking = !(step && step->value("gang", false));
     machine.runs.push_back(run);
-    ++this->starts;
     this->tasks[task].running.insert({machine.id, number});
     return json(200, this->stamped(machine, Json::object()));
 }
@@ -1089,12 +968,6 @@
     return true;
 }
 
-std::size_t World::startCount() const
-{
-    const std::lock_guard lock(this->mutex);
-    return this->starts;
-}
-
 int Client::submit(EntryVm &entry, const std::string &prefix, const std::string &id,
                    const SentJob &job, int timeoutMs)
 {
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -13,7 +13,6 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -138,27 +137,18 @@
 class World
 {
 public:
-    World(const std::string &recordPath, Bounds bounds, std::uint64_t seed);
+    World(const std::string &recordPath, Bounds bounds);
 
     /// Writes a line to the record.
     void record(const std::string &line);
     /// Notes that a rule is broken.
     void broken(const std::string &rule, const std::string &what);
-    std::size_t breaks() const;
     std::size_t breaks(const std::string &rule) const;
 
     // The platform.
     std::uint16_t addStorePort(); ///< a port of the store for one entry VM
     std::uint16_t cloudPort();
     void putRow(const std::string &table, const std::string &key, const Json &value);
-    void removeRow(const std::string &table, const std::string &key);
-    std::string rowValue(const std::string &table, const std::string &key);
-    /// From now on the store does not answer calls on this port.
-    void cutStore(std::uint16_t port, bool isCut);
-    /// From now on this share of the store's writes is done and not answered.
-    void loseAnswers(double share);
-    /// The store's answers take this long.
-    void slowStore(std::int64_t ms);
     void configure(const Json &next);
 
     // The minions.
@@ -172,16 +162,11 @@
     void restartMinion(const std::string &name, std::int64_t downMs);
     /// The time of day of the machine jumps.
     void stepClock(const std::string &name, std::int64_t ms);
-    /// Ends that the minion has listed in its present life.
-    std::int64_t lastEnd(const std::string &name);
-    /// From now on this share of the starts and stops is carried out 2 to 12 s late, unanswered.
-    void lateOrders(double share);
     /// The next call of this path to the minion is carried out this much later, by the incarnation
     /// that is there then, and gets no answer. "/hold+ack" is a hold that acknowledges ends.
     void delayNext(const std::string &name, const std::string &path, std::int64_t ms);
     /// Calls of this path that are still to be delayed.
     bool isDelayPending(const std::string &name, const std::string &path);
-    std::int64_t highestFence();
 
     // Clients.
     void sent(const std::string &id, SentJob job);
@@ -198,7 +183,6 @@
     std::size_t runningTasks(const std::string &job);
     /// All tasks of the job have ended done.
     bool isDone(const std::string &job);
-    std::size_t startCount() const;
 
     /// No disruption was near: ends as alone break a rule.
     bool isCalm = true;
@@ -212,7 +196,7 @@
     std::function<bool(const std::string &holder, std::int64_t at)> isInTouch;
 
 private:
-    HttpResponse callStore(std::uint16_t port, const HttpRequest &request);
+    HttpResponse callStore(const HttpRequest &request);
     HttpResponse transact(const Json &body);
     HttpResponse readRows(const HttpRequest &request);
     HttpResponse listParts(const HttpRequest &request);
@@ -249,7 +233,6 @@
     std::condition_variable changed;
     Bounds bounds;
     std::ofstream out;
-    std::mt19937_64 random;
     std::map<std::string, std::size_t> broke; // by rule
 
     struct RowKey
@@ -260,14 +243,10 @@
     std::map<RowKey, Row> rows;
     std::map<std::int64_t, std::vector<RowKey>> history;
     std::int64_t lastVersion = 0;
-    std::set<std::uint16_t> cutPorts;
-    double lostShare = 0;
-    std::int64_t storeDelay = 2;
     Json configuration;
 
     std::map<std::string, std::unique_ptr<Machine>> machines;
     std::size_t ids = 0;
-    double lateShare = 0;
 
     std::map<std::string, SentJob> jobs;
     struct TaskRecord
@@ -280,7 +259,6 @@
         std::vector<std::set<std::pair<std::string, std::int64_t>>> doneBefore; // of each start
     };
     std::map<std::string, TaskRecord> tasks;
-    std::size_t starts = 0;
 };
 
 /// An entry VM: a process of the project.
@@ -295,8 +273,6 @@
     void start();
     void kill(); ///< SIGKILL
     void terminate(); ///< SIGTERM; does not wait
-    void pause();
-    void resume();
     bool isRunning();
     bool isReady() const;
     bool waitReady(std::int64_t timeoutMs) const;
