--- a/review/standin-3/cases.cpp
+++ b/review/standin-3/cases.cpp
@@ -203,7 +203,8 @@
     auto &world = newWorld(arguments, bounds);
     world.arePoolsApart = true;
     world.addMachine("m1", "quoting", 4000, "r1");
-    world.addMachine("m2", "billing", 4000, "r1");
+    for (int i = 2; i <= 9; ++i)
+        world.addMachine("m" + std::to_string(i), "billing", 4000, "r" + std::to_string(i / 4));
     int version = 0;
     const auto configure = [&](const std::string &serviceOfDrafts) {
         world.configure({{"version", ++version},
@@ -235,21 +236,22 @@
     configure("billing");
     require(waitFor([&] { return world.runningTasks(moved) == 2; }, 10000),
             "a job is not started on the other service");
+    const auto cut = world.machineOf(moved);
     configure("quoting");
     sleepMs(bounds.configApply + 1000);
     require(client.cancel(entry, "/quotes/", full) == 200, "a job is not cancelled");
     require(waitFor([&] { return world.runningTasks(full) == 0; }, 10000), "a job is not stopped");
     sleepMs(1000);
     if (arguments.hasTrouble) {
-        if (!std::getenv("NOCUT"))
-            world.cutMinion("m2", true);
+        world.cutMinion(cut, true);
         entry.kill();
         sleepMs(300);
         entry.start();
         require(entry.waitReady(10000), "the entry VM is not ready again");
     }
     sleepMs(2000);
-    world.cutMinion("m2", false);
+    if (arguments.hasTrouble)
+        world.cutMinion(cut, false);
     sleepMs(3000);
     return world.breaks("TWICE") != 0 ? 1 : 0;
 }
@@ -261,7 +263,9 @@
     Bounds bounds;
     auto &world = newWorld(arguments, bounds);
     world.arePoolsApart = true;
-    world.addMachine("m1", "quoting", 4000, "r1");
+    world.addMachine("m1", "quoting", 4000, "r1", "b");
+    for (int i = 2; i <= 8; ++i)
+        world.addMachine("m" + std::to_string(i), "quoting", 4000, "r" + std::to_string(i / 4));
     world.configure({{"version", 1},
                      {"routes", {route("quotes", "quoting")}},
                      {"services", {service("quoting")}}});
@@ -273,13 +277,18 @@
     entry.start();
     require(entry.waitReady(10000), "the entry VM is not ready");
     Client client{world};
+    const auto labelled = [](std::int64_t count) {
+        auto result = step(count, 1000, 200);
+        result["requirements"] = "b";
+        return result;
+    };
     SentJob job;
     job.queue = "quotes";
-    job.steps = {step(2, 1000, 200)};
+    job.steps = {labelled(2)};
     require(client.submit(entry, "/quotes/", jobId(1), job) == 200, "a job is not accepted");
     require(waitFor([&] { return world.isDone(jobId(1)); }, 10000), "a job is not done");
     sleepMs(3000);
-    job.steps = {step(1, 1000, 200)};
+    job.steps = {labelled(1)};
     if (arguments.hasTrouble)
         world.delayNext("m1", "/hold+ack", 4000);
     require(client.submit(entry, "/quotes/", jobId(2), job) == 200, "a job is not accepted");
@@ -341,6 +350,8 @@
     run(other, step(1, 1000, 5000));
     require(waitFor(isRunning(other), 10000), "a job is not started");
     world.addMachine("m1", "menudesk", 4000, "r1", "b");
+    for (int i = 3; i <= 8; ++i)
+        world.addMachine("m" + std::to_string(i), "menudesk", 4000, "r" + std::to_string(i / 4));
     auto onFirst = step(1, 2000, 1000);
     onFirst["requirements"] = "b";
     run(first, onFirst);
--- a/review/standin-3/entry_vm.cpp
+++ b/review/standin-3/entry_vm.cpp
@@ -113,6 +113,11 @@
             return true;
         sleepMs(20);
     }
+    std::ifstream log(this->folder + "/" + this->name + ".log");
+    std::string last;
+    for (std::string line; std::getline(log, line);)
+        last = line;
+    this->world.record("process " + this->name + " is not ready, its last line: " + last);
     return false;
 }
 
--- a/review/standin-3/http.cpp
+++ b/review/standin-3/http.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <cctype>
 #include <chrono>
-#include <random>
 #include <stdexcept>
 #include <thread>
 
@@ -238,18 +237,22 @@
 
 std::uint16_t freePort()
 {
-    // Below the ports that the system gives to clients, so that the port stays free until it is
-    // used.
-    static std::mt19937 random(std::random_device{}());
-    std::uniform_int_distribution<int> ports(20000, 32000);
-    for (int tries = 0; tries < 1000; ++tries) {
+    // Below the ports that the system gives to clients. Each process has a block of its own, so
+    // that scripts that run side by side don't choose the same port before it is bound.
+    constexpr int firstPort = 20000;
+    constexpr int blockSize = 10;
+    constexpr int blocks = 1200;
+    static int offset = (::getpid() % blocks) * blockSize;
+    for (int tries = 0; tries < blocks * blockSize; ++tries) {
         const int handle = openSocket();
-        auto address = loopback(static_cast<std::uint16_t>(ports(random)));
+        const auto port = static_cast<std::uint16_t>(firstPort + offset);
+        offset = (offset + 1) % (blocks * blockSize);
+        const auto address = loopback(port);
         const bool isFree =
             ::bind(handle, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
         ::close(handle);
         if (isFree)
-            return ntohs(address.sin_port);
+            return port;
     }
     throw std::runtime_error("no free port");
 }
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -947,6 +947,18 @@
     return count;
 }
 
+std::string World::machineOf(const std::string &job)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto &entry : this->machines) {
+        for (const auto &run : entry.second->runs) {
+            if (parseTask(run.task).job == job)
+                return entry.first;
+        }
+    }
+    return "";
+}
+
 bool World::isDone(const std::string &id)
 {
     const std::lock_guard lock(this->mutex);
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -181,6 +181,8 @@
     std::function<Outcome(const std::string &task, std::int64_t run, const std::string &machine)>
         outcomeOf;
     std::size_t runningTasks(const std::string &job);
+    /// A machine on which a task of the job runs; empty if there is none.
+    std::string machineOf(const std::string &job);
     /// All tasks of the job have ended done.
     bool isDone(const std::string &job);
 
