A task whose start had no answer also runs at its worker while that one is cordoned

The task waited for its own leader.

Change: a task that may run at one worker only runs there while it is cordoned; draining, evacuating and held VMs still take nothing.

--- a/packages/scheduling/src/late_start_test.cpp
+++ b/packages/scheduling/src/late_start_test.cpp
@@ -121,16 +121,20 @@
     {
         const char *name;
         Duration age; ///< of the start without an answer
+        bool isCordoned; ///< the worker of that start
         bool isSame;
     };
     const auto row =
-        GENERATE(Case{"may still be carried out", 2s, true}, Case{"is too old", 14s, false});
+        GENERATE(Case{"may still be carried out", 2s, false, true},
+                 Case{"may still be carried out, its worker is cordoned", 2s, true, true},
+                 Case{"is too old", 14s, false, false});
     INFO(row.name);
     SettledBench bench;
     while (bench.now < start + row.age) {
         bench.pass(500ms);
         bench.report("w0");
     }
+    bench.scheduler.findWorker("w0")->cordoned = row.isCordoned;
     bench.add("k", {stepOf(2)});
     bench.report("w1", {{{"k", 0, 0, 0}, 1, "", 100, 0}, {{"k", 0, 0, 1}, 1, "", 100, 0}});
     const auto starts = bench.plan().starts; // `w1` has less room, so that it fits better
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -280,7 +280,7 @@
     task.lateStartWaitSince = now;
     this->note("late-start-wait", jobs::toString(id),
                absl::StrCat("worker=", worker.listing.id, " room=", worker.room().cpu,
-                            " takes-work=", this->takesWork(worker, now) ? 1 : 0));
+                            " takes-work=", this->canTakeWork(worker, now) ? 1 : 0));
 }
 
 void Scheduler::collectLateStarts(Round &round)
@@ -299,7 +299,11 @@
     const auto need = spec.footprint();
     if (!spec.lasting && round.wasRefused(need))
         return nullptr;
-    const auto *onlyWorker = round.onlyWorkerFor(id, spec);
+    auto *onlyWorker = round.onlyWorkerFor(id, spec);
+    // The task could wait for long at a worker that is only cordoned, so it goes there.
+    const bool takesTask = onlyWorker && onlyWorker->listing.service == this->serviceOf(job)
+                           && this->canTakeWork(*onlyWorker, round.now);
+    const std::vector<Worker *> only(takesTask ? 1 : 0, onlyWorker);
     const TaskId firstTask{job.id, id.occurrence, id.step, 0};
     std::map<std::string, std::size_t> onRack;
     if (spec.lasting || spec.sameRack) {
@@ -309,11 +313,9 @@
     const auto fit = this->mechanisms().has(Mechanism::BestFit) ? fitWeight : -fitWeight;
     const auto spread = this->mechanisms().has(Mechanism::RackSpread) ? spreadRackWeight : 0;
     Candidate best;
-    for (auto *worker : round.workers) {
+    for (auto *worker : onlyWorker ? only : round.workers) {
         if (round.reserved.count(worker) != 0 && !spec.lasting)
             continue;
-        if (onlyWorker && worker != onlyWorker)
-            continue;
         const auto room = worker->room();
         if (!need.fitsIn(room))
             continue;
--- a/packages/scheduling/src/scheduler_round.h
+++ b/packages/scheduling/src/scheduler_round.h
@@ -21,7 +21,7 @@
 
     /// The workers at which an earlier start of a task may still be carried out. A task runs next
     /// at the same worker: a restart that lets the late start in also ends that run.
-    std::map<TaskId, const Worker *> lateStarts;
+    std::map<TaskId, Worker *> lateStarts;
 
     /// A rack of the current service as tasks see it that name it.
     struct Rack
@@ -34,7 +34,7 @@
     std::map<std::string, Rack> racks; // those that were asked for
 
     /// The only worker that may run the task; null if each may.
-    const Worker *onlyWorkerFor(const TaskId &task, const jobs::StepSpec &step) const
+    Worker *onlyWorkerFor(const TaskId &task, const jobs::StepSpec &step) const
     {
         const auto at = this->lateStarts.find(task);
         return at == this->lateStarts.end() || step.speculative ? nullptr : at->second;
