No late acknowledgement follows a late start in a worker's later incarnation

Cause: holds name a worker by its id, ends are numbered anew, and both calls bore the same fencing token. Ruled out by the record: that the leader read the end and lost it, or that its first hold after the cut acknowledged it. A higher token for the hold alone doesn't help where the start was sent first, and a wait of 12 s after each lost hold would fail the case and ordinary callers.

Change, in LateCalls: holds that acknowledge don't wait for an end, and starts wait for their answer. If there is none, the token rises with the next renewal, and starts follow once a newer call was answered: an incarnation that carries such a start out refuses the hold. While a start may be carried out late, no end is acknowledged (12 s at most; holds are then sent each 0.2 s). Until a raised token is answered, holds wait for 0.1 s, not 1 s, which also shortens the time until a restarted worker is called.

--- a/packages/coordination/include/sassafrasferry/coordination/end_cursor.h
+++ b/packages/coordination/include/sassafrasferry/coordination/end_cursor.h
@@ -10,8 +10,8 @@
 namespace sassafrasferry::coordination {
 
 /// Returns a cursor only for an incarnation that has answered the previous hold, and only while it
-/// does not know that cursor. This does not cover a hold that is delivered late, after a restart of
-/// the worker: it still carries the cursor of the previous incarnation.
+/// does not know that cursor. A hold that is delivered late, after a restart of the worker, still
+/// carries the cursor of the previous incarnation: `scheduling::LateCalls` covers it.
 class EndCursor
 {
 public:
--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -61,6 +61,8 @@
     /// Sends no further calls. The scheduler is not accessed afterwards.
     void stop()
     {
+        if (!this->stopped)
+            this->endAcknowledgement(false);
         this->stopped = true;
         this->wake.notify();
     }
@@ -121,6 +123,10 @@
     // A hold returns at once while an end is unacknowledged, so the next one waits up to this long
     // for the end to be recorded.
     static constexpr auto recordWait = std::chrono::milliseconds(80);
+    // Until a call with a higher token is answered, the worker gets no starts.
+    static constexpr std::chrono::milliseconds unsettledWait{100};
+    // While ends may not be acknowledged, holds return at once, so they are sent at this interval.
+    static constexpr auto withheldWait = std::chrono::milliseconds(200);
     // After a hold that reported ends, the next one is delayed in proportion to the number of
     // workers, which limits the rate of answers from all workers together.
     static constexpr auto endBatchDelayPerWorker = std::chrono::microseconds(200);
@@ -129,6 +135,7 @@
 
     Awaitable<void> holdLoop()
     {
+        this->endAcknowledgement(false); // an error has ended the loop before
         while (!this->stopped) {
             const auto *worker = this->scheduler.findWorker(this->id);
             if (!worker || worker->hasEnded)
@@ -141,14 +148,16 @@
             HoldRequest request;
             request.fence = this->scheduler.fenceFor(this->id);
             const bool isSurvey = !worker->hasReported || worker->fence.isRaised();
-            request.acknowledged = this->cursor.next(*worker);
+            if (this->scheduler.canAcknowledge(this->id, asked))
+                request.acknowledged = this->cursor.next(*worker);
             request.until = this->scheduler.leaseUntil(this->id, asked, this->events.leasesEndBy());
             if (isSurvey)
                 request.answerTimeout = surveyTimeout(this->scheduler.listedWorkers());
-            // After a failed hold, what runs at the worker must become known at once.
-            else if (this->reachable)
-                request.wait = holdWait;
-            auto answer = co_await this->calls->hold(request);
+            // After a failed hold, what runs at the worker must become known at once. Starts wait
+            // for the answer to an acknowledgement.
+            else if (this->reachable && request.acknowledged == 0)
+                request.wait = worker->fence.isSettled() ? holdWait : unsettledWait;
+            auto answer = co_await this->sendHold(request);
             if (this->stopped)
                 co_return;
             answer.answer = this->interpret(answer.answer, request.fence);
@@ -171,11 +180,10 @@
             if (this->stopped)
                 co_return;
             const auto *worker = this->scheduler.findWorker(this->id);
-            if (worker && worker->endsSeen > worker->endsRecorded) {
-                this->isAwaitingRecord = true;
-                co_await this->wake.wait(recordWait);
-                this->isAwaitingRecord = false;
-            }
+            if (worker && worker->endsSeen > worker->endsRecorded)
+                co_await this->waitForAcknowledgement(recordWait);
+            if (!this->stopped && this->isWithheld())
+                co_await this->waitForAcknowledgement(withheldWait);
             co_return;
         }
         this->cursor.failed();
@@ -194,6 +202,43 @@
         co_await pause(retryPause);
     }
 
+    Awaitable<HoldAnswer> sendHold(HoldRequest request)
+    {
+        if (request.acknowledged != 0) {
+            this->isAcknowledging = true;
+            this->scheduler.acknowledgementSent(this->id, request.fence);
+        }
+        auto answer = co_await this->calls->hold(request);
+        if (!this->stopped)
+            this->endAcknowledgement(answer.answer != scheduling::OrderAnswer::NoAnswer);
+        co_return answer;
+    }
+
+    /// Notes the outcome of the acknowledgement under way, if there is one.
+    void endAcknowledgement(bool isAnswered)
+    {
+        if (!std::exchange(this->isAcknowledging, false))
+            return;
+        this->scheduler.acknowledgementOver(this->id, isAnswered);
+        for (std::size_t i = 0; i < maxSenders; ++i)
+            this->beginSender(this->orders);
+    }
+
+    /// True if there are ends to acknowledge, and a start without an answer forbids it.
+    bool isWithheld() const
+    {
+        const auto *worker = this->scheduler.findWorker(this->id);
+        return worker && this->cursor.next(*worker) != 0
+               && !this->scheduler.canAcknowledge(this->id, bootNow());
+    }
+
+    Awaitable<void> waitForAcknowledgement(Duration limit)
+    {
+        this->isAwaitingRecord = true;
+        co_await this->wake.wait(limit);
+        this->isAwaitingRecord = false;
+    }
+
     // A refusal shows another leader only if it comes from a worker, and not for a newer call of
     // this leader: anybody may answer at the address of an entry.
     scheduling::OrderAnswer interpret(scheduling::OrderAnswer answer, std::int64_t sent)
@@ -219,7 +264,13 @@
     void push(OrderQueue<Order> &queue, Order order)
     {
         queue.waiting.push_back(std::move(order));
-        if (queue.senders >= maxSenders)
+        this->beginSender(queue);
+    }
+
+    template<typename Order>
+    void beginSender(OrderQueue<Order> &queue)
+    {
+        if (!this->canSend(queue) || queue.senders >= maxSenders)
             return;
         ++queue.senders;
         spawn(
@@ -228,10 +279,19 @@
             [self = this->shared_from_this(), &queue](const std::string &) { --queue.senders; });
     }
 
+    // A start that is sent beside an acknowledgement could be carried out before it by a later
+    // incarnation, which would then drop the end of the start's run.
+    template<typename Order>
+    bool canSend(const OrderQueue<Order> &queue) const
+    {
+        const bool isHeldBack = std::is_same_v<Order, StartOrPace> && this->isAcknowledging;
+        return !queue.waiting.empty() && !isHeldBack && !this->stopped;
+    }
+
     template<typename Order>
     Awaitable<void> sendAll(OrderQueue<Order> &queue)
     {
-        while (!queue.waiting.empty() && !this->stopped) {
+        while (this->canSend(queue)) {
             const auto order = std::move(queue.waiting.front());
             queue.waiting.pop_front();
             co_await this->send(order);
@@ -266,6 +326,8 @@
         answer = this->interpret(answer, order.fence);
         this->scheduler.startAnswered(order, answer, bootNow());
         this->answered(answer);
+        if (this->isAwaitingRecord && this->scheduler.canAcknowledge(this->id, bootNow()))
+            this->wake.notify();
     }
 
     Awaitable<void> send(scheduling::StopOrder order)
@@ -305,7 +367,8 @@
     OrderQueue<StartOrPace> orders;
     // Stops have a queue of their own, so that none waits for the answers to starts.
     OrderQueue<scheduling::StopOrder> stops;
-    bool isAwaitingRecord = false;
+    bool isAwaitingRecord = false; // `holdLoop` waits until ends can be acknowledged
+    bool isAcknowledging = false; // a hold that acknowledges ends is under way
     bool reachable = true;
     bool stopped = false;
 };
--- a/packages/coordination/src/worker_session_test.cpp
+++ b/packages/coordination/src/worker_session_test.cpp
@@ -31,6 +31,8 @@
     std::set<std::pair<std::int64_t, std::int64_t>> listed; ///< listed ends: born and number
     std::function<OrderAnswer(std::size_t call)> onHold; ///< called before each hold takes effect
     std::vector<std::string> starts; ///< jobs of the starts that were sent, in order
+    std::vector<std::int64_t> startFences; ///< of each start
+    OrderAnswer startAnswer = OrderAnswer::Accepted;
     std::chrono::milliseconds startTime{0}; ///< until a start is answered
     std::vector<std::int64_t> stops; ///< numbers of the runs of the stops that were sent, in order
     std::chrono::milliseconds stopTime{0}; ///< until a stop is answered
@@ -90,11 +92,13 @@
         co_return result;
     }
 
-    Awaitable<OrderAnswer> start(const scheduling::StartOrder &order, std::int64_t, std::int64_t)
+    Awaitable<OrderAnswer> start(const scheduling::StartOrder &order, std::int64_t,
+                                 std::int64_t fence)
     {
         this->worker->starts.push_back(order.task.job);
+        this->worker->startFences.push_back(fence);
         co_await pause(this->worker->startTime);
-        co_return OrderAnswer::Accepted;
+        co_return this->worker->startAnswer;
     }
 
     Awaitable<OrderAnswer> stop(const scheduling::StopOrder &order, std::int64_t)
@@ -135,11 +139,16 @@
             std::make_unique<ScriptedCalls>(ScriptedCalls{&worker}), 7, std::move(events));
     }
 
-    void run(ScriptedWorker &worker, std::size_t holds)
+    void runUntil(const ScriptedWorker &worker, std::size_t holds)
     {
-        this->session->begin();
         while (worker.acknowledged.size() < holds)
             this->context.run_one();
+    }
+
+    void run(ScriptedWorker &worker, std::size_t holds)
+    {
+        this->session->begin();
+        this->runUntil(worker, holds);
         this->session->stop();
         this->context.run_for(std::chrono::milliseconds(150));
     }
@@ -160,11 +169,16 @@
             this->scheduler.addJob(std::make_unique<jobs::Job>(
                 id, jobs::JobSpec{"", {step}, 0, 0, std::chrono::milliseconds(0)}, terms,
                 bootNow()));
-            for (auto &order : this->scheduler.plan(bootNow(), 0).starts)
-                this->session->order(std::move(order));
+            this->orderPlanned();
         }
     }
 
+    void orderPlanned()
+    {
+        for (auto &order : this->scheduler.plan(bootNow(), 0).starts)
+            this->session->order(std::move(order));
+    }
+
     // So long ago that ends of unknown jobs are acknowledged without waiting for these jobs.
     static constexpr Duration takeover = std::chrono::seconds(60);
 
@@ -302,6 +316,75 @@
     CHECK(worker.ends.empty());
 }
 
+// Guards against tasks that run again after they were done: an acknowledgement was sent before a
+// start, and a later incarnation of the worker carries out first the start and then it.
+TEST_CASE("A start is sent only once a worker can't carry out an earlier acknowledgement")
+{
+    constexpr std::int64_t newerToken = 8;
+    struct Case
+    {
+        const char *name;
+        OrderAnswer answer; ///< to the acknowledgement
+        std::int64_t token; ///< of the start
+    };
+    const auto row = GENERATE(Case{"it is answered", OrderAnswer::Accepted, 7},
+                              Case{"it is not sent", OrderAnswer::NotSent, 7},
+                              Case{"it has no answer", OrderAnswer::NoAnswer, newerToken});
+    CAPTURE(row.name);
+    ScriptedWorker worker;
+    worker.endRun(1);
+    SessionFixture fixture(worker);
+    std::size_t startsBeside = 0;
+    worker.onHold = [&](std::size_t call) {
+        if (call != 2)
+            return OrderAnswer::Accepted;
+        CHECK(worker.acknowledged.back() == 1);
+        CHECK(worker.waits.back() == 0ms);
+        fixture.orderStarts({"queued"});
+        startsBeside = worker.starts.size();
+        return row.answer;
+    };
+    fixture.session->begin();
+    fixture.runUntil(worker, 4);
+    CHECK(startsBeside == 0);
+    CHECK(worker.starts.empty() == (row.token == newerToken));
+    fixture.scheduler.setFence(newerToken);
+    fixture.runUntil(worker, 7);
+    if (worker.starts.empty())
+        fixture.orderPlanned();
+    fixture.runUntil(worker, 8);
+    REQUIRE(worker.starts == std::vector<std::string>{"queued"});
+    CHECK(worker.startFences.front() == row.token);
+    fixture.session->stop();
+    fixture.context.run_for(150ms);
+}
+
+// Guards against tasks that run again after they were done: a start was sent before an
+// acknowledgement, and a later incarnation of the worker carries out both, in this order.
+TEST_CASE("No end is acknowledged while a start has no answer")
+{
+    ScriptedWorker worker;
+    worker.startAnswer = GENERATE(OrderAnswer::Accepted, OrderAnswer::NoAnswer);
+    CAPTURE(model::nameOf(worker.startAnswer));
+    SessionFixture fixture(worker);
+    worker.onHold = [&](std::size_t call) {
+        if (call == 2) {
+            worker.endRun(1);
+            fixture.orderStarts({"queued"});
+        }
+        return OrderAnswer::Accepted;
+    };
+    const auto begin = bootNow();
+    fixture.run(worker, 5);
+    CHECK(worker.starts.size() == 1);
+    const bool isAcknowledged = std::any_of(worker.acknowledged.begin(), worker.acknowledged.end(),
+                                            [](std::int64_t cursor) { return cursor != 0; });
+    CHECK(isAcknowledged == (worker.startAnswer == OrderAnswer::Accepted));
+    // A worker answers holds at once while it lists ends.
+    if (!isAcknowledged)
+        CHECK(bootNow() - begin > 400ms);
+}
+
 TEST_CASE("Each end is acknowledged once it is recorded, and again after a lost hold")
 {
     ScriptedWorker worker;
--- a/packages/scheduling/include/sassafrasferry/scheduling/call_fence.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/call_fence.h
@@ -1,7 +1,7 @@
 // The fencing token of the calls to one worker. A worker that restarts keeps its id, so it carries
 // out calls that were sent to its former incarnation, late ones too. It refuses calls with a lower
-// token than it has seen: a higher token after each restart makes the former calls void as soon as
-// one newer call has arrived.
+// token than it has seen: a higher token makes the calls before it void as soon as one newer call
+// has arrived. The token rises after each restart, and after an acknowledgement without an answer.
 #pragma once
 
 #include <algorithm>
@@ -24,43 +24,58 @@
 
     /// Notes that the worker has restarted.
     void incarnationEnded()
+    {
+        this->raise();
+        this->restarted = !this->settled;
+    }
+
+    /// Gives later calls a higher token than those sent so far.
+    void raise()
     {
         this->former = this->token;
         this->settled = this->token == 0;
     }
 
     /// Notes that the present incarnation has answered a call with this token. Returns true if it
-    /// thereby no longer carries out calls for former incarnations.
+    /// thereby no longer carries out calls with lower tokens.
     bool answered(std::int64_t callToken)
     {
         if (this->settled || callToken <= this->former)
             return false;
         this->settled = true;
+        this->restarted = false;
         return true;
     }
 
-    /// False if calls for former incarnations may still be carried out.
+    /// True if calls for former incarnations may still be carried out.
+    bool isAfterRestart() const
+    {
+        return this->restarted;
+    }
+
+    /// False if calls with lower tokens than the next one's may still be carried out.
     bool isSettled() const
     {
         return this->settled;
     }
 
-    /// True if the answer to the next call will settle the former calls.
+    /// True if the answer to the next call will make those with lower tokens void.
     bool isRaised() const
     {
         return !this->settled && this->token > this->former;
     }
 
-    /// True if a call with this token was meant for the present incarnation.
+    /// True if a call with this token was meant for the present incarnation and is not void.
     bool isPresent(std::int64_t callToken) const
     {
         return this->settled && callToken >= this->token;
     }
 
 private:
-    std::int64_t token = 0; ///< of the calls; rises with each restart
-    std::int64_t former = 0; ///< highest token of calls for former incarnations
+    std::int64_t token = 0; ///< of the calls
+    std::int64_t former = 0; ///< highest token of the calls before the last raise
     bool settled = true;
+    bool restarted = false;
 };
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/include/sassafrasferry/scheduling/late_calls.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/late_calls.h
@@ -1,11 +1,14 @@
-// The starts at one worker that had no answer and may still be carried out, seconds later, by
-// whichever incarnation of the worker is there then. What one incarnation answers about such a start
-// doesn't bind a later one.
+// The calls to one worker that had no answer and may still be carried out, seconds later, by
+// whichever incarnation of the worker is there then. An incarnation that carries out a late start
+// and then a late acknowledgement drops an end that nobody has read. The order of their fencing
+// tokens prevents it where the acknowledgement was sent first; where the start was sent first, the
+// acknowledgement waits.
 #pragma once
 
 #include <sassafrasferry/policy/time.h>
 #include <sassafrasferry/scheduling/run_key.h>
 
+#include <algorithm>
 #include <map>
 
 namespace sassafrasferry::scheduling {
@@ -45,8 +48,43 @@
         return this->starts;
     }
 
+    void acknowledgementSent(std::int64_t token)
+    {
+        this->isAcknowledging = true;
+        this->acknowledgingToken = token;
+    }
+
+    /// Notes that the acknowledgement under way was answered, or will not be.
+    void acknowledgementOver(bool isAnswered)
+    {
+        if (this->isAcknowledging && !isAnswered)
+            this->unansweredToken = std::max(this->unansweredToken, this->acknowledgingToken);
+        this->isAcknowledging = false;
+    }
+
+    bool isAcknowledgementUnderWay() const
+    {
+        return this->isAcknowledging;
+    }
+
+    /// True if a worker that carries out a start with this token refuses each acknowledgement that
+    /// may still be late.
+    bool canStart(std::int64_t token) const
+    {
+        return !this->isAcknowledging && (token == 0 || token > this->unansweredToken);
+    }
+
+    /// True if an acknowledgement that is sent now can't follow a late start.
+    bool canAcknowledge() const
+    {
+        return this->starts.empty();
+    }
+
 private:
     std::map<RunKey, Instant> starts;
+    bool isAcknowledging = false;
+    std::int64_t acknowledgingToken = 0;
+    std::int64_t unansweredToken = 0; ///< highest token of an acknowledgement without an answer
 };
 
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -170,6 +170,13 @@
                                            Instant latest = Instant::max());
     /// The effects of all ends up to this number are in the store.
     std::int64_t acknowledged(const std::string &id) const;
+    /// True if the worker's ends may be acknowledged now. While a start may be carried out late, a
+    /// later incarnation could carry out the acknowledgement after it, and drop the start's end.
+    bool canAcknowledge(const std::string &id, Instant now);
+    void acknowledgementSent(const std::string &id, std::int64_t token);
+    /// After an acknowledgement without an answer the worker is sent no starts until its fencing
+    /// token has risen.
+    void acknowledgementOver(const std::string &id, bool isAnswered);
     const std::map<std::string, Worker> &workers() const;
     Worker *findWorker(const std::string &id);
     /// The current incarnation of a VM; nullptr if it is not listed. A worker that has answered
@@ -268,7 +275,7 @@
     void dropRunsOfIncarnation(Worker &worker, Instant now);
     void reopenStarts(Worker &worker, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
-    void settleFormerCalls(Worker &worker, Instant askedAt, Instant now);
+    void settleFormerCalls(Worker &worker, Instant askedAt);
     void setListed(Worker &worker, bool isListed);
     /// True if a worker of the VM that started later has answered.
     bool isEarlierIncarnation(const WorkerListing &listing) const;
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -140,7 +140,7 @@
     /// the previous incarnation.
     Instant formerLeaseUntil{};
     CallFence fence; ///< of the calls to it
-    LateCalls lateCalls; ///< starts at it that may still be carried out
+    LateCalls lateCalls; ///< calls to it that may still be carried out
     std::int64_t latestLeaseEnd = 0; ///< latest lease end sent, by the worker's clock, milliseconds
     Resources used; ///< sum of `runs`
     std::map<RunKey, Resources> runs; ///< each occupies room until its end is reported
--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -213,7 +213,7 @@
 // Guards against tasks that run twice: a start that was settled with one incarnation is carried out
 // by a later one, before that one has been called.
 TEST_CASE("No task runs twice where the first call to a later incarnation is late",
-          "[former-call-faults][!mayfail]")
+          "[former-call-faults]")
 {
     checkCases(repeatedRestartCases, restartTimes());
     auto all = cases.back();
--- a/packages/scheduling/src/scheduler_fleet.cpp
+++ b/packages/scheduling/src/scheduler_fleet.cpp
@@ -118,11 +118,12 @@
            });
     if (!isExpected)
         return false;
-    if (!worker->second.fence.isSettled())
+    const auto &called = worker->second;
+    if (!called.fence.isSettled() || !called.lateCalls.canStart(order.fence))
         return false;
-    const auto &listing = worker->second.listing;
+    const auto &listing = called.listing;
     return job->second->spec.steps[order.task.step].gang
-           || (this->isStaying(worker->second) && listing.service == this->serviceOf(*job->second));
+           || (this->isStaying(called) && listing.service == this->serviceOf(*job->second));
 }
 
 bool Scheduler::isLasting(const TaskId &task)
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -88,11 +88,10 @@
         this->dropUnreportedRun(worker, entry.first, now);
 }
 
-// The worker carries out no call for a former incarnation any more. All its runs were ordered by
-// such calls, so the report that shows this lists those that it has.
-void Scheduler::settleFormerCalls(Worker &worker, Instant askedAt, Instant now)
+// The worker carries out no call with a lower token any more. All its runs were ordered by such
+// calls, so the report that shows this lists those that it has.
+void Scheduler::settleFormerCalls(Worker &worker, Instant askedAt)
 {
-    worker.formerLeaseUntil = now + this->maxLeaseDuration(this->times.maxLease);
     for (const auto &entry : worker.runs) {
         auto *job = this->findJob(entry.first.task.job);
         auto *task = job ? job->find(entry.first.task) : nullptr;
@@ -150,8 +149,13 @@
         worker.listing.born = report.born;
         worker.listedAt = askedAt;
     }
-    if (worker.fence.answered(report.fence))
-        this->settleFormerCalls(worker, askedAt, now);
+    const bool isAfterRestart = worker.fence.isAfterRestart();
+    if (worker.fence.answered(report.fence)) {
+        this->settleFormerCalls(worker, askedAt);
+        // Calls for the former incarnation may have granted a lease until now.
+        if (isAfterRestart)
+            worker.formerLeaseUntil = now + this->maxLeaseDuration(this->times.maxLease);
+    }
     // A lease that an earlier leader granted before the worker learned of this one may last for a
     // full lease term.
     if (!worker.hasReported)
@@ -427,4 +431,31 @@
     return at == this->workerTable.end() ? 0 : at->second.endsRecorded;
 }
 
+bool Scheduler::canAcknowledge(const std::string &id, Instant now)
+{
+    auto *worker = this->findWorker(id);
+    if (!worker)
+        return false;
+    worker->lateCalls.forgetStartsBefore(now - this->times.lateCallLimit);
+    return worker->lateCalls.canAcknowledge();
+}
+
+void Scheduler::acknowledgementSent(const std::string &id, std::int64_t token)
+{
+    if (auto *worker = this->findWorker(id))
+        worker->lateCalls.acknowledgementSent(token);
+}
+
+void Scheduler::acknowledgementOver(const std::string &id, bool isAnswered)
+{
+    auto *worker = this->findWorker(id);
+    if (!worker)
+        return;
+    worker->lateCalls.acknowledgementOver(isAnswered);
+    if (isAnswered)
+        return;
+    this->note("acknowledgement-unanswered", id, absl::StrCat("ends=", worker->endsRecorded));
+    worker->fence.raise();
+}
+
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/tests/fault_sequence_simulation.h
+++ b/packages/scheduling/tests/fault_sequence_simulation.h
@@ -261,7 +261,9 @@
         }
         const bool isSurvey = !leader->scheduler.findWorker(id)->hasReported;
         const auto asked = this->now;
-        const auto acknowledged = leader->scheduler.acknowledged(id);
+        const auto acknowledged = leader->scheduler.canAcknowledge(id, this->now)
+                                      ? leader->scheduler.acknowledged(id)
+                                      : 0;
         const auto first =
             worker.hold(leader->fence, acknowledged, until, this->now, this->callbacksFor(worker));
         if (!first) {
--- a/packages/scheduling/tests/job_simulation.h
+++ b/packages/scheduling/tests/job_simulation.h
@@ -354,14 +354,17 @@
                 continue;
             next = this->now + this->times.holdInterval;
             const auto asked = this->now;
-            const auto ack = leader->scheduler.acknowledged(id);
             const auto until =
                 leader->scheduler.leaseUntil(id, this->now, this->leasesEndBy(*leader));
             const auto token = leader->scheduler.fenceFor(id);
             const auto *worker = leader->scheduler.findWorker(id);
             const bool isSurvey = !worker->hasReported || worker->fence.isRaised();
             const auto isAfterFailure = leader->holdNumbers[id] != leader->answeredHolds[id];
-            const auto wait = isSurvey || isAfterFailure ? Duration::zero() : this->times.holdWait;
+            if (isAfterFailure)
+                leader->loseAcknowledgement(id);
+            const auto ack = isAfterFailure ? 0 : leader->acknowledge(id, token, this->now);
+            const bool isWaiting = !isSurvey && !isAfterFailure && ack == 0;
+            const auto wait = isWaiting ? this->times.holdWait : Duration::zero();
             if (this->times.holdWait > Duration::zero())
                 next = this->now + wait + this->times.holdTimeout + this->times.holdRetry;
             const auto number = ++leader->holdNumbers[id];
@@ -370,6 +373,7 @@
                 if (!leader->alive || leader->holdNumbers[id] != number)
                     return;
                 leader->answeredHolds[id] = number;
+                leader->receiveAcknowledgement(id);
                 if (this->times.holdWait > Duration::zero())
                     leader->nextHoldAt[id] = this->now;
                 if (report) {
@@ -405,7 +409,7 @@
             const auto index = static_cast<std::size_t>(std::stoul(start.worker.substr(1)));
             const auto until =
                 leader->scheduler.leaseUntil(start.worker, this->now, this->leasesEndBy(*leader));
-            if (!until) {
+            if (!until || !leader->scheduler.isStartWanted(start)) {
                 leader->scheduler.startAnswered(start, OrderAnswer::NotSent, this->now);
                 continue;
             }
--- a/packages/scheduling/tests/sim_leader.h
+++ b/packages/scheduling/tests/sim_leader.h
@@ -89,6 +89,37 @@
         at->second = std::min(at->second, next);
     }
 
+    /// The end number up to which a hold that is sent now acknowledges; 0: none that is new.
+    std::int64_t acknowledge(const std::string &worker, std::int64_t token, Instant now)
+    {
+        const auto ends = this->scheduler.acknowledged(worker);
+        const auto born = this->scheduler.findWorker(worker)->listing.born;
+        if (ends <= this->receivedCursors[{worker, born}]
+            || !this->scheduler.canAcknowledge(worker, now))
+            return 0;
+        this->sentCursors[worker] = {born, ends};
+        this->scheduler.acknowledgementSent(worker, token);
+        return ends;
+    }
+
+    /// Called when the last hold has been answered.
+    void receiveAcknowledgement(const std::string &worker)
+    {
+        const auto sent = this->sentCursors.find(worker);
+        if (sent == this->sentCursors.end())
+            return;
+        this->receivedCursors[{worker, sent->second.first}] = sent->second.second;
+        this->sentCursors.erase(sent);
+        this->scheduler.acknowledgementOver(worker, true);
+    }
+
+    /// Called when the last hold has had no answer.
+    void loseAcknowledgement(const std::string &worker)
+    {
+        if (this->sentCursors.erase(worker) != 0)
+            this->scheduler.acknowledgementOver(worker, false);
+    }
+
     /// Writes the rows of changed jobs, each after `delay`.
     void writeRows(std::map<std::string, messages::JobProgress> &stored, Duration delay,
                    Instant now)
@@ -117,6 +148,10 @@
     std::map<std::string, std::size_t> holdNumbers; // by worker: of the last hold that was sent
     std::map<std::string, std::size_t> answeredHolds; // by worker: number of the last one answered
     std::map<std::string, Instant> nextHoldAt; // by worker: when the next hold is sent
+    /// By worker: its incarnation and the cursor of the acknowledgement under way.
+    std::map<std::string, std::pair<std::int64_t, std::int64_t>> sentCursors;
+    /// By worker and incarnation: the highest cursor that it has answered.
+    std::map<std::pair<std::string, std::int64_t>, std::int64_t> receivedCursors;
     std::deque<std::pair<Instant, DirtyJob>> writes;
 };
 
--- a/packages/scheduling/tests/vm_move_calls.h
+++ b/packages/scheduling/tests/vm_move_calls.h
@@ -30,7 +30,8 @@
         return;
     }
     const auto until = leader->scheduler.leaseUntil(id, this->now);
-    const auto acknowledged = leader->scheduler.acknowledged(id);
+    const auto acknowledged =
+        leader->scheduler.canAcknowledge(id, this->now) ? leader->scheduler.acknowledged(id) : 0;
     const bool isLate = this->takePendingFault(MoveFault::HoldLate);
     const auto after = this->executionDelay(id, isLate);
     if (!after || *after > Duration::zero()) {
