The store knows each service in which a job's tasks may have been started

Cause: a successor waits for the workers of the services in the job's row and in its configuration. Three services in a row, a queue dropped while its tasks run, and a job accepted under the configuration before are the same. Not taken: a wait for the workers of all services (each job would wait for every silent worker), or a row for each job of a queue when a configuration is applied.

Change: JobProgress lists the services, besides that of the job's record, in which its tasks may have been started, and no task is started in a service that the store doesn't know of yet. A successor waits for their workers as for those of the present one. Only jobs whose queue has changed its service pay, with one row before their next start.

--- a/packages/jobs/include/sassafrasferry/jobs/job.h
+++ b/packages/jobs/include/sassafrasferry/jobs/job.h
@@ -178,6 +178,15 @@
     void restore(const messages::JobProgress &progress);
     messages::JobProgress progress() const;
 
+    /// True if the store knows that tasks of the job may run in its present service. A leader
+    /// starts none there before, so that its successor asks the workers of each service that may
+    /// have one.
+    bool isServiceRecorded() const;
+    /// Adds the present service to `progress()`.
+    void addService();
+    /// Notes that a row made by `progress()` is in the store.
+    void servicesRecorded(const messages::JobProgress &row);
+
     /// Returns nullptr if the job has no such task.
     Task *find(const TaskId &id);
     Task &at(std::size_t occurrence, std::size_t step, std::size_t index);
@@ -213,8 +222,9 @@
     const std::string id;
     const JobSpec spec;
     QueueTerms terms;
+    const std::string acceptedService; ///< as in its record
     const Instant acceptedAt;
-    /// Services of its queue in earlier configurations, whose workers may have runs of its tasks.
+    /// Services whose workers may have runs of its tasks, besides that of `terms`.
     std::set<std::string> formerServices;
     std::string customer; ///< whose key it came with; empty: none
     std::size_t customerNumber = noCustomer; ///< the customer's place in the configuration
@@ -230,6 +240,10 @@
 
     void updatePathTimes();
 
+    // Services besides that of the record in which its tasks may be started: all, and those that
+    // the store knows.
+    std::set<std::string> services;
+    std::set<std::string> recordedServices;
     std::vector<StepTimes> stepTimes;
     // Position of a step's first task within its occurrence.
     std::vector<std::size_t> firstTaskOfStep;
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -10,6 +10,7 @@
     : id(std::move(id))
     , spec(std::move(jobSpec))
     , terms(std::move(terms))
+    , acceptedService(this->terms.service)
     , acceptedAt(acceptedAt)
 {
     for (const auto &step : this->spec.steps) {
@@ -216,6 +217,8 @@
     row.set_customer(this->customer);
     if (isFinal(this->state))
         return row;
+    for (const auto &service : this->services)
+        row.add_services(service);
     std::string bits((this->tasks.size() + 7) / 8, '\0');
     for (std::size_t i = 0; i < this->tasks.size(); ++i) {
         const auto &task = this->tasks[i];
@@ -233,9 +236,29 @@
     return row;
 }
 
+bool Job::isServiceRecorded() const
+{
+    return this->terms.service == this->acceptedService
+           || this->recordedServices.count(this->terms.service) != 0;
+}
+
+void Job::addService()
+{
+    if (this->services.insert(this->terms.service).second)
+        ++this->changes;
+}
+
+void Job::servicesRecorded(const messages::JobProgress &row)
+{
+    this->recordedServices.insert(row.services().begin(), row.services().end());
+}
+
 void Job::restore(const messages::JobProgress &row)
 {
     this->state = static_cast<JobState>(row.state());
+    this->services.insert(row.services().begin(), row.services().end());
+    this->formerServices.insert(row.services().begin(), row.services().end());
+    this->servicesRecorded(row);
     for (const auto &entry : row.tasks()) {
         if (entry.task() >= this->tasks.size())
             continue;
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -302,6 +302,9 @@
     void noteIfReconciled(const std::string &service, Instant now);
     /// True if tasks of the job may run on a worker that has not reported to this leader yet.
     bool canHaveUnreportedRuns(const Job &job) const;
+    /// True if tasks of the job may be started as far as its services matter. Adds a service that
+    /// the store doesn't know to the job's row.
+    bool canStartInService(Job &job);
     /// True if the worker is listed and will neither be drained nor evacuated nor moved.
     bool isStaying(const Worker &worker) const;
     bool takesWork(const Worker &worker, Instant now) const;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -172,6 +172,7 @@
     if (!job)
         return;
     job->recordedChanges = std::max(job->recordedChanges, row.changes);
+    job->servicesRecorded(row.row);
     const bool isEndRecorded = jobs::isFinal(job->state) && job->recordedChanges >= job->changes;
     if (isEndRecorded)
         this->note("job-end", job->id,
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -93,6 +93,21 @@
            || std::any_of(job.formerServices.begin(), job.formerServices.end(), isOpen);
 }
 
+bool Scheduler::canStartInService(Job &job)
+{
+    if (this->canHaveUnreportedRuns(job))
+        return false;
+    if (job.isServiceRecorded())
+        return true;
+    const auto changes = job.changes;
+    job.addService();
+    if (job.changes != changes) {
+        this->note("service-added", job.id, absl::StrCat("service=", this->serviceOf(job)));
+        this->markDirty(job);
+    }
+    return false;
+}
+
 bool Scheduler::canStart(const jobs::Task &task, Instant now) const
 {
     return !task.done && task.runs.empty() && task.unreportedEndAt <= this->leasesKnownUntil(now);
@@ -186,7 +201,7 @@
 void Scheduler::planStep(Job &job, std::size_t occurrence, std::size_t step, Round &round)
 {
     const auto &spec = job.spec.steps[step];
-    if (this->canHaveUnreportedRuns(job))
+    if (!this->canStartInService(job))
         return;
     // `choose` would find no worker for any of the tasks, so looking for one to start is in vain.
     if (!spec.lasting && round.wasRefused(spec.footprint()))
@@ -231,7 +246,7 @@
 void Scheduler::planGang(Job &job, std::size_t occurrence, std::size_t step, Round &round)
 {
     const auto &spec = job.spec.steps[step];
-    if (this->canHaveUnreportedRuns(job))
+    if (!this->canStartInService(job))
         return;
     std::int64_t number = this->runBase + 1;
     for (std::size_t i = 0; i < spec.count; ++i) {
