--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -61,9 +61,8 @@
     /// Sends no further calls. The scheduler is not accessed afterwards.
     void stop()
     {
-        if (!this->stopped)
+        if (!std::exchange(this->stopped, true))
             this->endAcknowledgement(false);
-        this->stopped = true;
         this->wake.notify();
     }
 
@@ -181,9 +180,9 @@
                 co_return;
             const auto *worker = this->scheduler.findWorker(this->id);
             if (worker && worker->endsSeen > worker->endsRecorded)
-                co_await this->waitForAcknowledgement(recordWait);
+                co_await this->waitFor(this->isAwaitingRecord, recordWait);
             if (!this->stopped && this->isWithheld())
-                co_await this->waitForAcknowledgement(withheldWait);
+                co_await this->waitFor(this->isAwaitingStarts, withheldWait);
             co_return;
         }
         this->cursor.failed();
@@ -232,11 +231,12 @@
                && !this->scheduler.canAcknowledge(this->id, bootNow());
     }
 
-    Awaitable<void> waitForAcknowledgement(Duration limit)
+    /// Waits until `wake` is notified. `isAwaiting` tells whether it is to be.
+    Awaitable<void> waitFor(bool &isAwaiting, Duration limit)
     {
-        this->isAwaitingRecord = true;
+        isAwaiting = true;
         co_await this->wake.wait(limit);
-        this->isAwaitingRecord = false;
+        isAwaiting = false;
     }
 
     // A refusal shows another leader only if it comes from a worker, and not for a newer call of
@@ -326,7 +326,7 @@
         answer = this->interpret(answer, order.fence);
         this->scheduler.startAnswered(order, answer, bootNow());
         this->answered(answer);
-        if (this->isAwaitingRecord && this->scheduler.canAcknowledge(this->id, bootNow()))
+        if (this->isAwaitingStarts && this->scheduler.canAcknowledge(this->id, bootNow()))
             this->wake.notify();
     }
 
@@ -367,7 +367,8 @@
     OrderQueue<StartOrPace> orders;
     // Stops have a queue of their own, so that none waits for the answers to starts.
     OrderQueue<scheduling::StopOrder> stops;
-    bool isAwaitingRecord = false; // `holdLoop` waits until ends can be acknowledged
+    bool isAwaitingRecord = false; // `holdLoop` waits until ends are recorded
+    bool isAwaitingStarts = false; // `holdLoop` waits until no start is without an answer
     bool isAcknowledging = false; // a hold that acknowledges ends is under way
     bool reachable = true;
     bool stopped = false;
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -161,6 +161,8 @@
     std::string awaitedJob;
 
     Resources room() const;
+    /// Reserves room for a run until its end is reported.
+    void reserve(const RunKey &run, const Resources &need);
     /// True if it may run tasks, or hold ends of runs, that this leader does not know of: it has
     /// not reported all in its current incarnation, and earlier orders may be in effect until
     /// `inheritedUntil`.
--- a/packages/scheduling/src/scheduler_answers.cpp
+++ b/packages/scheduling/src/scheduler_answers.cpp
@@ -7,12 +7,6 @@
 
 namespace sassafrasferry::scheduling {
 
-void Scheduler::startSent(const StartOrder &order, Instant now)
-{
-    if (auto *worker = this->findWorker(order.worker))
-        worker->lateCalls.startSent({order.task, order.run}, now);
-}
-
 void Scheduler::startAnswered(const StartOrder &order, OrderAnswer answer, Instant now)
 {
     auto *worker = this->findWorker(order.worker);
--- a/packages/scheduling/src/scheduler_plan.cpp
+++ b/packages/scheduling/src/scheduler_plan.cpp
@@ -286,28 +286,6 @@
     }
 }
 
-// Elsewhere the task could run beside its late start, which a restarted worker would carry out.
-void Scheduler::waitForLateStart(jobs::Task &task, const TaskId &id, const Worker &worker,
-                                 Instant now)
-{
-    if (task.lateStartWaitSince != Instant{})
-        return;
-    task.lateStartWaitSince = now;
-    this->note("late-start-wait", jobs::toString(id),
-               absl::StrCat("worker=", worker.listing.id, " room=", worker.room().cpu,
-                            " takes-work=", this->canTakeWork(worker, now) ? 1 : 0));
-}
-
-void Scheduler::collectLateStarts(Round &round)
-{
-    for (auto &entry : this->workerTable) {
-        auto &worker = entry.second;
-        worker.lateCalls.forgetStartsBefore(round.now - this->times.lateCallLimit);
-        for (const auto &start : worker.lateCalls.openStarts())
-            round.lateStarts[start.first.task] = &worker;
-    }
-}
-
 Worker *Scheduler::choose(const Job &job, const jobs::Task &task, const TaskId &id, Round &round)
 {
     const auto &spec = job.spec.steps[id.step];
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -21,13 +21,6 @@
     return nullptr;
 }
 
-/// Reserves room for a run that will be stopped, until its end is reported.
-void reserveRoom(Worker &worker, const RunKey &run, const Resources &need)
-{
-    if (worker.runs.emplace(run, need).second)
-        worker.used += need;
-}
-
 } // namespace
 
 // Only runs that a report has listed are known to have been in the incarnation that ended. Any
@@ -53,34 +46,6 @@
         this->dropUnreportedRun(worker, key, now);
 }
 
-// A start that was settled with the former incarnation may still be carried out by the next one.
-// Its task waits for that one as for a start that is not settled.
-void Scheduler::reopenStarts(Worker &worker, Instant now)
-{
-    worker.lateCalls.forgetStartsBefore(now - this->times.lateCallLimit);
-    for (const auto &[key, sentAt] : worker.lateCalls.openStarts()) {
-        auto *job = this->findJob(key.task.job);
-        auto *task = job ? job->find(key.task) : nullptr;
-        if (!task || task->done || jobs::isFinal(job->state) || worker.runs.count(key) != 0)
-            continue;
-        const bool runsElsewhere =
-            std::any_of(task->runs.begin(), task->runs.end(),
-                        [&](const jobs::Run &run) { return run.worker != worker.listing.id; });
-        if (runsElsewhere)
-            continue;
-        jobs::Run run;
-        run.worker = worker.listing.id;
-        run.number = key.number;
-        run.state = jobs::RunState::Unanswered;
-        run.orderedAt = sentAt;
-        task->runs.push_back(run);
-        reserveRoom(worker, key, job->spec.steps[key.task.step].footprint());
-        this->note("start-reopened", jobs::toString(key.task),
-                   absl::StrCat("run=", key.number, " worker=", worker.listing.id,
-                                " age-ms=", (now - sentAt) / std::chrono::milliseconds(1)));
-    }
-}
-
 void Scheduler::dropAllRuns(Worker &worker, Instant now)
 {
     const auto runs = worker.runs;
@@ -308,8 +273,7 @@
         if (!run || now - run->stopAskedAt > minStopInterval)
             this->requestStop(worker.listing.id, key, "not wanted");
         if (!run)
-            reserveRoom(worker, key,
-                        task ? job->spec.steps[listed.task.step].footprint() : Resources{});
+            worker.reserve(key, task ? job->spec.steps[listed.task.step].footprint() : Resources{});
         return;
     }
     auto *run = findRun(*task, worker.listing.id, listed.run);
@@ -317,7 +281,7 @@
         this->note("second-run", jobs::toString(listed.task),
                    absl::StrCat("worker=", worker.listing.id, " run=", listed.run));
         this->requestStop(worker.listing.id, key, "second run");
-        reserveRoom(worker, key, job->spec.steps[listed.task.step].footprint());
+        worker.reserve(key, job->spec.steps[listed.task.step].footprint());
         return;
     }
     if (!run) {
@@ -431,31 +395,4 @@
     return at == this->workerTable.end() ? 0 : at->second.endsRecorded;
 }
 
-bool Scheduler::canAcknowledge(const std::string &id, Instant now)
-{
-    auto *worker = this->findWorker(id);
-    if (!worker)
-        return false;
-    worker->lateCalls.forgetStartsBefore(now - this->times.lateCallLimit);
-    return worker->lateCalls.canAcknowledge();
-}
-
-void Scheduler::acknowledgementSent(const std::string &id, std::int64_t token)
-{
-    if (auto *worker = this->findWorker(id))
-        worker->lateCalls.acknowledgementSent(token);
-}
-
-void Scheduler::acknowledgementOver(const std::string &id, bool isAnswered)
-{
-    auto *worker = this->findWorker(id);
-    if (!worker)
-        return;
-    worker->lateCalls.acknowledgementOver(isAnswered);
-    if (isAnswered)
-        return;
-    this->note("acknowledgement-unanswered", id, absl::StrCat("ends=", worker->endsRecorded));
-    worker->fence.raise();
-}
-
 } // namespace sassafrasferry::scheduling
--- a/packages/scheduling/src/worker.cpp
+++ b/packages/scheduling/src/worker.cpp
@@ -10,6 +10,12 @@
     return room;
 }
 
+void Worker::reserve(const RunKey &run, const Resources &need)
+{
+    if (this->runs.emplace(run, need).second)
+        this->used += need;
+}
+
 bool Worker::canHaveUnreportedRuns(Instant leasesKnownUntil) const
 {
     const bool hasReportedAll = this->hasReported && !this->canHaveUnlistedEnds;
