--- a/packages/coordination/src/session_late_calls_test.cpp
+++ b/packages/coordination/src/session_late_calls_test.cpp
@@ -1,5 +1,5 @@
-// Tests how a session keeps starts and acknowledgements apart that a later incarnation of its worker
-// could carry out one after the other.
+// Tests how a session keeps starts and acknowledgements apart that a later incarnation of its
+// worker could carry out one after the other.
 #include "../tests/scripted_worker.h"
 
 #include <catch2/catch.hpp>
--- a/packages/scheduling/src/scheduler_late_calls.cpp
+++ b/packages/scheduling/src/scheduler_late_calls.cpp
@@ -1,5 +1,5 @@
-// What late calls mean for acknowledgements, for the place of a task's next run, and for the tasks of
-// a worker that has restarted.
+// What late calls mean for acknowledgements, for the place of a task's next run, and for the tasks
+// of a worker that has restarted.
 #include "scheduler_round.h"
 
 #include <absl/strings/str_cat.h>
