Simulated workers that restart unnoticed and are cut off: tasks run twice

The simulation listed a restarted worker at once, and its holds were answered, so that every leader learnt of a restart before the next call. New fault: a worker answers no holds, restarts under its id, is sent starts, and is cut off before its entry names the new incarnation. Jobs are narrow there, so that workers which answer no holds have room for starts.

--- a/packages/scheduling/src/job_simulation_test.cpp
+++ b/packages/scheduling/src/job_simulation_test.cpp
@@ -107,6 +107,23 @@
       .partition = 0.1}},
 };
 
+// Whoever leads learns of the restart once the cut is over, unless an answer shows it.
+const std::vector<Case> unnoticedRestartCases{
+    {"restarted unnoticed and cut off", {.unnoticedRestart = 0.1}},
+    {"restarted unnoticed and cut off, answers are lost",
+     {.lostAnswer = 0.1, .unnoticedRestart = 0.1}},
+    {"restarted unnoticed and cut off, orders are late",
+     {.lateOrder = 0.1, .lateReachesNext = true, .unnoticedRestart = 0.1}},
+    {"restarted unnoticed and cut off, other cuts", {.unnoticedRestart = 0.1, .partition = 0.1}},
+};
+
+// Likewise, and the leader that sent the calls is succeeded before the cut is over.
+const std::vector<Case> unnoticedTakeoverCases{
+    {"restarted unnoticed and cut off, leaders die", {.unnoticedRestart = 0.1, .leaderLoss = 0.2}},
+    {"restarted unnoticed and cut off, leaders lose the store",
+     {.unnoticedRestart = 0.1, .storeLoss = 0.2}},
+};
+
 // Half of the jobs belong to a customer whose cap changes.
 const std::vector<Case> capCases{
     {"caps change", {.capChange = 0.3}},
@@ -137,15 +154,24 @@
     return text ? std::strtoull(text, nullptr, 10) : defaultCount;
 }
 
-void checkCases(const std::vector<Case> &cases, const SimulationTimes &times = {})
+/// Widths of the steps of successive jobs.
+struct JobWidths
+{
+    std::size_t least = 2;
+    std::size_t count = 8; ///< of different widths
+};
+
+void checkCases(const std::vector<Case> &cases, const SimulationTimes &times = {},
+                const JobWidths &widths = {})
 {
     for (const auto &row : cases) {
         std::size_t starts = 0;
         std::size_t startsAtCap = 0;
         for (std::uint64_t seed = 1; seed <= seedsPerCase(); ++seed) {
             JobSimulation simulation(seed, row.faults, times);
-            for (int i = 0; i < 30; ++i) {
-                simulation.addJob("j" + std::to_string(i), chainOfTwo(2 + i % 8));
+            for (std::size_t i = 0; i < 30; ++i) {
+                simulation.addJob("j" + std::to_string(i),
+                                  chainOfTwo(widths.least + i % widths.count));
                 simulation.run(1s, true);
             }
             simulation.run(times.calm, false);
@@ -160,6 +186,9 @@
     }
 }
 
+/// Jobs that leave room on most workers, so that starts go to workers that answer no holds.
+constexpr JobWidths narrowJobs{1, 1};
+
 SimulationTimes restartTimes()
 {
     SimulationTimes times;
@@ -221,6 +250,23 @@
     checkCases({all});
 }
 
+// Guards against tasks that run twice: a start for a worker's former incarnation is carried out by
+// the present one, which takes a longer lease, and the worker is cut off before its leader learns
+// of the restart.
+TEST_CASE("No task runs twice where workers restart unnoticed and are cut off",
+          "[unnoticed-restart-faults][!mayfail]")
+{
+    checkCases(unnoticedRestartCases, restartTimes(), narrowJobs);
+}
+
+// Guards against tasks that run twice: the successor of a leader that had not learnt of a restart
+// takes the worker's leases for over too early.
+TEST_CASE("No task runs twice where workers restart unnoticed beside takeovers",
+          "[unnoticed-restart-faults][!mayfail]")
+{
+    checkCases(unnoticedTakeoverCases, restartTimes(), narrowJobs);
+}
+
 // Guards against starts that bring a customer above its cap, and against jobs that wait at a cap
 // for good.
 TEST_CASE("Jobs end and keep to their customer's cap under random faults", "[cap-faults]")
--- a/packages/scheduling/tests/fault_rates.h
+++ b/packages/scheduling/tests/fault_rates.h
@@ -21,6 +21,10 @@
     /// A worker is down for 0.6 s, restarts with the same id, and is cut off for 9 s within 2 s
     /// after that. Calls that are sent while it is down reach its next incarnation.
     double restartAndCut = 0;
+    /// A worker answers no holds any more, restarts with the same id within 0.5 s, and is cut off
+    /// for 9 s within 1 s after that, before its entry names the new incarnation. Starts and stops
+    /// are answered until the cut.
+    double unnoticedRestart = 0;
     double permanentLoss = 0; ///< a worker disappears for good without notice
     double partition = 0; ///< no call reaches a worker for 1 to 9 s, and its tasks keep running
     /// Calls of some leaders don't reach a worker for 1 to 9 s, those of the others do.
--- a/packages/scheduling/tests/job_simulation.h
+++ b/packages/scheduling/tests/job_simulation.h
@@ -123,6 +123,7 @@
         worker.born = ++this->incarnationCount;
         worker.startedAt = this->now;
         worker.clockRate = this->random.between(0.98, 1.0);
+        worker.writeEntry();
         this->serviceOfWorker[worker.id] = service;
         this->workers.push_back(worker);
     }
@@ -135,6 +136,7 @@
                 continue;
             if (this->random.chance(this->faults.crash * tick)) {
                 this->workers[i].restart(++this->incarnationCount, this->now);
+                this->workers[i].writeEntry();
                 this->cancels.noteDisturbance(this->workers[i].id, this->now);
                 for (const auto &leader : this->leaders) {
                     if (this->times.holdWait > Duration::zero())
@@ -144,6 +146,9 @@
             if (this->faults.restartAndCut > 0
                 && this->random.chance(this->faults.restartAndCut * tick))
                 this->restartAndCut(i);
+            if (this->faults.unnoticedRestart > 0
+                && this->random.chance(this->faults.unnoticedRestart * tick))
+                this->restartUnnoticed(i);
             if (this->random.chance(this->faults.partition * tick))
                 this->workers[i].partitionedUntil =
                     this->now + this->random.between(Duration(1s), Duration(9s));
@@ -184,6 +189,7 @@
         worker.downUntil = this->now + downTime;
         this->events.add(worker.downUntil, [this, index] {
             this->workers[index].restart(++this->incarnationCount, this->now);
+            this->workers[index].writeEntry();
         });
         const auto cutAt = worker.downUntil + this->random.between(Duration(50ms), Duration(2s));
         this->events.add(cutAt, [this, index, cutTime] {
@@ -191,6 +197,26 @@
         });
     }
 
+    void restartUnnoticed(std::size_t index)
+    {
+        constexpr Duration cutTime = 9s;
+        const auto downAt = this->now + this->random.between(Duration(0), Duration(200ms));
+        const auto upAt = downAt + this->random.between(Duration(20ms), Duration(300ms));
+        const auto cutAt = upAt + this->random.between(Duration(50ms), Duration(1s));
+        this->workers[index].holdsLostUntil = cutAt;
+        this->events.add(downAt, [this, index, upAt] {
+            this->workers[index].runs.clear();
+            this->workers[index].downUntil = upAt;
+        });
+        this->events.add(upAt, [this, index] {
+            this->workers[index].restart(++this->incarnationCount, this->now);
+        });
+        this->events.add(cutAt, [this, index, cutTime] {
+            this->workers[index].partitionedUntil = this->now + cutTime;
+        });
+        this->events.add(cutAt + cutTime, [this, index] { this->workers[index].writeEntry(); });
+    }
+
     // Leaders with the store learn of a new cap late.
     void passOnCap()
     {
@@ -309,10 +335,10 @@
                 continue;
             WorkerListing listing;
             listing.id = worker.id;
-            listing.born = worker.born;
+            listing.born = worker.listedBorn;
             listing.service = this->serviceOfWorker[worker.id];
             listing.capacity = {4000, 100000, 0};
-            leader.scheduler.listWorker(listing, this->now, worker.startedAt);
+            leader.scheduler.listWorker(listing, this->now, worker.listedStart);
         }
     }
 
--- a/packages/scheduling/tests/sim_calls.h
+++ b/packages/scheduling/tests/sim_calls.h
@@ -67,6 +67,11 @@
                 this->sendAgain(leader, index, call);
                 return;
             }
+            if (this->now < worker.holdsLostUntil) {
+                if (this->random.chance(lostHoldCarriedOut))
+                    call(worker);
+                return;
+            }
             const auto answer = call(worker);
             if (wait == Duration::zero() || !answer || !worker.ends.empty()) {
                 this->answerHold(answer, answered);
@@ -74,7 +79,8 @@
             }
             this->runAfter(wait, [this, leader, index, born = worker.born, report, answered] {
                 auto &answering = this->workers[index];
-                if (answering.isReachableFor(leader, this->now) && answering.born == born)
+                if (answering.isReachableFor(leader, this->now) && answering.born == born
+                    && this->now >= answering.holdsLostUntil)
                     this->answerHold(report(answering), answered);
             });
         });
@@ -84,6 +90,7 @@
     static constexpr Duration timeout = 800ms;
     static constexpr Duration answerTime = 3ms;
     static constexpr Duration longestResend = 1s;
+    static constexpr double lostHoldCarriedOut = 0.5; // share
 
     template<typename Call>
     void carryOutLate(std::int64_t leader, std::size_t index, Call call)
--- a/packages/scheduling/tests/sim_worker.h
+++ b/packages/scheduling/tests/sim_worker.h
@@ -31,11 +31,14 @@
     std::string id;
     std::int64_t born = 0;
     Instant startedAt{};
+    std::int64_t listedBorn = 0; ///< as its entry has it, which may still be the former one's
+    Instant listedStart{}; ///< likewise
     double clockRate = 1;
     bool alive = true;
     bool isLost = false; ///< the worker never returns, but a leader may still list it
     Instant downUntil{}; ///< its process ended, and the next incarnation starts then
     Instant partitionedUntil{}; ///< no call reaches the worker before
+    Instant holdsLostUntil{}; ///< holds before are not answered, and may not be carried out
     Instant pathLostUntil{}; ///< no call of a leader in `unheardLeaders` reaches the worker before
     std::int64_t unheardLeaders = 0; ///< 0: those with an even fence, 1: with an odd one
     std::int64_t fence = 0;
@@ -63,6 +66,13 @@
         return this->isReachable(now) && hasPath;
     }
 
+    /// Writes the entry of the present incarnation.
+    void writeEntry()
+    {
+        this->listedBorn = this->born;
+        this->listedStart = this->startedAt;
+    }
+
     /// Restarts the worker, which keeps its id and loses all other state.
     void restart(std::int64_t incarnation, Instant now)
     {
