A restart that a clock has shown ends the former incarnation once

After a clock had gone back, the report that named the next incarnation ended the former one a second time: the fencing token rose twice, and the worker got no work for one more renewal of the leader's lease, or at all while the store was silent. A report of the former incarnation that arrived after that counted as the present one's; its ends could have been acknowledged to the next incarnation, unread. A session that was stopped could still have asked its worker.

- The worker remembers when its clock went back.
The next incarnation's start time is then taken over without a second end, and a report of the former one that was asked for before is applied as such.
- Runs that the former incarnation has accepted, by its clock, end with it; they waited for the next one's report before.

The simulated cuts last for 6 to 25 s, so that a run that begins late and lasts for the longest lease shows beside them.

--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -218,6 +218,8 @@
 
     Awaitable<void> survey()
     {
+        if (this->stopped)
+            co_return;
         const auto asked = bootNow();
         HoldRequest request;
         request.fence = this->scheduler.fenceFor(this->id);
--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -280,6 +280,8 @@
     bool canStart(const jobs::Task &task, Instant now) const;
     void dropRunsOfIncarnation(Worker &worker, Instant now);
     void reopenStarts(Worker &worker, Instant now);
+    /// Notes that an entry or a report has named a later incarnation.
+    void nextIncarnationNamed(Worker &worker, EndEvidence evidence, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
     void settleFormerCalls(Worker &worker, Instant askedAt);
     void setListed(Worker &worker, bool isListed);
--- a/packages/scheduling/include/sassafrasferry/scheduling/worker.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/worker.h
@@ -122,6 +122,9 @@
     /// A report has named the start time of its current incarnation. Until then it is known from
     /// its entry alone, which may be another writer's.
     bool isIdentified = false;
+    /// When an answer showed by its clock that the incarnation in `listing` has ended. Zero: none
+    /// has, or the next incarnation is known by its start time.
+    Instant restartSeenAt{};
     Instant listedAt{}; ///< when the entry of its current incarnation was first read
     Instant answeredCallAt{}; ///< when the last hold that it answered was sent
     /// Its last report lists as many ends as fit, so that it may hold further ones.
--- a/packages/scheduling/src/scheduler_answers.cpp
+++ b/packages/scheduling/src/scheduler_answers.cpp
@@ -21,7 +21,7 @@
 ClockOrigin Scheduler::readClock(const std::string &id, const OrderReply &reply, Instant askedAt,
                                  Instant now)
 {
-    const auto *worker = this->findWorker(id);
+    auto *worker = this->findWorker(id);
     if (!worker || worker->clock == 0 || !reply.clock || !showsIncarnation(reply.answer))
         return ClockOrigin::Unknown;
     const auto known = worker->lastReading();
@@ -35,8 +35,10 @@
         absl::StrCat("clock=", *reply.clock, " expected=", expected, " born=", worker->listing.born,
                      " later=", origin == ClockOrigin::Later ? 1 : 0,
                      " unheard-ms=", (now - worker->lastAnswer) / std::chrono::milliseconds(1)));
-    if (origin == ClockOrigin::Later)
+    if (origin == ClockOrigin::Later) {
         this->incarnationEnded(id, EndEvidence::Clock, now);
+        worker->restartSeenAt = now;
+    }
     return origin;
 }
 
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -23,9 +23,9 @@
 
 } // namespace
 
-// Only runs that a report has listed are known to have been in the incarnation that ended. Any
-// other start may have reached the next incarnation or may still do so, so its task waits for a
-// report from that one. A stop that the previous incarnation answered has no effect on the next.
+// Only confirmed runs are known to have been in the incarnation that ended. Any other start may
+// have reached the next incarnation or may still do so, so its task waits for a report from that
+// one. A stop that the previous incarnation answered has no effect on the next.
 void Scheduler::dropRunsOfIncarnation(Worker &worker, Instant now)
 {
     std::vector<RunKey> gone;
@@ -33,7 +33,7 @@
         auto *job = this->findJob(entry.first.task.job);
         auto *task = job ? job->find(entry.first.task) : nullptr;
         auto *run = task ? findRun(*task, worker.listing.id, entry.first.number) : nullptr;
-        if (!run || run->evidence == jobs::RunEvidence::Listed) {
+        if (!run || worker.unconfirmedRuns.count(entry.first) == 0) {
             gone.push_back(entry.first);
             continue;
         }
@@ -99,17 +99,19 @@
     if (at == this->workerTable.end())
         return;
     auto &worker = at->second;
-    const bool isFormer = report.born != 0 && report.born < worker.listing.born;
+    const bool isOutdated = report.born == worker.listing.born && askedAt < worker.restartSeenAt;
+    const bool isFormer = report.born != 0 && (report.born < worker.listing.born || isOutdated);
     if (worker.hasEnded || isFormer) {
         for (const auto &end : report.ended)
             this->applyFormerEnd(worker, end, now);
         return;
     }
     if (report.born != 0 && report.born != worker.listing.born) {
-        this->incarnationEnded(report.worker, EndEvidence::Report, now);
+        this->nextIncarnationNamed(worker, EndEvidence::Report, now);
         worker.listing.born = report.born;
         worker.listedAt = askedAt;
     }
+    worker.restartSeenAt = {};
     const bool isAfterRestart = worker.fence.isAfterRestart();
     if (worker.fence.answered(report.fence)) {
         this->settleFormerCalls(worker, askedAt);
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -24,7 +24,7 @@
     if (listing.born != worker.listing.born)
         worker.listedAt = now;
     if (listing.born != worker.listing.born && worker.listing.born != 0)
-        this->incarnationEnded(listing.id, EndEvidence::Entry, now);
+        this->nextIncarnationNamed(worker, EndEvidence::Entry, now);
     const bool isNew = worker.listing.born == 0;
     // An incarnation that started after the takeover has no runs of earlier leaders. Clocks differ,
     // so start times can't show this; it holds for incarnations first listed after all workers were
@@ -61,11 +61,8 @@
 std::vector<RestartedWorker> Scheduler::restartedWorkers(Instant now) const
 {
     std::map<std::string, Instant> until = this->inheritedRestarts;
-    for (const auto &[id, worker] : this->workerTable) {
-        until[id] = std::max(until[id], worker.formerLeaseUntil);
-        if (!worker.unconfirmedRuns.empty())
-            until[id] = std::max(until[id], this->unconfirmedLeaseExpiry(worker));
-    }
+    for (const auto &entry : this->workerTable)
+        until[entry.first] = std::max(until[entry.first], entry.second.formerLeaseUntil);
     std::vector<RestartedWorker> workers;
     for (const auto &entry : until) {
         if (entry.second > now)
@@ -168,6 +165,13 @@
     this->setAwaitedJob(worker, "");
 }
 
+// No start and no lease has been sent to an incarnation that is known by its clock alone.
+void Scheduler::nextIncarnationNamed(Worker &worker, EndEvidence evidence, Instant now)
+{
+    if (std::exchange(worker.restartSeenAt, Instant{}) == Instant{})
+        this->incarnationEnded(worker.listing.id, evidence, now);
+}
+
 void Scheduler::retireWorker(const std::string &id, EndEvidence evidence, Instant now)
 {
     auto *worker = this->findWorker(id);
--- a/packages/scheduling/tests/fault_rates.h
+++ b/packages/scheduling/tests/fault_rates.h
@@ -22,8 +22,8 @@
     /// after that. Calls that are sent while it is down reach its next incarnation.
     double restartAndCut = 0;
     /// A worker answers no holds any more, restarts with the same id within 0.5 s, and is cut off
-    /// for 9 s within 1 s after that, before its entry names the new incarnation. Starts and stops
-    /// are answered until the cut.
+    /// for 6 to 25 s within 1 s after that, before its entry names the new incarnation. Starts and
+    /// stops are answered until the cut.
     double unnoticedRestart = 0;
     double permanentLoss = 0; ///< a worker disappears for good without notice
     double partition = 0; ///< no call reaches a worker for 1 to 9 s, and its tasks keep running
