A settled start counts until its worker has answered, or its longest lease has ended

The next incarnation carries the start out late, say after 6 s, and holds it for the longest lease, until 16 s. The leader forgot the start after 12 s and started the task elsewhere.

Cause: 12 s is how late a call may be carried out, not how long its run may last at a worker that nobody has heard since.

The start stays on record until the worker has answered a call that was sent once the start was too old, and else until the longest lease after that has ended. A worker that answers costs nothing more. Restarts that are learnt of after 12 s reopen such a start, too.

"no end is acknowledged while a start may be carried out before it": its row "too old to be carried out" expected an acknowledgement 12 s after the start though nothing was heard of the worker in between; an incarnation that began meanwhile could have an unread end by then. The row now expects none, and a new one, in which the worker has answered, expects it.

--- a/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
+++ b/packages/scheduling/include/sassafrasferry/scheduling/scheduler.h
@@ -280,6 +280,7 @@
     bool canStart(const jobs::Task &task, Instant now) const;
     void dropRunsOfIncarnation(Worker &worker, Instant now);
     void reopenStarts(Worker &worker, Instant now);
+    void forgetLateStarts(Worker &worker, Instant now) const;
     /// Notes that an entry or a report has named a later incarnation.
     void nextIncarnationNamed(Worker &worker, EndEvidence evidence, Instant now);
     void dropAllRuns(Worker &worker, Instant now);
--- a/packages/scheduling/src/late_calls_test.cpp
+++ b/packages/scheduling/src/late_calls_test.cpp
@@ -94,11 +94,18 @@
                  bench.now += SchedulerTimes{}.lateCallLimit;
              },
              false},
-        Case{"it is too old to be carried out",
+        Case{"it is too old, but its worker may have carried it out unheard",
              [&](EndedBench &bench, const StartOrder &start) {
                  answered(OrderAnswer::NoAnswer)(bench, start);
                  bench.now += SchedulerTimes{}.lateCallLimit + 1ms;
              },
+             false},
+        Case{"it is too old, and its worker has answered since",
+             [&](EndedBench &bench, const StartOrder &start) {
+                 answered(OrderAnswer::NoAnswer)(bench, start);
+                 bench.now += SchedulerTimes{}.lateCallLimit + 1ms;
+                 bench.report("w0");
+             },
              true});
     INFO(row.name);
     EndedBench bench;
--- a/packages/scheduling/src/scheduler_late_calls.cpp
+++ b/packages/scheduling/src/scheduler_late_calls.cpp
@@ -17,7 +17,7 @@
     auto *worker = this->findWorker(id);
     if (!worker)
         return false;
-    worker->lateCalls.forgetStartsBefore(now - this->times.lateCallLimit);
+    this->forgetLateStarts(*worker, now);
     return worker->lateCalls.canAcknowledge();
 }
 
@@ -39,11 +39,20 @@
     worker->fence.raise();
 }
 
+// A start that was carried out as late as it can be runs for the longest lease, unless the worker
+// has answered since, and would have listed it.
+void Scheduler::forgetLateStarts(Worker &worker, Instant now) const
+{
+    const auto longest = this->maxLeaseDuration(this->times.maxLease);
+    const auto knownUntil = std::max(worker.answeredCallAt, now - longest);
+    worker.lateCalls.forgetStartsBefore(knownUntil - this->times.lateCallLimit);
+}
+
 // A start that was settled with the former incarnation may still be carried out by the next one.
 // Its task waits for that one as for a start that is not settled.
 void Scheduler::reopenStarts(Worker &worker, Instant now)
 {
-    worker.lateCalls.forgetStartsBefore(now - this->times.lateCallLimit);
+    this->forgetLateStarts(worker, now);
     for (const auto &[key, sentAt] : worker.lateCalls.openStarts()) {
         auto *job = this->findJob(key.task.job);
         auto *task = job ? job->find(key.task) : nullptr;
@@ -83,7 +92,7 @@
 {
     for (auto &entry : this->workerTable) {
         auto &worker = entry.second;
-        worker.lateCalls.forgetStartsBefore(round.now - this->times.lateCallLimit);
+        this->forgetLateStarts(worker, round.now);
         for (const auto &start : worker.lateCalls.openStarts())
             round.lateStarts[start.first.task] = &worker;
     }
--- a/packages/scheduling/src/unnoticed_restart_test.cpp
+++ b/packages/scheduling/src/unnoticed_restart_test.cpp
@@ -178,3 +178,37 @@
                         [](const DecisionNote &note) { return note.event == "worker-ended"; })
           == 1);
 }
+
+// Guards against a second run of a task: an incarnation that nobody has heard carries out a start
+// that was settled with the one before.
+TEST_CASE("a settled start counts until its worker has answered, or its longest lease has ended")
+{
+    struct Case
+    {
+        const char *name;
+        Duration silentAfter; ///< since the start was sent
+        bool isForgotten; ///< by then
+    };
+    const auto row = GENERATE(Case{"silent at once", 1s, false},
+                              Case{"silent before the start is too old", 11s, false},
+                              Case{"heard after the start is too old", 13s, true});
+    CAPTURE(row.name);
+    const SchedulerTimes times;
+    const auto longest = times.lateCallLimit + times.maxLease + times.maxLease / 50;
+    SilentBench bench;
+    bench.answer({OrderAnswer::NoAnswer, std::nullopt});
+    bench.now += 1s;
+    bench.report(bench.order.worker);
+    bench.scheduler.stopAnswered({bench.order.worker, bench.order.task, bench.order.run, ""},
+                                 OrderAnswer::Accepted, bench.now);
+    bench.now = bench.sentAt + std::max<Duration>(row.silentAfter, 1500ms);
+    bench.report(bench.order.worker);
+    bench.scheduler.evacuate(bench.order.worker, true, bench.now);
+    const auto waited = bench.timeToNextStart();
+    if (row.isForgotten) {
+        CHECK(waited <= row.silentAfter + 200ms);
+    } else {
+        CHECK(waited >= longest);
+        CHECK(waited <= longest + 1s);
+    }
+}
