--- a/packages/coordination/include/sassafrasferry/coordination/worker_session.h
+++ b/packages/coordination/include/sassafrasferry/coordination/worker_session.h
@@ -3,13 +3,13 @@
 #pragma once
 
 #include <sassafrasferry/coordination/end_cursor.h>
+#include <sassafrasferry/coordination/session_events.h>
 #include <sassafrasferry/coordination/spawn.h>
 #include <sassafrasferry/coordination/worker_calls.h>
 #include <sassafrasferry/scheduling/scheduler.h>
 
 #include <algorithm>
 #include <deque>
-#include <functional>
 #include <memory>
 #include <variant>
 
@@ -17,23 +17,6 @@
 
 namespace sassafrasferry::coordination {
 
-/// Callbacks of a session into its leader.
-struct SessionEvents
-{
-    std::function<void()> onChange; ///< called when the scheduler should plan again
-    std::function<void(const std::string &why)> onFenced; ///< the worker knows a newer leader
-    std::function<bool()> canOrder; ///< the lease was confirmed recently enough to give orders
-    std::function<bool()> canStart; ///< the rows read are recent enough to start tasks
-    /// Returns the latest end of a lease that may be granted now.
-    std::function<Instant()> leasesEndBy = [] {
-        return Instant::max();
-    };
-    /// Returns the latest moment at which a start that is sent now may take effect.
-    std::function<Instant()> startsValidUntil = [] {
-        return Instant::max();
-    };
-};
-
 template<WorkerCalls Worker>
 class WorkerSession : public std::enable_shared_from_this<WorkerSession<Worker>>
 {
