--- a/packages/scheduling/tests/job_simulation_calls.h
+++ b/packages/scheduling/tests/job_simulation_calls.h
@@ -17,8 +17,7 @@
             continue;
         next = this->now + this->times.holdInterval;
         const auto asked = this->now;
-        const auto until =
-            leader->scheduler.leaseUntil(id, this->now, this->leasesEndBy(*leader));
+        const auto until = leader->scheduler.leaseUntil(id, this->now, this->leasesEndBy(*leader));
         const auto token = leader->scheduler.fenceFor(id);
         const auto *worker = leader->scheduler.findWorker(id);
         const bool isSurvey = !worker->hasReported || worker->fence.isRaised();
@@ -52,8 +51,7 @@
                 return worker.hold(token, ack, until, this->now, this->callbacksFor(worker));
             },
             [this, token](SimWorker &worker) {
-                return worker.hold(token, 0, std::nullopt, this->now,
-                                   this->callbacksFor(worker));
+                return worker.hold(token, 0, std::nullopt, this->now, this->callbacksFor(worker));
             },
             answered);
     }
@@ -63,8 +61,8 @@
 {
     auto orders = leader->scheduler.plan(this->now, 0);
     const auto interpret = [leader](const auto &order, OrderAnswer answer) {
-        const bool isOwn = answer == OrderAnswer::Fenced
-                           && order.fence < leader->scheduler.fenceFor(order.worker);
+        const bool isOwn =
+            answer == OrderAnswer::Fenced && order.fence < leader->scheduler.fenceFor(order.worker);
         return isOwn ? OrderAnswer::Outdated : answer;
     };
     for (auto &start : orders.starts) {
@@ -88,8 +86,8 @@
                     return;
                 const auto origin =
                     leader->scheduler.readClock(start.worker, reply, asked, this->now);
-                leader->scheduler.startAnswered(start, interpret(start, reply.answer),
-                                                this->now, origin);
+                leader->scheduler.startAnswered(start, interpret(start, reply.answer), this->now,
+                                                origin);
             });
     }
     for (auto &stop : orders.stops) {
