--- a/packages/model/include/sassafrasferry/model/settings.h
+++ b/packages/model/include/sassafrasferry/model/settings.h
@@ -43,6 +43,11 @@
     std::chrono::milliseconds readTimeout{10000};
 };
 
+class TomlReader;
+
+/// Reads a table of limits; keys that are absent keep their values.
+void readLimits(TomlReader &reader, CallerLimits &limits);
+
 /// How requests are admitted and routed.
 struct RoutingSettings
 {
--- a/packages/model/src/settings.cpp
+++ b/packages/model/src/settings.cpp
@@ -42,15 +42,6 @@
         reader.find(key, "must be an IP number and a port, as in 127.0.0.1:8080");
 }
 
-void readLimits(TomlReader &reader, CallerLimits &limits)
-{
-    reader.read("headerBytes", limits.headerBytes, {256, mostBody});
-    reader.read("bodyBytes", limits.bodyBytes, {0, mostBody});
-    reader.read("connections", limits.connections, {1, 1000000});
-    reader.read("idleTimeoutMs", limits.idleTimeout, periodRange);
-    reader.read("readTimeoutMs", limits.readTimeout, periodRange);
-}
-
 void readRouting(TomlReader &reader, RoutingSettings &routing)
 {
     reader.readName("policy", routing.policy);
@@ -97,6 +88,15 @@
 
 } // namespace
 
+void readLimits(TomlReader &reader, CallerLimits &limits)
+{
+    reader.read("headerBytes", limits.headerBytes, {256, mostBody});
+    reader.read("bodyBytes", limits.bodyBytes, {0, mostBody});
+    reader.read("connections", limits.connections, {1, 1000000});
+    reader.read("idleTimeoutMs", limits.idleTimeout, periodRange);
+    reader.read("readTimeoutMs", limits.readTimeout, periodRange);
+}
+
 std::optional<Endpoint> parseEndpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
