Server: unfinished requests give way where they hold too many bytes

The limits were of one request; none was over all.

Beyond it those that have been arriving longest get 503 with Outcome: not-run and Retry-After: a caller that sends all of its request is soon read, so a crowd does not keep ordinary callers out. A request that arrives with its first read always gets its turn. Where requests under way hold all there is, the new one is refused at once.

The decision is SessionLedger, without I/O.

--- a/packages/http/include/sassafrasferry/http/server.h
+++ b/packages/http/include/sassafrasferry/http/server.h
@@ -1,6 +1,7 @@
 // An HTTP server: one acceptor, sessions spread over executors, a handler for each request.
 #pragma once
 
+#include <sassafrasferry/http/session_ledger.h>
 #include <sassafrasferry/http/types.h>
 #include <sassafrasferry/model/settings.h>
 
@@ -10,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <variant>
 #include <vector>
 
 namespace sassafrasferry::http {
@@ -62,8 +64,15 @@
     struct Session;
     struct Registry;
 
+    /// A request, or the answer to what cannot be read as one; neither if the caller is gone.
+    using Received = std::variant<std::monostate, Request, Response>;
+
     Awaitable<void> acceptLoop();
     Awaitable<void> serve(std::shared_ptr<Session> session);
+    Awaitable<Received> receive(Session &session);
+    Awaitable<Response> answer(std::shared_ptr<Session> session, Request request);
+    Awaitable<void> finish(Session &session);
+    void giveWay(const std::vector<SessionLedger::Id> &sessions);
     Awaitable<void> refuse(std::shared_ptr<Session> session);
     void start(Tcp::socket socket, const Lane &lane);
     const Lane &nextLane();
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -4,8 +4,9 @@
 #include <sassafrasferry/http/json.h>
 #include <sassafrasferry/http/server.h>
 
-#include <list>
-#include <mutex>
+#include "server_session.h"
+
+#include <algorithm>
 
 #include <glog/logging.h>
 
@@ -15,6 +16,7 @@
 
 using Parser = beast::http::request_parser<beast::http::string_body>;
 
+constexpr std::size_t firstReadBytes = 4096; // of a request
 constexpr std::size_t readBytes = 16384; // most that one read takes in
 
 struct Fault
@@ -43,6 +45,8 @@
 {
     auto response = textResponse(fault.status, fault.message + "\n");
     response.set(header::outcome, "not-run");
+    if (fault.status == Status::service_unavailable)
+        response.set(Field::retry_after, "1");
     response.keep_alive(false);
     return response;
 }
@@ -75,31 +79,11 @@
         std::exchange(this->callback, nullptr)();
 }
 
-struct Server::Session
-{
-    Session(Tcp::socket socket, const Handler &handler)
-        : stream(std::move(socket))
-        , handler(handler)
-    {}
-
-    beast::tcp_stream stream;
-    const Handler &handler; // of the server's lane
-    std::atomic<bool> busy{false}; // a request has been read and its answer not yet written
-    std::list<std::shared_ptr<Session>>::iterator place;
-};
-
-struct Server::Registry
-{
-    std::mutex mutex;
-    std::list<std::shared_ptr<Session>> sessions;
-    std::atomic<std::size_t> busy{0};
-};
-
 Server::Server(std::vector<Lane> lanes, model::CallerLimits limits)
     : lanes(std::move(lanes))
     , limits(limits)
     , acceptor(this->lanes.front().executor)
-    , registry(std::make_shared<Registry>())
+    , registry(std::make_shared<Registry>(limits))
 {}
 
 absl::Status Server::listen(const model::Endpoint &endpoint)
@@ -164,24 +148,29 @@
 {
     beast::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
-    auto session = std::make_shared<Session>(std::move(socket), lane.handler);
-    bool isOverLimit = false;
+    const auto mostInput = static_cast<std::size_t>(this->limits.headerBytes) + readBytes;
+    auto session = std::make_shared<Session>(std::move(socket), lane.handler, mostInput);
+    auto self = this->shared_from_this();
+    const auto id = this->registry->update(
+        [](SessionLedger &ledger) { return ledger.admit(std::chrono::steady_clock::now()); });
+    if (!id) {
+        asio::co_spawn(
+            session->stream.get_executor(), [self, session] { return self->refuse(session); },
+            asio::detached);
+        return;
+    }
+    session->id = *id;
     {
         const std::lock_guard lock(this->registry->mutex);
-        auto &sessions = this->registry->sessions;
-        isOverLimit = sessions.size() >= static_cast<std::size_t>(this->limits.connections);
-        session->place = sessions.insert(sessions.end(), session);
+        this->registry->sessions[session->id] = session;
     }
-    auto self = this->shared_from_this();
     asio::co_spawn(
         session->stream.get_executor(),
-        [self, session, isOverLimit]() -> Awaitable<void> {
-            if (isOverLimit)
-                co_await self->refuse(session);
-            else
-                co_await self->serve(session);
+        [self, session]() -> Awaitable<void> {
+            co_await self->serve(session);
             const std::lock_guard lock(self->registry->mutex);
-            self->registry->sessions.erase(session->place);
+            self->registry->sessions.erase(session->id);
+            self->registry->ledger.close(session->id);
         },
         asio::detached);
 }
@@ -191,7 +180,6 @@
     beast::error_code error;
     session->stream.expires_after(this->limits.readTimeout);
     auto response = faultResponse({Status::service_unavailable, "too many connections"});
-    response.set(Field::retry_after, "1");
     co_await beast::http::async_write(session->stream, response,
                                       asio::redirect_error(asio::use_awaitable, error));
     session->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
@@ -199,64 +187,39 @@
 
 Awaitable<void> Server::serve(std::shared_ptr<Session> session)
 {
+    const auto id = session->id;
     auto &stream = session->stream;
-    // Chunk headers and trailer fields, which the parser does not limit, stay here until they are
-    // whole.
-    beast::flat_buffer buffer(static_cast<std::size_t>(this->limits.headerBytes) + readBytes);
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
     for (;;) {
-        Parser parser;
-        parser.header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
-        parser.body_limit(static_cast<std::uint64_t>(this->limits.bodyBytes));
         // The wait for a first byte may be long; a request that has begun must arrive in time.
-        if (buffer.size() == 0) {
+        if (session->input.size() == 0) {
+            this->registry->update(
+                [id](SessionLedger &ledger) { ledger.idle(id, std::chrono::steady_clock::now()); });
+            session->input.shrink_to_fit();
             stream.expires_after(this->limits.idleTimeout);
-            const auto space = buffer.prepare(4096);
-            const auto size = co_await stream.async_read_some(space, token);
-            buffer.commit(size);
+            session->isReceiving = true;
+            const auto size =
+                co_await stream.async_read_some(session->input.prepare(firstReadBytes), token);
+            session->isReceiving = false;
+            session->input.commit(size);
             if (error)
                 break;
         }
         session->busy = true;
         ++this->registry->busy;
-        stream.expires_after(this->limits.readTimeout);
-        co_await beast::http::async_read(stream, buffer, parser, token);
+        auto received = co_await this->receive(*session);
+        if (std::holds_alternative<std::monostate>(received)) {
+            --this->registry->busy;
+            break;
+        }
         Response response;
-        if (error) {
-            if (isSilentEnd(error)) {
-                --this->registry->busy;
-                break;
-            }
-            response = faultResponse(faultOf(error));
-        } else {
-            stream.expires_never();
-            auto request = parser.release();
-            const bool keepAlive = request.keep_alive();
-            auto disconnect = std::make_shared<Disconnect>();
-            auto isWatching = std::make_shared<bool>(true);
-            // Readable with nothing to read means that the caller has closed its connection.
-            stream.socket().async_wait(
-                Tcp::socket::wait_read,
-                [session, disconnect, isWatching](const beast::error_code &waitError) {
-                    beast::error_code ignored;
-                    if (!waitError && *isWatching
-                        && session->stream.socket().available(ignored) == 0)
-                        disconnect->fire();
-                });
-            try {
-                response = co_await session->handler(std::move(request), disconnect);
-            } catch (const std::exception &error) {
-                LOG(ERROR) << "event=request-failed error=\"" << error.what() << '"';
-                // One faulty request must not end the process, and with it all others.
-                response = textResponse(Status::internal_server_error, "internal error\n");
-                response.set(header::outcome, "unknown");
-            }
-            *isWatching = false;
-            disconnect->onDisconnect(nullptr);
-            beast::error_code ignored;
-            stream.socket().cancel(ignored);
+        if (auto *request = std::get_if<Request>(&received)) {
+            const bool keepAlive = request->keep_alive();
+            response = co_await this->answer(session, std::move(*request));
             response.keep_alive(keepAlive && response.keep_alive() && !this->closing);
+        } else {
+            response = std::get<Response>(std::move(received));
         }
         response.version(11);
         response.prepare_payload();
@@ -267,8 +230,75 @@
         if (error || !response.keep_alive() || this->closing)
             break;
     }
+    co_await this->finish(*session);
+}
+
+Awaitable<Server::Received> Server::receive(Session &session)
+{
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
+    parser.body_limit(static_cast<std::uint64_t>(this->limits.bodyBytes));
+    parser.eager(true);
+    this->registry->update([&session](SessionLedger &ledger) {
+        ledger.reading(session.id, std::chrono::steady_clock::now());
+    });
+    session.stream.expires_after(this->limits.readTimeout);
+    beast::error_code error;
+    while (!parser.is_done() && !error) {
+        session.isReceiving = true;
+        co_await beast::http::async_read_some(session.stream, session.input, parser,
+                                              asio::redirect_error(asio::use_awaitable, error));
+        session.isReceiving = false;
+        const auto bytes = parser.get().body().capacity() + session.input.capacity();
+        this->giveWay(this->registry->update([&](SessionLedger &ledger) {
+            return ledger.hold(session.id, bytes - std::min(bytes, firstReadBytes));
+        }));
+    }
+    const bool isKept = this->registry->update(
+        [&session](SessionLedger &ledger) { return ledger.answer(session.id); });
+    if (!isKept)
+        co_return faultResponse({Status::service_unavailable, "too many requests are under way"});
+    if (error && isSilentEnd(error))
+        co_return std::monostate();
+    if (error)
+        co_return faultResponse(faultOf(error));
+    session.stream.expires_never();
+    co_return parser.release();
+}
+
+Awaitable<Response> Server::answer(std::shared_ptr<Session> session, Request request)
+{
+    auto &stream = session->stream;
+    auto disconnect = std::make_shared<Disconnect>();
+    auto isWatching = std::make_shared<bool>(true);
+    // Readable with nothing to read means that the caller has closed its connection.
+    stream.socket().async_wait(Tcp::socket::wait_read, [session, disconnect, isWatching](
+                                                           const beast::error_code &waitError) {
+        beast::error_code ignored;
+        if (!waitError && *isWatching && session->stream.socket().available(ignored) == 0)
+            disconnect->fire();
+    });
+    Response response;
+    try {
+        response = co_await session->handler(std::move(request), disconnect);
+    } catch (const std::exception &error) {
+        LOG(ERROR) << "event=request-failed error=\"" << error.what() << '"';
+        // One faulty request must not end the process, and with it all others.
+        response = textResponse(Status::internal_server_error, "internal error\n");
+        response.set(header::outcome, "unknown");
+    }
+    *isWatching = false;
+    disconnect->onDisconnect(nullptr);
     beast::error_code ignored;
-    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    stream.socket().cancel(ignored);
+    co_return response;
+}
+
+Awaitable<void> Server::finish(Session &session)
+{
+    auto &stream = session.stream;
+    beast::error_code error;
+    stream.socket().shutdown(Tcp::socket::shutdown_send, error);
     // A socket closed with unread bytes resets the connection, and the caller may lose the answer
     // that was just written: read to the end of what it sends, for a bounded time.
     constexpr auto linger = std::chrono::seconds(1);
@@ -276,8 +306,27 @@
     stream.expires_after(linger);
     error = {};
     for (int i = 0; i < mostReads && !error; ++i) {
-        buffer.consume(buffer.size());
-        co_await stream.async_read_some(buffer.prepare(readBytes), token);
+        session.input.consume(session.input.size());
+        co_await stream.async_read_some(session.input.prepare(readBytes),
+                                        asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+void Server::giveWay(const std::vector<SessionLedger::Id> &ids)
+{
+    const std::lock_guard lock(this->registry->mutex);
+    for (const auto id : ids) {
+        const auto at = this->registry->sessions.find(id);
+        if (at == this->registry->sessions.end())
+            continue;
+        auto session = at->second;
+        asio::post(session->stream.get_executor(), [registry = this->registry, session] {
+            const bool isYielding = registry->update(
+                [&](SessionLedger &ledger) { return ledger.isYielding(session->id); });
+            beast::error_code ignored;
+            if (isYielding && session->isReceiving)
+                session->stream.socket().cancel(ignored);
+        });
     }
 }
 
@@ -306,8 +355,8 @@
 {
     this->closing = true;
     const std::lock_guard lock(this->registry->mutex);
-    for (const auto &session : this->registry->sessions) {
-        asio::post(session->stream.get_executor(), [session] {
+    for (const auto &entry : this->registry->sessions) {
+        asio::post(entry.second->stream.get_executor(), [session = entry.second] {
             beast::error_code ignored;
             if (!session->busy)
                 session->stream.socket().cancel(ignored);
--- a/packages/http/src/server_test.cpp
+++ b/packages/http/src/server_test.cpp
@@ -109,6 +109,52 @@
         CHECK_THAT(answer, Catch::Contains("Outcome: not-run"));
 }
 
+// Guards against a process that runs out of memory for bodies whose senders stop short of their
+// end.
+TEST_CASE("unfinished requests give way where they hold too many bytes")
+{
+    constexpr int crowd = 8;
+    auto limits = smallLimits();
+    limits.bodyBytes = 16384;
+    limits.pendingBytes = 65536;
+    limits.readTimeout = 2s; // a server that keeps them closes their connections then
+    asio::io_context context;
+    auto server =
+        std::make_shared<Server>(std::vector<Lane>{{context.get_executor(), echo}}, limits);
+    const auto endpoint = listenOnLoopback(*server);
+    const Tcp::endpoint target(asio::ip::make_address(endpoint.host), endpoint.port);
+    std::vector<Tcp::socket> sockets;
+    std::string firstAnswer;
+    Exchange ordinary;
+    asio::co_spawn(
+        context,
+        [&]() -> Awaitable<void> {
+            const auto most =
+                "POST / HTTP/1.1\r\nContent-Length: 16384\r\n\r\n" + std::string(16000, 'a');
+            for (int i = 0; i < crowd; ++i) {
+                auto &socket = sockets.emplace_back(context);
+                co_await socket.async_connect(target, asio::use_awaitable);
+                co_await asio::async_write(socket, asio::buffer(most), asio::use_awaitable);
+            }
+            Client client(context.get_executor(), endpoint, {});
+            Request request{Verb::post, "/", 11};
+            request.body() = std::string(8000, 'b');
+            request.prepare_payload();
+            ordinary = co_await client.exchange(request, 10s);
+            beast::error_code error;
+            co_await asio::async_read(sockets.front(), asio::dynamic_buffer(firstAnswer),
+                                      asio::redirect_error(asio::use_awaitable, error));
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    CHECK(ordinary.state == ExchangeState::Answered);
+    CHECK(ordinary.response.body().size() == 8000);
+    CHECK_THAT(firstAnswer, Catch::StartsWith("HTTP/1.1 503"));
+    CHECK_THAT(firstAnswer, Catch::Contains("Outcome: not-run"));
+    CHECK_THAT(firstAnswer, Catch::Contains("Retry-After: 1"));
+}
+
 TEST_CASE("a handler learns that its caller went away")
 {
     asio::io_context context;
--- a/packages/model/include/sassafrasferry/model/settings.h
+++ b/packages/model/include/sassafrasferry/model/settings.h
@@ -38,6 +38,8 @@
 {
     std::int64_t headerBytes = 16LL * 1024;
     std::int64_t bodyBytes = 4LL * 1024 * 1024;
+    /// Of all requests that are not answered yet, beyond the first read of each.
+    std::int64_t pendingBytes = 64LL * 1024 * 1024;
     std::int64_t connections = 4096;
     std::chrono::milliseconds idleTimeout{60000};
     std::chrono::milliseconds readTimeout{10000};
--- a/packages/model/src/settings.cpp
+++ b/packages/model/src/settings.cpp
@@ -92,6 +92,7 @@
 {
     reader.read("headerBytes", limits.headerBytes, {256, mostBody});
     reader.read("bodyBytes", limits.bodyBytes, {0, mostBody});
+    reader.read("pendingBytes", limits.pendingBytes, {0, 64 * mostBody});
     reader.read("connections", limits.connections, {1, 1000000});
     reader.read("idleTimeoutMs", limits.idleTimeout, periodRange);
     reader.read("readTimeoutMs", limits.readTimeout, periodRange);
