Server: silent connections give way to new callers

Beyond limits.connections the connection that has waited longest for its caller is closed for the new one; one that was never answered goes first, so a balancer's kept connections stay. An eighth of the limit covers those that are still closing; where all are being answered the new one is refused as before.

With the decision switched off two tests fail (the ordinary caller gets 503); http_test passes with it.

--- a/packages/http/include/sassafrasferry/http/session_ledger.h
+++ b/packages/http/include/sassafrasferry/http/session_ledger.h
@@ -1,5 +1,5 @@
-// Decides which sessions of a server give way when its callers hold more bytes than the server may
-// spend on them. Without I/O and clocks; the caller synchronizes access.
+// Decides which sessions of a server give way when its callers hold more bytes or more connections
+// than the server may spend on them. Without I/O and clocks; the caller synchronizes access.
 #pragma once
 
 #include <sassafrasferry/model/settings.h>
@@ -26,10 +26,19 @@
     using Id = std::uint64_t;
     using Time = std::chrono::steady_clock::time_point;
 
+    /// How a new connection is received.
+    struct Admission
+    {
+        std::optional<Id> session; ///< of the new connection; absent: it is refused
+        std::optional<Id> yields; ///< the session that gives way to it
+    };
+
     explicit SessionLedger(const model::CallerLimits &limits);
 
-    /// The new session's id; `nullopt` if there are too many.
-    std::optional<Id> admit(Time now);
+    /// Load: more connections than the limit, most of which send nothing. The session that has
+    /// waited longest for its caller gives way, so that a new caller is not refused for it; one
+    /// that was never answered goes before others.
+    Admission admit(Time now);
     void close(Id id);
 
     void idle(Id id, Time now);
@@ -44,6 +53,7 @@
     std::vector<Id> hold(Id id, std::size_t bytes);
 
     bool isYielding(Id id) const;
+    std::size_t count() const;
 
 private:
     struct Session
@@ -51,19 +61,23 @@
         SessionPhase phase = SessionPhase::Idle;
         Time since; // of the phase
         std::size_t bytes = 0;
-        bool isYielding = false; // only while reading
+        bool wasServed = false; // a request was answered
+        bool isYielding = false; // only while idle or reading
     };
 
     void enter(Session &session, SessionPhase phase, Time now);
     void setBytes(Session &session, std::size_t bytes);
     void yield(Session &session);
-    std::optional<Id> longestReading() const;
+    /// The session among those that `mayYield` accepts which has been in its phase for longest.
+    template<typename MayYield>
+    std::optional<Id> longest(MayYield mayYield) const;
 
     std::size_t connections;
     std::size_t pendingBytes;
     std::map<Id, Session> sessions;
     Id lastId = 0;
     std::size_t heldBytes = 0; // of sessions that do not yield
+    std::size_t yielding = 0;
 };
 
 } // namespace sassafrasferry::http
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -151,19 +151,23 @@
     const auto mostInput = static_cast<std::size_t>(this->limits.headerBytes) + readBytes;
     auto session = std::make_shared<Session>(std::move(socket), lane.handler, mostInput);
     auto self = this->shared_from_this();
-    const auto id = this->registry->update(
-        [](SessionLedger &ledger) { return ledger.admit(std::chrono::steady_clock::now()); });
-    if (!id) {
+    SessionLedger::Admission admission;
+    {
+        const std::lock_guard lock(this->registry->mutex);
+        admission = this->registry->ledger.admit(std::chrono::steady_clock::now());
+        if (admission.session) {
+            session->id = *admission.session;
+            this->registry->sessions[session->id] = session;
+        }
+    }
+    if (!admission.session) {
         asio::co_spawn(
             session->stream.get_executor(), [self, session] { return self->refuse(session); },
             asio::detached);
         return;
     }
-    session->id = *id;
-    {
-        const std::lock_guard lock(this->registry->mutex);
-        this->registry->sessions[session->id] = session;
-    }
+    if (admission.yields)
+        this->giveWay({*admission.yields});
     asio::co_spawn(
         session->stream.get_executor(),
         [self, session]() -> Awaitable<void> {
@@ -230,7 +234,12 @@
         if (error || !response.keep_alive() || this->closing)
             break;
     }
-    co_await this->finish(*session);
+    // Nothing was written to a caller that is closed while it sends nothing.
+    const bool isClosedAtOnce =
+        !session->busy
+        && this->registry->update([id](SessionLedger &ledger) { return ledger.isYielding(id); });
+    if (!isClosedAtOnce)
+        co_await this->finish(*session);
 }
 
 Awaitable<Server::Received> Server::receive(Session &session)
--- a/packages/http/src/server_test.cpp
+++ b/packages/http/src/server_test.cpp
@@ -155,6 +155,37 @@
     CHECK_THAT(firstAnswer, Catch::Contains("Retry-After: 1"));
 }
 
+// Guards against ordinary callers that are refused for connections that send nothing.
+TEST_CASE("a new caller is answered although silent connections take all places")
+{
+    auto limits = smallLimits();
+    limits.connections = 8;
+    asio::io_context context;
+    auto server =
+        std::make_shared<Server>(std::vector<Lane>{{context.get_executor(), echo}}, limits);
+    const auto endpoint = listenOnLoopback(*server);
+    const Tcp::endpoint target(asio::ip::make_address(endpoint.host), endpoint.port);
+    std::vector<Tcp::socket> sockets;
+    Exchange ordinary;
+    asio::co_spawn(
+        context,
+        [&]() -> Awaitable<void> {
+            for (int i = 0; i < limits.connections; ++i)
+                co_await sockets.emplace_back(context).async_connect(target, asio::use_awaitable);
+            Client client(context.get_executor(), endpoint, {});
+            Request request{Verb::post, "/", 11};
+            request.body() = "hi";
+            request.prepare_payload();
+            ordinary = co_await client.exchange(request, 10s);
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    CHECK(ordinary.state == ExchangeState::Answered);
+    CHECK(ordinary.response.result() == Status::ok);
+    CHECK(server->sessionCount() <= 9);
+}
+
 TEST_CASE("a handler learns that its caller went away")
 {
     asio::io_context context;
--- a/packages/http/src/session_ledger.cpp
+++ b/packages/http/src/session_ledger.cpp
@@ -7,6 +7,13 @@
 
 namespace sassafrasferry::http {
 
+namespace {
+
+// Sessions that give way still hold a descriptor until they have closed: an eighth of the limit.
+constexpr std::size_t closingShare = 8;
+
+} // namespace
+
 SessionLedger::SessionLedger(const model::CallerLimits &limits)
     : connections(static_cast<std::size_t>(limits.connections))
     // One request within the limits has room while its body grows.
@@ -14,12 +21,35 @@
           std::max(limits.pendingBytes, 2 * (limits.headerBytes + limits.bodyBytes))))
 {}
 
-std::optional<SessionLedger::Id> SessionLedger::admit(Time now)
+template<typename MayYield>
+std::optional<SessionLedger::Id> SessionLedger::longest(MayYield mayYield) const
+{
+    std::optional<Id> longest;
+    for (const auto &[id, session] : this->sessions) {
+        if (session.phase == SessionPhase::Answering || session.isYielding || !mayYield(session))
+            continue;
+        if (!longest || session.since < this->sessions.at(*longest).since)
+            longest = id;
+    }
+    return longest;
+}
+
+SessionLedger::Admission SessionLedger::admit(Time now)
 {
-    if (this->sessions.size() >= this->connections)
-        return std::nullopt;
-    this->sessions[++this->lastId].since = now;
-    return this->lastId;
+    Admission admission;
+    if (this->sessions.size() - this->yielding >= this->connections) {
+        if (this->sessions.size() > this->connections + this->connections / closingShare)
+            return admission;
+        admission.yields = this->longest([](const Session &session) { return !session.wasServed; });
+        if (!admission.yields)
+            admission.yields = this->longest([](const Session &) { return true; });
+        if (!admission.yields)
+            return admission;
+        this->yield(this->sessions.at(*admission.yields));
+    }
+    admission.session = ++this->lastId;
+    this->sessions[this->lastId].since = now;
+    return admission;
 }
 
 void SessionLedger::close(Id id)
@@ -58,7 +88,9 @@
     this->setBytes(this->sessions.at(id), bytes);
     std::vector<Id> yields;
     while (this->heldBytes > this->pendingBytes) {
-        const auto longest = this->longestReading();
+        const auto longest = this->longest([](const Session &session) {
+            return session.phase == SessionPhase::Reading && session.bytes > 0;
+        });
         if (!longest)
             break;
         this->yield(this->sessions.at(*longest));
@@ -73,12 +105,19 @@
     return at != this->sessions.end() && at->second.isYielding;
 }
 
+std::size_t SessionLedger::count() const
+{
+    return this->sessions.size();
+}
+
 void SessionLedger::enter(Session &session, SessionPhase phase, Time now)
 {
     if (session.isYielding) {
         session.isYielding = false;
+        --this->yielding;
         this->heldBytes += session.bytes;
     }
+    session.wasServed |= session.phase == SessionPhase::Answering;
     session.phase = phase;
     session.since = now;
 }
@@ -93,19 +132,8 @@
 void SessionLedger::yield(Session &session)
 {
     session.isYielding = true;
+    ++this->yielding;
     this->heldBytes -= session.bytes;
 }
 
-std::optional<SessionLedger::Id> SessionLedger::longestReading() const
-{
-    std::optional<Id> longest;
-    for (const auto &[id, session] : this->sessions) {
-        const bool mayYield =
-            session.phase == SessionPhase::Reading && !session.isYielding && session.bytes > 0;
-        if (mayYield && (!longest || session.since < this->sessions.at(*longest).since))
-            longest = id;
-    }
-    return longest;
-}
-
 } // namespace sassafrasferry::http
--- a/packages/http/src/session_ledger_test.cpp
+++ b/packages/http/src/session_ledger_test.cpp
@@ -23,7 +23,7 @@
     SessionLedger::Id reading(std::size_t bytes)
     {
         this->now += 1ms;
-        const auto id = *this->ledger.admit(this->now);
+        const auto id = *this->ledger.admit(this->now).session;
         this->ledger.reading(id, this->now);
         this->yields = this->ledger.hold(id, bytes);
         return id;
@@ -79,6 +79,41 @@
     CHECK(bench.ledger.answer(bench.reading(100)));
 }
 
+// Guards against a crowd of silent connections that keeps other callers out.
+TEST_CASE("the session that has waited longest for its caller gives way to a new connection")
+{
+    auto limits = limitsOf(1000);
+    limits.connections = 3;
+    Bench bench(limits);
+    const auto served = bench.reading(0);
+    CHECK(bench.ledger.answer(served));
+    bench.ledger.idle(served, bench.now);
+    const auto silent = *bench.ledger.admit(bench.now + 1ms).session;
+    bench.ledger.answer(bench.reading(0));
+    const auto first = bench.ledger.admit(bench.now);
+    CHECK(first.session.has_value());
+    CHECK(first.yields == silent);
+    const auto second = bench.ledger.admit(bench.now); // before the one that yields has closed
+    CHECK_FALSE(second.session.has_value());
+    bench.ledger.close(silent);
+    const auto third = bench.ledger.admit(bench.now);
+    CHECK(third.yields == first.session);
+    bench.ledger.close(*first.session);
+    bench.ledger.answer(*third.session);
+    CHECK(bench.ledger.admit(bench.now).yields == served);
+}
+
+TEST_CASE("a connection is refused where all others are being answered")
+{
+    auto limits = limitsOf(1000);
+    limits.connections = 1;
+    Bench bench(limits);
+    CHECK(bench.ledger.answer(bench.reading(0)));
+    const auto admission = bench.ledger.admit(bench.now);
+    CHECK_FALSE(admission.session.has_value());
+    CHECK_FALSE(admission.yields.has_value());
+}
+
 TEST_CASE("one request within the limits is always read")
 {
     Bench bench(limitsOf(0));
