Server: it pauses where a connection cannot be accepted

Where descriptors run out, the accept loop asked again at once and the call failed again at once: 51,120 events in 100 ms in the new test, so one crowd kept a process busy with nothing. The loop now waits for 20 ms after such an error.

The test failed before (51,120 events, the most is 1,000) and passes; a caller is answered as soon as descriptors are back.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -16,6 +16,7 @@
 
 using Parser = beast::http::request_parser<beast::http::string_body>;
 
+constexpr std::chrono::milliseconds acceptPause{20}; // after an error
 constexpr std::size_t firstReadBytes = 4096; // of a request
 constexpr std::size_t readBytes = 16384; // most that one read takes in
 
@@ -134,8 +135,13 @@
             lane.executor, asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted || !this->acceptor.is_open())
             co_return;
-        if (!error)
+        if (!error) {
             this->start(std::move(socket), lane);
+        } else if (error != asio::error::connection_aborted) {
+            // Where descriptors run out, the connection stays acceptable and the call fails again.
+            asio::steady_timer pause(this->acceptor.get_executor(), acceptPause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        }
     }
 }
 
--- a/packages/http/src/server_test.cpp
+++ b/packages/http/src/server_test.cpp
@@ -9,6 +9,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 using namespace sassafrasferry;
 using namespace sassafrasferry::http;
 using namespace std::chrono_literals;
@@ -37,6 +40,27 @@
     co_return textResponse(Status::ok, request.body());
 }
 
+/// Lowers the number of descriptors that this process may open.
+class DescriptorLimit
+{
+public:
+    explicit DescriptorLimit(rlim_t most)
+    {
+        ::getrlimit(RLIMIT_NOFILE, &this->former);
+        const rlimit lowered{most, this->former.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    ~DescriptorLimit()
+    {
+        ::setrlimit(RLIMIT_NOFILE, &this->former);
+    }
+    DescriptorLimit(const DescriptorLimit &) = delete;
+    DescriptorLimit &operator=(const DescriptorLimit &) = delete;
+
+private:
+    rlimit former{};
+};
+
 std::string repeated(std::string_view text, std::size_t times)
 {
     std::string result;
@@ -186,6 +210,42 @@
     CHECK(server->sessionCount() <= 9);
 }
 
+// Guards against a process that spends all its time on connections that it cannot accept.
+TEST_CASE("a server without descriptors pauses before it accepts again")
+{
+    constexpr std::size_t manyEvents = 1000; // in 100 ms
+    asio::io_context context;
+    auto server =
+        std::make_shared<Server>(std::vector<Lane>{{context.get_executor(), echo}}, smallLimits());
+    const auto endpoint = listenOnLoopback(*server);
+    std::vector<int> taken;
+    std::size_t events = 0;
+    {
+        const DescriptorLimit limit(64);
+        Tcp::socket last(context, Tcp::v4()); // opened before none is left
+        for (int fd = ::dup(0); fd >= 0; fd = ::dup(0))
+            taken.push_back(fd);
+        last.async_connect(Tcp::endpoint(asio::ip::make_address(endpoint.host), endpoint.port),
+                           [](const beast::error_code &) {});
+        events = context.run_for(100ms);
+        for (const auto fd : taken)
+            ::close(fd);
+    }
+    CHECK(events < manyEvents);
+    Client client(context.get_executor(), endpoint, {});
+    Exchange exchange;
+    asio::co_spawn(
+        context,
+        [&]() -> Awaitable<void> {
+            exchange = co_await client.exchange(Request{Verb::get, "/", 11}, 10s);
+            context.stop();
+        },
+        asio::detached);
+    context.restart();
+    context.run();
+    CHECK(exchange.state == ExchangeState::Answered);
+}
+
 TEST_CASE("a handler learns that its caller went away")
 {
     asio::io_context context;
