Server: a request that gives way is not read on

A body that arrives with the first read counts nothing: its copy was counted, so it could be refused where answers under way hold all.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::chrono::milliseconds acceptPause{20}; // after an error
 constexpr std::size_t firstReadBytes = 4096; // of a request
+constexpr std::size_t freeBytes = 2 * firstReadBytes; // read at once, and the body copied from it
 constexpr std::size_t readBytes = 16384; // most that one read takes in
 
 struct Fault
@@ -259,14 +260,17 @@
     });
     session.stream.expires_after(this->limits.readTimeout);
     beast::error_code error;
-    while (!parser.is_done() && !error) {
+    bool isYielding = false;
+    while (!parser.is_done() && !error && !isYielding) {
         session.isReceiving = true;
         co_await beast::http::async_read_some(session.stream, session.input, parser,
                                               asio::redirect_error(asio::use_awaitable, error));
         session.isReceiving = false;
         const auto bytes = parser.get().body().capacity() + session.input.capacity();
         this->giveWay(this->registry->update([&](SessionLedger &ledger) {
-            return ledger.hold(session.id, bytes - std::min(bytes, firstReadBytes));
+            auto yields = ledger.hold(session.id, bytes - std::min(bytes, freeBytes));
+            isYielding = ledger.isYielding(session.id);
+            return yields;
         }));
     }
     const bool isKept = this->registry->update(
