--- a/packages/http/src/server_test.cpp
+++ b/packages/http/src/server_test.cpp
@@ -126,7 +126,8 @@
     }));
     INFO(row.title);
     auto limits = smallLimits();
-    limits.readTimeout = 1s; // a server that reads on answers 408
+    limits.readTimeout = 1s; // a server that reads on ends the connection then
+    limits.idleTimeout = 1s;
     const auto answer = answerTo(row.bytes, limits);
     CHECK_THAT(answer, Catch::StartsWith(row.statusLine));
     if (!absl::StartsWith(row.statusLine, "HTTP/1.1 200"))
