--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -60,25 +60,6 @@
 
 } // namespace
 
-void Disconnect::onDisconnect(std::function<void()> newCallback)
-{
-    this->callback = std::move(newCallback);
-    if (this->fired && this->callback)
-        std::exchange(this->callback, nullptr)();
-}
-
-bool Disconnect::happened() const
-{
-    return this->fired;
-}
-
-void Disconnect::fire()
-{
-    this->fired = true;
-    if (this->callback)
-        std::exchange(this->callback, nullptr)();
-}
-
 Server::Server(std::vector<Lane> lanes, model::CallerLimits limits)
     : lanes(std::move(lanes))
     , limits(limits)
